--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,63 @@
+"""Fixtures: a small system of processes, ended with its test."""
+
+from __future__ import annotations
+
+import os
+from typing import TYPE_CHECKING
+
+import pytest
+from hypothesis import settings
+
+from waywell.standins.harness import Bench, BoxSpec, make_configuration
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+settings.register_profile(
+    'fixed',
+    derandomize=True,
+    deadline=None,
+    max_examples=int(os.environ.get('WAYWELL_EXAMPLES', '60')),
+)
+settings.load_profile('fixed')
+
+QUICK = {
+    'beat': 0.2,
+    'silence': 1.0,
+    'suspicion': 0.6,
+    'lease': 2.0,
+    'probe': 0.3,
+    'evidence': 2.0,
+    'entry_list': 0.5,
+    'drain': 20.0,
+    'group_drain': 5.0,
+    'route_term': 3.0,
+}
+"""Periods that make the process tests short."""
+
+
+@pytest.fixture
+def bench() -> Iterator[Bench]:
+    """Return a platform stand-in and nothing else yet."""
+    with Bench() as started:
+        yield started
+
+
+@pytest.fixture
+def pair(bench: Bench) -> Bench:
+    """Return two entry boxes and one serving group of two boxes."""
+    start_pair(bench)
+    return bench
+
+
+def start_pair(bench: Bench) -> None:
+    """Start two entry boxes and a group of two boxes; wait for it."""
+    for number in (1, 2):
+        bench.start_box(BoxSpec(f'box-{number}', labels={'pool': 'llm'}))
+    bench.start_box(BoxSpec('app-1', fenced=False, labels={'pool': 'app'}))
+    for number in (1, 2):
+        bench.start_entry(f'entry-{number}', timing=QUICK)
+    assert bench.apply('entry-1', make_configuration()).status == 200
+    for number in (1, 2):
+        bench.wait_serving(f'entry-{number}', 'llm-main', 1)
+        bench.wait_serving(f'entry-{number}', 'app-main', 1)
--- /dev/null
+++ b/tests/test_codes.py
@@ -0,0 +1,25 @@
+"""The table of result codes."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from waywell.codes import CODE_FACTS, Code, Ran, Refusal, render_codes
+
+PAGE = Path(__file__).parent.parent / 'docs' / 'CODES.md'
+
+
+def test_page_has_the_table() -> None:
+    assert render_codes() in PAGE.read_text(encoding='utf-8')
+
+
+def test_every_code_has_facts() -> None:
+    assert set(CODE_FACTS) == set(Code)
+
+
+def test_refusal_describes_itself() -> None:
+    refusal = Refusal(Code.ACCOUNT_RATE, Ran.NOT_RUN, 'slow down', 1.5)
+    assert refusal.status == 429
+    assert refusal.describe()['code'] == 2001
+    assert refusal.describe()['ran'] == 'not_run'
+    assert refusal.describe()['retry_after'] == 1.5
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,95 @@
+"""Operators' input: every fault named, none lost."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from waywell.standins.harness import make_configuration
+from waywell.version.configuration import (
+    check_configuration,
+    join_configuration,
+    read_toml,
+    split_configuration,
+)
+from waywell.version.document import Document
+from waywell.version.faults import FaultsError
+
+
+def list_faults(raw: Any) -> tuple[str, ...]:
+    with pytest.raises(FaultsError) as caught:
+        check_configuration(raw, 'f')
+    return caught.value.faults
+
+
+def test_split_and_join_are_inverse() -> None:
+    configuration = check_configuration(make_configuration(), 'f')
+    entries = split_configuration(configuration)
+    joined = join_configuration(Document(1, entries))
+    assert split_configuration(joined) == entries
+    assert joined.goal == configuration.goal
+    assert set(entries) == {
+        'service/llm',
+        'service/app',
+        'group_set/llm-main',
+        'group_set/app-main',
+        'serving/all',
+        'account/desk',
+        'operator/ops',
+        'goal/goal',
+    }
+
+
+def test_all_faults_are_listed_with_their_places() -> None:
+    faults = list_faults(
+        {
+            'service': [{'name': 'a', 'typ': 'x'}, {'name': 3}],
+            'group_set': [{'name': 'g', 'service': 'a', 'groups': True}],
+            'acount': [],
+        },
+    )
+    assert 'f.service[0].typ: unknown key; nearest known key: type' in faults
+    assert 'f.service[1].name: 3 is no str' in faults
+    assert 'f.group_set[0].groups: True is no int' in faults
+    assert 'f.acount: unknown key; nearest known key: account' in faults
+
+
+@pytest.mark.parametrize(
+    ('raw', 'fault'),
+    [
+        ({'service': [{}]}, 'f.service[0].name: missing'),
+        (
+            {'service': [{'name': 'a'}, {'name': 'a'}]},
+            "f.service: the name 'a' stands twice",
+        ),
+        (
+            {'group_set': [{'name': 'g', 'service': 'no'}]},
+            'f.group_set.g.service: none of []',
+        ),
+        (
+            {'account': [{'name': 'x', 'key_hashes': ['abc']}]},
+            'f.account.x.key_hashes: 64 hexadecimal digits',
+        ),
+        (
+            {
+                'service': [{'name': 'a'}],
+                'group_set': [
+                    {'name': 'g', 'service': 'a', 'boxes_per_group': 0},
+                ],
+            },
+            'f.group_set.g.boxes_per_group: at least 1',
+        ),
+        (
+            {'service': [{'name': 'a', 'type': 'modl'}]},
+            "f.service[0].type: 'modl' is none of ['model', 'plain']",
+        ),
+    ],
+)
+def test_fault(raw: dict, fault: str) -> None:
+    assert fault in list_faults(raw)
+
+
+def test_toml_fault_names_the_line() -> None:
+    with pytest.raises(FaultsError, match='line 2'):
+        read_toml('a = 1\nb = ]\nc = 2', 'f.toml')
--- /dev/null
+++ b/waywell/__init__.py
@@ -0,0 +1,1 @@
+"""Serves models whose replicas span several boxes."""
--- /dev/null
+++ b/waywell/__main__.py
@@ -0,0 +1,7 @@
+"""``python -m waywell``."""
+
+from __future__ import annotations
+
+from waywell.cli import main
+
+main()
--- /dev/null
+++ b/waywell/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, each with its command."""
--- /dev/null
+++ b/waywell/codes.py
@@ -0,0 +1,199 @@
+"""Result codes: one number for each way in which a request can end."""
+
+from __future__ import annotations
+
+import enum
+from types import MappingProxyType
+
+import msgspec
+
+
+class Ran(enum.Enum):
+    """Whether a refused request can have reached a target."""
+
+    NOT_RUN = 'not_run'
+    """No byte of the request can have reached a target."""
+
+    MAY_HAVE_RUN = 'may_have_run'
+    """Bytes may have left and the outcome is not known."""
+
+    RAN = 'ran'
+    """The request has run."""
+
+
+class Code(enum.IntEnum):
+    """Numbered results, listed with their advice in docs/CODES.md."""
+
+    OK = 0
+
+    MALFORMED_HTTP = 1001
+    UNSUPPORTED_HTTP = 1002
+    BODY_TOO_LARGE = 1004
+    UNKNOWN_SERVICE = 1005
+    UNKNOWN_KEY = 1006
+    BAD_DEADLINE = 1007
+    BAD_HEADER = 1008
+    NOT_ADMITTED = 1009
+    BAD_REQUEST_ID = 1010
+
+    ACCOUNT_RATE = 2001
+    ACCOUNT_IN_FLIGHT = 2002
+    NO_WHOLE_GROUP = 2003
+    NODE_LEAVING = 2004
+    DEADLINE_PASSED = 2005
+    NODE_STARTING = 2006
+    NODE_BUSY = 2007
+
+    TARGET_UNREACHABLE = 3001
+    TARGET_FAILED = 3002
+    FENCE_REFUSED = 3003
+    REPEAT_UNKNOWN = 3004
+    REPEAT_RUNNING = 3005
+    REPEAT_DONE = 3006
+    REPEAT_REFUSED = 3007
+    CLAIM_UNKNOWN = 3008
+
+    BAD_DOCUMENT = 4001
+    STALE_VERSION = 4002
+    DOCUMENT_TOO_LARGE = 4003
+    OUTCOME_UNKNOWN = 4004
+    PLATFORM_DOWN = 4005
+    FORBIDDEN = 4006
+    NOT_FOUND = 4007
+
+
+class CodeFacts(msgspec.Struct, frozen=True):
+    """What a code means on HTTP and for the person who reads it."""
+
+    status: int
+    """HTTP status that carries the code."""
+
+    text: str
+    """One sentence for the caller."""
+
+
+CODE_FACTS = MappingProxyType(
+    {
+        Code.OK: CodeFacts(200, 'The request was served.'),
+        Code.MALFORMED_HTTP: CodeFacts(400, 'The HTTP request is malformed.'),
+        Code.UNSUPPORTED_HTTP: CodeFacts(505, 'Use HTTP/1.1.'),
+        Code.BODY_TOO_LARGE: CodeFacts(413, 'The body is over the limit.'),
+        Code.UNKNOWN_SERVICE: CodeFacts(404, 'No service has this name.'),
+        Code.UNKNOWN_KEY: CodeFacts(401, 'No client account has this key.'),
+        Code.BAD_DEADLINE: CodeFacts(400, 'The deadline is not understood.'),
+        Code.BAD_HEADER: CodeFacts(400, 'A waywell header is not understood.'),
+        Code.NOT_ADMITTED: CodeFacts(
+            403,
+            'No serving rule admits this account, session and kind.',
+        ),
+        Code.BAD_REQUEST_ID: CodeFacts(
+            400,
+            'The request id was not issued by an entry box.',
+        ),
+        Code.ACCOUNT_RATE: CodeFacts(429, 'The account is over its rate.'),
+        Code.ACCOUNT_IN_FLIGHT: CodeFacts(
+            429,
+            'The account has too many requests in flight.',
+        ),
+        Code.NO_WHOLE_GROUP: CodeFacts(503, 'No whole group can serve this.'),
+        Code.NODE_LEAVING: CodeFacts(503, 'This entry box is leaving.'),
+        Code.DEADLINE_PASSED: CodeFacts(504, 'The deadline has passed.'),
+        Code.NODE_STARTING: CodeFacts(
+            503, 'No configuration is in force yet.'
+        ),
+        Code.NODE_BUSY: CodeFacts(503, 'This entry box is at its limit.'),
+        Code.TARGET_UNREACHABLE: CodeFacts(503, 'No target could be reached.'),
+        Code.TARGET_FAILED: CodeFacts(502, 'The target broke off.'),
+        Code.FENCE_REFUSED: CodeFacts(503, 'The target refused the epoch.'),
+        Code.REPEAT_UNKNOWN: CodeFacts(
+            409,
+            'An earlier submission of this request id has an unknown outcome.',
+        ),
+        Code.REPEAT_RUNNING: CodeFacts(
+            409,
+            'An earlier submission of this request id is still running.',
+        ),
+        Code.REPEAT_DONE: CodeFacts(
+            409,
+            'An earlier submission of this request id has run.',
+        ),
+        Code.REPEAT_REFUSED: CodeFacts(
+            409,
+            'An earlier submission was refused: take a new request id.',
+        ),
+        Code.CLAIM_UNKNOWN: CodeFacts(
+            503,
+            'Whether this request id was submitted before is not known now.',
+        ),
+        Code.BAD_DOCUMENT: CodeFacts(422, 'The document has faults.'),
+        Code.STALE_VERSION: CodeFacts(409, 'A later version is stored.'),
+        Code.DOCUMENT_TOO_LARGE: CodeFacts(
+            413,
+            "The document is over the platform's limit.",
+        ),
+        Code.OUTCOME_UNKNOWN: CodeFacts(
+            504,
+            'The outcome is unknown: repeat with the same operation id.',
+        ),
+        Code.PLATFORM_DOWN: CodeFacts(503, 'The platform does not answer.'),
+        Code.FORBIDDEN: CodeFacts(403, 'No operator has this key.'),
+        Code.NOT_FOUND: CodeFacts(404, 'There is no such thing.'),
+    },
+)
+"""Status and text of each code."""
+
+
+class Refusal(Exception):
+    """A request ends here, with a code and the word whether it ran.
+
+    Parameters
+    ----------
+    code
+        Why.
+    ran
+        Whether the request can have reached a target.
+    detail
+        Words for the caller beyond the code's own text.
+    retry_after
+        Seconds until a repeat has a chance, or ``None``.
+    """
+
+    def __init__(
+        self,
+        code: Code,
+        ran: Ran = Ran.NOT_RUN,
+        detail: str = '',
+        retry_after: float | None = None,
+    ) -> None:
+        """Keep the parts for the answer."""
+        super().__init__(code.name, ran.value, detail)
+        self.code = code
+        self.ran = ran
+        self.detail = detail
+        self.retry_after = retry_after
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status that carries the code."""
+        return CODE_FACTS[self.code].status
+
+    def describe(self) -> dict[str, object]:
+        """Return the answer's body as plain JSON values."""
+        return {
+            'code': int(self.code),
+            'name': self.code.name,
+            'ran': self.ran.value,
+            'text': CODE_FACTS[self.code].text,
+            'detail': self.detail,
+            'retry_after': self.retry_after,
+        }
+
+
+def render_codes() -> str:
+    """Return the table of docs/CODES.md."""
+    rows = [
+        f'| {code:d} | {code.name} | {facts.status} | {facts.text} |'
+        for code, facts in CODE_FACTS.items()
+    ]
+    head = ('| code | name | HTTP | meaning |', '| --- | --- | --- | --- |')
+    return '\n'.join((*head, *rows))
--- /dev/null
+++ b/waywell/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for a connection: callers, targets, peers, platform."""
--- /dev/null
+++ b/waywell/connection/caller.py
@@ -0,0 +1,256 @@
+"""The port for callers: entry list and requests, over HTTP/1.1."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from io import BytesIO
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from twisted.web.http import HTTPChannel
+from twisted.web.server import Request, Site
+
+from waywell.codes import Code, Ran, Refusal
+from waywell.connection.deferreds import start_task
+from waywell.connection.http_target import HOP_HEADERS
+from waywell.connection.relay import AnswerRelay
+from waywell.connection.target import (
+    EPOCH_HEADER,
+    GROUP_HEADER,
+    PRIORITY_HEADER,
+)
+from waywell.process.events import log_warning
+from waywell.request.submission import CallerPort, Submission
+from waywell.version.objects import Service, ServiceType
+
+if TYPE_CHECKING:
+    from waywell.connection.target import TargetAnswer
+
+ENTRIES_PATH = b'/entries'
+"""Path of the entry list."""
+
+CODE_HEADER = 'waywell-code'
+"""Number of the result code, on refusals."""
+
+RAN_HEADER = 'waywell-ran'
+"""Whether the request ran, on refusals."""
+
+CONFIGURATION_HEADER = 'waywell-configuration'
+"""Version of the configuration that a request was served by."""
+
+IDLE_SECONDS = 120
+"""Seconds after which an idle caller connection is closed."""
+
+_DROPPED = HOP_HEADERS | {
+    'authorization',
+    'host',
+    'expect',
+    'content-length',
+    GROUP_HEADER,
+    EPOCH_HEADER,
+    PRIORITY_HEADER,
+}
+
+
+LONGEST_RETRY = 3600
+"""Longest advice to come back, in seconds."""
+
+
+class CallerBackend(msgspec.Struct, frozen=True):
+    """What the port needs of the node."""
+
+    serve: Callable[[Submission, CallerPort], Awaitable[None]]
+    """Serves a request; raises a refusal."""
+
+    list_entries: Callable[[], dict[str, Any]]
+    """Returns the entry list."""
+
+    get_configuration: Callable[[], int]
+    """Returns the version of the configuration in force."""
+
+    report: Callable[[CallerRequest, Code, Ran], None]
+    """Takes in how a request ended."""
+
+    body_bytes: int
+    """Largest request body."""
+
+
+class CallerRequest(Request):
+    """One request of a caller."""
+
+    def __init__(self, channel: HTTPChannel, *rest: Any) -> None:
+        """Start before the first line."""
+        super().__init__(channel, *rest)
+        self.backend: CallerBackend = channel.site.backend
+        self.is_gone = False
+        self.is_relaying = False
+        self._serving: Any = None
+        self._refused = False
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Keep the body in memory: entry boxes have no disk."""
+        self.content = BytesIO()
+        if length is not None and length > self.backend.body_bytes:
+            self._refuse_body()
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802, WPS110
+        """Take in a piece of the body, up to the limit."""
+        if self._refused:
+            return
+        if self.content.tell() + len(data) > self.backend.body_bytes:
+            self._refuse_body()
+        else:
+            self.content.write(data)
+
+    def process(self) -> None:
+        """Serve the request; twisted calls this when it is whole."""
+        if self._refused:
+            return
+        self.notifyFinish().addErrback(self._note_gone)
+        self._serving = start_task(self._serve())
+        self._serving.addErrback(self._fail)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Answer with a refusal, at once."""
+        self.backend.report(self, refusal.code, refusal.ran)
+        if self.is_gone:
+            return
+        raw = msgspec.json.encode(refusal.describe())
+        self.setResponseCode(refusal.status)
+        self.setHeader(b'content-type', b'application/json')
+        self.setHeader(b'content-length', str(len(raw)).encode())
+        self.setHeader(CODE_HEADER.encode(), str(int(refusal.code)).encode())
+        self.setHeader(RAN_HEADER.encode(), refusal.ran.value.encode())
+        if refusal.retry_after is not None:
+            seconds = max(1, round(min(refusal.retry_after, LONGEST_RETRY)))
+            self.setHeader(b'retry-after', str(seconds).encode())
+        self.write(raw)
+        self.finish()
+
+    async def _serve(self) -> None:
+        if self.clientproto != b'HTTP/1.1':
+            self.refuse(Refusal(Code.UNSUPPORTED_HTTP))
+            return
+        if self.path == ENTRIES_PATH:
+            self._answer_entries()
+            return
+        number = str(self.backend.get_configuration()).encode()
+        self.setHeader(CONFIGURATION_HEADER.encode(), number)
+        try:
+            await self.backend.serve(self._submit(), _RequestPort(self))
+        except Refusal as refusal:
+            self.refuse(refusal)
+        else:
+            self.backend.report(self, Code.OK, Ran.RAN)
+
+    def _answer_entries(self) -> None:
+        raw = msgspec.json.encode(self.backend.list_entries())
+        self.setHeader(b'content-type', b'application/json')
+        self.setHeader(b'content-length', str(len(raw)).encode())
+        self.write(raw)
+        self.finish()
+
+    def _submit(self) -> Submission:
+        headers = {
+            name.decode('latin-1').lower(): texts
+            for name, texts in self.requestHeaders.getAllRawHeaders()
+        }
+        passed = tuple(
+            (name.encode('latin-1'), text)
+            for name, texts in headers.items()
+            if name not in _DROPPED
+            for text in texts
+        )
+        return Submission(
+            method=self.method.decode('latin-1'),
+            target=self.uri.decode('latin-1'),
+            headers={
+                name: texts[-1].decode('latin-1')
+                for name, texts in headers.items()
+            },
+            passed=passed,
+            body=self.content.getvalue(),
+        )
+
+    def _refuse_body(self) -> None:
+        """Refuse a body over the limit without reading the rest of it."""
+        self._refused = True
+        refusal = Refusal(Code.BODY_TOO_LARGE)
+        self.backend.report(self, refusal.code, refusal.ran)
+        self.channel.write_refusal(refusal)
+
+    def _note_gone(self, _failure: object) -> None:
+        self.is_gone = True
+        if not self.is_relaying and self._serving is not None:
+            self._serving.cancel()
+
+    def _fail(self, failure: Any) -> None:
+        """End a request whose caller has gone, or that met our own fault."""
+        self.backend.report(self, Code.TARGET_FAILED, Ran.MAY_HAVE_RUN)
+        if not self.is_gone:
+            log_warning('request_failed', error=repr(failure.value))
+            self.loseConnection()
+
+
+class _RequestPort(CallerPort):
+    def __init__(self, request: CallerRequest) -> None:
+        self._request = request
+
+    def is_gone(self) -> bool:
+        return self._request.is_gone
+
+    async def relay(self, answer: TargetAnswer, service: Service) -> bool:
+        if self._request.is_gone:
+            answer.abandon()
+            return False
+        wants_marker = service.type is ServiceType.MODEL
+        relay = AnswerRelay(self._request, answer, wants_marker)
+        self._request.is_relaying = True
+        relay.start()
+        return await relay.whole
+
+
+class CallerChannel(HTTPChannel):
+    """A caller's connection; malformed input gets a numbered answer."""
+
+    def write_refusal(self, refusal: Refusal) -> None:
+        """Write a refusal outside of a request, and hang up."""
+        raw = msgspec.json.encode(refusal.describe())
+        lines = (
+            f'HTTP/1.1 {refusal.status} Refused',
+            'content-type: application/json',
+            f'content-length: {len(raw)}',
+            f'{CODE_HEADER}: {refusal.code:d}',
+            f'{RAN_HEADER}: {refusal.ran.value}',
+            'connection: close',
+            '\r\n',
+        )
+        self.transport.write('\r\n'.join(lines).encode() + raw)
+        self.loseConnection()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
+        """Answer what twisted found malformed."""
+        self.write_refusal(Refusal(Code.MALFORMED_HTTP))
+
+
+class CallerSite(Site):
+    """Makes the requests of callers.
+
+    Parameters
+    ----------
+    backend
+        The node.
+    """
+
+    protocol = CallerChannel
+    displayTracebacks = False
+
+    def __init__(self, backend: CallerBackend) -> None:
+        """Serve for a node."""
+        super().__init__(
+            None,
+            requestFactory=CallerRequest,
+            timeout=IDLE_SECONDS,
+            parsePOSTFormSubmission=False,
+        )
+        self.backend = backend
--- /dev/null
+++ b/waywell/connection/http_platform.py
@@ -0,0 +1,175 @@
+"""The platform's object API over HTTP and JSON."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any
+from urllib.parse import quote
+
+import msgspec
+from returns.result import Failure, Result, Success
+from twisted.internet import reactor
+from twisted.internet.error import ConnectError
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+
+from waywell.connection.bodies import BytesBody
+from waywell.connection.deferreds import await_deferred
+from waywell.connection.platform import (
+    Changes,
+    Kind,
+    Platform,
+    PlatformFault,
+    Stored,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+WATCH_MARGIN = 3.0
+"""Seconds beyond a watch's own wait until it counts as unanswered."""
+
+_FAULT_BY_STATUS = MappingProxyType(
+    {
+        HTTPStatus.CONFLICT: PlatformFault.CONFLICT,
+        HTTPStatus.PRECONDITION_FAILED: PlatformFault.CONFLICT,
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE: PlatformFault.TOO_LARGE,
+    },
+)
+
+
+class HttpPlatform(Platform):
+    """Calls the object API at a base address.
+
+    Parameters
+    ----------
+    url
+        Base address.
+    timeout
+        Seconds until a call counts as unanswered.
+    """
+
+    def __init__(self, url: str, timeout: float) -> None:
+        """Open no connection yet."""
+        self._url = url.rstrip('/')
+        self._timeout = timeout
+        self._pool = HTTPConnectionPool(reactor)
+        # The pool would repeat requests by itself.
+        self._pool.retryAutomatically = False
+        self._agent = Agent(reactor, connectTimeout=timeout, pool=self._pool)
+
+    async def fetch(
+        self,
+        kind: Kind,
+        name: str,
+    ) -> Result[Stored | None, PlatformFault]:
+        """Return an object, or ``None`` where there is none."""
+        answer = await self._call('GET', _make_path(kind, name))
+        if isinstance(answer, Failure):
+            return answer
+        raw = answer.unwrap()
+        if raw is None:
+            return Success(None)
+        return Success(msgspec.json.decode(raw, type=Stored))
+
+    async def fetch_all(
+        self,
+        kind: Kind,
+    ) -> Result[Changes, PlatformFault]:
+        """Return all objects of a kind and where a watch goes on."""
+        return await self._call_changes(f'/objects/{kind.value}', 0)
+
+    async def write(
+        self,
+        kind: Kind,
+        name: str,
+        body: Any,
+        expected: int,
+    ) -> Result[Stored, PlatformFault]:
+        """Write an object if its version is the expected one."""
+        path = f'{_make_path(kind, name)}?expected={expected}'
+        answer = await self._call('PUT', path, msgspec.json.encode(body))
+        if isinstance(answer, Failure):
+            return answer
+        stored = msgspec.json.decode(answer.unwrap() or b'', type=Stored)
+        return Success(msgspec.structs.replace(stored, body=body))
+
+    async def delete(
+        self,
+        kind: Kind,
+        name: str,
+    ) -> Result[None, PlatformFault]:
+        """Delete an object."""
+        answer = await self._call('DELETE', _make_path(kind, name))
+        return answer.map(lambda _raw: None)
+
+    async def watch(
+        self,
+        kinds: Sequence[Kind],
+        after: int,
+        seconds: float,
+    ) -> Result[Changes, PlatformFault]:
+        """Wait for changes after a revision, up to some seconds."""
+        names = ','.join(kind.value for kind in kinds)
+        path = f'/watch?kinds={names}&after={after}&wait={seconds}'
+        return await self._call_changes(path, seconds + WATCH_MARGIN)
+
+    async def _call_changes(
+        self,
+        path: str,
+        extra: float,
+    ) -> Result[Changes, PlatformFault]:
+        answer = await self._call('GET', path, extra=extra)
+        if isinstance(answer, Failure):
+            return answer
+        return Success(
+            msgspec.json.decode(answer.unwrap() or b'', type=Changes),
+        )
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        extra: float = 0,
+    ) -> Result[bytes | None, PlatformFault]:
+        """Return the answer's body, or ``None`` for not found."""
+        try:
+            return await self._exchange(method, path, body, extra)
+        except ConnectError:
+            return Failure(PlatformFault.NOT_SENT)
+        except Exception:
+            # Whatever broke after the connection stood: a write may have
+            # been carried out.
+            return Failure(PlatformFault.UNANSWERED)
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        extra: float,
+    ) -> Result[bytes | None, PlatformFault]:
+        limit = self._timeout + extra
+        response: Any = await await_deferred(
+            self._agent.request(
+                method.encode(),
+                f'{self._url}{path}'.encode(),
+                None,
+                None if body is None else BytesBody(body),
+            ),
+            limit,
+        )
+        raw: bytes = await await_deferred(readBody(response), limit)
+        if response.code == HTTPStatus.NOT_FOUND:
+            return Success(None)
+        if response.code >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            return Failure(PlatformFault.UNANSWERED)
+        if response.code >= HTTPStatus.BAD_REQUEST:
+            fault = _FAULT_BY_STATUS.get(response.code, PlatformFault.REFUSED)
+            return Failure(fault)
+        return Success(raw)
+
+
+def _make_path(kind: Kind, name: str) -> str:
+    return f'/objects/{kind.value}/{quote(name, safe="")}'
--- /dev/null
+++ b/waywell/connection/relay.py
@@ -0,0 +1,136 @@
+"""Passing an answer on, so that a cut answer never looks whole."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.web.client import ResponseDone
+from zope.interface import implementer
+
+if TYPE_CHECKING:
+    from twisted.python.failure import Failure as TwistedFailure
+    from twisted.web.http import Request
+
+    from waywell.connection.target import TargetAnswer
+
+STREAM_TYPE = b'text/event-stream'
+"""Content type of a streamed answer."""
+
+STREAM_END = b'data: [DONE]'
+"""End marker of a streamed answer of a model."""
+
+TAIL_BYTES = 64
+"""Bytes at the end of a stream in which the marker is looked for."""
+
+
+@implementer(IPushProducer)
+class AnswerRelay(Protocol):
+    """Receives the body of an answer and writes it to a caller.
+
+    The target's connection is paused while the caller reads slowly, so
+    no more than the sockets' own buffers wait in memory.
+
+    Parameters
+    ----------
+    request
+        The caller's request.
+    answer
+        The target's answer.
+    wants_marker
+        Whether a stream is whole only with its end marker.
+    """
+
+    def __init__(
+        self,
+        request: Request,
+        answer: TargetAnswer,
+        wants_marker: bool,
+    ) -> None:
+        """Start before the first byte."""
+        self.whole: asyncio.Future[bool] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._request = request
+        self._answer = answer
+        self._wants_marker = wants_marker
+        self._tail = b''
+        self._given_up = False
+
+    def start(self) -> None:
+        """Write the head and let the body come."""
+        request = self._request
+        request.setResponseCode(self._answer.status)
+        for name, text in self._answer.headers:
+            request.responseHeaders.addRawHeader(name, text)
+        if self._answer.length is not None:
+            length = str(self._answer.length).encode()
+            request.setHeader(b'content-length', length)
+        request.notifyFinish().addErrback(self._give_up)
+        request.registerProducer(self, True)
+        self._answer.deliver(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
+        """Write a piece of the body."""
+        if not self._given_up:
+            self._tail = (self._tail + data)[-TAIL_BYTES:]
+            self._request.write(data)
+
+    def connectionLost(  # noqa: N802
+        self,
+        reason: TwistedFailure = connectionDone,
+    ) -> None:
+        """End the answer, or break it where it is not whole."""
+        if self._given_up:
+            return
+        complete = reason.check(ResponseDone) is not None
+        self._end(complete and self._has_end())
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop reading: the caller is slow."""
+        self._call_transport('pauseProducing')
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read on: the caller has caught up."""
+        self._call_transport('resumeProducing')
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Stop for good: the caller is gone."""
+
+    def _call_transport(self, name: str) -> None:
+        transport: Any = self.transport
+        if transport is not None:
+            getattr(transport, name)()
+
+    def _has_end(self) -> bool:
+        texts = self._request.responseHeaders.getRawHeaders(
+            b'content-type',
+            [],
+        )
+        streamed = any(text.startswith(STREAM_TYPE) for text in texts)
+        if not streamed or not self._wants_marker:
+            return True
+        return STREAM_END in self._tail
+
+    def _end(self, whole: bool) -> None:
+        self._request.unregisterProducer()
+        if whole:
+            self._request.finish()
+        else:
+            # What has come is flushed; the missing end shows the cut.
+            self._request.loseConnection()
+        self._settle(whole)
+
+    def _give_up(self, _reason: object) -> None:
+        """Cancel at the target: the caller has gone."""
+        if self.whole.done():
+            return
+        self._given_up = True
+        self._answer.abandon()
+        self._settle(whole=False)
+
+    def _settle(self, whole: bool) -> None:
+        if not self.whole.done():
+            self.whole.set_result(whole)
--- /dev/null
+++ b/waywell/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for a process: settings, membership, leases, the daemon."""
--- /dev/null
+++ b/waywell/process/administration.py
@@ -0,0 +1,293 @@
+"""What operators ask for: read, apply, explain, status, relabel."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import msgspec
+from returns.result import Failure
+
+from waywell.codes import Code, Ran, Refusal
+from waywell.connection.platform import Kind, PlatformFault
+from waywell.process.measures import count_stranded
+from waywell.process.store import DocumentStore, StoredDocument
+from waywell.version.configuration import (
+    check_configuration,
+    split_configuration,
+)
+from waywell.version.document import DocumentKind
+from waywell.version.faults import FaultsError, structure_input
+from waywell.version.objects import DEFAULT_KIND
+from waywell.version.roster import Box
+from waywell.version.selector import Selector
+from waywell.version.serving import RequestShape, explain_choice, hash_key
+
+if TYPE_CHECKING:
+    from waywell.connection.platform import Platform, Stored
+    from waywell.process.documents import Documents
+
+ANY_NUMBER = -1
+"""Expected version of an apply that replaces whatever is in force."""
+
+RETRY_SECONDS = 2.0
+"""Advice to operators while the platform doesn't answer."""
+
+_CODE_BY_FAULT = MappingProxyType(
+    {
+        PlatformFault.CONFLICT: Code.STALE_VERSION,
+        PlatformFault.TOO_LARGE: Code.DOCUMENT_TOO_LARGE,
+        PlatformFault.UNANSWERED: Code.OUTCOME_UNKNOWN,
+    },
+)
+
+
+@attrs.frozen
+class ExplainQuestion:
+    """Which request to explain."""
+
+    service: str
+    """Service."""
+
+    account: str
+    """Client account."""
+
+    kind: str = DEFAULT_KIND
+    """Request kind."""
+
+    session_labels: dict[str, str] = attrs.Factory(dict)
+    """Labels of the session."""
+
+
+@attrs.frozen
+class Relabel:
+    """Which labels to set on which boxes."""
+
+    boxes: Selector
+    """Over the boxes' labels."""
+
+    labels: dict[str, str]
+    """Labels to set; an empty text removes one."""
+
+
+class Administration:
+    """Answers operators; every order goes through the platform.
+
+    Parameters
+    ----------
+    platform
+        The platform.
+    documents
+        Documents in force at this node.
+    """
+
+    def __init__(self, platform: Platform, documents: Documents) -> None:
+        """Keep what orders go through."""
+        self._platform = platform
+        self._documents = documents
+        self._store = DocumentStore(DocumentKind.CONFIGURATION, platform)
+
+    def find_operator(
+        self,
+        key: str,
+        bootstrap_hashes: list[str],
+    ) -> str | None:
+        """Return the operator whom a key belongs to."""
+        digits = hash_key(key)
+        for operator in self._documents.in_force.configuration.operator:
+            if digits in operator.key_hashes:
+                return operator.name
+        return 'bootstrap' if digits in bootstrap_hashes else None
+
+    def read_configuration(self, wanted: Selector) -> dict[str, Any]:
+        """Return the configuration in force, filtered by labels.
+
+        An object's labels are its own, with ``kind`` and ``name``.
+        """
+        ledgers = self._documents.in_force.ledgers
+        current = ledgers[DocumentKind.CONFIGURATION].current
+        entries = {
+            key: entry
+            for key, entry in current.entries.items()
+            if wanted.admits(_label_entry(key, entry))
+        }
+        return {'number': current.number, 'entries': entries}
+
+    async def apply(
+        self,
+        raw: Any,
+        expected: int,
+        operation: str,
+    ) -> dict[str, Any]:
+        """Replace the configuration.
+
+        Parameters
+        ----------
+        raw
+            Plain values of the whole configuration.
+        expected
+            Version that it replaces, or ``ANY_NUMBER``.
+        operation
+            Id of the operation; a repeat with the same id is answered
+            as the first time.
+
+        Raises
+        ------
+        Refusal
+            Refused with a reason, or unknown.
+        """
+        try:
+            configuration = check_configuration(raw, 'configuration')
+        except FaultsError as error:
+            raise Refusal(
+                Code.BAD_DOCUMENT,
+                detail='\n'.join(error.faults),
+            ) from error
+        entries = split_configuration(configuration)
+        stored = await self._read_stored()
+        if operation in stored.document.operations:
+            return {'number': stored.document.number, 'repeated': True}
+        number = stored.document.number
+        if expected not in {ANY_NUMBER, number}:
+            raise Refusal(
+                Code.STALE_VERSION,
+                detail=f'stored version: {number}',
+            )
+        return await self._write(stored, entries, operation)
+
+    def explain(self, raw: Any, down: dict[str, str]) -> dict[str, Any]:
+        """Return why a request would go to which group.
+
+        Raises
+        ------
+        Refusal
+            When the question has faults.
+        """
+        question = _structure(raw, ExplainQuestion, 'question')
+        shape = RequestShape(
+            question.service,
+            question.account,
+            question.kind,
+            tuple(sorted(question.session_labels.items())),
+        )
+        return explain_choice(self._documents.in_force.index, shape, down)
+
+    async def list_boxes(self, wanted: Selector) -> list[Any]:
+        """Return the boxes that a selector matches.
+
+        Raises
+        ------
+        Refusal
+            When the platform doesn't answer.
+        """
+        stored = await self._fetch_boxes()
+        boxes = [msgspec.convert(one.body, Box) for one in stored]
+        return [
+            msgspec.to_builtins(box)
+            for box in sorted(boxes, key=lambda box: box.box)
+            if wanted.admits(box.selectable)
+        ]
+
+    async def count_stranded(self) -> int | None:
+        """Return the stranded accelerators, if the platform answers."""
+        try:
+            stored = await self._fetch_boxes()
+        except Refusal:
+            return None
+        boxes = [msgspec.convert(one.body, Box) for one in stored]
+        return count_stranded(boxes, self._documents.in_force.roster)
+
+    async def relabel(self, raw: Any) -> dict[str, Any]:
+        """Set labels on the boxes that a selector matches.
+
+        Raises
+        ------
+        Refusal
+            When the order has faults or can't be carried out whole.
+        """
+        order = _structure(raw, Relabel, 'relabel')
+        changed = []
+        for stored in await self._fetch_boxes():
+            box = msgspec.convert(stored.body, Box)
+            labels = _merge_labels(box.labels, order.labels)
+            if order.boxes.admits(box.selectable) and labels != box.labels:
+                await self._write_labels(stored, box, labels)
+                changed.append(box.box)
+        return {'changed': changed}
+
+    async def _read_stored(self) -> StoredDocument:
+        read = await self._store.read()
+        if isinstance(read, Failure):
+            raise Refusal(Code.PLATFORM_DOWN, retry_after=RETRY_SECONDS)
+        return read.unwrap()
+
+    async def _write(
+        self,
+        stored: StoredDocument,
+        entries: dict[str, Any],
+        operation: str,
+    ) -> dict[str, Any]:
+        floor = self._documents.in_force.numbers.configuration
+        document = stored.document.follow(entries, operation, floor)
+        written = await self._store.write(document, stored.version)
+        if isinstance(written, Failure):
+            raise _refuse_write(written.failure())
+        # The own node has it in force before the operator hears of it.
+        self._documents.adopt(DocumentKind.CONFIGURATION, document)
+        return {'number': document.number, 'repeated': False}
+
+    async def _fetch_boxes(self) -> tuple[Stored, ...]:
+        answer = await self._platform.fetch_all(Kind.BOX)
+        if isinstance(answer, Failure):
+            raise Refusal(Code.PLATFORM_DOWN, retry_after=RETRY_SECONDS)
+        return answer.unwrap().objects
+
+    async def _write_labels(
+        self,
+        stored: Stored,
+        box: Box,
+        labels: dict[str, str],
+    ) -> None:
+        relabelled = msgspec.structs.replace(box, labels=labels)
+        answer = await self._platform.write(
+            Kind.BOX,
+            box.box,
+            msgspec.to_builtins(relabelled),
+            stored.version,
+        )
+        if isinstance(answer, Failure):
+            raise _refuse_write(answer.failure())
+
+
+def _refuse_write(fault: PlatformFault) -> Refusal:
+    code = _CODE_BY_FAULT.get(fault, Code.PLATFORM_DOWN)
+    unknown = code is Code.OUTCOME_UNKNOWN
+    return Refusal(
+        code,
+        Ran.MAY_HAVE_RUN if unknown else Ran.NOT_RUN,
+        retry_after=RETRY_SECONDS,
+    )
+
+
+def _structure(raw: Any, shape: type[Any], place: str) -> Any:
+    try:
+        return structure_input(raw, shape, place)
+    except FaultsError as error:
+        raise Refusal(
+            Code.BAD_DOCUMENT,
+            detail='\n'.join(error.faults),
+        ) from error
+
+
+def _label_entry(key: str, entry: dict[str, Any]) -> dict[str, str]:
+    kind, _, name = key.partition('/')
+    return {**entry.get('labels', {}), 'kind': kind, 'name': name}
+
+
+def _merge_labels(
+    labels: dict[str, str],
+    changes: dict[str, str],
+) -> dict[str, str]:
+    merged = {**labels, **changes}
+    return {key: text for key, text in merged.items() if text}
--- /dev/null
+++ b/waywell/process/assembly.py
@@ -0,0 +1,367 @@
+"""The duty of group assembly: one node plans, writes and gives orders."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.result import Failure
+
+from waywell.connection.platform import Kind
+from waywell.connection.target import GroupOrder, OrderOutcome
+from waywell.ids import BoxId, GroupId
+from waywell.process.actor import Message
+from waywell.process.duty import Duty, make_operation
+from waywell.process.events import log_event, log_warning
+from waywell.process.gossip import Gossip
+from waywell.process.health import Verdict
+from waywell.process.release import ReleaseTracker
+from waywell.process.store import DocumentStore
+from waywell.version.assembly import AssemblyView, plan_assembly
+from waywell.version.document import Document, DocumentKind
+from waywell.version.repair import CostPolicy
+from waywell.version.roster import (
+    Box,
+    Group,
+    GroupState,
+    Member,
+    Roster,
+    join_roster,
+)
+
+if TYPE_CHECKING:
+    from waywell.connection.platform import Changes, Platform
+    from waywell.connection.target import Target
+    from waywell.process.clock import Clock
+    from waywell.process.documents import Documents
+    from waywell.process.health import HealthTable
+    from waywell.process.settings import TimingSettings
+    from waywell.version.draft import Plan
+
+PLAN_SECONDS = 0.5
+"""Seconds between two plans."""
+
+ORDER_SECONDS = 5.0
+"""Seconds for a box to answer an order."""
+
+PROBE_SECONDS = 1.0
+"""Seconds for a box to answer how many requests it has in flight."""
+
+WATCH_SECONDS = 20.0
+"""Seconds for which one watch of the box list waits."""
+
+FAILED_WAIT = 1.0
+"""Seconds until a failed call is tried again."""
+
+
+class AssemblyDuty(Duty):
+    """Plans groups, writes the roster and gives the orders.
+
+    Parameters
+    ----------
+    documents
+        Documents in force at this node.
+    target
+        Calls to boxes.
+    health
+        What the probers say about groups.
+    timing
+        Periods and bounds.
+    """
+
+    class PlanTick(Message, frozen=True):
+        """A plan is due."""
+
+    class Ordered(Message, frozen=True):
+        """All boxes of a group have answered their orders."""
+
+        group: GroupId
+        """The group."""
+
+        epoch: int
+        """Epoch of the orders."""
+
+        outcomes: tuple[OrderOutcome, ...]
+        """One for each box."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        gossip: Gossip,
+        clock: Clock,
+        documents: Documents,
+        target: Target,
+        health: HealthTable,
+        timing: TimingSettings,
+    ) -> None:
+        """Start without the lease."""
+        self._health = health
+        super().__init__('assembly', platform, gossip, clock, timing.lease)
+        self._documents = documents
+        self._target = target
+        self._store = DocumentStore(DocumentKind.ROSTER, platform)
+        self._base: Document | None = None
+        self._object_version = 0
+        self._boxes: dict[BoxId, Box] | None = None
+        self._broken_since: dict[GroupId, float] = {}
+        self._ready: set[tuple[GroupId, int]] = set()
+        self._ordering: set[tuple[GroupId, int]] = set()
+        self._fenced_off: set[tuple[GroupId, int]] = set()
+        self._loads: dict[GroupId, int | None] = {}
+        self._tracker = ReleaseTracker(timing.route_term, timing.group_drain)
+
+    def start(self) -> None:
+        """Begin to look at the lease, and to plan when it is held."""
+        super().start()
+        self.repeat(PLAN_SECONDS, self.PlanTick())
+        self.spawn(self._watch_boxes())
+
+    async def take_up(self) -> None:
+        """Forget what an earlier term knew."""
+        self._base = None
+        self._ready.clear()
+
+    def on_ordered(self, ordered: Ordered) -> None:
+        """Note which group is ready to serve."""
+        key = (ordered.group, ordered.epoch)
+        self._ordering.discard(key)
+        if all(outcome is OrderOutcome.TAKEN for outcome in ordered.outcomes):
+            self._ready.add(key)
+            return
+        if OrderOutcome.FENCED in ordered.outcomes:
+            self._fenced_off.add(key)
+        log_warning(
+            'order_failed',
+            group=ordered.group,
+            epoch=ordered.epoch,
+            outcomes=','.join(outcome.value for outcome in ordered.outcomes),
+        )
+
+    async def on_plan_tick(self, _tick: PlanTick) -> None:
+        """Plan, write what changed, give the orders that are open."""
+        if not self.is_held() or self._boxes is None:
+            return
+        if self._base is None and not await self._read_base():
+            return
+        if self._base is None:
+            return
+        roster = join_roster(self._base)
+        await self._ask_loads(roster)
+        plan = self._plan(roster)
+        if plan and self.is_held():
+            await self._write(roster, plan)
+        if self._base is not None and self.is_held():
+            self._give_orders(join_roster(self._base))
+
+    def dump(self) -> dict[str, object]:
+        """Return the duty as plain values."""
+        boxes = self._boxes or {}
+        return {
+            **super().dump(),
+            'boxes': len(boxes),
+            'broken_since': dict(self._broken_since),
+            'ordering': sorted(key[0] for key in self._ordering),
+        }
+
+    @property
+    def boxes(self) -> dict[BoxId, Box]:
+        """Return the box list, empty where this node doesn't watch it."""
+        return self._boxes or {}
+
+    async def _read_base(self) -> bool:
+        """Read the stored roster, or restore it from what is in force."""
+        read = await self._store.read()
+        if isinstance(read, Failure):
+            return False
+        stored = read.unwrap()
+        current = self._documents.get_current(DocumentKind.ROSTER)
+        self._object_version = stored.version
+        if current.number > stored.document.number:
+            log_warning('roster_restored', number=current.number)
+            await self._store.write(current, stored.version)
+            return False
+        self._documents.adopt(DocumentKind.ROSTER, stored.document)
+        self._base = stored.document
+        return True
+
+    def _plan(self, roster: Roster) -> Plan:
+        now = self.clock.read()
+        self._note_broken(roster, now)
+        configuration = self._documents.in_force.configuration
+        view = AssemblyView(
+            boxes=self.boxes,
+            configuration=configuration,
+            broken_since=self._broken_since,
+            released=self._find_released(roster, now),
+            ready=frozenset(
+                group.group
+                for group in roster
+                if (group.group, group.epoch) in self._ready
+            ),
+            disordered=self._find_disordered(roster, now),
+        )
+        policy = CostPolicy(configuration.goal)
+        return plan_assembly(roster, view, policy, now)
+
+    def _find_disordered(
+        self,
+        roster: Roster,
+        now: float,
+    ) -> frozenset[GroupId]:
+        found = set()
+        for group in roster:
+            word = self._health.find_down(group.group, now)
+            lost_order = (
+                word is not None
+                and word.verdict is Verdict.DISORDERED
+                and word.epoch == group.epoch
+                and group.state is GroupState.SERVING
+            )
+            if lost_order or (group.group, group.epoch) in self._fenced_off:
+                found.add(group.group)
+        return frozenset(found)
+
+    def _note_broken(self, roster: Roster, now: float) -> None:
+        broken = {
+            group.group for group in roster if group.state is GroupState.BROKEN
+        }
+        for name in tuple(self._broken_since):
+            if name not in broken:
+                self._broken_since.pop(name)
+        for name in broken:
+            self._broken_since.setdefault(name, now)
+
+    def _find_released(
+        self,
+        roster: Roster,
+        now: float,
+    ) -> frozenset[GroupId]:
+        records = self.gossip.table.records
+        self._tracker.note_nodes(records, now)
+        leaving = [
+            group for group in roster if group.state is GroupState.LEAVING
+        ]
+        self._tracker.forget(leaving)
+        return frozenset(
+            group.group
+            for group in leaving
+            if self._tracker.is_released(
+                group,
+                self._is_fenced(group),
+                records,
+                self._loads.get(group.group),
+                now,
+            )
+        )
+
+    def _is_fenced(self, group: Group) -> bool:
+        service = self._documents.in_force.index.find_service(group.service)
+        return service is not None and service.fenced
+
+    async def _ask_loads(self, roster: Roster) -> None:
+        """Ask the first boxes of leaving groups for their work in flight."""
+        leaving = [
+            group for group in roster if group.state is GroupState.LEAVING
+        ]
+        answers = await asyncio.gather(
+            *(
+                self._target.probe(group.head, PROBE_SECONDS)
+                for group in leaving
+            ),
+        )
+        self._loads = {
+            group.group: answer.load if answer else None
+            for group, answer in zip(leaving, answers, strict=True)
+        }
+
+    async def _write(self, roster: Roster, plan: Plan) -> None:
+        if self._base is None:
+            return
+        later = roster.replace(roster.number + 1, plan.changed, plan.removed)
+        document = self._base.follow(later.split(), make_operation())
+        written = await self._store.write(document, self._object_version)
+        # Whatever came of it, the next plan starts from what is stored.
+        self._base = None
+        if isinstance(written, Failure):
+            log_warning('roster_not_written', fault=written.failure().value)
+            return
+        self.gossip.post(Gossip.Reached())
+        self._documents.adopt(DocumentKind.ROSTER, document)
+        for group in plan.changed:
+            log_event(
+                'group_changed',
+                group=group.group,
+                state=group.state.value,
+                epoch=group.epoch,
+                missing=','.join(group.missing),
+            )
+        await self._read_base()
+
+    def _give_orders(self, roster: Roster) -> None:
+        for group in roster:
+            key = (group.group, int(group.epoch))
+            if group.state is not GroupState.FORMING or key in self._ready:
+                continue
+            if not self._is_fenced(group):
+                # A target that checks no fence takes no orders either.
+                self._ready.add(key)
+            elif key not in self._ordering:
+                self._ordering.add(key)
+                self.spawn(self._order(group))
+
+    async def _order(self, group: Group) -> None:
+        index = self._documents.in_force.index
+        service = index.find_service(group.service)
+        order = GroupOrder(
+            group=group.group,
+            epoch=group.epoch,
+            service=group.service,
+            model=service.model if service else '',
+            boxes=tuple(member.box for member in group.members),
+        )
+        outcomes = await asyncio.gather(
+            *(self._order_member(member, order) for member in group.members),
+        )
+        if any(outcome is OrderOutcome.UNKNOWN for outcome in outcomes):
+            await asyncio.sleep(FAILED_WAIT)
+        self.post(self.Ordered(group.group, group.epoch, tuple(outcomes)))
+
+    async def _order_member(
+        self,
+        member: Member,
+        order: GroupOrder,
+    ) -> OrderOutcome:
+        return await self._target.order(member, order, ORDER_SECONDS)
+
+    async def _watch_boxes(self) -> None:
+        revision = 0
+        while True:
+            if not self.is_held():
+                self._boxes = None
+                await asyncio.sleep(FAILED_WAIT / 4)
+                continue
+            if self._boxes is None:
+                answer = await self.platform.fetch_all(Kind.BOX)
+            else:
+                answer = await self.platform.watch(
+                    (Kind.BOX,),
+                    revision,
+                    WATCH_SECONDS,
+                )
+            if isinstance(answer, Failure):
+                await asyncio.sleep(FAILED_WAIT)
+                continue
+            changes = answer.unwrap()
+            revision = changes.revision
+            self._take_boxes(changes)
+
+    def _take_boxes(self, changes: Changes) -> None:
+        boxes = {} if changes.complete else dict(self.boxes)
+        for stored in changes.objects:
+            name = BoxId(stored.name)
+            if stored.body is None:
+                boxes.pop(name, None)
+            else:
+                boxes[name] = msgspec.convert(stored.body, Box)
+        self._boxes = boxes
--- /dev/null
+++ b/waywell/process/documents.py
@@ -0,0 +1,193 @@
+"""The task that keeps the documents in force and spreads them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from waywell.connection.peer import Beat, DocumentNews, DocumentWanted
+from waywell.process.actor import Actor, Message
+from waywell.process.events import log_event, log_warning
+from waywell.process.gossip import Numbers
+from waywell.version.configuration import join_configuration
+from waywell.version.document import (
+    Change,
+    Document,
+    DocumentKind,
+    Ledger,
+    compare_documents,
+)
+from waywell.version.objects import Configuration
+from waywell.version.roster import Roster, join_roster
+from waywell.version.serving import ServingIndex
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from waywell.ids import NodeId
+    from waywell.process.links import PeerLinks
+
+
+class InForce:
+    """The versions that requests are served by; replaced, never changed."""
+
+    def __init__(self) -> None:
+        """Start with an empty configuration and roster."""
+        self.ledgers = {kind: Ledger(kind) for kind in DocumentKind}
+        self.configuration = Configuration()
+        self.roster = Roster(0)
+        self.index = ServingIndex(self.configuration, self.roster)
+
+    @property
+    def numbers(self) -> Numbers:
+        """Return the versions in force."""
+        return Numbers(
+            self.ledgers[DocumentKind.CONFIGURATION].current.number,
+            self.ledgers[DocumentKind.ROSTER].current.number,
+        )
+
+    def adopt(self, kind: DocumentKind, document: Document) -> bool:
+        """Put a document in force if it is higher and holds together.
+
+        Raises
+        ------
+        Exception
+            When the document is not valid; what is in force stays.
+        """
+        if document.number <= self.ledgers[kind].current.number:
+            return False
+        if kind is DocumentKind.CONFIGURATION:
+            self.configuration = join_configuration(document)
+        else:
+            self.roster = join_roster(document)
+        self.ledgers[kind].adopt(document)
+        self.index = ServingIndex(self.configuration, self.roster)
+        return True
+
+
+class Documents(Actor):
+    """Owns the documents in force at this node.
+
+    Parameters
+    ----------
+    in_force
+        The versions, read by the other tasks.
+    links
+        Streams to other nodes.
+    """
+
+    class Offer(Message, frozen=True):
+        """A document is known to be stored in the platform."""
+
+        kind: DocumentKind
+        """Which document."""
+
+        document: Document
+        """The whole version."""
+
+    def __init__(self, in_force: InForce, links: PeerLinks) -> None:
+        """Start with what is in force."""
+        super().__init__('documents')
+        self.in_force = in_force
+        self._links = links
+        self._watchers: list[Callable[[DocumentKind], None]] = []
+        links.subscribe(self, Beat, DocumentNews, DocumentWanted)
+
+    def watch_changes(self, watcher: Callable[[DocumentKind], None]) -> None:
+        """Call a watcher with the kind of each newly adopted document."""
+        self._watchers.append(watcher)
+
+    def get_current(self, kind: DocumentKind) -> Document:
+        """Return the version in force of a document."""
+        return self.in_force.ledgers[kind].current
+
+    def adopt(
+        self,
+        kind: DocumentKind,
+        document: Document,
+        source: NodeId | None = None,
+    ) -> bool:
+        """Put a document in force if it is higher, and pass it on."""
+        before = self.in_force.ledgers[kind].current
+        try:
+            adopted = self.in_force.adopt(kind, document)
+        except Exception as error:
+            log_warning(
+                'document_refused',
+                kind=kind.value,
+                number=document.number,
+                error=repr(error),
+            )
+            return False
+        if adopted:
+            self._pass_on(kind, before, document, source)
+        return adopted
+
+    def on_offer(self, offer: Offer) -> None:
+        """Take in a version that the platform holds."""
+        self.adopt(offer.kind, offer.document)
+
+    def on_received(self, received: PeerLinks.Received) -> None:
+        """Take in what a peer says of documents."""
+        message = received.message
+        if isinstance(message, Beat):
+            self._compare(received.node, message)
+        elif isinstance(message, DocumentNews):
+            self._take_news(received.node, message)
+        else:
+            self._answer(received.node, message)
+
+    def dump(self) -> dict[str, object]:
+        """Return the versions in force as plain values."""
+        return {
+            kind.value: {
+                'number': ledger.current.number,
+                'entries': len(ledger.current.entries),
+                'operations': list(ledger.current.operations[-1:]),
+            }
+            for kind, ledger in self.in_force.ledgers.items()
+        }
+
+    def _compare(self, node: NodeId, beat: Beat) -> None:
+        numbers = self.in_force.numbers
+        if beat.configuration > numbers.configuration:
+            self._ask(node, DocumentKind.CONFIGURATION, numbers.configuration)
+        if beat.roster > numbers.roster:
+            self._ask(node, DocumentKind.ROSTER, numbers.roster)
+
+    def _ask(self, node: NodeId, kind: DocumentKind, have: int) -> None:
+        self._links.send(node, DocumentWanted(kind, have))
+
+    def _answer(self, node: NodeId, wanted: DocumentWanted) -> None:
+        offered = self.in_force.ledgers[wanted.kind].offer(wanted.have)
+        if isinstance(offered, Change):
+            news = DocumentNews(wanted.kind, change=offered)
+        else:
+            news = DocumentNews(wanted.kind, document=offered)
+        self._links.send(node, news)
+
+    def _take_news(self, node: NodeId, news: DocumentNews) -> None:
+        ledger = self.in_force.ledgers[news.kind]
+        if news.document is not None:
+            self.adopt(news.kind, news.document, node)
+            return
+        change = news.change
+        if change is None or change.number <= ledger.current.number:
+            return
+        changed = ledger.preview(change)
+        if changed is None:
+            self._ask(node, news.kind, ledger.current.number)
+        else:
+            self.adopt(news.kind, changed, node)
+
+    def _pass_on(
+        self,
+        kind: DocumentKind,
+        before: Document,
+        document: Document,
+        source: NodeId | None,
+    ) -> None:
+        log_event('document_adopted', kind=kind.value, number=document.number)
+        change = compare_documents(before, document)
+        self._links.spread(DocumentNews(kind, change=change), skip=source)
+        for watcher in self._watchers:
+            watcher(kind)
--- /dev/null
+++ b/waywell/process/duty.py
@@ -0,0 +1,203 @@
+"""Duties that one entry box holds by a lease in the platform."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.result import Failure
+
+from waywell.connection.platform import Kind, PlatformFault
+from waywell.process.actor import Actor, Message
+from waywell.process.events import log_event
+from waywell.process.gossip import Gossip
+from waywell.process.lease import LeaseMove, LeaseRecord, LeaseState
+from waywell.process.membership import rank_contenders
+
+if TYPE_CHECKING:
+    from waywell.connection.platform import Platform, Stored
+    from waywell.ids import NodeId
+    from waywell.process.clock import Clock
+
+CONTENDERS = 3
+"""Nodes that contend for one duty."""
+
+TICKS_A_TERM = 6
+"""Looks at a lease within its term."""
+
+
+def make_operation() -> str:
+    """Return a fresh id for a write."""
+    return secrets.token_hex(8)
+
+
+class LeaseKeeper:
+    """Takes and renews one lease in the platform.
+
+    Parameters
+    ----------
+    name
+        Name of the lease.
+    platform
+        The platform.
+    gossip
+        Membership, which learns that the platform was reached.
+    clock
+        Where the time is read.
+    term
+        Term of the lease, in seconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        platform: Platform,
+        gossip: Gossip,
+        clock: Clock,
+        term: float,
+    ) -> None:
+        """Start without a look at the lease."""
+        own = gossip.table.own
+        self.state = LeaseState(own.node, own.incarnation, term)
+        self._name = name
+        self._platform = platform
+        self._gossip = gossip
+        self._clock = clock
+        self._version = 0
+
+    def is_held(self) -> bool:
+        """Answer whether this node holds the lease now."""
+        return self.state.is_held(self._clock.read())
+
+    async def tend(self) -> None:
+        """Look at the lease, renew it or take it."""
+        if not self.is_held():
+            await self._look()
+        now = self._clock.read()
+        move = self.state.choose_move(now)
+        if move is not LeaseMove.WAIT:
+            await self._write(move, now)
+
+    async def _look(self) -> None:
+        answer = await self._platform.fetch(Kind.LEASE, self._name)
+        if isinstance(answer, Failure):
+            return
+        self._gossip.post(Gossip.Reached())
+        self._take_in(answer.unwrap())
+
+    def _take_in(self, stored: Stored | None) -> None:
+        self._version = stored.version if stored else 0
+        record = None
+        if stored is not None:
+            record = msgspec.convert(stored.body, LeaseRecord)
+        self.state.observe(record, self._clock.read())
+
+    async def _write(self, move: LeaseMove, sent_at: float) -> None:
+        record = self.state.make_next(move, make_operation())
+        answer = await self._platform.write(
+            Kind.LEASE,
+            self._name,
+            msgspec.to_builtins(record),
+            self._version,
+        )
+        if isinstance(answer, Failure):
+            await self._settle(record, sent_at, answer.failure())
+            return
+        self._gossip.post(Gossip.Reached())
+        self._version = answer.unwrap().version
+        self.state.confirm(record, sent_at, self._clock.read())
+
+    async def _settle(
+        self,
+        record: LeaseRecord,
+        sent_at: float,
+        fault: PlatformFault,
+    ) -> None:
+        """Find out whether a write without an answer took effect."""
+        if fault is PlatformFault.NOT_SENT:
+            return
+        answer = await self._platform.fetch(Kind.LEASE, self._name)
+        if isinstance(answer, Failure):
+            return
+        stored = answer.unwrap()
+        self._take_in(stored)
+        current = self.state.record
+        if current is not None and current.operation == record.operation:
+            self.state.confirm(current, sent_at, self._clock.read())
+
+
+class Duty(Actor):
+    """Holds a lease and does its work while it holds it.
+
+    Parameters
+    ----------
+    name
+        Name of the duty and of its lease.
+    platform
+        The platform.
+    gossip
+        Membership, to know the contenders.
+    clock
+        Where the time is read.
+    term
+        Term of the lease, in seconds.
+    """
+
+    class LeaseTick(Message, frozen=True):
+        """A look at the lease is due."""
+
+    def __init__(
+        self,
+        name: str,
+        platform: Platform,
+        gossip: Gossip,
+        clock: Clock,
+        term: float,
+    ) -> None:
+        """Start without the lease."""
+        super().__init__(name)
+        self.lease = LeaseKeeper(name, platform, gossip, clock, term)
+        self.platform = platform
+        self.gossip = gossip
+        self.clock = clock
+        self._term = term
+        self._was_held = False
+
+    def start(self) -> None:
+        """Begin to look at the lease."""
+        super().start()
+        self.repeat(self._term / TICKS_A_TERM, self.LeaseTick())
+
+    def is_held(self) -> bool:
+        """Answer whether this node holds the duty now."""
+        return self.lease.is_held()
+
+    def list_candidates(self) -> list[NodeId]:
+        """Return the nodes that may contend."""
+        live = self.gossip.table.list_live()
+        return rank_contenders(live, self.name, CONTENDERS)
+
+    async def take_up(self) -> None:
+        """Begin the duty; called when the lease was taken."""
+
+    async def on_lease_tick(self, _tick: LeaseTick) -> None:
+        """Renew, take or watch the lease."""
+        own = self.gossip.table.own.node
+        if own in self.list_candidates() or self.is_held():
+            await self.lease.tend()
+        held = self.is_held()
+        if held != self._was_held:
+            self._was_held = held
+            event = 'duty_taken' if held else 'duty_lost'
+            log_event(event, duty=self.name, epoch=self.lease.state.epoch)
+            if held:
+                await self.take_up()
+
+    def dump(self) -> dict[str, object]:
+        """Return the lease as plain values."""
+        record = self.lease.state.record
+        return {
+            'held': self.is_held(),
+            'record': msgspec.to_builtins(record) if record else None,
+        }
--- /dev/null
+++ b/waywell/process/entry.py
@@ -0,0 +1,364 @@
+"""The entry daemon: its parts put together, its start and its stop."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Failure
+from twisted.internet import reactor
+
+from waywell.connection.admin import AdminBackend, make_admin_site
+from waywell.connection.caller import (
+    CallerBackend,
+    CallerRequest,
+    CallerSite,
+)
+from waywell.connection.http_platform import HttpPlatform
+from waywell.connection.http_target import HttpTarget
+from waywell.connection.peer import PeerService, make_server
+from waywell.connection.platform import Kind
+from waywell.ids import HallName, Incarnation, NodeId
+from waywell.process.administration import Administration
+from waywell.process.assembly import AssemblyDuty
+from waywell.process.claims import HomeClaimer, PlatformClaimer
+from waywell.process.clock import SystemClock
+from waywell.process.documents import Documents, InForce
+from waywell.process.events import log_event
+from waywell.process.gossip import Gossip
+from waywell.process.health import HealthTable
+from waywell.process.history import open_history
+from waywell.process.links import PeerLinks
+from waywell.process.loads import LoadTable
+from waywell.process.measures import DowntimeMeter, count_serving
+from waywell.process.membership import (
+    MembershipTable,
+    NodeRecord,
+    NodeState,
+)
+from waywell.process.metrics import Metrics
+from waywell.process.operations import Operations
+from waywell.process.prober import Prober
+from waywell.process.release import may_route_unfenced
+from waywell.process.watch import HallDuty
+from waywell.request.admission import Admission
+from waywell.request.claim import ClaimTable, issue_prefix
+from waywell.request.dispatcher import Dispatcher, NodeFacts, Parts
+from waywell.request.retry import RetryBudget
+
+if TYPE_CHECKING:
+    from waywell.codes import Code, Ran
+    from waywell.process.settings import Settings
+    from waywell.version.document import DocumentKind
+    from waywell.version.roster import Group
+
+MEASURE_SECONDS = 0.5
+"""Seconds between two looks at the downtime."""
+
+JOIN_SECONDS = 1.0
+"""Seconds between two attempts to find other entry boxes."""
+
+DRAIN_LOOK_SECONDS = 0.05
+"""Seconds between two looks at the work in flight while stopping."""
+
+
+class EntryNode:
+    """One entry box.
+
+    Parameters
+    ----------
+    settings
+        Its settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        """Put the parts together; nothing listens yet."""
+        self.settings = settings
+        self.clock = SystemClock()
+        self.metrics = Metrics()
+        self.health = HealthTable(settings.timing.evidence)
+        self.loads = LoadTable()
+        self.meter = DowntimeMeter()
+        self.admission = Admission(settings.limits.requests)
+        self.in_force = InForce()
+        self.platform = HttpPlatform(
+            settings.platform.url,
+            settings.platform.timeout,
+        )
+        self.target = HttpTarget(settings.limits.connect_seconds)
+        self.incarnation = Incarnation(int(self.clock.read_wall() * 1000))
+        self.refuses_new = False
+        self._peer_server: Any = None
+        self._ports: list[Any] = []
+        self._helpers: set[asyncio.Task[None]] = set()
+
+    @property
+    def own(self) -> NodeRecord:
+        """Return this node's membership record."""
+        return self.members.own
+
+    async def start(self) -> None:
+        """Listen, join the others, begin to serve."""
+        await self._listen()
+        self._make_tasks()
+        self._make_dispatcher()
+        for actor in self.actors:
+            actor.start()
+        self.gossip.repeat(self.settings.timing.beat, Gossip.Tick())
+        self.prober.repeat(self.settings.timing.probe, Prober.ProbeTick())
+        for work in (self._join(), self._measure()):
+            self._helpers.add(asyncio.get_running_loop().create_task(work))
+        own = self.own
+        log_event(
+            'listening',
+            node=own.node,
+            caller_port=own.caller_port,
+            peer_port=own.peer_port,
+            admin_port=own.admin_port,
+        )
+
+    async def stop(self) -> None:
+        """Leave the entry list, finish the work in flight, then end.
+
+        New requests are served for as long as callers may keep the entry
+        list; after that they are refused as not run, with where to go.
+        """
+        timing = self.settings.timing
+        log_event('leaving', node=self.own.node)
+        self.gossip.post(Gossip.Advance(state=NodeState.LEAVING))
+        await asyncio.sleep(timing.entry_list)
+        self.refuses_new = True
+        started_at = self.clock.read()
+        while self.admission.total:
+            if self.clock.read() - started_at > timing.drain:
+                log_event('drain_cut', left=self.admission.total)
+                break
+            await asyncio.sleep(DRAIN_LOOK_SECONDS)
+        await self._close()
+        log_event('stopped', node=self.own.node)
+
+    def describe(self) -> NodeFacts:
+        """Return what the dispatcher has to know of this node."""
+        age = self.gossip.get_platform_age(self.clock.read())
+        return NodeFacts(
+            live_nodes=len(self.members.list_live()),
+            may_route_unfenced=may_route_unfenced(
+                self.members.records,
+                age,
+                self.settings.timing.route_term,
+            ),
+        )
+
+    def is_usable(self, group: Group) -> bool:
+        """Answer whether nothing speaks against a group."""
+        now = self.clock.read()
+        return self.health.is_usable(group.group, group.epoch, now)
+
+    def list_entries(self) -> dict[str, Any]:
+        """Return the entry list: live nodes, those of this hall first."""
+        live = [
+            record
+            for record in self.members.list_live()
+            if record.state is NodeState.LIVE
+        ]
+        live.sort(
+            key=lambda record: (record.hall != self.own.hall, record.node),
+        )
+        prefix = issue_prefix(
+            self.own.node,
+            self.incarnation,
+            self.clock.read(),
+        )
+        return {
+            'entries': [
+                {
+                    'node': record.node,
+                    'hall': record.hall,
+                    'host': record.host,
+                    'port': record.caller_port,
+                }
+                for record in live
+            ],
+            'keep_seconds': self.settings.timing.entry_list,
+            'request_id_prefix': prefix,
+        }
+
+    async def _listen(self) -> None:
+        """Open the three ports, so that the record can name them."""
+        host = self.settings.node.host
+        node = self.settings.node
+        backend = CallerBackend(
+            serve=self._serve,
+            list_entries=self.list_entries,
+            get_configuration=self._get_configuration,
+            report=self._report,
+            body_bytes=self.settings.limits.body_bytes,
+        )
+        caller = reactor.listenTCP(
+            node.caller_port,
+            CallerSite(backend),
+            interface=host,
+        )
+        operations = Operations(self)
+        self._admin_backend = AdminBackend(
+            find_operator=operations.find_operator,
+            handlers=operations.list_handlers(),
+            write_metrics=self.metrics.write,
+        )
+        admin = reactor.listenTCP(
+            node.admin_port,
+            make_admin_site(self._admin_backend),
+            interface=host,
+        )
+        self._ports = [caller, admin]
+        self._peer_server = make_server(
+            PeerService(self._accept_peer, self._answer_claim),
+        )
+        await self._peer_server.start(host, node.peer_port)
+        sockets = self._peer_server._server.sockets  # noqa: SLF001
+        self._own = NodeRecord(
+            node=NodeId(node.name),
+            incarnation=self.incarnation,
+            hall=HallName(node.hall),
+            region=node.region,
+            host=host,
+            caller_port=caller.getHost().port,
+            peer_port=sockets[0].getsockname()[1],
+            admin_port=admin.getHost().port,
+        )
+
+    def _make_tasks(self) -> None:
+        timing = self.settings.timing
+        self.members = MembershipTable(self._own, timing.suspicion)
+        self.links = PeerLinks(lambda: self.members.own)
+        self.gossip = Gossip(self.members, self.links, self.clock, timing)
+        self.documents = Documents(self.in_force, self.links)
+        self.documents.watch_changes(self._note_document)
+        self.administration = Administration(self.platform, self.documents)
+        self.hall_duty = HallDuty(
+            self.platform,
+            self.gossip,
+            self.clock,
+            timing.lease,
+            self.documents,
+        )
+        self.assembly = AssemblyDuty(
+            self.platform,
+            self.gossip,
+            self.clock,
+            self.documents,
+            self.target,
+            self.health,
+            timing,
+        )
+        self.prober = Prober(
+            self.in_force,
+            self.health,
+            self.loads,
+            self.gossip,
+            self.links,
+            self.target,
+            self.clock,
+            timing,
+        )
+        self.actors = (
+            self.links,
+            self.gossip,
+            self.documents,
+            self.hall_duty,
+            self.assembly,
+            self.prober,
+        )
+
+    def _make_dispatcher(self) -> None:
+        own = self.own
+        history = open_history(self.settings.history, own.node, self.clock)
+        claims = ClaimTable(own.node, self.incarnation)
+        self.home_claimer = HomeClaimer(claims, self.members, self.clock)
+        self.gossip.watch_changes(self.home_claimer.note_node)
+        parts = Parts(
+            in_force=self.in_force,
+            health=self.health,
+            loads=self.loads,
+            admission=self.admission,
+            budget=RetryBudget(),
+            home_claimer=self.home_claimer,
+            own_claimer=PlatformClaimer(self.platform, self.clock),
+            target=self.target,
+            clock=self.clock,
+            history=history,
+            random=Random(self.incarnation),
+        )
+        self._dispatcher = Dispatcher(parts, self.describe)
+
+    async def _serve(self, submission: Any, caller: Any) -> None:
+        if self.refuses_new:
+            self._dispatcher.refuse_leaving(submission, self.list_entries())
+        await self._dispatcher.serve(submission, caller)
+
+    def _get_configuration(self) -> int:
+        return self.in_force.numbers.configuration
+
+    async def _accept_peer(self, stream: Any) -> None:
+        await self.links.accept(stream)
+
+    def _answer_claim(self, ask: Any) -> Any:
+        return self.home_claimer.answer(ask)
+
+    def _note_document(self, _kind: DocumentKind) -> None:
+        self.gossip.post(Gossip.Advance(numbers=self.in_force.numbers))
+
+    def _report(self, request: CallerRequest, code: Code, ran: Ran) -> None:
+        self.metrics.count_request(code, ran)
+        log_event(
+            'request',
+            request=request.getHeader('waywell-request-id') or '',
+            path=request.path.decode('latin-1'),
+            code=int(code),
+            ran=ran.value,
+        )
+
+    async def _join(self) -> None:
+        """Look for other entry boxes until a stream stands."""
+        while True:
+            if not self.links.list_peers():
+                for host, port in await self._find_others():
+                    self.links.dial(host, port)
+            await asyncio.sleep(JOIN_SECONDS)
+
+    async def _find_others(self) -> list[tuple[str, int]]:
+        """Return addresses from the settings and the platform."""
+        found = []
+        for seed in self.settings.seeds:
+            host, _, port = seed.rpartition(':')
+            found.append((host, int(port)))
+        answer = await self.platform.fetch_all(Kind.PRESENCE)
+        if not isinstance(answer, Failure):
+            self.gossip.post(Gossip.Reached())
+            for stored in answer.unwrap().objects:
+                found.extend(
+                    (listed['host'], listed['peer_port'])
+                    for listed in stored.body
+                    if listed['node'] != self.own.node
+                )
+        return found
+
+    async def _measure(self) -> None:
+        while True:
+            serving = count_serving(self.in_force.roster, self.is_usable)
+            self.meter.look(
+                self.in_force.configuration,
+                serving,
+                self.clock.read(),
+            )
+            await asyncio.sleep(MEASURE_SECONDS)
+
+    async def _close(self) -> None:
+        for port in self._ports:
+            port.stopListening()
+        for helper in self._helpers:
+            helper.cancel()
+        for actor in self.actors:
+            await actor.stop()
+        self._peer_server.close()
--- /dev/null
+++ b/waywell/process/gossip.py
@@ -0,0 +1,279 @@
+"""The task that keeps the membership view and the streams it needs."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from waywell.connection.peer import Beat, Records
+from waywell.process.actor import Actor, Message
+from waywell.process.events import log_event
+from waywell.process.links import PeerLinks
+from waywell.process.membership import (
+    MembershipTable,
+    NodeRecord,
+    NodeState,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from waywell.ids import NodeId
+    from waywell.process.clock import Clock
+    from waywell.process.settings import TimingSettings
+
+MOST_REJOINS = 2
+"""Lost nodes that are tried again at each attempt."""
+
+REJOIN_BEATS = 5
+"""Beats between two attempts to reach lost nodes."""
+
+DIGEST_BEATS = 3
+"""Beats with different digests in a row before all records are sent."""
+
+
+class Numbers(msgspec.Struct, frozen=True):
+    """Versions in force at this node."""
+
+    configuration: int = 0
+    """Of the configuration."""
+
+    roster: int = 0
+    """Of the roster."""
+
+
+class Gossip(Actor):
+    """Owns the membership view.
+
+    Parameters
+    ----------
+    table
+        View, with this node in it.
+    links
+        Streams to other nodes.
+    clock
+        Where the time is read.
+    timing
+        Periods and bounds.
+    """
+
+    class Tick(Message, frozen=True):
+        """A beat is due."""
+
+    class Advance(Message, frozen=True):
+        """This node has a new version in force, or is leaving."""
+
+        state: NodeState | None = None
+        """New state."""
+
+        numbers: Numbers | None = None
+        """New versions."""
+
+    class Changed(Message, frozen=True):
+        """The view has changed."""
+
+        record: NodeRecord
+        """Record that changed."""
+
+    class Reached(Message, frozen=True):
+        """This node has reached the platform."""
+
+    def __init__(
+        self,
+        table: MembershipTable,
+        links: PeerLinks,
+        clock: Clock,
+        timing: TimingSettings,
+    ) -> None:
+        """Start with the view as it is."""
+        super().__init__('gossip')
+        self.table = table
+        self.numbers = Numbers()
+        self._links = links
+        self._clock = clock
+        self._timing = timing
+        self._random = Random(table.own.incarnation)
+        self._heard_at: dict[NodeId, float] = {}
+        self._differs: dict[NodeId, int] = {}
+        self._beats = 0
+        self._reached_at = -math.inf
+        self._watchers: list[Callable[[NodeRecord], None]] = []
+        links.subscribe(
+            self,
+            PeerLinks.Opened,
+            PeerLinks.Unreachable,
+            Beat,
+            Records,
+        )
+
+    def watch_changes(self, watcher: Callable[[NodeRecord], None]) -> None:
+        """Call a watcher with each record that changes."""
+        self._watchers.append(watcher)
+
+    def get_platform_age(self, now: float) -> float:
+        """Return seconds since any node is known to have reached it."""
+        return now - self._reached_at
+
+    def on_tick(self, _tick: Tick) -> None:
+        """Send a beat, look for silent neighbours, mend streams."""
+        now = self._clock.read()
+        self._beats += 1
+        self._report(self.table.tick(now))
+        self._send_beat(now)
+        self._suspect_silent(now)
+        self._dial_neighbours(now)
+        if self._beats % REJOIN_BEATS == 0:
+            self._dial_lost()
+
+    def on_advance(self, advance: Advance) -> None:
+        """Spread this node's own change."""
+        numbers = advance.numbers or self.numbers
+        self.numbers = numbers
+        record = self.table.change_own(
+            advance.state,
+            numbers.configuration,
+            numbers.roster,
+        )
+        self._report([record])
+
+    def on_reached(self, _reached: Reached) -> None:
+        """Note that the platform was reached."""
+        self._reached_at = self._clock.read()
+
+    def on_opened(self, opened: PeerLinks.Opened) -> None:
+        """Tell a new neighbour all that is known."""
+        now = self._clock.read()
+        record = opened.record
+        self._heard_at[record.node] = now
+        self._merge([record], record.node)
+        self._links.send(record.node, Records(self.table.records, whole=True))
+
+    def on_unreachable(self, unreachable: PeerLinks.Unreachable) -> None:
+        """Suspect a neighbour whose stream broke and can't be dialled."""
+        node = unreachable.node
+        if node in self._links.list_peers():
+            return
+        if self._heard_at.pop(node, None) is not None:
+            # The first loss of a stream: dial again before a suspicion.
+            self._dial_neighbours(self._clock.read())
+            return
+        self._suspect(node)
+
+    def on_received(self, received: PeerLinks.Received) -> None:
+        """Take in a beat or records."""
+        message = received.message
+        if isinstance(message, Records):
+            self._merge(message.records, received.node)
+            if message.whole:
+                self._send_missing(received.node, message.records)
+            return
+        self._take_beat(received.node, message)
+
+    def dump(self) -> dict[str, object]:
+        """Return the view as plain values."""
+        return {
+            'nodes': [
+                msgspec.to_builtins(record) for record in self.table.records
+            ],
+            'neighbours': sorted(
+                record.node for record in self.table.list_neighbours()
+            ),
+        }
+
+    def _take_beat(self, node: NodeId, beat: Beat) -> None:
+        now = self._clock.read()
+        self._heard_at[node] = now
+        self._reached_at = max(self._reached_at, now - beat.platform_age)
+        if beat.digest == self.table.digest:
+            self._differs.pop(node, None)
+            return
+        count = self._differs.get(node, 0) + 1
+        self._differs[node] = count % DIGEST_BEATS
+        if count >= DIGEST_BEATS:
+            whole = Records(self.table.records, whole=True)
+            self._links.send(node, whole)
+
+    def _send_beat(self, now: float) -> None:
+        beat = Beat(
+            self.numbers.configuration,
+            self.numbers.roster,
+            self.table.digest,
+            round(now - self._reached_at, 1),
+        )
+        self._links.spread(beat)
+
+    def _suspect_silent(self, now: float) -> None:
+        for node in self._links.list_dialled():
+            heard_at = self._heard_at.setdefault(node, now)
+            if now - heard_at >= self._timing.silence:
+                self._suspect(node)
+
+    def _suspect(self, node: NodeId) -> None:
+        record = self.table.suspect(node, self._clock.read())
+        if record is not None:
+            log_event('node_suspected', node=node)
+            self._report([record])
+
+    def _dial_neighbours(self, now: float) -> None:
+        wanted = set()
+        for record in self.table.list_neighbours():
+            address = (record.host, record.peer_port)
+            wanted.add(address)
+            self._links.dial(*address, record.node)
+        if self._beats % REJOIN_BEATS == 0:
+            self._links.keep_dialled(wanted)
+
+    def _dial_lost(self) -> None:
+        lost = self.table.list_lost()
+        count = min(MOST_REJOINS, len(lost))
+        for record in self._random.sample(lost, count):
+            self._links.dial(record.host, record.peer_port, record.node)
+
+    def _merge(
+        self,
+        records: list[NodeRecord] | tuple[NodeRecord, ...],
+        source: NodeId,
+    ) -> None:
+        now = self._clock.read()
+        merged = [self.table.merge(record, now) for record in records]
+        news = [record for record in merged if record is not None]
+        # An answer about this node itself goes to the source as well.
+        own = any(record.node == self.table.own_name for record in news)
+        self._report(news, None if own else source)
+
+    def _send_missing(
+        self,
+        node: NodeId,
+        theirs: tuple[NodeRecord, ...],
+    ) -> None:
+        known = {record.node: record.rank for record in theirs}
+        missing = tuple(
+            record
+            for record in self.table.records
+            if known.get(record.node, (-1, 0, 0)) < record.rank
+        )
+        if missing:
+            self._links.send(node, Records(missing))
+
+    def _report(
+        self,
+        news: list[NodeRecord],
+        source: NodeId | None = None,
+    ) -> None:
+        """Pass news on and tell the other tasks of this node."""
+        if not news:
+            return
+        self._links.spread(Records(tuple(news)), skip=source)
+        for record in news:
+            self._note_state(record)
+            for watcher in self._watchers:
+                watcher(record)
+
+    def _note_state(self, record: NodeRecord) -> None:
+        if record.state is NodeState.LOST:
+            log_event('node_lost', node=record.node)
+            self._links.drop(record.node)
+            self._heard_at.pop(record.node, None)
--- /dev/null
+++ b/waywell/process/health.py
@@ -0,0 +1,211 @@
+"""Health of groups: what speaks against sending requests to one.
+
+The roster says which groups should serve.  Evidence that a box of a
+group is dead reaches the nodes faster: from the probes of a few nodes
+for each group, and from a node's own failed requests.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from waywell.ids import Epoch, GroupId, NodeId
+from waywell.request.routing import GroupLoad
+
+FIRST_BACKOFF = 0.5
+"""Seconds for which a group rests after a first failed request."""
+
+MOST_BACKOFF = 8.0
+"""Longest such rest, in seconds."""
+
+RETURN_STEPS = 5
+"""Answers in which a group that failed comes back to its full weight."""
+
+LATENCY_SHARE = 0.2
+"""Weight of the newest time to the first byte in the running mean."""
+
+SLOW_FACTOR = 2.0
+"""Times the median from which a group counts as slow."""
+
+LEARN_ANSWERS = 3
+"""Answers before a group's mean is compared to others."""
+
+
+class Verdict(enum.Enum):
+    """What a probe found."""
+
+    UP = 'up'
+    """All boxes answer and have the group's order."""
+
+    DOWN = 'down'
+    """A box doesn't answer or is not ready."""
+
+    DISORDERED = 'disordered'
+    """A box answers without the group's order: it was restarted."""
+
+
+class Evidence(msgspec.Struct, frozen=True):
+    """A prober's word about a group."""
+
+    group: GroupId
+    """Group that was probed."""
+
+    epoch: Epoch
+    """Epoch that the word is about."""
+
+    reporter: NodeId
+    """Node that probed."""
+
+    sequence: int
+    """Counts the reporter's words; a later one replaces an earlier."""
+
+    verdict: Verdict
+    """What it found."""
+
+    detail: str = ''
+    """The box that didn't answer, or why."""
+
+
+class _Heard(msgspec.Struct, frozen=True):
+    evidence: Evidence
+    at: float
+
+
+class _GroupNotes(msgspec.Struct):
+    rests_until: float = 0.0
+    backoff: float = 0.0
+    steps: int = RETURN_STEPS
+    in_flight: int = 0
+    latency: float = 0.0
+    answers: int = 0
+
+
+class HealthTable:
+    """What one node knows about the health and load of the groups.
+
+    Parameters
+    ----------
+    lifetime
+        Seconds after which a word that a group is down lapses.
+    """
+
+    def __init__(self, lifetime: float) -> None:
+        """Start without a word against any group."""
+        self._lifetime = lifetime
+        self._heard: dict[GroupId, dict[NodeId, _Heard]] = {}
+        self._notes: dict[GroupId, _GroupNotes] = {}
+
+    def hear(self, evidence: Evidence, now: float) -> bool:
+        """Take in a word; answer whether it is news to pass on."""
+        words = self._heard.setdefault(evidence.group, {})
+        known = words.get(evidence.reporter)
+        if known is not None:
+            newer = (evidence.epoch, evidence.sequence)
+            if newer <= (known.evidence.epoch, known.evidence.sequence):
+                return False
+        words[evidence.reporter] = _Heard(evidence, now)
+        return True
+
+    def find_down(self, group: GroupId, now: float) -> Evidence | None:
+        """Return a live word against a group, of its latest epoch."""
+        words = [
+            heard.evidence
+            for heard in self._heard.get(group, {}).values()
+            if heard.evidence.verdict is not Verdict.UP
+            and now - heard.at < self._lifetime
+        ]
+        return max(words, key=_get_epoch, default=None)
+
+    def list_down(self, now: float) -> dict[GroupId, Evidence]:
+        """Return the groups that a live word speaks against."""
+        found = ((group, self.find_down(group, now)) for group in self._heard)
+        return {group: word for group, word in found if word is not None}
+
+    def is_usable(self, group: GroupId, epoch: Epoch, now: float) -> bool:
+        """Answer whether nothing speaks against a group at ``now``."""
+        notes = self._notes.get(group)
+        if notes is not None and now < notes.rests_until:
+            return False
+        down = self.find_down(group, now)
+        return down is None or down.epoch < epoch
+
+    def note_start(self, group: GroupId) -> None:
+        """Count a request in."""
+        self._get_notes(group).in_flight += 1
+
+    def note_end(self, group: GroupId) -> None:
+        """Count a request out."""
+        self._get_notes(group).in_flight -= 1
+
+    def note_answer(self, group: GroupId, seconds: float) -> None:
+        """Take in the time to the first byte of an answer."""
+        notes = self._get_notes(group)
+        notes.backoff = 0
+        notes.steps = min(RETURN_STEPS, notes.steps + 1)
+        notes.answers += 1
+        if notes.answers == 1:
+            notes.latency = seconds
+        notes.latency += LATENCY_SHARE * (seconds - notes.latency)
+
+    def note_failure(self, group: GroupId, now: float) -> None:
+        """Let a group rest that just failed a request."""
+        notes = self._get_notes(group)
+        doubled = notes.backoff * 2
+        notes.backoff = min(MOST_BACKOFF, max(FIRST_BACKOFF, doubled))
+        notes.rests_until = now + notes.backoff
+        notes.steps = 1
+
+    def count_in_flight(self, group: GroupId) -> int:
+        """Return this node's requests in flight at a group."""
+        notes = self._notes.get(group)
+        return 0 if notes is None else notes.in_flight
+
+    def weigh(
+        self,
+        groups: list[GroupId],
+        reported: dict[GroupId, float],
+    ) -> dict[GroupId, GroupLoad]:
+        """Return the load of some groups, for the choice among them."""
+        known = [self._get_notes(group) for group in groups]
+        typical = _find_median(
+            [note.latency for note in known if note.answers >= LEARN_ANSWERS],
+        )
+        return {
+            group: GroupLoad(
+                in_flight=notes.in_flight + reported.get(group, 0),
+                slowness=_find_slowness(notes, typical),
+                weight=notes.steps / RETURN_STEPS,
+            )
+            for group, notes in zip(groups, known, strict=True)
+        }
+
+    def keep_only(self, groups: set[GroupId]) -> None:
+        """Forget groups that the roster has no more."""
+        for group in tuple(self._heard):
+            if group not in groups:
+                self._heard.pop(group)
+        for group, notes in tuple(self._notes.items()):
+            if group not in groups and not notes.in_flight:
+                self._notes.pop(group)
+
+    def _get_notes(self, group: GroupId) -> _GroupNotes:
+        return self._notes.setdefault(group, _GroupNotes())
+
+
+def _get_epoch(evidence: Evidence) -> Epoch:
+    return evidence.epoch
+
+
+def _find_median(latencies: list[float]) -> float:
+    if not latencies:
+        return 0
+    return sorted(latencies)[len(latencies) // 2]
+
+
+def _find_slowness(notes: _GroupNotes, typical: float) -> float:
+    if notes.answers < LEARN_ANSWERS or typical <= 0:
+        return 1
+    slowness = notes.latency / typical
+    return slowness if slowness >= SLOW_FACTOR else 1
--- /dev/null
+++ b/waywell/process/lease.py
@@ -0,0 +1,140 @@
+"""Leases in the platform: who holds a duty, fenced by an epoch.
+
+No clocks are compared: a contender takes a lease over when it has seen
+the same holder and the same beat for longer than the term by its own
+clock; a holder counts its lease from before it sent the last renewal
+that is known to have taken effect.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from waywell.ids import Incarnation, NodeId
+
+HOLDER_SHARE = 0.8
+"""Part of the term for which a holder trusts its own lease."""
+
+RENEW_SHARE = 0.25
+"""Part of the term after which a holder renews."""
+
+
+class LeaseRecord(msgspec.Struct, frozen=True):
+    """A lease as the platform keeps it."""
+
+    holder: NodeId
+    """Entry box that holds the duty."""
+
+    incarnation: Incarnation
+    """Incarnation of the holder."""
+
+    epoch: int
+    """Fence: rises with each change of the holder."""
+
+    beat: int = 0
+    """Rises with each renewal."""
+
+    operation: str = ''
+    """Id of the write, to recognise it when its answer was lost."""
+
+
+class LeaseMove(enum.Enum):
+    """What a contender should do now."""
+
+    WAIT = 'wait'
+    """Nothing: another holds it, or the own lease is fresh."""
+
+    RENEW = 'renew'
+    """Renew the own lease."""
+
+    TAKE = 'take'
+    """Take it over, or create it."""
+
+
+class LeaseState:
+    """What one contender knows of a lease.
+
+    Parameters
+    ----------
+    node
+        This entry box.
+    incarnation
+        Its incarnation.
+    term
+        Term of the lease, in seconds.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        incarnation: Incarnation,
+        term: float,
+    ) -> None:
+        """Start without a look at the lease."""
+        self.record: LeaseRecord | None = None
+        self._node = node
+        self._incarnation = incarnation
+        self._term = term
+        self._seen_at = 0.0
+        self._held_from = float('-inf')
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch last seen."""
+        return self.record.epoch if self.record else 0
+
+    def observe(self, record: LeaseRecord | None, now: float) -> None:
+        """Take in what the platform shows at ``now``."""
+        if record != self.record:
+            self.record = record
+            self._seen_at = now
+
+    def confirm(self, record: LeaseRecord, sent_at: float, now: float) -> None:
+        """Take in that an own write, sent at ``sent_at``, took effect."""
+        self.observe(record, now)
+        self._held_from = sent_at
+
+    def is_held(self, now: float) -> bool:
+        """Answer whether this node holds the lease at ``now``."""
+        return self._is_mine() and now < self._held_from + self._trusted
+
+    def choose_move(self, now: float) -> LeaseMove:
+        """Return what to do at ``now``."""
+        if self.record is None:
+            return LeaseMove.TAKE
+        if self._is_mine():
+            if now >= self._held_from + self._term * RENEW_SHARE:
+                return LeaseMove.RENEW
+            return LeaseMove.WAIT
+        if now - self._seen_at > self._term:
+            return LeaseMove.TAKE
+        return LeaseMove.WAIT
+
+    def make_next(self, move: LeaseMove, operation: str) -> LeaseRecord:
+        """Return the record to write for a move."""
+        if move is LeaseMove.RENEW and self.record is not None:
+            return msgspec.structs.replace(
+                self.record,
+                beat=self.record.beat + 1,
+                operation=operation,
+            )
+        return LeaseRecord(
+            self._node,
+            self._incarnation,
+            self.epoch + 1,
+            operation=operation,
+        )
+
+    @property
+    def _trusted(self) -> float:
+        return self._term * HOLDER_SHARE
+
+    def _is_mine(self) -> bool:
+        record = self.record
+        return (
+            record is not None
+            and record.holder == self._node
+            and record.incarnation == self._incarnation
+        )
--- /dev/null
+++ b/waywell/process/loads.py
@@ -0,0 +1,56 @@
+"""Loads of groups as their probers report them: coarse, and only news."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from waywell.ids import GroupId
+
+LEVEL_RATIO = 1.5
+"""Two loads are told apart when they differ by this ratio."""
+
+Report = tuple['GroupId', int, int]
+"""Group, sequence of the report, requests in flight."""
+
+
+def find_level(load: int) -> int:
+    """Return the coarse level of a load."""
+    return round(math.log(load + 1, LEVEL_RATIO))
+
+
+class LoadTable:
+    """What a node knows of the loads, and what it has to report."""
+
+    def __init__(self) -> None:
+        """Start without reports."""
+        self._known: dict[GroupId, tuple[int, int]] = {}
+        self._news: dict[GroupId, Report] = {}
+
+    def note(self, group: GroupId, load: int) -> None:
+        """Take in what a probe of this node saw."""
+        sequence, known = self._known.get(group, (0, 0))
+        if find_level(load) == find_level(known):
+            return
+        self._known[group] = (sequence + 1, load)
+        self._news[group] = (group, sequence + 1, load)
+
+    def take_news(self) -> tuple[Report, ...]:
+        """Return the reports to spread, once."""
+        news = tuple(self._news.values())
+        self._news.clear()
+        return news
+
+    def hear(self, reports: tuple[Report, ...]) -> tuple[Report, ...]:
+        """Take in reports; return those that are news."""
+        fresh = []
+        for group, sequence, load in reports:
+            if sequence > self._known.get(group, (0, 0))[0]:
+                self._known[group] = (sequence, load)
+                fresh.append((group, sequence, load))
+        return tuple(fresh)
+
+    def get_reported(self) -> dict[GroupId, float]:
+        """Return the loads by group."""
+        return {group: load for group, (_, load) in self._known.items()}
--- /dev/null
+++ b/waywell/process/measures.py
@@ -0,0 +1,81 @@
+"""The two measures: group downtime and stranded accelerators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from waywell.version.roster import Box, BoxState, Group, GroupState, Roster
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+
+    from waywell.ids import BoxId
+    from waywell.version.objects import Configuration
+
+
+def count_serving(
+    roster: Roster,
+    is_usable: Callable[[Group], bool],
+) -> dict[str, int]:
+    """Return how many groups of each set serve now."""
+    counts: dict[str, int] = {}
+    for group in roster:
+        serves = group.state is GroupState.SERVING and is_usable(group)
+        if serves:
+            counts[group.group_set] = counts.get(group.group_set, 0) + 1
+    return counts
+
+
+def count_stranded(boxes: Iterable[Box], roster: Roster) -> int:
+    """Return the accelerators of live boxes outside serving groups."""
+    stranded = 0
+    for box in boxes:
+        holder = roster.find_holder(box.box)
+        group = roster.groups.get(holder) if holder else None
+        serves = group is not None and group.state is GroupState.SERVING
+        if box.state is not BoxState.LOST and not serves:
+            stranded += box.accelerators
+    return stranded
+
+
+class DowntimeMeter:
+    """Adds up the time in which wanted groups could not serve."""
+
+    def __init__(self) -> None:
+        """Start at zero; the first look only sets the time."""
+        self._seconds: dict[str, float] = {}
+        self._looked_at: float | None = None
+
+    def look(
+        self,
+        configuration: Configuration,
+        serving: Mapping[str, int],
+        now: float,
+    ) -> None:
+        """Add the time since the last look.
+
+        Parameters
+        ----------
+        configuration
+            Configuration in force.
+        serving
+            Groups of each set that serve now.
+        now
+            Present time, in seconds.
+        """
+        since = now if self._looked_at is None else self._looked_at
+        self._looked_at = now
+        for group_set in configuration.group_set:
+            name = group_set.name
+            lacking = max(0, group_set.groups - serving.get(name, 0))
+            lost = lacking * (now - since)
+            self._seconds[name] = self._seconds.get(name, 0.0) + lost
+
+    def list_seconds(self) -> dict[str, float]:
+        """Return group-seconds of downtime by group set."""
+        return {name: round(lost, 3) for name, lost in self._seconds.items()}
+
+
+def list_boxes(stored: Mapping[BoxId, Box]) -> list[Box]:
+    """Return boxes in order of their names."""
+    return [stored[name] for name in sorted(stored)]
--- /dev/null
+++ b/waywell/process/membership.py
@@ -0,0 +1,299 @@
+"""Membership among entry boxes: who is live, leaving or lost.
+
+Each node is watched by a few neighbours only.  A neighbour that hears
+nothing suspects it; the word spreads, and unless the node answers with a
+higher stamp it counts as lost.  Records of higher incarnation, stamp and
+state replace lower ones, so every node comes to the same view whatever
+the order in which records arrive.
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+import zlib
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from waywell.ids import HallName, Incarnation, NodeId
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+RINGS = 3
+"""Rings on which a node has a next neighbour."""
+
+FORGET_SECONDS = 7200.0
+"""Seconds after which a lost node is forgotten; longer than regions part."""
+
+
+class NodeState(enum.IntEnum):
+    """State of an entry box; at one stamp the higher one holds."""
+
+    LIVE = 0
+    LEAVING = 1
+    SUSPECT = 2
+    LOST = 3
+
+
+class NodeRecord(msgspec.Struct, frozen=True):
+    """What is known of one entry box."""
+
+    node: NodeId
+    """Name of the entry box."""
+
+    incarnation: Incarnation
+    """Its run; a later run has a higher one."""
+
+    hall: HallName
+    """Its data hall."""
+
+    region: str
+    """Region of the data hall."""
+
+    host: str
+    """IP number."""
+
+    caller_port: int
+    """Port for callers."""
+
+    peer_port: int
+    """Port for other entry boxes."""
+
+    admin_port: int
+    """Port for operators."""
+
+    stamp: int = 0
+    """Counts the node's own changes to its record."""
+
+    state: NodeState = NodeState.LIVE
+    """Live, leaving, suspect or lost."""
+
+    was_leaving: bool = False
+    """Whether it said that it is leaving before it was suspected."""
+
+    configuration: int = 0
+    """Version of the configuration in force there."""
+
+    roster: int = 0
+    """Version of the roster in force there."""
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """Return what decides between two records of one node."""
+        return (self.incarnation, self.stamp, self.state)
+
+
+class MembershipTable:
+    """All entry boxes that one node knows.
+
+    Parameters
+    ----------
+    own
+        This node's record.
+    suspicion
+        Seconds from a suspicion to a loss.
+    """
+
+    def __init__(self, own: NodeRecord, suspicion: float) -> None:
+        """Start with this node alone."""
+        self.own_name = own.node
+        self._suspicion = suspicion
+        self._records: dict[NodeId, NodeRecord] = {own.node: own}
+        self._since: dict[NodeId, float] = {}
+        self._digest = 0
+        self._digest_is_old = True
+
+    @property
+    def own(self) -> NodeRecord:
+        """Return this node's record."""
+        return self._records[self.own_name]
+
+    @property
+    def records(self) -> tuple[NodeRecord, ...]:
+        """Return all records."""
+        return tuple(self._records.values())
+
+    @property
+    def digest(self) -> int:
+        """Return a number that is equal where the views are equal."""
+        if self._digest_is_old:
+            self._digest = _digest_records(self._records.values())
+            self._digest_is_old = False
+        return self._digest
+
+    def find(self, node: NodeId) -> NodeRecord | None:
+        """Return the record of a node."""
+        return self._records.get(node)
+
+    def list_live(self) -> list[NodeRecord]:
+        """Return nodes that are live, or suspect but not yet lost."""
+        return [
+            record
+            for record in self._records.values()
+            if record.state is not NodeState.LOST
+            and record.state is not NodeState.LEAVING
+            and not record.was_leaving
+        ]
+
+    def list_present(self) -> list[NodeRecord]:
+        """Return nodes that are not lost: live, leaving or suspect."""
+        return [
+            record
+            for record in self._records.values()
+            if record.state is not NodeState.LOST
+        ]
+
+    def list_lost(self) -> list[NodeRecord]:
+        """Return lost nodes that are not forgotten yet."""
+        return [
+            record
+            for record in self._records.values()
+            if record.state is NodeState.LOST
+        ]
+
+    def change_own(
+        self,
+        state: NodeState | None = None,
+        configuration: int | None = None,
+        roster: int | None = None,
+    ) -> NodeRecord:
+        """Change this node's record and return it."""
+        own = self.own
+        changed = msgspec.structs.replace(
+            own,
+            stamp=own.stamp + 1,
+            state=own.state if state is None else state,
+            configuration=_pick(configuration, own.configuration),
+            roster=_pick(roster, own.roster),
+        )
+        self._store(changed)
+        return changed
+
+    def merge(self, record: NodeRecord, now: float) -> NodeRecord | None:
+        """Take in a record heard at ``now``.
+
+        Returns
+        -------
+        NodeRecord or None
+            The record to pass on: the one heard where it was news, this
+            node's answer where it was wrongly held for gone.
+        """
+        if record.node == self.own_name:
+            return self._answer(record)
+        known = self._records.get(record.node)
+        if known is not None and record.rank <= known.rank:
+            return None
+        self._store(record)
+        if record.state in {NodeState.SUSPECT, NodeState.LOST}:
+            self._since[record.node] = now
+        else:
+            self._since.pop(record.node, None)
+        return record
+
+    def suspect(self, node: NodeId, now: float) -> NodeRecord | None:
+        """Note that a neighbour was not heard; return what to pass on."""
+        known = self._records.get(node)
+        if known is None or known.state >= NodeState.SUSPECT:
+            return None
+        changed = msgspec.structs.replace(
+            known,
+            state=NodeState.SUSPECT,
+            was_leaving=known.state is NodeState.LEAVING,
+        )
+        self._store(changed)
+        self._since[node] = now
+        return changed
+
+    def tick(self, now: float) -> list[NodeRecord]:
+        """Turn old suspicions to losses; return what to pass on."""
+        lost = []
+        for record in self.records:
+            age = now - self._since.get(record.node, now)
+            if record.state is NodeState.SUSPECT and age >= self._suspicion:
+                changed = msgspec.structs.replace(record, state=NodeState.LOST)
+                self._store(changed)
+                self._since[record.node] = now
+                lost.append(changed)
+            elif record.state is NodeState.LOST and age >= FORGET_SECONDS:
+                self._records.pop(record.node)
+                self._since.pop(record.node)
+                self._digest_is_old = True
+        return lost
+
+    def list_neighbours(self) -> list[NodeRecord]:
+        """Return the nodes that this one keeps a stream to.
+
+        On each of a few rings, on which all nodes stand in an order of
+        their own, it is the next one.
+        """
+        present = self.list_present()
+        chosen: dict[NodeId, NodeRecord] = {}
+        for ring in range(RINGS):
+            follower = _find_follower(present, ring, self.own_name)
+            chosen[follower.node] = follower
+        chosen.pop(self.own_name, None)
+        return list(chosen.values())
+
+    def _answer(self, record: NodeRecord) -> NodeRecord | None:
+        own = self.own
+        if record.incarnation != own.incarnation or record.rank <= own.rank:
+            return None
+        self._store(msgspec.structs.replace(own, stamp=record.stamp))
+        return self.change_own()
+
+    def _store(self, record: NodeRecord) -> None:
+        self._records[record.node] = record
+        self._digest_is_old = True
+
+
+def _find_follower(
+    records: list[NodeRecord],
+    ring: int,
+    node: NodeId,
+) -> NodeRecord:
+    """Return the node that comes after a node on a ring."""
+    order = sorted(
+        records,
+        key=lambda record: _place(ring, record.node),
+    )
+    names = [record.node for record in order]
+    return order[(names.index(node) + 1) % len(order)]
+
+
+def _pick(number: int | None, default: int) -> int:
+    return default if number is None else number
+
+
+def _place(ring: int, node: NodeId) -> bytes:
+    return hashlib.blake2b(f'{ring}\n{node}'.encode(), digest_size=8).digest()
+
+
+def _digest_records(records: Iterable[NodeRecord]) -> int:
+    """Return a sum over the records that no order changes."""
+    total = 0
+    for record in records:
+        text = f'{record.node} {record.rank}'
+        total ^= zlib.crc32(text.encode())
+    return total
+
+
+def rank_contenders(
+    records: Iterable[NodeRecord],
+    duty: str,
+    count: int,
+) -> list[NodeId]:
+    """Return the nodes that should contend for a duty.
+
+    A few of the live nodes, the same at every node of one view, so that
+    the platform doesn't hear all of them.
+    """
+    ranked = sorted(
+        (record.node for record in records),
+        key=lambda node: hashlib.blake2b(
+            f'{duty}\n{node}'.encode(),
+            digest_size=8,
+        ).digest(),
+    )
+    return ranked[:count]
--- /dev/null
+++ b/waywell/process/operations.py
@@ -0,0 +1,147 @@
+"""The calls of the administration port, by method and path."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from waywell.process.administration import ANY_NUMBER
+from waywell.process.duty import make_operation
+from waywell.process.measures import count_serving
+
+if TYPE_CHECKING:
+    from waywell.connection.admin import Call, Handler
+    from waywell.process.entry import EntryNode
+    from waywell.version.roster import Group
+
+
+class Operations:
+    """Answers the calls of operators for one node.
+
+    Parameters
+    ----------
+    node
+        The node.
+    """
+
+    def __init__(self, node: EntryNode) -> None:
+        """Keep the node; its parts are read at each call."""
+        self._node = node
+
+    def find_operator(self, key: str) -> str | None:
+        """Return the operator whom a key belongs to."""
+        return self._node.administration.find_operator(
+            key,
+            self._node.settings.bootstrap_key_hashes,
+        )
+
+    def list_handlers(self) -> dict[tuple[str, str], Handler]:
+        """Return the handlers by method and path."""
+        return {
+            ('GET', '/v1/configuration'): self._get_configuration,
+            ('PUT', '/v1/configuration'): self._put_configuration,
+            ('GET', '/v1/groups'): self._get_groups,
+            ('GET', '/v1/boxes'): self._get_boxes,
+            ('POST', '/v1/boxes/labels'): self._post_labels,
+            ('POST', '/v1/explain'): self._post_explain,
+            ('GET', '/v1/status'): self._get_status,
+            ('GET', '/v1/dump'): self._get_dump,
+        }
+
+    async def _get_configuration(self, call: Call) -> Any:
+        return self._node.administration.read_configuration(
+            call.get_selector(),
+        )
+
+    async def _put_configuration(self, call: Call) -> Any:
+        return await self._node.administration.apply(
+            call.body,
+            call.get_number('expected', ANY_NUMBER),
+            call.get_text('operation') or make_operation(),
+        )
+
+    async def _get_groups(self, call: Call) -> Any:
+        wanted = call.get_selector()
+        return [
+            self._describe_group(group)
+            for group in self._node.in_force.roster
+            if wanted.admits(group.selectable)
+        ]
+
+    async def _get_boxes(self, call: Call) -> Any:
+        return await self._node.administration.list_boxes(
+            call.get_selector(),
+        )
+
+    async def _post_labels(self, call: Call) -> Any:
+        return await self._node.administration.relabel(call.body)
+
+    async def _post_explain(self, call: Call) -> Any:
+        return self._node.administration.explain(
+            call.body,
+            self._describe_down(),
+        )
+
+    async def _get_status(self, _call: Call) -> Any:
+        node = self._node
+        serving = count_serving(node.in_force.roster, node.is_usable)
+        downtime = node.meter.list_seconds()
+        return {
+            'node': node.own.node,
+            'group_sets': {
+                group_set.name: {
+                    'wanted': group_set.groups,
+                    'serving': serving.get(group_set.name, 0),
+                    'downtime_seconds': downtime.get(group_set.name, 0),
+                }
+                for group_set in node.in_force.configuration.group_set
+            },
+            'groups': [
+                self._describe_group(group) for group in node.in_force.roster
+            ],
+            'stranded_accelerators': (
+                await node.administration.count_stranded()
+            ),
+            'entry_boxes': [
+                {
+                    'node': record.node,
+                    'hall': record.hall,
+                    'state': record.state.name.lower(),
+                    'configuration': record.configuration,
+                    'roster': record.roster,
+                }
+                for record in sorted(
+                    node.members.records,
+                    key=lambda record: record.node,
+                )
+            ],
+        }
+
+    async def _get_dump(self, _call: Call) -> Any:
+        node = self._node
+        return {
+            'node': node.own.node,
+            'incarnation': node.incarnation,
+            'in_flight': node.admission.list_in_flight(),
+            'claims': len(node.home_claimer.table),
+            'refuses_new': node.refuses_new,
+            'tasks': {actor.name: actor.dump() for actor in node.actors},
+        }
+
+    def _describe_group(self, group: Group) -> dict[str, Any]:
+        return {
+            'group': group.group,
+            'group_set': group.group_set,
+            'state': group.state.value,
+            'epoch': group.epoch,
+            'boxes': [member.box for member in group.members],
+            'missing': list(group.missing),
+            'down': self._describe_down().get(group.group, ''),
+        }
+
+    def _describe_down(self) -> dict[str, str]:
+        now = self._node.clock.read()
+        down = self._node.health.list_down(now)
+        return {
+            group: ': '.join((word.verdict.value, word.detail))
+            for group, word in down.items()
+        }
--- /dev/null
+++ b/waywell/process/settings.py
@@ -0,0 +1,201 @@
+"""Settings of an entry daemon, read from TOML and checked whole."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from pathlib import Path
+
+import attrs
+
+from waywell.version.configuration import read_toml
+from waywell.version.faults import FaultsError, structure_input
+
+_NAME = re.compile(r'[A-Za-z0-9._-]{1,64}')
+
+HIGHEST_PORT = 65_535
+"""Highest port number."""
+
+
+@attrs.frozen
+class NodeSettings:
+    """Who and where this entry box is."""
+
+    name: str
+    """Name of the entry box, unique in the system."""
+
+    hall: str
+    """Data hall that it stands in."""
+
+    region: str = 'default'
+    """Region of the data hall."""
+
+    host: str = '127.0.0.1'
+    """IP number that it listens on and that others reach it by."""
+
+    caller_port: int = 0
+    """Port for callers; 0 takes a free one."""
+
+    peer_port: int = 0
+    """Port for other entry boxes; 0 takes a free one."""
+
+    admin_port: int = 0
+    """Port for operators; 0 takes a free one."""
+
+
+@attrs.frozen
+class PlatformSettings:
+    """Where the platform's object API is."""
+
+    url: str
+    """Base address, ``http://IP:PORT``."""
+
+    timeout: float = 3.0
+    """Seconds until a call counts as unanswered."""
+
+
+@attrs.frozen
+class LimitSettings:
+    """What one entry box carries."""
+
+    body_bytes: int = 8_000_000
+    """Largest request body."""
+
+    requests: int = 2000
+    """Requests in flight at once."""
+
+    connect_seconds: float = 2.0
+    """Seconds to connect to a target."""
+
+
+@attrs.frozen
+class TimingSettings:
+    """Periods and bounds, in seconds."""
+
+    beat: float = 1.0
+    """Between two messages of liveness to a neighbour."""
+
+    silence: float = 3.0
+    """Without a message until a neighbour is suspected."""
+
+    suspicion: float = 2.0
+    """From a suspicion until a node counts as lost, unless it answers."""
+
+    lease: float = 6.0
+    """Term of a lease in the platform."""
+
+    probe: float = 1.0
+    """Between two health checks of a box."""
+
+    evidence: float = 6.0
+    """Until the word that a group is down lapses."""
+
+    entry_list: float = 5.0
+    """For which callers may keep the entry list."""
+
+    drain: float = 60.0
+    """For which a stopping node waits for work in flight."""
+
+    group_drain: float = 60.0
+    """For which a leaving group waits for work in flight."""
+
+    route_term: float = 900.0
+    """After which a silent node has lost its right to an old roster."""
+
+
+@attrs.frozen
+class Settings:
+    """All settings of an entry daemon."""
+
+    node: NodeSettings
+    """Who and where."""
+
+    platform: PlatformSettings
+    """The platform's object API."""
+
+    limits: LimitSettings = LimitSettings()
+    """What it carries."""
+
+    timing: TimingSettings = TimingSettings()
+    """Periods and bounds."""
+
+    seeds: list[str] = attrs.Factory(list)
+    """Peer addresses, ``IP:PORT``, to join by while the platform is down."""
+
+    bootstrap_key_hashes: list[str] = attrs.Factory(list)
+    """Hashes of operators' keys for the time before a configuration."""
+
+    history: str = ''
+    """File to write the history of requests to; empty writes none."""
+
+    log_level: str = 'INFO'
+    """Least level that is logged."""
+
+
+def check_settings(text: str, place: str) -> Settings:
+    """Turn TOML text into settings.
+
+    Raises
+    ------
+    FaultsError
+        With every fault found.
+    """
+    settings = structure_input(read_toml(text, place), Settings, place)
+    faults = [
+        *_find_bad_node(settings.node),
+        *_find_bad_timing(settings.timing),
+        *_find_bad_platform(settings.platform),
+    ]
+    if faults:
+        raise FaultsError(f'{place}.{fault}' for fault in faults)
+    return settings
+
+
+def load_settings(path: str) -> Settings:
+    """Read settings from a file.
+
+    Raises
+    ------
+    FaultsError
+        With every fault found, or the reason why the file can't be read.
+    """
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise FaultsError([f'{path}: {error}']) from error
+    return check_settings(text, path)
+
+
+def _find_bad_node(node: NodeSettings) -> list[str]:
+    faults = [
+        f'node.{key}: 1 to 64 of letters, digits and ._-'
+        for key in ('name', 'hall', 'region')
+        if not _NAME.fullmatch(getattr(node, key))
+    ]
+    try:
+        ipaddress.ip_address(node.host)
+    except ValueError:
+        faults.append('node.host: an IP number')
+    faults.extend(
+        f'node.{key}: 0 to {HIGHEST_PORT}'
+        for key in ('caller_port', 'peer_port', 'admin_port')
+        if not 0 <= getattr(node, key) <= HIGHEST_PORT
+    )
+    return faults
+
+
+def _find_bad_timing(timing: TimingSettings) -> list[str]:
+    faults = [
+        f'timing.{field.name}: above 0'
+        for field in attrs.fields(TimingSettings)
+        if getattr(timing, field.name) <= 0
+    ]
+    if timing.silence <= timing.beat:
+        faults.append('timing.silence: above timing.beat')
+    return faults
+
+
+def _find_bad_platform(platform: PlatformSettings) -> list[str]:
+    if platform.url.startswith('http://'):
+        return []
+    return ['platform.url: http://IP:PORT']
--- /dev/null
+++ b/waywell/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for a request: facts, admission, choice, claims, retry."""
--- /dev/null
+++ b/waywell/request/dispatcher.py
@@ -0,0 +1,465 @@
+"""The way of one request: checks, claim, choice, attempts, answer."""
+
+from __future__ import annotations
+
+from random import Random
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import attrs
+from returns.result import Failure, Result
+
+from waywell.codes import Code, Ran, Refusal
+from waywell.connection.target import Dispatch, DispatchFault, Target
+from waywell.process.claims import Claimer
+from waywell.process.clock import Clock
+from waywell.process.documents import InForce
+from waywell.process.health import HealthTable
+from waywell.process.history import History
+from waywell.process.loads import LoadTable
+from waywell.request.admission import Admission
+from waywell.request.claim import ClaimKey, ClaimState, read_issued
+from waywell.request.facts import read_facts
+from waywell.request.retry import MOST_ATTEMPTS, RetryBudget
+from waywell.request.routing import (
+    Choice,
+    choose_for_session,
+    choose_less_loaded,
+)
+from waywell.request.submission import CallerPort, Submission, Work
+from waywell.version.roster import Group, GroupState
+from waywell.version.serving import RequestShape
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from waywell.connection.target import TargetAnswer
+    from waywell.request.facts import RequestFacts
+
+Inner = TypeVar('Inner')
+"""What a step of the way finds."""
+
+NO_GROUP_RETRY_SECONDS = 2.0
+"""Advice to callers while no group can serve."""
+
+_REFUSAL_BY_CLAIM = MappingProxyType(
+    {
+        ClaimState.RUNNING: (Code.REPEAT_RUNNING, Ran.MAY_HAVE_RUN),
+        ClaimState.DONE: (Code.REPEAT_DONE, Ran.RAN),
+        ClaimState.UNKNOWN: (Code.REPEAT_UNKNOWN, Ran.MAY_HAVE_RUN),
+        ClaimState.REFUSED: (Code.REPEAT_REFUSED, Ran.NOT_RUN),
+        ClaimState.EXPIRED: (Code.BAD_REQUEST_ID, Ran.MAY_HAVE_RUN),
+        ClaimState.FULL: (Code.NODE_BUSY, Ran.MAY_HAVE_RUN),
+    },
+)
+
+_CODE_BY_FAULT = MappingProxyType(
+    {
+        DispatchFault.NOT_SENT: Code.TARGET_UNREACHABLE,
+        DispatchFault.TOO_LATE: Code.DEADLINE_PASSED,
+        DispatchFault.BROKEN: Code.TARGET_FAILED,
+        DispatchFault.TIMED_OUT: Code.DEADLINE_PASSED,
+        DispatchFault.FENCED: Code.FENCE_REFUSED,
+    },
+)
+
+_NOT_RUN_FAULTS = frozenset(
+    (DispatchFault.NOT_SENT, DispatchFault.TOO_LATE, DispatchFault.FENCED),
+)
+
+_LAST_FAULTS = frozenset((DispatchFault.TOO_LATE, DispatchFault.TIMED_OUT))
+
+
+@attrs.frozen
+class NodeFacts:
+    """What the dispatcher has to know of its node."""
+
+    live_nodes: int
+    """Live entry boxes, this one counted."""
+
+    may_route_unfenced: bool
+    """Whether it may still send to targets that check no fence."""
+
+
+@attrs.frozen
+class Parts:
+    """What a dispatcher works with."""
+
+    in_force: InForce
+    """Versions in force."""
+
+    health: HealthTable
+    """What speaks against groups."""
+
+    loads: LoadTable
+    """Loads that others reported."""
+
+    admission: Admission
+    """Limits."""
+
+    budget: RetryBudget
+    """Budget of retries."""
+
+    home_claimer: Claimer
+    """Claims of ids that an entry box gave out."""
+
+    own_claimer: Claimer
+    """Claims of ids that callers made up."""
+
+    target: Target
+    """Calls to targets."""
+
+    clock: Clock
+    """Where the time is read."""
+
+    history: History
+    """Where the events of requests are noted."""
+
+    random: Random
+    """Draws the groups that are compared."""
+
+
+class Dispatcher:
+    """Serves requests by what is in force.
+
+    Parameters
+    ----------
+    parts
+        What it works with.
+    describe_node
+        Returns the present facts of this node.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        describe_node: Callable[[], NodeFacts],
+    ) -> None:
+        """Keep the parts."""
+        self._parts = parts
+        self._describe_node = describe_node
+
+    async def serve(self, submission: Submission, caller: CallerPort) -> None:
+        """Serve a request to its end.
+
+        Raises
+        ------
+        Refusal
+            When no answer was begun; nothing was said to the caller then.
+        """
+        facts = _unwrap(
+            read_facts(
+                submission.method,
+                submission.target,
+                submission.headers,
+            ),
+        )
+        key = None
+        try:
+            work = self._identify(submission, caller, facts)
+            self._admit(work)
+        except Refusal as refusal:
+            raise self._doubt(refusal, facts) from refusal
+        try:
+            key = await self._claim(work)
+            await self._run(work, key)
+        finally:
+            self._parts.admission.release(work.account.name)
+
+    def refuse_leaving(
+        self,
+        submission: Submission,
+        entries: dict[str, Any],
+    ) -> None:
+        """Refuse a request because the node is leaving.
+
+        Raises
+        ------
+        Refusal
+            Always, with the entry list as its detail.
+        """
+        facts = _unwrap(
+            read_facts(
+                submission.method,
+                submission.target,
+                submission.headers,
+            ),
+        )
+        names = ' '.join(
+            f'{entry["host"]}:{entry["port"]}' for entry in entries['entries']
+        )
+        refusal = Refusal(Code.NODE_LEAVING, detail=names, retry_after=0)
+        raise self._doubt(refusal, facts)
+
+    def _identify(
+        self,
+        submission: Submission,
+        caller: CallerPort,
+        facts: RequestFacts,
+    ) -> Work:
+        """Find account, service and groups."""
+        in_force = self._parts.in_force
+        if not in_force.numbers.configuration:
+            raise Refusal(Code.NODE_STARTING, retry_after=1)
+        index = in_force.index
+        account = index.find_account(facts.key)
+        if account is None:
+            raise Refusal(Code.UNKNOWN_KEY)
+        service = index.find_service(facts.service)
+        if service is None:
+            raise Refusal(Code.UNKNOWN_SERVICE)
+        shape = RequestShape(
+            facts.service,
+            account.name,
+            facts.kind,
+            facts.session_labels,
+        )
+        if not index.list_rules(shape):
+            raise Refusal(Code.NOT_ADMITTED)
+        seconds = facts.deadline or service.timeout
+        return Work(
+            submission=submission,
+            caller=caller,
+            facts=facts,
+            account=account,
+            service=service,
+            shape=shape,
+            deadline_at=self._parts.clock.read() + seconds,
+        )
+
+    def _admit(self, work: Work) -> None:
+        """Count the request in, or refuse it."""
+        nodes = self._describe_node().live_nodes
+        now = self._parts.clock.read()
+        _unwrap(self._parts.admission.admit(work.account, nodes, now))
+        self._parts.budget.earn(work.account.name)
+
+    def _doubt(self, refusal: Refusal, facts: RequestFacts) -> Refusal:
+        """Say less of an id whose claim was not looked at.
+
+        Another submission of the same id may be under way, so "not run"
+        would say too much.
+        """
+        if facts.repeatable or facts.request_id is None:
+            return refusal
+        return Refusal(
+            refusal.code,
+            Ran.MAY_HAVE_RUN,
+            refusal.detail,
+            refusal.retry_after,
+        )
+
+    async def _claim(self, work: Work) -> ClaimKey | None:
+        """Claim the id of a request that may not be repeated."""
+        request_id = work.facts.request_id
+        if work.facts.repeatable or request_id is None:
+            return None
+        key = ClaimKey(work.account.name, request_id)
+        state = await self._get_claimer(key).claim(key)
+        self._parts.history.note(
+            'claimed',
+            request=request_id,
+            state=state.value if state else 'none',
+        )
+        if state is ClaimState.GRANTED:
+            return key
+        if state is None:
+            raise Refusal(
+                Code.CLAIM_UNKNOWN,
+                Ran.MAY_HAVE_RUN,
+                retry_after=NO_GROUP_RETRY_SECONDS,
+            )
+        code, ran = _REFUSAL_BY_CLAIM[state]
+        raise Refusal(code, ran)
+
+    def _get_claimer(self, key: ClaimKey) -> Claimer:
+        if read_issued(key.request_id) is None:
+            return self._parts.own_claimer
+        return self._parts.home_claimer
+
+    async def _run(self, work: Work, key: ClaimKey | None) -> None:
+        """Make attempts, and settle the claim by how they ended."""
+        state = ClaimState.UNKNOWN
+        try:
+            whole = await self._attempt_all(work)
+            state = ClaimState.DONE if whole else ClaimState.UNKNOWN
+        except Refusal as refusal:
+            if refusal.ran is Ran.NOT_RUN:
+                state = ClaimState.REFUSED
+            raise
+        finally:
+            if key is not None:
+                await self._get_claimer(key).settle(key, state)
+
+    async def _attempt_all(self, work: Work) -> bool:
+        """Make attempts until one is answered."""
+        for attempt in range(MOST_ATTEMPTS):
+            choice = self._choose(work)
+            answer = await self._attempt(work, choice)
+            if not isinstance(answer, DispatchFault):
+                return await self._relay(work, choice, answer)
+            if not self._may_retry(work, answer, attempt):
+                raise self._refuse(work, answer)
+        raise self._refuse(work, DispatchFault.NOT_SENT)
+
+    def _choose(self, work: Work) -> Choice:
+        """Choose a group, or refuse where none can serve."""
+        # The index may be a newer one than at the attempt before.
+        groups = self._parts.in_force.index.list_groups(work.shape)
+        usable = [group for group in groups if self._can_use(work, group)]
+        names = [group.group for group in usable]
+        loads = self._parts.health.weigh(
+            names,
+            self._parts.loads.get_reported(),
+        )
+        session = work.session
+        if session is None:
+            choice = choose_less_loaded(usable, loads, self._parts.random)
+        else:
+            choice = choose_for_session(session, groups, usable, loads)
+        if choice is None:
+            raise Refusal(
+                Code.NO_WHOLE_GROUP,
+                _get_ran(work),
+                retry_after=NO_GROUP_RETRY_SECONDS,
+            )
+        return choice
+
+    def _can_use(self, work: Work, group: Group) -> bool:
+        if group.state is not GroupState.SERVING or group.group in work.tried:
+            return False
+        if not work.service.fenced:
+            facts = self._describe_node()
+            if not facts.may_route_unfenced:
+                return False
+        now = self._parts.clock.read()
+        return self._parts.health.is_usable(group.group, group.epoch, now)
+
+    async def _attempt(
+        self,
+        work: Work,
+        choice: Choice,
+    ) -> TargetAnswer | DispatchFault:
+        """Send the request to a group; take in how that went."""
+        clock = self._parts.clock
+        group = choice.group
+        self._note('dispatched', work, group, reason=choice.reason.value)
+        started_at = clock.read()
+        health = self._parts.health
+        health.note_start(group.group)
+        try:
+            answer = await self._parts.target.dispatch(
+                _make_dispatch(work, group),
+                work.deadline_at - started_at,
+                lambda: self._may_send(work),
+            )
+        except BaseException:
+            # The caller has gone, and the attempt was cancelled.
+            health.note_end(group.group)
+            raise
+        now = clock.read()
+        if not isinstance(answer, Failure):
+            health.note_answer(group.group, now - started_at)
+            return answer.unwrap()
+        health.note_end(group.group)
+        return self._take_fault(work, group, answer.failure(), now)
+
+    def _take_fault(
+        self,
+        work: Work,
+        group: Group,
+        fault: DispatchFault,
+        now: float,
+    ) -> DispatchFault:
+        work.tried.add(group.group)
+        if fault not in _NOT_RUN_FAULTS:
+            work.may_have_run = True
+        if fault is not DispatchFault.TOO_LATE:
+            self._parts.health.note_failure(group.group, now)
+        self._note('attempt_failed', work, group, fault=fault.value)
+        return fault
+
+    def _may_send(self, work: Work) -> bool:
+        """Answer, right before the write, whether it is still wanted."""
+        if work.caller.is_gone():
+            return False
+        return self._parts.clock.read() < work.deadline_at
+
+    async def _relay(
+        self,
+        work: Work,
+        choice: Choice,
+        answer: TargetAnswer,
+    ) -> bool:
+        """Pass the answer on to the caller."""
+        try:
+            whole = await work.caller.relay(answer, work.service)
+        finally:
+            self._parts.health.note_end(choice.group.group)
+        self._note('answered', work, choice.group, whole=whole)
+        return whole
+
+    def _may_retry(
+        self,
+        work: Work,
+        fault: DispatchFault,
+        attempt: int,
+    ) -> bool:
+        if attempt + 1 >= MOST_ATTEMPTS or fault in _LAST_FAULTS:
+            return False
+        if work.may_have_run and not work.facts.repeatable:
+            return False
+        return self._parts.budget.spend(work.account.name)
+
+    def _refuse(self, work: Work, fault: DispatchFault) -> Refusal:
+        retry_after = None
+        if fault not in _LAST_FAULTS:
+            retry_after = NO_GROUP_RETRY_SECONDS
+        return Refusal(
+            _CODE_BY_FAULT[fault],
+            _get_ran(work),
+            retry_after=retry_after,
+        )
+
+    def _note(
+        self,
+        event: str,
+        work: Work,
+        group: Group,
+        **pairs: object,
+    ) -> None:
+        self._parts.history.note(
+            event,
+            request=work.facts.request_id or '',
+            group=group.group,
+            epoch=group.epoch,
+            configuration=self._parts.in_force.numbers.configuration,
+            **pairs,
+        )
+
+
+def _unwrap(outcome: Result[Inner, Refusal]) -> Inner:
+    """Return what a step found, or raise its refusal."""
+    if isinstance(outcome, Failure):
+        raise outcome.failure()
+    return outcome.unwrap()
+
+
+def _get_ran(work: Work) -> Ran:
+    return Ran.MAY_HAVE_RUN if work.may_have_run else Ran.NOT_RUN
+
+
+def _make_dispatch(work: Work, group: Group) -> Dispatch:
+    return Dispatch(
+        member=group.head,
+        group=group.group,
+        epoch=group.epoch,
+        method=work.submission.method,
+        path=work.facts.path,
+        headers=work.submission.passed,
+        body=work.submission.body,
+        priority=work.account.priority,
+        # A kept connection may be closed by the target in the moment of
+        # the write, which leaves the outcome open.
+        fresh=not work.facts.repeatable,
+    )
--- /dev/null
+++ b/waywell/standins/__main__.py
@@ -0,0 +1,39 @@
+"""Runs a stand-in as a process: ``platform``, or ``target NAME``."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+from twisted.internet import asyncioreactor
+
+
+def main(words: list[str]) -> int:
+    """Run the stand-in that the words name until it is killed."""
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    asyncioreactor.install(loop)
+    from twisted.internet import reactor  # noqa: PLC0415
+
+    from waywell.standins.platform import open_platform  # noqa: PLC0415
+    from waywell.standins.target import open_target  # noqa: PLC0415
+
+    kind = words[0]
+    if kind == 'platform':
+        port, _ = open_platform(int(words[1]) if len(words) > 1 else 0)
+    else:
+        options = dict(word.split('=', 1) for word in words[2:])
+        port, _ = open_target(
+            words[1],
+            fenced=options.get('fenced', 'yes') == 'yes',
+            port=int(options.get('port', '0')),
+            history=options.get('history', ''),
+        )
+    sys.stderr.write(f'event=listening port={port}\n')
+    sys.stderr.flush()
+    reactor.run()
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/waywell/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for a version: configuration, roster, their documents."""
--- /dev/null
+++ b/waywell/version/assembly.py
@@ -0,0 +1,328 @@
+"""Group assembly: which boxes form which groups, decided without I/O.
+
+The planner looks at the box list, the roster and the configuration and
+returns the groups to change.  What to do about a lost box is a policy:
+wait for it, take a spare, or take boxes from a group that is needed less.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from waywell.ids import BoxId, GroupId
+from waywell.version.draft import Draft, Plan
+from waywell.version.objects import Configuration, GroupSet
+from waywell.version.repair import Repair, RepairPolicy
+from waywell.version.roster import Box, BoxState, Group, GroupState, Member
+
+if TYPE_CHECKING:
+    from waywell.ids import DomainName
+    from waywell.version.roster import Roster
+
+
+class AssemblyView(msgspec.Struct, frozen=True):
+    """What a planner looks at."""
+
+    boxes: Mapping[BoxId, Box]
+    """Box list."""
+
+    configuration: Configuration
+    """Configuration in force."""
+
+    broken_since: Mapping[GroupId, float]
+    """When each broken group was first seen broken, in seconds."""
+
+    released: frozenset[GroupId] = frozenset()
+    """Leaving groups that no node may route to any more."""
+
+    ready: frozenset[GroupId] = frozenset()
+    """Forming groups whose boxes have all taken their order."""
+
+    disordered: frozenset[GroupId] = frozenset()
+    """Groups of which a box has lost its order or has a later one."""
+
+
+def plan_assembly(
+    roster: Roster,
+    view: AssemblyView,
+    policy: RepairPolicy,
+    now: float,
+) -> Plan:
+    """Return the groups to change, given what is known at ``now``."""
+    draft = Draft(roster, view.boxes)
+    sets = {
+        group_set.name: group_set for group_set in view.configuration.group_set
+    }
+    _StateStep(draft, view, sets).run()
+    _RepairStep(draft, view, sets, policy).run(now)
+    _CountStep(draft, sets).run()
+    return draft.make_plan()
+
+
+def find_missing(
+    group: Group,
+    boxes: Mapping[BoxId, Box],
+) -> tuple[BoxId, ...]:
+    """Return the members that are lost or were restarted since."""
+    return tuple(
+        member.box
+        for member in group.members
+        if _is_missing(member, boxes.get(member.box))
+    )
+
+
+def _is_missing(member: Member, box: Box | None) -> bool:
+    if box is None or box.state is BoxState.LOST:
+        return True
+    return box.boot != member.boot
+
+
+class _StateStep:
+    """Moves each group to the state that its boxes and its set ask for."""
+
+    def __init__(
+        self,
+        draft: Draft,
+        view: AssemblyView,
+        sets: dict[str, GroupSet],
+    ) -> None:
+        self._draft = draft
+        self._view = view
+        self._sets = sets
+
+    def run(self) -> None:
+        for leaving in self._draft.list_in(GroupState.LEAVING):
+            if leaving.group in self._view.released:
+                self._draft.remove(leaving)
+        for group in tuple(self._draft.groups.values()):
+            if group.state is not GroupState.LEAVING:
+                self._move(group)
+
+    def _move(self, group: Group) -> None:
+        group_set = self._sets.get(group.group_set)
+        if group_set is None or not self._belongs(group, group_set):
+            self._draft.set_state(group, GroupState.LEAVING)
+            return
+        if group.labels != group_set.labels:
+            self._draft.set_labels(group, group_set.labels)
+            group = self._draft.groups[group.group]
+        self._move_by_health(group)
+
+    def _belongs(self, group: Group, group_set: GroupSet) -> bool:
+        if group_set.service != group.service:
+            return False
+        if len(group.members) != group_set.boxes_per_group:
+            return False
+        return all(
+            self._may_stay(member, group_set) for member in group.members
+        )
+
+    def _may_stay(self, member: Member, group_set: GroupSet) -> bool:
+        box = self._view.boxes.get(member.box)
+        if box is None:
+            return True
+        if box.state is BoxState.LEAVING:
+            return False
+        return group_set.boxes.admits(box.selectable)
+
+    def _move_by_health(self, group: Group) -> None:
+        missing = find_missing(group, self._view.boxes)
+        whole_again = group.state is GroupState.BROKEN and not missing
+        if missing and not self._are_live(missing):
+            if missing != group.missing:
+                self._draft.set_state(group, GroupState.BROKEN, missing)
+        elif missing or whole_again or group.group in self._view.disordered:
+            # All boxes are there, but one was restarted or has no order.
+            self._draft.form_again(group, self._list_boxes(group))
+        elif group.group in self._view.ready:
+            self._draft.set_state(group, GroupState.SERVING)
+
+    def _are_live(self, names: tuple[BoxId, ...]) -> bool:
+        boxes = (self._view.boxes.get(name) for name in names)
+        return all(
+            box is not None and box.state is BoxState.LIVE for box in boxes
+        )
+
+    def _list_boxes(self, group: Group) -> list[Box]:
+        return [self._view.boxes[member.box] for member in group.members]
+
+
+class _RepairStep:
+    """Does for broken groups what the policy says."""
+
+    def __init__(
+        self,
+        draft: Draft,
+        view: AssemblyView,
+        sets: dict[str, GroupSet],
+        policy: RepairPolicy,
+    ) -> None:
+        self._draft = draft
+        self._view = view
+        self._sets = sets
+        self._policy = policy
+        self._fenced = {
+            service.name: service.fenced
+            for service in view.configuration.service
+        }
+
+    def run(self, now: float) -> None:
+        broken = self._draft.list_in(GroupState.BROKEN)
+        broken.sort(key=self._rank_repair)
+        for group in broken:
+            # It may have given its boxes to one before it.
+            if self._draft.groups.get(group.group) == group:
+                self._repair(group, now)
+
+    def _rank_repair(self, group: Group) -> tuple[float, int, GroupId]:
+        need = self._sets[group.group_set].need
+        return (-need, len(group.missing), group.group)
+
+    def _repair(self, group: Group, now: float) -> None:
+        spares = self._list_spares(group)
+        donors = self._list_donors(group)
+        intact = self._draft.list_intact(group)
+        repair = Repair(
+            since=self._view.broken_since.get(group.group, now),
+            lost=len(group.missing),
+            spares=len(spares),
+            donors=sum(
+                len(self._draft.list_intact(donor)) for donor in donors
+            ),
+            idle_accelerators=sum(box.accelerators for box in intact),
+        )
+        choice = self._policy.choose(repair, now)
+        if choice.take_spares and not self._fenced.get(group.service, False):
+            # A target that checks no fence could still get requests of
+            # this group, so no box of it goes on before every node let go.
+            self._draft.set_state(group, GroupState.LEAVING)
+        elif choice.take_spares and len(spares) >= repair.lost:
+            self._fill_places(group, spares)
+        elif choice.take_donors:
+            self._merge(group, spares, donors)
+
+    def _list_spares(self, group: Group) -> list[Box]:
+        group_set = self._sets[group.group_set]
+        free = self._draft.list_free(group_set)
+        domain = self._draft.find_domain(group)
+        if not group_set.one_domain or domain is None:
+            return free
+        return [box for box in free if box.domain == domain]
+
+    def _list_donors(self, group: Group) -> list[Group]:
+        """Return broken groups of no higher need, the poorest first."""
+        donors = [
+            donor
+            for donor in self._draft.list_in(GroupState.BROKEN)
+            if donor.group != group.group and self._can_give(donor, group)
+        ]
+        return sorted(donors, key=self._rank_donor)
+
+    def _can_give(self, donor: Group, group: Group) -> bool:
+        wanted = self._sets[group.group_set]
+        if self._sets[donor.group_set].need > wanted.need:
+            return False
+        if not self._fenced.get(donor.service, False):
+            return False
+        domain = self._draft.find_domain(group)
+        boxes = self._draft.list_intact(donor)
+        return bool(boxes) and all(_fits(box, wanted, domain) for box in boxes)
+
+    def _rank_donor(self, donor: Group) -> tuple[float, int, GroupId]:
+        need = self._sets[donor.group_set].need
+        return (need, -len(donor.missing), donor.group)
+
+    def _merge(
+        self,
+        group: Group,
+        spares: list[Box],
+        donors: list[Group],
+    ) -> None:
+        """Complete a group with boxes of other broken ones, or leave it."""
+        places = len(group.missing) - len(spares)
+        taken: list[Group] = []
+        for donor in donors:
+            if places > 0:
+                taken.append(donor)
+                places -= len(self._draft.list_intact(donor))
+        if places > 0:
+            return
+        boxes = list(spares)
+        for giving in taken:
+            boxes.extend(self._draft.list_intact(giving))
+            self._draft.remove(giving)
+        self._fill_places(group, boxes)
+
+    def _fill_places(self, group: Group, boxes: list[Box]) -> None:
+        supply = iter(boxes)
+        members = [
+            next(supply)
+            if member.box in group.missing
+            else self._view.boxes[member.box]
+            for member in group.members
+        ]
+        self._draft.form_again(group, members)
+
+
+class _CountStep:
+    """Brings the number of groups of each set to what it should be."""
+
+    def __init__(self, draft: Draft, sets: dict[str, GroupSet]) -> None:
+        self._draft = draft
+        self._sets = sets
+
+    def run(self) -> None:
+        standing = self._list_standing()
+        for group_set in sorted(self._sets.values(), key=_rank_set):
+            groups = standing[group_set.name]
+            self._trim(groups, len(groups) - group_set.groups)
+            self._fill(group_set, group_set.groups - len(groups))
+
+    def _list_standing(self) -> dict[str, list[Group]]:
+        standing: dict[str, list[Group]] = defaultdict(list)
+        for group in self._draft.groups.values():
+            if group.state is not GroupState.LEAVING:
+                standing[group.group_set].append(group)
+        return standing
+
+    def _trim(self, groups: list[Group], surplus: int) -> None:
+        groups.sort(key=_rank_surplus)
+        for group in groups[: max(0, surplus)]:
+            self._draft.set_state(group, GroupState.LEAVING)
+
+    def _fill(self, group_set: GroupSet, lacking: int) -> None:
+        size = group_set.boxes_per_group
+        left = lacking
+        for pool in self._list_pools(group_set):
+            teams = min(max(0, left), len(pool) // size)
+            left -= teams
+            for team in range(teams):
+                start = team * size
+                self._draft.form_new(group_set, pool[start : start + size])
+
+    def _list_pools(self, group_set: GroupSet) -> list[list[Box]]:
+        """Return free boxes by domain, the fullest domain first."""
+        pools: dict[str, list[Box]] = defaultdict(list)
+        for box in self._draft.list_free(group_set):
+            key = box.domain if group_set.one_domain else ''
+            pools[key].append(box)
+        return sorted(pools.values(), key=len, reverse=True)
+
+
+def _fits(box: Box, wanted: GroupSet, domain: DomainName | None) -> bool:
+    if wanted.one_domain and box.domain != domain:
+        return False
+    return wanted.boxes.admits(box.selectable)
+
+
+def _rank_set(group_set: GroupSet) -> tuple[float, str]:
+    return (-group_set.need, group_set.name)
+
+
+def _rank_surplus(group: Group) -> tuple[bool, GroupId]:
+    """Give up groups that don't serve before those that do."""
+    return (group.state is GroupState.SERVING, group.group)
--- /dev/null
+++ b/waywell/version/draft.py
@@ -0,0 +1,168 @@
+"""A roster in the making: groups, free boxes and the next epoch."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from waywell.ids import BoxId, DomainName, Epoch, GroupId
+from waywell.version.roster import Box, BoxState, Group, GroupState, Member
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from waywell.version.objects import GroupSet
+    from waywell.version.roster import Roster
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """Groups to write; empty when nothing is to be done."""
+
+    changed: tuple[Group, ...] = ()
+    """Groups that are new or different."""
+
+    removed: tuple[GroupId, ...] = ()
+    """Groups that are gone."""
+
+    def __bool__(self) -> bool:
+        """Answer whether there is anything to write."""
+        return bool(self.changed or self.removed)
+
+
+class Draft:
+    """Changes to a roster before they are written.
+
+    Parameters
+    ----------
+    roster
+        Roster that they apply to.
+    boxes
+        Box list.
+    """
+
+    def __init__(self, roster: Roster, boxes: Mapping[BoxId, Box]) -> None:
+        """Start from the roster as it is."""
+        self.boxes = boxes
+        self.groups: dict[GroupId, Group] = dict(roster.groups)
+        self.free = {
+            name: box
+            for name, box in boxes.items()
+            if box.state is BoxState.LIVE and roster.find_holder(name) is None
+        }
+        self._roster = roster
+        self._removed: list[GroupId] = []
+        self._epoch = roster.number + 1
+
+    def make_plan(self) -> Plan:
+        """Return what differs from the roster."""
+        changed = tuple(
+            group
+            for name, group in self.groups.items()
+            if self._roster.groups.get(name) != group
+        )
+        return Plan(changed, tuple(self._removed))
+
+    def list_in(self, *states: GroupState) -> list[Group]:
+        """Return the groups in some states."""
+        return [
+            group for group in self.groups.values() if group.state in states
+        ]
+
+    def list_intact(self, group: Group) -> list[Box]:
+        """Return the boxes of a group that it does not miss."""
+        return [
+            self.boxes[member.box]
+            for member in group.members
+            if member.box not in group.missing
+        ]
+
+    def find_domain(self, group: Group) -> DomainName | None:
+        """Return the domain of a group's intact boxes."""
+        intact = self.list_intact(group)
+        return intact[0].domain if intact else None
+
+    def list_free(self, group_set: GroupSet) -> list[Box]:
+        """Return the free boxes that a group set may take, by name."""
+        return [
+            self.free[name]
+            for name in sorted(self.free)
+            if group_set.boxes.admits(self.free[name].selectable)
+        ]
+
+    def set_state(
+        self,
+        group: Group,
+        state: GroupState,
+        missing: tuple[BoxId, ...] = (),
+    ) -> None:
+        """Change the state of a group."""
+        self.groups[group.group] = msgspec.structs.replace(
+            group,
+            state=state,
+            missing=missing,
+            changed=self._epoch,
+        )
+
+    def set_labels(self, group: Group, labels: dict[str, str]) -> None:
+        """Change the labels of a group."""
+        self.groups[group.group] = msgspec.structs.replace(
+            group,
+            labels=labels,
+        )
+
+    def form_again(self, group: Group, boxes: Iterable[Box]) -> None:
+        """Form a group anew, with a higher fence."""
+        members = tuple(make_member(box) for box in boxes)
+        for member in members:
+            self.free.pop(member.box, None)
+        self.groups[group.group] = msgspec.structs.replace(
+            group,
+            state=GroupState.FORMING,
+            epoch=Epoch(self._epoch),
+            members=members,
+            missing=(),
+            changed=self._epoch,
+        )
+
+    def form_new(self, group_set: GroupSet, boxes: list[Box]) -> None:
+        """Form a new group of a set."""
+        members = tuple(make_member(box) for box in boxes)
+        for member in members:
+            self.free.pop(member.box)
+        name = self._find_new_name(group_set)
+        self.groups[name] = Group(
+            group=name,
+            group_set=group_set.name,
+            service=group_set.service,
+            epoch=Epoch(self._epoch),
+            state=GroupState.FORMING,
+            hall=boxes[0].hall,
+            members=members,
+            labels=group_set.labels,
+            changed=self._epoch,
+        )
+
+    def remove(self, group: Group) -> None:
+        """Give up a group; its live boxes are free."""
+        self.groups.pop(group.group)
+        self._removed.append(group.group)
+        for member in group.members:
+            box = self.boxes.get(member.box)
+            if box is not None and box.state is BoxState.LIVE:
+                self.free[member.box] = box
+
+    def _find_new_name(self, group_set: GroupSet) -> GroupId:
+        """Return a name that no group has or had: epochs only rise."""
+        taken = len(self.groups)
+        places = range(taken + 1)
+        names = (
+            GroupId(f'{group_set.name}.{self._epoch}.{place}')
+            for place in places
+        )
+        return next(name for name in names if name not in self.groups)
+
+
+def make_member(box: Box) -> Member:
+    """Return a box as a member of a group, in its present start."""
+    return Member(box.box, box.host, box.port, box.boot)
