Check the decisions by state machines; write the roster only on change

Cause: a group whose boxes had taken their orders was put into the state serving at every plan, with a new roster number each time, as the step looked at the orders and not at the present state. Ruled out: a changing box list. Found by the unit tests of the planner (the plan never came to rest).

--- /dev/null
+++ b/tests/test_assembly.py
@@ -0,0 +1,377 @@
+"""Group assembly under any order of box events and racing assemblers."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from waywell.ids import BoxId, DomainName, Epoch, GroupId, HallName
+from waywell.version.assembly import (
+    AssemblyView,
+    find_missing,
+    plan_assembly,
+)
+from waywell.version.objects import (
+    Configuration,
+    Goal,
+    GroupSet,
+    Service,
+)
+from waywell.version.repair import CostPolicy, SparesOnly, WaitOnly
+from waywell.version.roster import (
+    Box,
+    BoxState,
+    Group,
+    GroupState,
+    Member,
+    Roster,
+    SharedBoxError,
+)
+from waywell.version.selector import Selector
+
+BOXES = 9
+GOAL = Goal(return_seconds=5, load_seconds=20)
+
+
+def make_box(number: int, domain: str = 'd0', **changes: object) -> Box:
+    box = Box(
+        box=BoxId(f'b{number}'),
+        hall=HallName('h'),
+        domain=DomainName(domain),
+        host='127.0.0.1',
+        port=1000 + number,
+        labels={'pool': 'a'},
+    )
+    return msgspec.structs.replace(box, **changes)
+
+
+def make_objects(groups: int = 2, size: int = 2) -> Configuration:
+    return Configuration(
+        service=[Service('llm'), Service('app', fenced=False)],
+        group_set=[
+            GroupSet(
+                'main',
+                'llm',
+                Selector(match={'pool': ['a']}),
+                boxes_per_group=size,
+                groups=groups,
+            ),
+            GroupSet('plain', 'app', Selector(match={'pool': ['b']})),
+        ],
+        goal=GOAL,
+    )
+
+
+def settle(
+    boxes: list[Box],
+    configuration: Configuration,
+    roster: Roster | None = None,
+    policy: object = None,
+    now: float = 0,
+    since: float = 0,
+) -> Roster:
+    """Plan until nothing changes, every order taken at once."""
+    current = roster or Roster(0)
+    for _ in range(20):
+        view = AssemblyView(
+            boxes={box.box: box for box in boxes},
+            configuration=configuration,
+            broken_since=dict.fromkeys(current.groups, since),
+            ready=frozenset(current.groups),
+        )
+        plan = plan_assembly(
+            current,
+            view,
+            policy or CostPolicy(configuration.goal),
+            now,
+        )
+        if not plan:
+            return current
+        current = current.replace(
+            current.number + 1,
+            plan.changed,
+            plan.removed,
+        )
+    raise AssertionError('the plan does not come to rest')
+
+
+def list_states(roster: Roster) -> list[str]:
+    return [group.state.value for group in roster]
+
+
+def test_groups_form_within_a_domain() -> None:
+    boxes = [make_box(n, f'd{n % 2}') for n in range(6)]
+    roster = settle(boxes, make_objects(groups=2, size=3))
+    assert list_states(roster) == ['serving', 'serving']
+    for group in roster:
+        domains = {
+            box.domain
+            for box in boxes
+            for member in group.members
+            if box.box == member.box
+        }
+        assert len(domains) == 1
+
+
+def test_too_few_boxes_in_each_domain_form_nothing() -> None:
+    boxes = [make_box(n, f'd{n % 2}') for n in range(4)]
+    assert list_states(settle(boxes, make_objects(1, size=3))) == []
+
+
+def test_group_over_domains_where_allowed() -> None:
+    boxes = [make_box(n, f'd{n % 2}') for n in range(4)]
+    configuration = make_objects(1, size=3)
+    group_set = configuration.group_set[0]
+    anywhere = Configuration(
+        service=configuration.service,
+        group_set=[
+            GroupSet(
+                group_set.name,
+                group_set.service,
+                group_set.boxes,
+                boxes_per_group=3,
+                one_domain=False,
+            ),
+        ],
+    )
+    assert list_states(settle(boxes, anywhere)) == ['serving']
+
+
+@pytest.mark.parametrize(
+    ('policy', 'now', 'state'),
+    [
+        (WaitOnly(), 100, 'broken'),
+        (SparesOnly(), 0, 'serving'),
+        (CostPolicy(GOAL), 1, 'broken'),
+        (CostPolicy(GOAL), 6, 'serving'),
+    ],
+)
+def test_policy_for_a_lost_box(policy: object, now: float, state: str) -> None:
+    boxes = [make_box(n) for n in range(3)]
+    configuration = make_objects(1)
+    roster = settle(boxes, configuration)
+    lost = next(iter(roster)).members[1].box
+    after = [
+        msgspec.structs.replace(box, state=BoxState.LOST)
+        if box.box == lost
+        else box
+        for box in boxes
+    ]
+    repaired = settle(after, configuration, roster, policy, now)
+    assert list_states(repaired) == [state]
+
+
+def test_two_broken_groups_make_one_whole() -> None:
+    boxes = [make_box(n) for n in range(4)]
+    configuration = make_objects(2)
+    roster = settle(boxes, configuration)
+    lost = {group.members[1].box for group in roster}
+    after = [
+        msgspec.structs.replace(box, state=BoxState.LOST)
+        if box.box in lost
+        else box
+        for box in boxes
+    ]
+    repaired = settle(after, configuration, roster, None, now=6)
+    assert list_states(repaired) == ['serving']
+
+
+def test_restarted_box_gets_a_higher_epoch() -> None:
+    boxes = [make_box(n) for n in range(2)]
+    configuration = make_objects(1)
+    roster = settle(boxes, configuration)
+    before = next(iter(roster)).epoch
+    boxes[1] = msgspec.structs.replace(boxes[1], boot=1)
+    after = next(iter(settle(boxes, configuration, roster)))
+    assert after.state is GroupState.SERVING
+    assert after.epoch > before
+
+
+def test_roster_refuses_a_shared_box() -> None:
+    member = Member(BoxId('b'), 'h', 1, 0)
+    groups = [
+        Group(
+            GroupId(name),
+            's',
+            'x',
+            Epoch(1),
+            GroupState.SERVING,
+            HallName('h'),
+            (member,),
+        )
+        for name in ('g1', 'g2')
+    ]
+    with pytest.raises(SharedBoxError):
+        Roster(1, groups)
+
+
+class _Assembler:
+    """An assembler with its own, perhaps old, view."""
+
+    def __init__(self) -> None:
+        self.base = Roster(0)
+        self.version = 0
+        self.boxes: dict[BoxId, Box] = {}
+
+
+class AssemblyMachine(RuleBasedStateMachine):
+    """Two assemblers race; boxes come and go; answers are lost."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.boxes = {f'b{n}': make_box(n, f'd{n % 2}') for n in range(BOXES)}
+        for number in range(7, BOXES):
+            name = f'b{number}'
+            self.boxes[name] = make_box(number, labels={'pool': 'b'})
+        self.stored = Roster(0)
+        self.version = 0
+        self.configuration = make_objects()
+        self.assemblers = [_Assembler(), _Assembler()]
+        self.now = 0.0
+        self.epochs: dict[str, int] = {}
+        self.targets: dict[str, tuple[int, str]] = {}
+        self.routable: dict[str, set[str]] = {}
+
+    @rule(
+        number=st.integers(0, BOXES - 1),
+        state=st.sampled_from(list(BoxState)),
+        reboot=st.booleans(),
+    )
+    def change_box(self, number: int, state: BoxState, reboot: bool) -> None:
+        name = f'b{number}'
+        box = self.boxes[name]
+        boot = box.boot + (1 if reboot else 0)
+        self.boxes[name] = msgspec.structs.replace(box, state=state, boot=boot)
+
+    @rule(number=st.integers(0, BOXES - 1), pool=st.sampled_from('ab'))
+    def relabel(self, number: int, pool: str) -> None:
+        name = f'b{number}'
+        self.boxes[name] = msgspec.structs.replace(
+            self.boxes[name],
+            labels={'pool': pool},
+        )
+
+    @rule(groups=st.integers(0, 3), size=st.integers(1, 3))
+    def change_configuration(self, groups: int, size: int) -> None:
+        self.configuration = make_objects(groups, size)
+
+    @rule(which=st.integers(0, 1), with_boxes=st.booleans())
+    def read(self, which: int, with_boxes: bool) -> None:
+        assembler = self.assemblers[which]
+        assembler.base = self.stored
+        assembler.version = self.version
+        if with_boxes:
+            assembler.boxes = dict(self.boxes)
+
+    @rule(which=st.integers(0, 1), late=st.booleans())
+    def plan_and_write(self, which: int, late: bool) -> None:
+        """Write on the version that was read, maybe long ago."""
+        assembler = self.assemblers[which]
+        view = AssemblyView(
+            boxes=assembler.boxes,
+            configuration=self.configuration,
+            broken_since={},
+            released=frozenset(
+                name
+                for name in assembler.base.groups
+                if not self.routable.get(name)
+            ),
+            ready=frozenset(self.list_ready(assembler.base)),
+        )
+        policy = CostPolicy(GOAL)
+        plan = plan_assembly(assembler.base, view, policy, self.now)
+        self.now += 3
+        if not plan or assembler.version != self.version:
+            return
+        later = assembler.base.replace(
+            assembler.base.number + 1,
+            plan.changed,
+            plan.removed,
+        )
+        self.stored = later
+        self.version += 1
+        if not late:
+            assembler.base = later
+            assembler.version = self.version
+
+    @rule()
+    def give_orders(self) -> None:
+        """Send orders of any roster that an assembler holds, old ones too."""
+        for assembler in self.assemblers:
+            for group in assembler.base:
+                if group.state is GroupState.FORMING:
+                    for member in group.members:
+                        self.take_order(member.box, group)
+
+    @rule()
+    def route(self) -> None:
+        """Nodes begin to route to unfenced groups that serve."""
+        for group in self.stored:
+            if group.service == 'app' and group.state is GroupState.SERVING:
+                boxes = self.routable.setdefault(group.group, set())
+                boxes.update(member.box for member in group.members)
+
+    @rule()
+    def let_go(self) -> None:
+        """Every node applies the stored roster."""
+        for name in tuple(self.routable):
+            group = self.stored.groups.get(GroupId(name))
+            if group is None or group.state is not GroupState.SERVING:
+                self.routable.pop(name)
+
+    def take_order(self, box: str, group: Group) -> None:
+        epoch, _ = self.targets.get(box, (0, ''))
+        if group.epoch >= epoch:
+            self.targets[box] = (group.epoch, group.group)
+
+    def list_ready(self, roster: Roster) -> list[GroupId]:
+        return [
+            group.group
+            for group in roster
+            if group.service == 'app'
+            or all(
+                self.targets.get(member.box) == (group.epoch, group.group)
+                for member in group.members
+            )
+        ]
+
+    @invariant()
+    def epochs_only_rise(self) -> None:
+        for group in self.stored:
+            assert group.epoch >= self.epochs.get(group.group, 0)
+            self.epochs[group.group] = group.epoch
+
+    @invariant()
+    def no_box_serves_two_groups(self) -> None:
+        served: dict[str, str] = {}
+        for group in self.stored:
+            if group.state is GroupState.SERVING:
+                for member in group.members:
+                    assert served.setdefault(member.box, group.group)
+                    assert served[member.box] == group.group
+
+    @invariant()
+    def unfenced_boxes_are_not_given_away_early(self) -> None:
+        for name, boxes in self.routable.items():
+            for box in boxes:
+                holder = self.stored.find_holder(BoxId(box))
+                assert holder in {None, name} or not boxes
+                assert holder == name
+
+    @invariant()
+    def fresh_plan_serves_only_whole_groups(self) -> None:
+        view = AssemblyView(self.boxes, self.configuration, {})
+        plan = plan_assembly(self.stored, view, WaitOnly(), self.now)
+        later = self.stored.replace(
+            self.stored.number + 1,
+            plan.changed,
+            plan.removed,
+        )
+        for group in later:
+            if group.state is GroupState.SERVING:
+                assert find_missing(group, self.boxes) == ()
+
+
+TestAssemblyMachine = AssemblyMachine.TestCase
--- /dev/null
+++ b/tests/test_claim.py
@@ -0,0 +1,140 @@
+"""Claims: whatever is killed or repeated, an id runs at most once."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from waywell.ids import Incarnation, NodeId, RequestId
+from waywell.request.claim import (
+    CLAIM_SECONDS,
+    MOST_CLAIMS,
+    ClaimKey,
+    ClaimState,
+    ClaimTable,
+    issue_prefix,
+    read_issued,
+)
+
+HOME = NodeId('home')
+
+
+def make_key(name: str, account: str = 'a') -> ClaimKey:
+    return ClaimKey(account, RequestId(name))
+
+
+def test_issued_ids_can_be_read_back() -> None:
+    prefix = issue_prefix(HOME, Incarnation(7), 12.9)
+    issued = read_issued(RequestId(f'{prefix}x:y'))
+    assert issued is not None
+    assert (issued.node, issued.incarnation, issued.second) == (HOME, 7, 12)
+
+
+def test_own_ids_are_told_apart() -> None:
+    for name in ('abc', 'a:b:c', 'home:7:1:', 'home:x:1:y', 'home:7:-1:y'):
+        assert read_issued(RequestId(name)) is None
+
+
+def test_id_of_the_future_or_the_past_is_not_good() -> None:
+    table = ClaimTable(HOME, Incarnation(7))
+    for second, now in ((100, 50.0), (0, CLAIM_SECONDS + 1)):
+        name = f'home:7:{second}:x'
+        state = table.claim(make_key(name), HOME, 7, now)
+        assert state is ClaimState.EXPIRED
+
+
+def test_forgotten_claims_can_not_be_claimed_again() -> None:
+    table = ClaimTable(HOME, Incarnation(7))
+    key = make_key('home:7:0:x')
+    assert table.claim(key, HOME, 7, 1) is ClaimState.GRANTED
+    for now in range(0, int(CLAIM_SECONDS * 4), 100):
+        table.forget(now)
+        assert table.claim(key, HOME, 7, now) is not ClaimState.GRANTED
+
+
+def test_full_table_refuses() -> None:
+    table = ClaimTable(HOME, Incarnation(7))
+    for number in range(MOST_CLAIMS):
+        table.claim(make_key(f'home:7:0:{number}'), HOME, 7, 1)
+    state = table.claim(make_key('home:7:0:more'), HOME, 7, 1)
+    assert state is ClaimState.FULL
+    assert len(table) == MOST_CLAIMS
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Submissions through three nodes, which are killed at any point."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.incarnation = 1
+        self.table = ClaimTable(HOME, Incarnation(1))
+        self.runs: dict[ClaimKey, int] = {}
+        self.refused: set[ClaimKey] = set()
+        self.holders: dict[str, list[ClaimKey]] = {'n1': [], 'n2': []}
+        self.lives = {'n1': 1, 'n2': 1}
+        self.names = ['own:0:0:x']
+
+    @rule()
+    def issue(self) -> None:
+        prefix = issue_prefix(HOME, Incarnation(self.incarnation), self.now)
+        self.names.append(f'{prefix}{len(self.names)}')
+
+    @rule(
+        pick=st.integers(0, 30),
+        node=st.sampled_from(['n1', 'n2']),
+        account=st.sampled_from('ab'),
+    )
+    def submit(self, pick: int, node: str, account: str) -> None:
+        key = make_key(self.names[pick % len(self.names)], account)
+        state = self.table.claim(key, NodeId(node), self.lives[node], self.now)
+        if state is ClaimState.GRANTED:
+            self.holders[node].append(key)
+
+    @rule(node=st.sampled_from(['n1', 'n2']), settle=st.booleans())
+    def run_one(self, node: str, settle: bool) -> None:
+        if self.holders[node]:
+            key = self.holders[node].pop(0)
+            self.runs[key] = self.runs.get(key, 0) + 1
+            if settle:
+                self.table.settle(key, ClaimState.DONE)
+
+    @rule(node=st.sampled_from(['n1', 'n2']))
+    def refuse_one(self, node: str) -> None:
+        if self.holders[node]:
+            key = self.holders[node].pop(0)
+            self.table.settle(key, ClaimState.REFUSED)
+            self.refused.add(key)
+
+    @rule(node=st.sampled_from(['n1', 'n2']), seen=st.booleans())
+    def kill(self, node: str, seen: bool) -> None:
+        self.holders[node] = []
+        if seen:
+            self.table.lose_holder(NodeId(node), self.lives[node])
+        self.lives[node] += 1
+
+    @rule(node=st.sampled_from(['n1', 'n2']))
+    def suspect_wrongly(self, node: str) -> None:
+        """The holder is thought lost but runs on."""
+        self.table.lose_holder(NodeId(node), self.lives[node])
+
+    @rule()
+    def restart_home(self) -> None:
+        self.incarnation += 1
+        self.table = ClaimTable(HOME, Incarnation(self.incarnation))
+
+    @rule(seconds=st.sampled_from([1, 100, 899, 901, 2000]))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+        self.table.forget(self.now)
+
+    @invariant()
+    def nothing_runs_twice(self) -> None:
+        assert all(count == 1 for count in self.runs.values())
+
+    @invariant()
+    def nothing_refused_has_run(self) -> None:
+        assert not self.refused & set(self.runs)
+
+
+TestClaimMachine = ClaimMachine.TestCase
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,110 @@
+"""Leases: at most one holder at a time, whatever freezes or is lost."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from waywell.ids import Incarnation, NodeId
+from waywell.process.lease import LeaseMove, LeaseRecord, LeaseState
+
+TERM = 6.0
+
+
+def make_state(name: str) -> LeaseState:
+    return LeaseState(NodeId(name), Incarnation(1), TERM)
+
+
+def test_absent_lease_is_taken_and_renewed() -> None:
+    state = make_state('a')
+    assert state.choose_move(0) is LeaseMove.TAKE
+    record = state.make_next(LeaseMove.TAKE, 'op')
+    state.confirm(record, 0, 0.1)
+    assert state.is_held(1)
+    assert state.choose_move(1) is LeaseMove.WAIT
+    assert state.choose_move(2) is LeaseMove.RENEW
+    renewed = state.make_next(LeaseMove.RENEW, 'op2')
+    assert (renewed.epoch, renewed.beat) == (1, 1)
+
+
+def test_holder_stops_trusting_before_others_take_over() -> None:
+    holder, other = make_state('a'), make_state('b')
+    record = holder.make_next(LeaseMove.TAKE, 'op')
+    holder.confirm(record, sent_at=0, now=1)
+    other.observe(record, 0.5)
+    assert not holder.is_held(TERM)
+    assert other.choose_move(TERM) is LeaseMove.WAIT
+    assert other.choose_move(TERM + 1) is LeaseMove.TAKE
+    assert other.make_next(LeaseMove.TAKE, 'x').epoch == 2
+
+
+def test_same_name_of_an_earlier_run_is_another_holder() -> None:
+    state = make_state('a')
+    earlier = LeaseRecord(NodeId('a'), Incarnation(0), 4)
+    state.observe(earlier, 0)
+    assert not state.is_held(1)
+    assert state.choose_move(1) is LeaseMove.WAIT
+    assert state.choose_move(TERM + 1) is LeaseMove.TAKE
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Three contenders and a platform that loses and delays answers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.states = [make_state(name) for name in 'abc']
+        self.seen = [0, 0, 0]
+        self.stored: LeaseRecord | None = None
+        self.version = 0
+        self.late: list[tuple[int, LeaseRecord, float]] = []
+        self.epoch = 0
+
+    @rule(seconds=st.floats(0.1, 4))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(which=st.integers(0, 2))
+    def look(self, which: int) -> None:
+        self.states[which].observe(self.stored, self.now)
+        self.seen[which] = self.version
+
+    @rule(
+        which=st.integers(0, 2),
+        outcome=st.sampled_from(['answered', 'lost', 'late', 'settled']),
+    )
+    def act(self, which: int, outcome: str) -> None:
+        state = self.states[which]
+        move = state.choose_move(self.now)
+        if move is LeaseMove.WAIT or self.seen[which] != self.version:
+            return
+        record = state.make_next(move, f'{which}-{self.now}')
+        self.stored = record
+        self.version += 1
+        if outcome == 'answered':
+            state.confirm(record, self.now, self.now)
+            self.seen[which] = self.version
+        elif outcome in {'late', 'settled'}:
+            self.late.append((which, record, self.now))
+
+    @rule()
+    def deliver_late_answer(self) -> None:
+        if self.late:
+            which, record, sent_at = self.late.pop(0)
+            if self.stored == record:
+                self.states[which].confirm(record, sent_at, self.now)
+                self.seen[which] = self.version
+
+    @invariant()
+    def at_most_one_holder(self) -> None:
+        held = [state for state in self.states if state.is_held(self.now)]
+        assert len(held) <= 1
+
+    @invariant()
+    def epochs_only_rise(self) -> None:
+        epoch = self.stored.epoch if self.stored else 0
+        assert epoch >= self.epoch
+        self.epoch = epoch
+
+
+TestLeaseMachine = LeaseMachine.TestCase
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,156 @@
+"""Membership: every order of records leads to one view."""
+
+from __future__ import annotations
+
+import msgspec
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from waywell.ids import HallName, Incarnation, NodeId
+from waywell.process.membership import (
+    MembershipTable,
+    NodeRecord,
+    NodeState,
+    rank_contenders,
+)
+
+NAMES = ('a', 'b', 'c', 'd')
+SUSPICION = 2.0
+
+
+def make_record(name: str, incarnation: int = 1) -> NodeRecord:
+    return NodeRecord(
+        NodeId(name),
+        Incarnation(incarnation),
+        HallName('h'),
+        'r',
+        '127.0.0.1',
+        1,
+        2,
+        3,
+    )
+
+
+def make_table(name: str, incarnation: int = 1) -> MembershipTable:
+    return MembershipTable(make_record(name, incarnation), SUSPICION)
+
+
+def test_suspect_becomes_lost_unless_it_answers() -> None:
+    table = make_table('a')
+    table.merge(make_record('b'), 0)
+    suspected = table.suspect(NodeId('b'), 1)
+    assert suspected is not None
+    assert table.tick(2) == []
+    lost = table.tick(3.1)
+    assert [record.state for record in lost] == [NodeState.LOST]
+    other = make_table('b')
+    answer = other.merge(lost[0], 4)
+    assert answer is not None
+    assert answer.state is NodeState.LIVE
+    assert table.merge(answer, 5) == answer
+    assert len(table.list_live()) == 2
+
+
+def test_later_run_replaces_an_earlier() -> None:
+    table = make_table('a')
+    table.merge(make_record('b'), 0)
+    table.suspect(NodeId('b'), 0)
+    table.tick(10)
+    assert table.merge(make_record('b', 2), 11) is not None
+    assert table.merge(make_record('b', 1), 12) is None
+    assert table.find(NodeId('b')).incarnation == 2
+
+
+def test_leaving_node_stays_off_the_list_when_suspected() -> None:
+    table = make_table('a')
+    leaving = msgspec.structs.replace(
+        make_record('b'),
+        stamp=3,
+        state=NodeState.LEAVING,
+    )
+    table.merge(leaving, 0)
+    table.suspect(NodeId('b'), 1)
+    assert [record.node for record in table.list_live()] == ['a']
+
+
+def test_neighbours_reach_everyone() -> None:
+    tables = {f'n{number}': make_table(f'n{number}') for number in range(40)}
+    records = [make_record(name) for name in tables]
+    reached = {'n0'}
+    edges = {}
+    for name, table in tables.items():
+        for record in records:
+            table.merge(record, 0)
+        edges[name] = {record.node for record in table.list_neighbours()}
+        assert len(edges[name]) <= 3
+    for _ in range(40):
+        reached |= {peer for name in reached for peer in edges[name]}
+    assert len(reached) == 40
+
+
+def test_contenders_are_few_and_the_same_everywhere() -> None:
+    records = [make_record(f'n{number}') for number in range(30)]
+    first = rank_contenders(records, 'duty', 3)
+    assert rank_contenders(reversed(records), 'duty', 3) == first
+    assert len(first) == 3
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    """Records cross in any order; nodes are suspected and restarted."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.tables = {name: make_table(name) for name in NAMES}
+        self.lives = dict.fromkeys(NAMES, 1)
+
+    @rule(
+        source=st.sampled_from(NAMES),
+        sink=st.sampled_from(NAMES),
+        count=st.integers(1, 4),
+    )
+    def send(self, source: str, sink: str, count: int) -> None:
+        for record in self.tables[source].records[:count]:
+            self.tables[sink].merge(record, self.now)
+
+    @rule(by=st.sampled_from(NAMES), of=st.sampled_from(NAMES))
+    def suspect(self, by: str, of: str) -> None:
+        if by != of:
+            self.tables[by].suspect(NodeId(of), self.now)
+
+    @rule(seconds=st.floats(0.1, 3))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+        for table in self.tables.values():
+            table.tick(self.now)
+
+    @rule(name=st.sampled_from(NAMES), leave=st.booleans())
+    def change(self, name: str, leave: bool) -> None:
+        state = NodeState.LEAVING if leave else None
+        self.tables[name].change_own(state=state, roster=int(self.now))
+
+    @rule(name=st.sampled_from(NAMES))
+    def restart(self, name: str) -> None:
+        self.lives[name] += 1
+        self.tables[name] = make_table(name, self.lives[name])
+
+    def teardown(self) -> None:
+        """When all have heard all, the views are one and nobody is lost."""
+        for _ in range(4):
+            for source in self.tables.values():
+                for sink in self.tables.values():
+                    for record in source.records:
+                        sink.merge(record, self.now)
+        views = [
+            sorted(table.records, key=lambda record: record.node)
+            for table in self.tables.values()
+        ]
+        assert all(view == views[0] for view in views)
+        digests = {table.digest for table in self.tables.values()}
+        assert len(digests) == 1
+        for record in views[0]:
+            assert record.state in {NodeState.LIVE, NodeState.LEAVING}
+            assert record.incarnation == self.lives[record.node]
+
+
+TestMembershipMachine = MembershipMachine.TestCase
--- a/waywell/process/assembly.py
+++ b/waywell/process/assembly.py
@@ -299,6 +299,9 @@
         await self._read_base()
 
     def _give_orders(self, roster: Roster) -> None:
+        current = {(group.group, int(group.epoch)) for group in roster}
+        self._ready &= current
+        self._fenced_off &= current
         for group in roster:
             key = (group.group, int(group.epoch))
             if group.state is not GroupState.FORMING or key in self._ready:
--- a/waywell/version/assembly.py
+++ b/waywell/version/assembly.py
@@ -132,13 +132,14 @@
     def _move_by_health(self, group: Group) -> None:
         missing = find_missing(group, self._view.boxes)
         whole_again = group.state is GroupState.BROKEN and not missing
+        forming = group.state is GroupState.FORMING
         if missing and not self._are_live(missing):
             if missing != group.missing:
                 self._draft.set_state(group, GroupState.BROKEN, missing)
         elif missing or whole_again or group.group in self._view.disordered:
             # All boxes are there, but one was restarted or has no order.
             self._draft.form_again(group, self._list_boxes(group))
-        elif group.group in self._view.ready:
+        elif forming and group.group in self._view.ready:
             self._draft.set_state(group, GroupState.SERVING)
 
     def _are_live(self, names: tuple[BoxId, ...]) -> bool:
