--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,161 @@
+"""What speaks against a group, and how it comes back."""
+
+from __future__ import annotations
+
+from waywell.connection.target import ProbeAnswer
+from waywell.ids import BoxId, Epoch, GroupId, HallName, NodeId
+from waywell.process.health import Evidence, HealthTable, Verdict
+from waywell.process.loads import LoadTable, find_level
+from waywell.process.prober import ProbeRing, judge_probes
+from waywell.version.roster import Group, GroupState, Member
+
+GROUP = GroupId('g')
+
+
+def make_word(
+    verdict: Verdict,
+    sequence: int,
+    epoch: int = 1,
+    reporter: str = 'n1',
+) -> Evidence:
+    return Evidence(GROUP, Epoch(epoch), NodeId(reporter), sequence, verdict)
+
+
+def is_usable(table: HealthTable, now: float, epoch: int = 1) -> bool:
+    return table.is_usable(GROUP, Epoch(epoch), now)
+
+
+def test_word_counts_until_it_lapses_or_is_taken_back() -> None:
+    table = HealthTable(6)
+    assert is_usable(table, 0)
+    assert table.hear(make_word(Verdict.DOWN, 1), 0)
+    assert not is_usable(table, 1)
+    assert is_usable(table, 7)
+    table.hear(make_word(Verdict.DOWN, 2), 8)
+    assert not is_usable(table, 9)
+    table.hear(make_word(Verdict.UP, 3), 9)
+    assert is_usable(table, 9)
+
+
+def test_any_prober_speaks_against() -> None:
+    table = HealthTable(6)
+    table.hear(make_word(Verdict.UP, 1, reporter='n1'), 0)
+    table.hear(make_word(Verdict.DOWN, 1, reporter='n2'), 0)
+    assert not is_usable(table, 1)
+
+
+def test_old_and_repeated_words_are_no_news() -> None:
+    table = HealthTable(6)
+    assert table.hear(make_word(Verdict.UP, 5), 0)
+    assert not table.hear(make_word(Verdict.UP, 5), 0)
+    assert not table.hear(make_word(Verdict.DOWN, 4), 0)
+    assert is_usable(table, 0)
+
+
+def test_word_about_an_earlier_epoch_says_nothing() -> None:
+    table = HealthTable(6)
+    table.hear(make_word(Verdict.DOWN, 1, epoch=1), 0)
+    assert not is_usable(table, 1, epoch=1)
+    assert is_usable(table, 1, epoch=2)
+
+
+def test_failed_group_returns_step_by_step() -> None:
+    table = HealthTable(6)
+    table.note_start(GROUP)
+    table.note_failure(GROUP, 0)
+    assert table.get_load(GROUP, 0, 0, 0.1).weight == 0
+    weights = []
+    for _ in range(5):
+        weights.append(table.get_load(GROUP, 0, 0, 10).weight)
+        table.note_answer(GROUP, 0.1)
+    assert weights == sorted(weights)
+    assert weights[0] < 0.5
+    assert table.get_load(GROUP, 0, 0, 10).weight == 1
+
+
+def test_rest_grows_with_repeated_failures() -> None:
+    table = HealthTable(6)
+    rests = []
+    for _ in range(8):
+        table.note_failure(GROUP, 0)
+        rest = next(
+            tenth / 10
+            for tenth in range(1, 200)
+            if table.get_load(GROUP, 0, 0, tenth / 10).weight > 0
+        )
+        rests.append(rest)
+    assert rests == sorted(rests)
+    assert rests[0] == 0.5
+    assert rests[-1] == 8.0
+
+
+def test_slow_group_costs_more() -> None:
+    table = HealthTable(6)
+    names = [GroupId(f'g{number}') for number in range(5)]
+    for name in names:
+        for _ in range(5):
+            table.note_answer(name, 1.0 if name == 'g0' else 0.1)
+    typical = table.find_typical(names)
+    slow = table.get_load(names[0], 0, typical, 0)
+    usual = table.get_load(names[1], 0, typical, 0)
+    assert slow.slowness > 5
+    assert usual.slowness == 1
+
+
+def make_group(boxes: int) -> Group:
+    return Group(
+        GROUP,
+        's',
+        'llm',
+        Epoch(3),
+        GroupState.SERVING,
+        HallName('h'),
+        tuple(Member(BoxId(f'b{n}'), 'h', 1, 0) for n in range(boxes)),
+    )
+
+
+def test_judging_probes() -> None:
+    group = make_group(2)
+    good = ProbeAnswer(BoxId('b0'), GROUP, Epoch(3))
+    unready = ProbeAnswer(BoxId('b1'), GROUP, Epoch(3), ready=False)
+    bare = ProbeAnswer(BoxId('b1'))
+    cases = [
+        ([good, good], Verdict.UP),
+        ([good, None], Verdict.DOWN),
+        ([good, unready], Verdict.DOWN),
+        ([good, bare], Verdict.DISORDERED),
+    ]
+    for answers, verdict in cases:
+        assert judge_probes(group, answers, fenced=True)[0] is verdict
+    assert judge_probes(group, [good, bare], fenced=False)[0] is Verdict.UP
+
+
+def test_probers_are_spread_and_move_little() -> None:
+    nodes = [NodeId(f'n{number}') for number in range(10)]
+    groups = [GroupId(f'g{number}') for number in range(600)]
+    ring = ProbeRing(nodes)
+    smaller = ProbeRing(nodes[1:])
+    counts = dict.fromkeys(nodes, 0)
+    moved = 0
+    for group in groups:
+        probers = ring.list_probers(group)
+        assert len(set(probers)) == 2
+        for node in probers:
+            counts[node] += 1
+        if 'n0' not in probers:
+            moved += smaller.list_probers(group) != probers
+    assert moved == 0
+    assert max(counts.values()) < 4 * min(counts.values())
+
+
+def test_loads_are_reported_when_they_change_level() -> None:
+    table = LoadTable()
+    table.note(GROUP, 10)
+    assert [report[2] for report in table.take_news()] == [10]
+    table.note(GROUP, 11)
+    assert table.take_news() == ()
+    other = LoadTable()
+    assert other.hear(((GROUP, 1, 10),)) == ((GROUP, 1, 10),)
+    assert other.hear(((GROUP, 1, 10),)) == ()
+    assert other.get_reported() == {GROUP: 10}
+    assert find_level(0) == 0
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -4,13 +4,21 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 from tests.checker import list_runs
 from tests.conftest import QUICK
+from waywell.ids import SessionId
+from waywell.request.facts import RequestFacts
+from waywell.request.routing import hash_session
+from waywell.request.submission import Submission, Work
 from waywell.standins.harness import (
     BoxSpec,
     make_configuration,
     wait_until,
 )
+from waywell.version.objects import Account, Service
+from waywell.version.serving import RequestShape
 
 if TYPE_CHECKING:
     from waywell.standins.harness import Bench
@@ -75,6 +83,16 @@
 
 
 def test_another_accounts_session_is_another_session() -> None:
-    from waywell.request.routing import score_session
-
-    assert score_session('a/s', 'g') != score_session('b/s', 'g')
+    account = Account('a')
+    work = Work(
+        submission=Submission('GET', '/', {}, (), b''),
+        caller=None,
+        facts=RequestFacts('llm', '/', 'key', session=SessionId('s')),
+        account=account,
+        service=Service('llm'),
+        shape=RequestShape('llm', 'a', 'default'),
+        deadline_at=1,
+    )
+    other = attrs.evolve(work, account=Account('b'))
+    assert work.session == 'a/s'
+    assert hash_session(work.session) != hash_session(other.session)
--- /dev/null
+++ b/waywell/bench/decisions.py
@@ -0,0 +1,296 @@
+"""The decisions without I/O: their cost and the size of what they keep."""
+
+from __future__ import annotations
+
+import time
+from functools import partial
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from waywell.bench.figures import fit_slope, write_figures
+from waywell.ids import (
+    BoxId,
+    DomainName,
+    HallName,
+    Incarnation,
+    NodeId,
+    SessionId,
+)
+from waywell.process.health import HealthTable
+from waywell.process.loads import LoadTable
+from waywell.process.membership import MembershipTable, NodeRecord
+from waywell.process.prober import pick_probed
+from waywell.request.balance import Balance
+from waywell.request.claim import ClaimKey, ClaimTable
+from waywell.request.routing import choose_for_session, choose_less_loaded
+from waywell.standins.harness import hash_text
+from waywell.version.assembly import AssemblyView, plan_assembly
+from waywell.version.configuration import (
+    check_configuration,
+    join_configuration,
+    split_configuration,
+)
+from waywell.version.document import Document, compare_documents
+from waywell.version.repair import SparesOnly
+from waywell.version.roster import Box, BoxState, Group, Roster, join_roster
+from waywell.version.serving import RequestShape, ServingIndex
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from waywell.version.objects import Configuration
+
+GROUPS = (60, 200, 600)
+"""Sizes: replica groups of four boxes."""
+
+GROUP_BOXES = 4
+"""Boxes of a group."""
+
+DOMAIN_BOXES = 32
+"""Boxes of a fabric domain."""
+
+SPARE_SHARE = 1.03
+"""Boxes for each box in a group."""
+
+_SESSION = SessionId('a1/s')
+
+REPEATS = 20
+"""Times that a decision is timed."""
+
+
+def make_boxes(groups: int) -> dict[BoxId, Box]:
+    """Return the boxes for some groups, with a few spares."""
+    count = round(groups * GROUP_BOXES * SPARE_SHARE)
+    boxes = [
+        Box(
+            box=BoxId(f'box-{number:04}'),
+            hall=HallName(f'hall-{number // DOMAIN_BOXES % 5}'),
+            domain=DomainName(f'domain-{number // DOMAIN_BOXES}'),
+            host=f'127.0.{number // 250}.{number % 250}',
+            port=8000,
+            labels={'pool': 'llm'},
+        )
+        for number in range(count)
+    ]
+    return {box.box: box for box in boxes}
+
+
+def make_objects(groups: int) -> Configuration:
+    """Return a configuration with some groups and ten client accounts."""
+    raw = {
+        'service': [{'name': 'llm', 'model': 'm'}],
+        'group_set': [
+            {
+                'name': 'main',
+                'service': 'llm',
+                'boxes': {'match': {'pool': ['llm']}},
+                'boxes_per_group': GROUP_BOXES,
+                'groups': groups,
+            },
+        ],
+        'serving': [{'name': 'all'}],
+        'account': [
+            {'name': f'a{number}', 'key_hashes': [hash_text(f'key-{number}')]}
+            for number in range(10)
+        ],
+    }
+    return check_configuration(raw, 'bench')
+
+
+def time_call(work: Callable[[], Any]) -> float:
+    """Return the milliseconds of one call, the least of several."""
+    best = float('inf')
+    for _ in range(REPEATS):
+        began_at = time.perf_counter()
+        work()
+        best = min(best, time.perf_counter() - began_at)
+    return best * 1000
+
+
+def settle(boxes: dict[BoxId, Box], configuration: Configuration) -> Roster:
+    """Return the roster in which all groups serve."""
+    roster = Roster(0)
+    for _ in range(2):
+        view = AssemblyView(
+            boxes,
+            configuration,
+            {},
+            ready=frozenset(roster.groups),
+        )
+        plan = plan_assembly(roster, view, SparesOnly(), 0)
+        number = roster.number + 1
+        roster = roster.replace(number, plan.changed, plan.removed)
+    return roster
+
+
+def lose_one(
+    boxes: dict[BoxId, Box],
+    roster: Roster,
+) -> dict[BoxId, Box]:
+    """Return the boxes with one of a group lost."""
+    group = next(iter(roster))
+    lost = group.head.box
+    box = msgspec.structs.replace(boxes[lost], state=BoxState.LOST)
+    return {**boxes, lost: box}
+
+
+def measure_assembly(groups: int) -> dict[str, Any]:
+    """Measure plans and the roster document."""
+    boxes = make_boxes(groups)
+    configuration = make_objects(groups)
+    roster = settle(boxes, configuration)
+    idle = AssemblyView(boxes, configuration, {})
+    broken = AssemblyView(lose_one(boxes, roster), configuration, {})
+    document = Document(roster.number, roster.split())
+    plan = plan_assembly(roster, broken, SparesOnly(), 0)
+    later = roster.replace(roster.number + 1, plan.changed, plan.removed)
+    change = compare_documents(document, Document(9, later.split()))
+    return {
+        'groups': groups,
+        'plan_idle_ms': time_call(
+            lambda: plan_assembly(roster, idle, SparesOnly(), 0),
+        ),
+        'plan_lost_box_ms': time_call(
+            lambda: plan_assembly(roster, broken, SparesOnly(), 0),
+        ),
+        'roster_kb': len(document.encode()) / 1000,
+        'change_bytes': len(msgspec.msgpack.encode(change)),
+        'adopt_ms': time_call(
+            lambda: ServingIndex(configuration, join_roster(document)),
+        ),
+    }
+
+
+def measure_routing(groups: int) -> dict[str, Any]:
+    """Measure the choice of a group for one request."""
+    configuration = make_objects(groups)
+    index = ServingIndex(
+        configuration,
+        settle(make_boxes(groups), configuration),
+    )
+    found = index.list_groups(RequestShape('llm', 'a1', 'default'))
+    random = Random(1)
+    health = HealthTable(6)
+    for group in found:
+        health.note_answer(group.group, random.random())
+    balance = Balance(health, LoadTable())
+    loads = balance.weigh('llm', found, 0)
+    is_usable = partial(_is_usable, health)
+    return {
+        'groups': groups,
+        'summary_us': time_call(
+            lambda: Balance(health, LoadTable()).weigh('llm', found, 0),
+        )
+        * 1000,
+        'less_loaded_us': time_call(
+            lambda: choose_less_loaded(found, is_usable, loads, random),
+        )
+        * 1000,
+        'session_us': time_call(
+            lambda: choose_for_session(_SESSION, found, is_usable, loads),
+        )
+        * 1000,
+    }
+
+
+def _is_usable(health: HealthTable, group: Group) -> bool:
+    return health.is_usable(group.group, group.epoch, 0)
+
+
+def make_record(number: int) -> NodeRecord:
+    """Return the record of one of many nodes."""
+    return NodeRecord(
+        node=NodeId(f'entry-{number}'),
+        incarnation=Incarnation(1_796_000_000_000 + number),
+        hall=HallName(f'hall-{number % 5}'),
+        region=f'region-{number % 2}',
+        host='127.0.0.1',
+        caller_port=8000,
+        peer_port=8001,
+        admin_port=8002,
+    )
+
+
+def measure_membership(nodes: int) -> dict[str, Any]:
+    """Measure the membership view of some nodes."""
+    table = MembershipTable(make_record(0), 2)
+    records = [make_record(number) for number in range(1, nodes)]
+    for record in records:
+        table.merge(record, 0)
+    roster = settle(make_boxes(600), make_objects(600))
+    groups = list(roster)
+    return {
+        'nodes': nodes,
+        'record_bytes': len(msgspec.msgpack.encode(records[0])),
+        'whole_view_kb': len(msgspec.msgpack.encode(records)) / 1000,
+        'neighbours': len(table.list_neighbours()),
+        'tick_ms': time_call(lambda: table.tick(1)),
+        'change_ms': time_call(lambda: (table.change_own(), table.digest)),
+        'pick_probed_ms': time_call(
+            lambda: pick_probed(groups, list(table.records), table.own),
+        ),
+        'probed_groups': len(
+            pick_probed(groups, list(table.records), table.own),
+        ),
+    }
+
+
+def measure_configuration(accounts: int) -> dict[str, Any]:
+    """Measure a configuration with some client accounts."""
+    raw = {
+        'account': [
+            {
+                'name': f'account-{number}',
+                'key_hashes': [hash_text(f'{number}')],
+                'labels': {'tier': 'gold'},
+            }
+            for number in range(accounts)
+        ],
+    }
+    configuration = check_configuration(raw, 'bench')
+    document = Document(1, split_configuration(configuration))
+    return {
+        'objects': accounts,
+        'document_kb': len(document.encode()) / 1000,
+        'join_ms': time_call(lambda: join_configuration(document)),
+    }
+
+
+def measure_claims(claims: int) -> dict[str, Any]:
+    """Measure a home that keeps some claims."""
+    table = ClaimTable(NodeId('n'), Incarnation(1))
+    keys = [
+        ClaimKey('account', f'n:1:1:{number}')  # type: ignore[arg-type]
+        for number in range(claims)
+    ]
+    began_at = time.perf_counter()
+    for key in keys:
+        table.claim(key, NodeId('n'), 1, 2)
+    passed = time.perf_counter() - began_at
+    return {'claims': claims, 'claim_us': passed / claims * 1e6}
+
+
+def main() -> None:
+    """Run the benchmarks."""
+    rows = [measure_assembly(groups) for groups in GROUPS]
+    slope, base = fit_slope(
+        [(row['groups'], row['roster_kb']) for row in rows]
+    )
+    write_figures(
+        'assembly', rows, roster_kb=f'{base:.2f} + {slope:.4f} groups'
+    )
+    write_figures('routing', [measure_routing(groups) for groups in GROUPS])
+    nodes = (8, 32, 128, 350)
+    write_figures('membership', [measure_membership(size) for size in nodes])
+    sizes = (20, 200, 2000)
+    write_figures(
+        'configuration',
+        [measure_configuration(size) for size in sizes],
+    )
+    write_figures('claims', [measure_claims(size) for size in (1000, 8000)])
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/waywell/bench/figures.py
@@ -0,0 +1,97 @@
+"""Figures of benchmarks: read, summed up, written as JSON and as a table."""
+
+from __future__ import annotations
+
+import json
+import os
+import platform
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+FOLDER = Path('bench-results')
+"""Folder of the JSON files."""
+
+TICKS_A_SECOND = os.sysconf('SC_CLK_TCK')
+"""Unit of processor times in /proc."""
+
+PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+"""Unit of memory in /proc."""
+
+MEGABYTE = 1_000_000
+"""Bytes."""
+
+_UTIME_FIELD = 11
+
+
+def read_cpu(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    text = Path(f'/proc/{pid}/stat').read_text()
+    fields = text.rpartition(')')[2].split()
+    user, system = fields[_UTIME_FIELD : _UTIME_FIELD + 2]
+    return (int(user) + int(system)) / TICKS_A_SECOND
+
+
+def read_memory(pid: int) -> float:
+    """Return the resident memory of a process, in megabytes."""
+    pages = int(Path(f'/proc/{pid}/statm').read_text().split()[1])
+    return pages * PAGE_BYTES / MEGABYTE
+
+
+def find_quantile(numbers: Sequence[float], share: float) -> float:
+    """Return the number below which a share of the numbers lies."""
+    ordered = sorted(numbers)
+    place = min(len(ordered) - 1, int(len(ordered) * share))
+    return ordered[place]
+
+
+def fit_slope(points: Sequence[tuple[float, float]]) -> tuple[float, float]:
+    """Return slope and base of the line of least squares."""
+    count = len(points)
+    mean_size = sum(size for size, _ in points) / count
+    mean_cost = sum(cost for _, cost in points) / count
+    spread = sum((size - mean_size) ** 2 for size, _ in points)
+    shared = sum(
+        (size - mean_size) * (cost - mean_cost) for size, cost in points
+    )
+    slope = shared / spread if spread else 0
+    return slope, mean_cost - slope * mean_size
+
+
+def describe_machine() -> dict[str, Any]:
+    """Return what figures depend on."""
+    return {
+        'cores': os.cpu_count(),
+        'machine': platform.machine(),
+        'python': platform.python_version(),
+    }
+
+
+def write_figures(name: str, rows: list[dict[str, Any]], **notes: Any) -> None:
+    """Write a benchmark's rows as JSON and print them as a table."""
+    FOLDER.mkdir(exist_ok=True)
+    whole = {'machine': describe_machine(), 'notes': notes, 'rows': rows}
+    (FOLDER / f'{name}.json').write_text(json.dumps(whole, indent=2))
+    sys.stdout.write(f'\n## {name}\n{render_table(rows)}\n')
+    for key, note in notes.items():
+        sys.stdout.write(f'{key}: {note}\n')
+    sys.stdout.flush()
+
+
+def render_table(rows: list[dict[str, Any]]) -> str:
+    """Return rows as a Markdown table."""
+    if not rows:
+        return ''
+    names = list(rows[0])
+    lines = [' | '.join(names), ' | '.join('---' for _ in names)]
+    lines.extend(
+        ' | '.join(_show(row.get(name, '')) for name in names) for row in rows
+    )
+    return '\n'.join(f'| {line} |' for line in lines)
+
+
+def _show(cell: Any) -> str:
+    return f'{cell:.4g}' if isinstance(cell, float) else str(cell)
--- a/waywell/cli.py
+++ b/waywell/cli.py
@@ -68,7 +68,9 @@
         from waywell.daemon import run_entry  # noqa: PLC0415
         from waywell.process.settings import load_settings  # noqa: PLC0415
 
-        run_entry(load_settings(settings))
+        fault = run_entry(load_settings(settings))
+        if fault:
+            raise CommandError(EXIT_REFUSED, f'cannot start: {fault}')
 
     def check(self, settings: str = '', configuration: str = '') -> str:
         """Check a settings file, a configuration file, or both."""
--- a/waywell/connection/caller.py
+++ b/waywell/connection/caller.py
@@ -303,6 +303,9 @@
         self.backend = backend
         self.channels: set[CallerChannel] = set()
 
+    def log(self, request: Any) -> None:
+        """Write no access log: each request has its own event."""
+
     def hang_up(self) -> None:
         """Close every connection when what was written has left."""
         for channel in tuple(self.channels):
--- a/waywell/connection/peer.py
+++ b/waywell/connection/peer.py
@@ -135,6 +135,13 @@
     """What it knows of the id."""
 
 
+class PeerTraffic:
+    """Bytes of peer messages, before framing, of this process."""
+
+    sent = 0
+    received = 0
+
+
 class MsgpackCodec(CodecBase):
     """Encodes messages as msgpack, typed by their classes."""
 
@@ -142,10 +149,13 @@
 
     def encode(self, message: Any, message_type: Any) -> bytes:
         """Return the bytes of a message."""
-        return msgspec.msgpack.encode(message)
+        raw = msgspec.msgpack.encode(message)
+        PeerTraffic.sent += len(raw)
+        return raw
 
     def decode(self, data: bytes, message_type: Any) -> Any:  # noqa: WPS110
         """Return the message of some bytes."""
+        PeerTraffic.received += len(data)
         return msgspec.msgpack.decode(data, type=message_type)
 
 
--- a/waywell/daemon.py
+++ b/waywell/daemon.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import signal
-import sys
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import asyncioreactor
@@ -41,6 +40,7 @@
         self._node = node
         self._loop = loop
         self._reactor = reactor
+        self.fault = ''
         self._stopping: asyncio.Task[None] | None = None
 
     def begin(self) -> None:
@@ -53,7 +53,7 @@
         try:
             await self._node.start()
         except Exception as error:
-            sys.stderr.write(f'cannot start: {error!r}\n')
+            self.fault = repr(error)
             self._reactor.stop()
 
     def _begin_stop(self) -> None:
@@ -67,8 +67,14 @@
         self._reactor.stop()
 
 
-def run_entry(settings: Settings) -> None:
-    """Run an entry node until it is told to stop."""
+def run_entry(settings: Settings) -> str:
+    """Run an entry node until it is told to stop.
+
+    Returns
+    -------
+    str
+        Why it could not start, or an empty text.
+    """
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
@@ -81,3 +87,4 @@
     daemon = Daemon(EntryNode(settings), reactor, loop)
     reactor.callWhenRunning(daemon.begin)
     reactor.run(installSignalHandlers=False)
+    return daemon.fault
--- a/waywell/process/assembly.py
+++ b/waywell/process/assembly.py
@@ -35,7 +35,7 @@
     from waywell.connection.target import Target
     from waywell.process.clock import Clock
     from waywell.process.documents import Documents
-    from waywell.process.health import HealthTable
+    from waywell.process.health import Evidence, HealthTable
     from waywell.process.settings import TimingSettings
     from waywell.version.draft import Plan
 
@@ -107,6 +107,9 @@
         self._broken_since: dict[GroupId, float] = {}
         self._ready: set[tuple[GroupId, int]] = set()
         self._ordering: set[tuple[GroupId, int]] = set()
+        self._roster = Roster(0)
+        self._box_changes = 0
+        self._planned_for: tuple[int, ...] = ()
         self._fenced_off: set[tuple[GroupId, int]] = set()
         self._loads: dict[GroupId, int | None] = {}
         self._tracker = ReleaseTracker(timing.route_term, timing.group_drain)
@@ -146,13 +149,15 @@
             return
         if self._base is None:
             return
-        roster = join_roster(self._base)
+        roster = self._roster
+        if self._is_settled(roster):
+            return
         await self._ask_loads(roster)
         plan = self._plan(roster)
         if plan and self.is_held():
             await self._write(roster, plan)
         if self._base is not None and self.is_held():
-            self._give_orders(join_roster(self._base))
+            self._give_orders(self._roster)
 
     def dump(self) -> dict[str, object]:
         """Return the duty as plain values."""
@@ -183,8 +188,29 @@
             return False
         self._documents.adopt(DocumentKind.ROSTER, stored.document)
         self._base = stored.document
+        self._roster = join_roster(stored.document)
         return True
 
+    def _is_settled(self, roster: Roster) -> bool:
+        """Answer whether a plan would be made of what the last one was.
+
+        A plan goes through all groups, so it is left out while all of
+        them serve and neither boxes, configuration nor words changed.
+        """
+        looked_at = (
+            roster.number,
+            self._documents.in_force.numbers.configuration,
+            self._box_changes,
+            self._health.count_words(),
+        )
+        unsettled = looked_at != self._planned_for
+        self._planned_for = looked_at
+        moving = any(
+            group.state is not GroupState.SERVING
+            for group in roster.groups.values()
+        )
+        return not unsettled and not moving and not self._fenced_off
+
     def _plan(self, roster: Roster) -> Plan:
         now = self.clock.read()
         self._note_broken(roster, now)
@@ -209,17 +235,13 @@
         roster: Roster,
         now: float,
     ) -> frozenset[GroupId]:
-        found = set()
-        for group in roster:
-            word = self._health.find_down(group.group, now)
-            lost_order = (
-                word is not None
-                and word.verdict is Verdict.DISORDERED
-                and word.epoch == group.epoch
-                and group.state is GroupState.SERVING
-            )
-            if lost_order or (group.group, group.epoch) in self._fenced_off:
-                found.add(group.group)
+        found = {
+            name for name, _epoch in self._fenced_off if name in roster.groups
+        }
+        for name, word in self._health.list_down(now).items():
+            group = roster.groups.get(name)
+            if group is not None and _has_lost_order(group, word):
+                found.add(name)
         return frozenset(found)
 
     def _note_broken(self, roster: Roster, now: float) -> None:
@@ -368,3 +390,11 @@
             else:
                 boxes[name] = msgspec.convert(stored.body, Box)
         self._boxes = boxes
+        self._box_changes += 1
+
+
+def _has_lost_order(group: Group, word: Evidence) -> bool:
+    """Answer whether a word says that a box serves without its order."""
+    disordered = word.verdict is Verdict.DISORDERED
+    current = word.epoch == group.epoch
+    return disordered and current and group.state is GroupState.SERVING
--- a/waywell/process/duty.py
+++ b/waywell/process/duty.py
@@ -19,6 +19,7 @@
     from waywell.connection.platform import Platform, Stored
     from waywell.ids import NodeId
     from waywell.process.clock import Clock
+    from waywell.process.membership import NodeRecord
 
 CONTENDERS = 3
 """Nodes that contend for one duty."""
@@ -163,6 +164,8 @@
         self.clock = clock
         self._term = term
         self._was_held = False
+        self._ranked_for = -1
+        self._candidates: list[NodeId] = []
 
     def start(self) -> None:
         """Begin to look at the lease."""
@@ -173,18 +176,28 @@
         """Answer whether this node holds the duty now."""
         return self.lease.is_held()
 
-    def list_candidates(self) -> list[NodeId]:
-        """Return the nodes that may contend."""
-        live = self.gossip.table.list_live()
-        return rank_contenders(live, self.name, CONTENDERS)
+    def list_eligible(self) -> list[NodeRecord]:
+        """Return the nodes that the duty may fall to."""
+        return self.gossip.table.list_live()
+
+    def is_candidate(self) -> bool:
+        """Answer whether this node is one of the few that contend."""
+        table = self.gossip.table
+        if table.digest != self._ranked_for:
+            self._ranked_for = table.digest
+            self._candidates = rank_contenders(
+                self.list_eligible(),
+                self.name,
+                CONTENDERS,
+            )
+        return table.own.node in self._candidates
 
     async def take_up(self) -> None:
         """Begin the duty; called when the lease was taken."""
 
     async def on_lease_tick(self, _tick: LeaseTick) -> None:
         """Renew, take or watch the lease."""
-        own = self.gossip.table.own.node
-        if own in self.list_candidates() or self.is_held():
+        if self.is_candidate() or self.is_held():
             await self.lease.tend()
         held = self.is_held()
         if held != self._was_held:
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -43,6 +43,7 @@
 from waywell.process.release import may_route_unfenced
 from waywell.process.watch import HallDuty
 from waywell.request.admission import Admission
+from waywell.request.balance import Balance
 from waywell.request.claim import ClaimTable, issue_prefix
 from waywell.request.dispatcher import Dispatcher, NodeFacts, Parts
 from waywell.request.facts import REQUEST_ID_HEADER
@@ -146,7 +147,7 @@
         """Return what the dispatcher has to know of this node."""
         age = self.gossip.get_platform_age(self.clock.read())
         return NodeFacts(
-            live_nodes=len(self.members.list_live()),
+            live_nodes=self.members.count_live(),
             may_route_unfenced=may_route_unfenced(
                 self.members.records,
                 age,
@@ -285,7 +286,7 @@
         parts = Parts(
             in_force=self.in_force,
             health=self.health,
-            loads=self.loads,
+            balance=Balance(self.health, self.loads),
             admission=self.admission,
             budget=RetryBudget(),
             home_claimer=self.home_claimer,
--- a/waywell/process/events.py
+++ b/waywell/process/events.py
@@ -60,8 +60,4 @@
 
 
 def _log(level: str, event: str, pairs: dict[str, object]) -> None:
-    logger.opt(raw=False).log(
-        level,
-        '{}',
-        format_pairs({'event': event, **pairs}),
-    )
+    logger.log(level, format_pairs({'event': event, **pairs}))
--- a/waywell/process/gossip.py
+++ b/waywell/process/gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from random import Random
 from typing import TYPE_CHECKING
@@ -25,6 +26,9 @@
     from waywell.process.clock import Clock
     from waywell.process.settings import TimingSettings
 
+FLUSH_SECONDS = 0.1
+"""Seconds for which news gathers before it is passed on."""
+
 MOST_REJOINS = 2
 """Lost nodes that are tried again at each attempt."""
 
@@ -63,6 +67,9 @@
     class Tick(Message, frozen=True):
         """A beat is due."""
 
+    class Flush(Message, frozen=True):
+        """News that has gathered is due to be passed on."""
+
     class Advance(Message, frozen=True):
         """This node has a new version in force, or is leaving."""
 
@@ -100,6 +107,7 @@
         self._differs: dict[NodeId, int] = {}
         self._beats = 0
         self._reached_at = -math.inf
+        self._pending: dict[NodeId, tuple[NodeRecord, NodeId | None]] = {}
         self._watchers: list[Callable[[NodeRecord], None]] = []
         links.subscribe(
             self,
@@ -128,6 +136,21 @@
         if self._beats % REJOIN_BEATS == 0:
             self._dial_lost()
 
+    def on_flush(self, _flush: Flush) -> None:
+        """Pass on what has changed, a message a neighbour.
+
+        All nodes tell of a new version within moments, so news that
+        gathers for a moment costs a small part of the messages.
+        """
+        pending = tuple(self._pending.values())
+        self._pending.clear()
+        for peer in self._links.list_peers() if pending else ():
+            news = tuple(
+                record for record, source in pending if source != peer
+            )
+            if news:
+                self._links.send(peer, Records(news))
+
     def on_advance(self, advance: Advance) -> None:
         """Spread this node's own change."""
         numbers = advance.numbers or self.numbers
@@ -176,7 +199,7 @@
         """Return the view as plain values."""
         return {
             'nodes': [
-                msgspec.to_builtins(record) for record in self.table.records
+                msgspec.structs.asdict(record) for record in self.table.records
             ],
             'neighbours': sorted(
                 record.node for record in self.table.list_neighbours()
@@ -266,8 +289,11 @@
         """Pass news on and tell the other tasks of this node."""
         if not news:
             return
-        self._links.spread(Records(tuple(news)), skip=source)
+        if not self._pending:
+            loop = asyncio.get_running_loop()
+            loop.call_later(FLUSH_SECONDS, self.post, self.Flush())
         for record in news:
+            self._pending[record.node] = (record, source)
             self._note_state(record)
             for watcher in self._watchers:
                 watcher(record)
--- a/waywell/process/health.py
+++ b/waywell/process/health.py
@@ -8,12 +8,16 @@
 from __future__ import annotations
 
 import enum
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from waywell.ids import Epoch, GroupId, NodeId
 from waywell.request.routing import GroupLoad
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 FIRST_BACKOFF = 0.5
 """Seconds for which a group rests after a first failed request."""
 
@@ -46,7 +50,7 @@
     """A box answers without the group's order: it was restarted."""
 
 
-class Evidence(msgspec.Struct, frozen=True):
+class Evidence(msgspec.Struct, frozen=True, array_like=True):
     """A prober's word about a group."""
 
     group: GroupId
@@ -96,6 +100,7 @@
         self._lifetime = lifetime
         self._heard: dict[GroupId, dict[NodeId, _Heard]] = {}
         self._notes: dict[GroupId, _GroupNotes] = {}
+        self._words = 0
 
     def hear(self, evidence: Evidence, now: float) -> bool:
         """Take in a word; answer whether it is news to pass on."""
@@ -106,8 +111,13 @@
             if newer <= (known.evidence.epoch, known.evidence.sequence):
                 return False
         words[evidence.reporter] = _Heard(evidence, now)
+        self._words += 1
         return True
 
+    def count_words(self) -> int:
+        """Return a number that rises with each word that was news."""
+        return self._words
+
     def find_down(self, group: GroupId, now: float) -> Evidence | None:
         """Return a live word against a group, of its latest epoch."""
         words = [
@@ -128,15 +138,6 @@
         down = self.find_down(group, now)
         return down is None or down.epoch < epoch
 
-    def is_resting(self, group: GroupId, now: float) -> bool:
-        """Answer whether a group just failed a request of this node.
-
-        Such a group is passed over while there are others: it may be
-        well, and the only one.
-        """
-        notes = self._notes.get(group)
-        return notes is not None and now < notes.rests_until
-
     def note_start(self, group: GroupId) -> None:
         """Count a request in."""
         self._get_notes(group).in_flight += 1
@@ -179,24 +180,46 @@
         notes = self._notes.get(group)
         return 0 if notes is None else notes.in_flight
 
-    def weigh(
+    def get_load(
         self,
-        groups: list[GroupId],
-        reported: dict[GroupId, float],
-    ) -> dict[GroupId, GroupLoad]:
-        """Return the load of some groups, for the choice among them."""
-        known = [self._get_notes(group) for group in groups]
-        typical = _find_median(
-            [note.latency for note in known if note.answers >= LEARN_ANSWERS],
+        group: GroupId,
+        reported: float,
+        typical: float,
+        now: float,
+    ) -> GroupLoad:
+        """Return the load of a group.
+
+        Parameters
+        ----------
+        group
+            The group.
+        reported
+            Requests in flight as others reported them.
+        typical
+            Typical time to the first byte, in seconds; 0 when not known.
+        now
+            Present time, in seconds.
+        """
+        notes = self._notes.get(group)
+        if notes is None:
+            return GroupLoad(in_flight=reported)
+        resting = now < notes.rests_until
+        return GroupLoad(
+            in_flight=notes.in_flight + reported,
+            slowness=_find_slowness(notes, typical),
+            weight=0 if resting else notes.steps / RETURN_STEPS,
+        )
+
+    def find_typical(self, groups: Iterable[GroupId]) -> float:
+        """Return the median of the groups' times to the first byte."""
+        known = (self._notes.get(group) for group in groups)
+        return _find_median(
+            [
+                notes.latency
+                for notes in known
+                if notes is not None and notes.answers >= LEARN_ANSWERS
+            ],
         )
-        return {
-            group: GroupLoad(
-                in_flight=notes.in_flight + reported.get(group, 0),
-                slowness=_find_slowness(notes, typical),
-                weight=notes.steps / RETURN_STEPS,
-            )
-            for group, notes in zip(groups, known, strict=True)
-        }
 
     def keep_only(self, groups: set[GroupId]) -> None:
         """Forget groups that the roster has no more."""
--- a/waywell/process/links.py
+++ b/waywell/process/links.py
@@ -6,7 +6,13 @@
 import contextlib
 from typing import TYPE_CHECKING, Any
 
-from waywell.connection.peer import Hello, Wire, open_channel, open_exchange
+from waywell.connection.peer import (
+    Hello,
+    PeerTraffic,
+    Wire,
+    open_channel,
+    open_exchange,
+)
 from waywell.ids import NodeId
 from waywell.process.actor import Actor, Message
 from waywell.process.events import log_detail
@@ -149,6 +155,8 @@
             'dialled': sorted(self.list_dialled()),
             'sent': sent + self._closed_sent,
             'received': received + self._closed_received,
+            'sent_bytes': PeerTraffic.sent,
+            'received_bytes': PeerTraffic.received,
         }
 
     def _put(self, link: _Link, message: Wire) -> None:
--- a/waywell/process/loads.py
+++ b/waywell/process/loads.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from waywell.ids import GroupId
 
 LEVEL_RATIO = 1.5
@@ -26,6 +28,7 @@
     def __init__(self) -> None:
         """Start without reports."""
         self._known: dict[GroupId, tuple[int, int]] = {}
+        self._loads: dict[GroupId, float] = {}
         self._news: dict[GroupId, Report] = {}
 
     def note(self, group: GroupId, load: int) -> None:
@@ -34,6 +37,7 @@
         if find_level(load) == find_level(known):
             return
         self._known[group] = (sequence + 1, load)
+        self._loads[group] = load
         self._news[group] = (group, sequence + 1, load)
 
     def take_news(self) -> tuple[Report, ...]:
@@ -48,9 +52,10 @@
         for group, sequence, load in reports:
             if sequence > self._known.get(group, (0, 0))[0]:
                 self._known[group] = (sequence, load)
+                self._loads[group] = load
                 fresh.append((group, sequence, load))
         return tuple(fresh)
 
-    def get_reported(self) -> dict[GroupId, float]:
+    def get_reported(self) -> Mapping[GroupId, float]:
         """Return the loads by group."""
-        return {group: load for group, (_, load) in self._known.items()}
+        return self._loads
--- a/waywell/process/membership.py
+++ b/waywell/process/membership.py
@@ -37,7 +37,7 @@
     LOST = 3
 
 
-class NodeRecord(msgspec.Struct, frozen=True):
+class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
     """What is known of one entry box."""
 
     node: NodeId
@@ -102,8 +102,11 @@
         self._suspicion = suspicion
         self._records: dict[NodeId, NodeRecord] = {own.node: own}
         self._since: dict[NodeId, float] = {}
-        self._digest = 0
-        self._digest_is_old = True
+        self._digest = _digest_record(own)
+        self._count_is_old = True
+        self._present_key: frozenset[NodeId] = frozenset()
+        self._neighbours: list[NodeId] = []
+        self._live_count = 1
 
     @property
     def own(self) -> NodeRecord:
@@ -118,9 +121,6 @@
     @property
     def digest(self) -> int:
         """Return a number that is equal where the views are equal."""
-        if self._digest_is_old:
-            self._digest = _digest_records(self._records.values())
-            self._digest_is_old = False
         return self._digest
 
     def find(self, node: NodeId) -> NodeRecord | None:
@@ -153,6 +153,13 @@
             if record.state is NodeState.LOST
         ]
 
+    def count_live(self) -> int:
+        """Return the number of nodes that ``list_live`` returns."""
+        if self._count_is_old:
+            self._live_count = len(self.list_live())
+            self._count_is_old = False
+        return self._live_count
+
     def count_states(self) -> dict[str, int]:
         """Return how many nodes are in each state."""
         states = [record.state for record in self._records.values()]
@@ -222,9 +229,8 @@
                 self._since[record.node] = now
                 lost.append(changed)
             elif record.state is NodeState.LOST and age >= FORGET_SECONDS:
-                self._records.pop(record.node)
+                self._drop(record.node)
                 self._since.pop(record.node)
-                self._digest_is_old = True
         return lost
 
     def list_neighbours(self) -> list[NodeRecord]:
@@ -233,13 +239,15 @@
         On each of a few rings, on which all nodes stand in an order of
         their own, it is the next one.
         """
-        present = self.list_present()
-        chosen: dict[NodeId, NodeRecord] = {}
-        for ring in range(RINGS):
-            follower = _find_follower(present, ring, self.own_name)
-            chosen[follower.node] = follower
-        chosen.pop(self.own_name, None)
-        return list(chosen.values())
+        present = frozenset(record.node for record in self.list_present())
+        if present != self._present_key:
+            self._present_key = present
+            followers = {
+                _find_follower(present, ring, self.own_name)
+                for ring in range(RINGS)
+            }
+            self._neighbours = sorted(followers - {self.own_name})
+        return [self._records[node] for node in self._neighbours]
 
     def _answer(self, record: NodeRecord) -> NodeRecord | None:
         own = self.own
@@ -249,22 +257,25 @@
         return self.change_own()
 
     def _store(self, record: NodeRecord) -> None:
+        self._drop(record.node)
         self._records[record.node] = record
-        self._digest_is_old = True
+        self._digest ^= _digest_record(record)
+
+    def _drop(self, node: NodeId) -> None:
+        known = self._records.pop(node, None)
+        if known is not None:
+            self._digest ^= _digest_record(known)
+        self._count_is_old = True
 
 
 def _find_follower(
-    records: list[NodeRecord],
+    nodes: Iterable[NodeId],
     ring: int,
     node: NodeId,
-) -> NodeRecord:
+) -> NodeId:
     """Return the node that comes after a node on a ring."""
-    order = sorted(
-        records,
-        key=lambda record: _place(ring, record.node),
-    )
-    names = [record.node for record in order]
-    return order[(names.index(node) + 1) % len(order)]
+    order = sorted(nodes, key=lambda name: _place(ring, name))
+    return order[(order.index(node) + 1) % len(order)]
 
 
 def _pick(number: int | None, default: int) -> int:
@@ -275,13 +286,10 @@
     return hashlib.blake2b(f'{ring}\n{node}'.encode(), digest_size=8).digest()
 
 
-def _digest_records(records: Iterable[NodeRecord]) -> int:
-    """Return a sum over the records that no order changes."""
-    total = 0
-    for record in records:
-        text = f'{record.node} {record.rank}'
-        total ^= zlib.crc32(text.encode())
-    return total
+def _digest_record(record: NodeRecord) -> int:
+    """Return a record's part of a digest that no order changes."""
+    text = f'{record.node} {record.rank}'
+    return zlib.crc32(text.encode())
 
 
 def rank_contenders(
--- a/waywell/process/watch.py
+++ b/waywell/process/watch.py
@@ -15,17 +15,17 @@
 
 from waywell.connection.platform import ANY_VERSION, Kind
 from waywell.process.actor import Message
-from waywell.process.duty import CONTENDERS, Duty
+from waywell.process.duty import Duty
 from waywell.process.gossip import Gossip
-from waywell.process.membership import NodeState, rank_contenders
+from waywell.process.membership import NodeState
 from waywell.process.store import DocumentStore
 from waywell.version.document import Document, DocumentKind
 
 if TYPE_CHECKING:
     from waywell.connection.platform import Platform, Stored
-    from waywell.ids import NodeId
     from waywell.process.clock import Clock
     from waywell.process.documents import Documents
+    from waywell.process.membership import NodeRecord
 
 WATCH_SECONDS = 20.0
 """Seconds for which one watch waits."""
@@ -79,14 +79,13 @@
         self.repeat(RECHECK_SECONDS, self.RecheckTick())
         self.spawn(self._watch_on())
 
-    def list_candidates(self) -> list[NodeId]:
-        """Return the nodes of this hall that may contend."""
-        here = [
+    def list_eligible(self) -> list[NodeRecord]:
+        """Return the live nodes of this hall."""
+        return [
             record
             for record in self.gossip.table.list_live()
             if record.hall == self._hall
         ]
-        return rank_contenders(here, self.name, CONTENDERS)
 
     async def on_presence_tick(self, _tick: PresenceTick) -> None:
         """Write the presence object when the hall's nodes changed."""
--- a/waywell/request/admission.py
+++ b/waywell/request/admission.py
@@ -124,10 +124,9 @@
             return True
         if self.total < self._node_limit * CROWDED_SHARE:
             return False
-        active = len(self._in_flight)
-        if not used:
-            active += 1
-        return used >= self._node_limit / active
+        # One share more than there are accounts, for the next newcomer.
+        shares = len(self._in_flight) + 1
+        return used >= self._node_limit / shares
 
     def _get_bucket(self, account: str, now: float) -> TokenBucket:
         bucket = self._buckets.get(account)
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from random import Random
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, TypeVar
@@ -16,8 +17,8 @@
 from waywell.process.documents import InForce
 from waywell.process.health import HealthTable
 from waywell.process.history import History
-from waywell.process.loads import LoadTable
 from waywell.request.admission import Admission
+from waywell.request.balance import Balance
 from waywell.request.claim import ClaimKey, ClaimState, read_issued
 from waywell.request.facts import read_facts
 from waywell.request.retry import MOST_ATTEMPTS, RetryBudget
@@ -91,8 +92,8 @@
     health: HealthTable
     """What speaks against groups."""
 
-    loads: LoadTable
-    """Loads that others reported."""
+    balance: Balance
+    """Loads of the groups."""
 
     admission: Admission
     """Limits."""
@@ -306,24 +307,18 @@
         """Choose a group, or refuse where none can serve."""
         # The index may be a newer one than at the attempt before.
         groups = self._parts.in_force.index.list_groups(work.shape)
-        usable = [group for group in groups if self._can_use(work, group)]
         now = self._parts.clock.read()
-        awake = [
-            group
-            for group in usable
-            if not self._parts.health.is_resting(group.group, now)
-        ]
-        usable = awake or usable
-        names = [group.group for group in usable]
-        loads = self._parts.health.weigh(
-            names,
-            self._parts.loads.get_reported(),
-        )
-        session = work.session
-        if session is None:
-            choice = choose_less_loaded(usable, loads, self._parts.random)
+        loads = self._parts.balance.weigh(work.service.name, groups, now)
+        is_usable = partial(self._can_use, work)
+        if work.session is None:
+            choice = choose_less_loaded(
+                groups,
+                is_usable,
+                loads,
+                self._parts.random,
+            )
         else:
-            choice = choose_for_session(session, groups, usable, loads)
+            choice = choose_for_session(work.session, groups, is_usable, loads)
         if choice is None:
             raise Refusal(
                 Code.NO_WHOLE_GROUP,
--- a/waywell/request/routing.py
+++ b/waywell/request/routing.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import abc
 import enum
 import hashlib
+import heapq
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -11,7 +14,7 @@
 from waywell.version.roster import Group
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Callable, Sequence
     from random import Random
 
     from waywell.ids import GroupId, SessionId
@@ -19,6 +22,21 @@
 LOAD_BOUND = 1.5
 """A session leaves its group when it has this much above the mean load."""
 
+GROUPS_DRAWN = 4
+"""Groups drawn at random to find two that can serve."""
+
+GROUPS_HASHED = 4096
+"""Hashes of groups that are kept."""
+
+MIX_FACTOR = 0x9E3779B97F4A7C15
+"""Odd factor that spreads the bits of a hash."""
+
+MIX_MASK = 0xFFFFFFFFFFFFFFFF
+"""Keeps 64 bits."""
+
+MIX_SHIFT = 32
+"""Brings high bits down between two factors."""
+
 LEAST_WEIGHT = 0.01
 """Weight below which a group's cost rises no more."""
 
@@ -64,6 +82,18 @@
         )
 
 
+class LoadSource(abc.ABC):
+    """Tells the loads of groups."""
+
+    @abc.abstractmethod
+    def get_load(self, group: GroupId) -> GroupLoad:
+        """Return the load of a group."""
+
+    @abc.abstractmethod
+    def get_mean_cost(self) -> float:
+        """Return the mean cost over the groups to choose from."""
+
+
 class Choice(msgspec.Struct, frozen=True):
     """A chosen group and why."""
 
@@ -74,21 +104,29 @@
     """Why."""
 
 
-NO_LOAD = GroupLoad()
-"""A group of which nothing is known."""
+def hash_session(session: str) -> int:
+    """Return the hash of a session, of 64 bits."""
+    digest = hashlib.blake2b(session.encode(), digest_size=8)
+    return int.from_bytes(digest.digest())
+
 
+@lru_cache(maxsize=GROUPS_HASHED)
+def hash_group(group: GroupId) -> int:
+    """Return the hash of a group, of 64 bits."""
+    return hash_session(group)
 
-def score_session(session: str, group: GroupId) -> int:
+
+def score_group(session_hash: int, group: GroupId) -> int:
     """Return the rendezvous score of a session at a group."""
-    digest = hashlib.blake2b(f'{session}\n{group}'.encode(), digest_size=8)
-    return int.from_bytes(digest.digest())
+    mixed = (session_hash ^ hash_group(group)) * MIX_FACTOR & MIX_MASK
+    return (mixed ^ mixed >> MIX_SHIFT) * MIX_FACTOR & MIX_MASK
 
 
 def choose_for_session(
     session: SessionId,
     groups: Sequence[Group],
-    usable: Sequence[Group],
-    loads: Mapping[GroupId, GroupLoad],
+    is_usable: Callable[[Group], bool],
+    loads: LoadSource,
 ) -> Choice | None:
     """Return the group of a session.
 
@@ -102,58 +140,49 @@
         Session, with its account.
     groups
         Groups that the rules admit.
-    usable
-        Those of them that can serve now.
+    is_usable
+        Answers whether a group can serve now.
     loads
         What is known of their loads.
     """
-    if not usable:
-        return None
-    ranked = sorted(
-        usable,
-        key=lambda group: score_session(session, group.group),
-        reverse=True,
-    )
-    bound = _find_bound(usable, loads)
-    for group in ranked:
-        if loads.get(group.group, NO_LOAD).cost <= bound:
-            reason = _explain_session(session, group, groups, usable)
-            return Choice(group, reason)
-    reason = _explain_session(session, ranked[0], groups, usable)
-    return Choice(ranked[0], reason)
+    session_hash = hash_session(session)
+    ranked = [
+        (-score_group(session_hash, group.group), place)
+        for place, group in enumerate(groups)
+    ]
+    heapq.heapify(ranked)
+    bound = LOAD_BOUND * loads.get_mean_cost() + LOAD_SLACK
+    reason = Reason.SESSION
+    fallback = None
+    while ranked:
+        group = groups[heapq.heappop(ranked)[1]]
+        if is_usable(group):
+            if loads.get_load(group.group).cost <= bound:
+                return Choice(group, reason)
+            fallback = fallback or Choice(group, reason)
+            reason = Reason.MOVED_LOAD
+        else:
+            reason = Reason.MOVED_DOWN
+    return fallback
 
 
 def choose_less_loaded(
-    usable: Sequence[Group],
-    loads: Mapping[GroupId, GroupLoad],
+    groups: Sequence[Group],
+    is_usable: Callable[[Group], bool],
+    loads: LoadSource,
     random: Random,
 ) -> Choice | None:
-    """Return the less loaded of two groups drawn at random."""
-    if not usable:
-        return None
-    drawn = random.sample(usable, min(2, len(usable)))
+    """Return the less loaded of two usable groups drawn at random."""
+    count = min(GROUPS_DRAWN, len(groups))
+    drawn = [
+        group for group in random.sample(groups, count) if is_usable(group)
+    ]
+    if not drawn:
+        drawn = [group for group in groups if is_usable(group)]
+        random.shuffle(drawn)
     best = min(
-        drawn,
-        key=lambda group: loads.get(group.group, NO_LOAD).cost,
+        drawn[:2],
+        key=lambda group: loads.get_load(group.group).cost,
+        default=None,
     )
-    return Choice(best, Reason.LESS_LOADED)
-
-
-def _find_bound(
-    usable: Sequence[Group],
-    loads: Mapping[GroupId, GroupLoad],
-) -> float:
-    total = sum(loads.get(group.group, NO_LOAD).cost for group in usable)
-    return LOAD_BOUND * total / len(usable) + LOAD_SLACK
-
-
-def _explain_session(
-    session: SessionId,
-    chosen: Group,
-    groups: Sequence[Group],
-    usable: Sequence[Group],
-) -> Reason:
-    own = max(groups, key=lambda group: score_session(session, group.group))
-    if own.group == chosen.group:
-        return Reason.SESSION
-    return Reason.MOVED_LOAD if own in usable else Reason.MOVED_DOWN
+    return None if best is None else Choice(best, Reason.LESS_LOADED)
--- a/waywell/standins/harness.py
+++ b/waywell/standins/harness.py
@@ -250,13 +250,13 @@
         switch: str = '',
     ) -> Process:
         """Start an entry daemon, or one that a test has changed."""
+        plain: dict[str, Any] = {
+            'history': f'{self.folder}/history-{name}.jsonl',
+            'bootstrap_key_hashes': [hash_text(OPERATOR_KEY)],
+            **(top or {}),
+        }
         lines = [
-            f'history = "{self.folder}/history-{name}.jsonl"',
-            f'bootstrap_key_hashes = ["{hash_text(OPERATOR_KEY)}"]',
-            *(
-                f'{key} = {json.dumps(put)}'
-                for key, put in (top or {}).items()
-            ),
+            *(f'{key} = {json.dumps(put)}' for key, put in plain.items()),
             f'[node]\nname = "{name}"\nhall = "{hall}"',
             f'[platform]\nurl = "{self.platform_url}"\ntimeout = 1.5',
             '[timing]',
--- a/waywell/version/assembly.py
+++ b/waywell/version/assembly.py
@@ -131,17 +131,23 @@
 
     def _move_by_health(self, group: Group) -> None:
         missing = find_missing(group, self._view.boxes)
-        whole_again = group.state is GroupState.BROKEN and not missing
-        forming = group.state is GroupState.FORMING
         if missing and not self._are_live(missing):
             if missing != group.missing:
                 self._draft.set_state(group, GroupState.BROKEN, missing)
-        elif missing or whole_again or group.group in self._view.disordered:
+        elif missing or self._must_form_again(group):
             # All boxes are there, but one was restarted or has no order.
             self._draft.form_again(group, self._list_boxes(group))
-        elif forming and group.group in self._view.ready:
+        elif self._may_serve(group):
             self._draft.set_state(group, GroupState.SERVING)
 
+    def _must_form_again(self, group: Group) -> bool:
+        broken = group.state is GroupState.BROKEN
+        return broken or group.group in self._view.disordered
+
+    def _may_serve(self, group: Group) -> bool:
+        forming = group.state is GroupState.FORMING
+        return forming and group.group in self._view.ready
+
     def _are_live(self, names: tuple[BoxId, ...]) -> bool:
         boxes = (self._view.boxes.get(name) for name in names)
         return all(
--- a/waywell/version/configuration.py
+++ b/waywell/version/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tomllib
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 from waywell.version.faults import (
@@ -58,8 +59,10 @@
 def _find_repeated_names(configuration: Configuration) -> list[str]:
     faults: list[str] = []
     for kind in LISTED_KINDS:
-        names = [listed.name for listed in getattr(configuration, kind)]
-        repeated = {name for name in names if names.count(name) > 1}
+        counts = Counter(
+            listed.name for listed in getattr(configuration, kind)
+        )
+        repeated = {name for name, count in counts.items() if count > 1}
         faults.extend(
             f'{kind}: the name {name!r} stands twice'
             for name in sorted(repeated)
