Prove parts cut from each other; join and read with less

Three entry boxes behind relays are cut from each other: served on, one version after the mend; cut from the platform too, targets without fences are no longer served after the term (test_parted.py; without the rule they are).

Cause: a node that joins called every listed entry box, and each of them kept the stream for a while; one that had missed a version asked all its neighbours for the whole document; a hall's holder read both documents each 5 s, which at 600 groups is 58 KB/s (247 KB of roster, python -m waywell.bench.decisions). Now: two calls, one question, a read a minute (timing.recheck).

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -26,6 +26,7 @@
     'silence': 1.0,
     'suspicion': 0.6,
     'lease': 2.0,
+    'recheck': 1.0,
     'probe': 0.3,
     'evidence': 2.0,
     'entry_list': 0.5,
--- a/tests/switched.py
+++ b/tests/switched.py
@@ -72,6 +72,13 @@
     health.HealthTable.is_usable = lambda *_rest: True
 
 
+def route_for_ever() -> None:
+    """Keep the right to route to targets without fences."""
+    from waywell.process import release
+
+    release.may_route_unfenced = lambda *_rest: True
+
+
 def accept_cut_answers() -> None:
     """Take every end of a target's connection for the answer's end."""
     from twisted.internet import asyncioreactor
--- /dev/null
+++ b/tests/test_parted.py
@@ -0,0 +1,137 @@
+"""Entry boxes that are cut from each other, and from the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.checker import find_lowered
+from tests.conftest import QUICK
+from tests.relay import Relay
+from waywell.standins.harness import (
+    BoxSpec,
+    make_configuration,
+    wait_until,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from waywell.standins.harness import Bench
+
+NAMES = ('entry-1', 'entry-2', 'entry-3')
+
+
+@pytest.fixture
+def relays() -> Iterator[list[Relay]]:
+    """Return a relay for each entry box."""
+    started = [Relay() for _ in NAMES]
+    yield started
+    for relay in started:
+        relay.close()
+
+
+def start_parted(bench: Bench, relays: list[Relay], switch: str = '') -> None:
+    """Start entry boxes that reach each other through relays."""
+    for name, relay in zip(NAMES, relays, strict=True):
+        ports = {'peer_port': relay.target, 'shown_peer_port': relay.port}
+        bench.start_entry(name, timing=QUICK, node=ports, switch=switch)
+    bench.start_boxes(
+        [
+            BoxSpec('box-1', labels={'pool': 'llm'}),
+            BoxSpec('app-1', fenced=False, labels={'pool': 'app'}),
+        ],
+    )
+    bench.apply(NAMES[0], make_configuration(boxes_per_group=1))
+    for name in NAMES:
+        bench.wait_serving(name, 'llm-main', 1)
+        bench.wait_serving(name, 'app-main', 1)
+        wait_until(
+            lambda name=name: count_live(bench, name) == 3, 'the others'
+        )
+
+
+def count_live(bench: Bench, name: str) -> int:
+    boxes = bench.read_status(name)['entry_boxes']
+    return sum(box['state'] == 'live' for box in boxes)
+
+
+def read_number(bench: Bench, name: str) -> int:
+    answer = bench.get_admin(name).call('GET', '/v1/configuration')
+    return int(answer.read_json()['number'])
+
+
+def ask(bench: Bench, name: str, service: str) -> tuple[int, str]:
+    answer = bench.get_caller(name).call(f'/services/{service}/x')
+    return answer.status, answer.headers.get('waywell-ran', '')
+
+
+def test_parts_meet_again_at_the_highest_version(
+    bench: Bench,
+    relays: list[Relay],
+) -> None:
+    start_parted(bench, relays)
+    for relay in relays:
+        relay.cut()
+    for name in NAMES:
+        wait_until(lambda name=name: count_live(bench, name) == 1, 'the cut')
+    answer = bench.apply(NAMES[1], make_configuration(boxes_per_group=1))
+    number = answer.read_json()['number']
+    for name in NAMES:
+        assert ask(bench, name, 'llm')[0] == 200
+        assert ask(bench, name, 'app')[0] == 200
+    for relay in relays:
+        relay.mend()
+    for name in NAMES:
+        wait_until(lambda name=name: count_live(bench, name) == 3, 'the mend')
+        wait_until(
+            lambda name=name: read_number(bench, name) == number,
+            f'{name} to have {number}',
+        )
+    assert find_lowered(bench.read_history('history-*.jsonl')) == []
+
+
+def test_cut_from_everything_stops_what_checks_no_fence(
+    bench: Bench,
+    relays: list[Relay],
+) -> None:
+    """Fenced targets are served on; the others after the term no more."""
+    start_parted(bench, relays)
+    bench.set_platform_faults(outage=True)
+    for relay in relays:
+        relay.cut()
+    for name in NAMES:
+        wait_until(
+            lambda name=name: ask(bench, name, 'app') == (503, 'not_run'),
+            f'{name} to stop serving unfenced targets',
+        )
+        assert ask(bench, name, 'llm')[0] == 200
+    for relay in relays:
+        relay.mend()
+    for name in NAMES:
+        wait_until(
+            lambda name=name: ask(bench, name, 'app')[0] == 200,
+            f'{name} to serve again, with the platform still down',
+        )
+
+
+def test_without_the_right_to_route_it_goes_on(
+    bench: Bench,
+    relays: list[Relay],
+) -> None:
+    """The proof above can fail."""
+    start_parted(bench, relays, switch='route_for_ever')
+    bench.set_platform_faults(outage=True)
+    for relay in relays:
+        relay.cut()
+    dump = bench.get_admin(NAMES[0])
+    wait_until(
+        lambda: (
+            dump.call('GET', '/v1/dump').read_json()['platform_age']
+            > QUICK['route_term'] * 1.5
+        ),
+        'the term to pass',
+    )
+    assert count_live(bench, NAMES[0]) == 1
+    assert ask(bench, NAMES[0], 'app')[0] == 200
--- /dev/null
+++ b/waywell/bench/__main__.py
@@ -0,0 +1,26 @@
+"""All benchmarks, one after the other: ``python -m waywell.bench``."""
+
+from __future__ import annotations
+
+from waywell.bench import (
+    control,
+    decisions,
+    faults,
+    repair,
+    request,
+    size,
+)
+
+
+def main() -> None:
+    """Run all benchmarks."""
+    request.main()
+    control.main()
+    size.main()
+    decisions.main()
+    repair.main()
+    faults.main()
+
+
+if __name__ == '__main__':
+    main()
--- a/waywell/bench/baselines.py
+++ b/waywell/bench/baselines.py
@@ -64,7 +64,7 @@
 def main(words: list[str]) -> int:
     """Run the daemon with the choice that the first word names."""
     # The dispatcher takes the function from the module at its import.
-    routing.choose_less_loaded = BASELINES[words[0]]  # type: ignore[assignment]
+    routing.choose_less_loaded = BASELINES[words[0]]
     return run_command(words[1:])
 
 
--- a/waywell/bench/control.py
+++ b/waywell/bench/control.py
@@ -37,6 +37,9 @@
 CHANGES = 5
 """Configurations whose spread is measured."""
 
+SETTLE_SECONDS = 15.0
+"""Seconds after the start, in which streams are rearranged."""
+
 START_SECONDS = 120.0
 """Seconds for all nodes to start and meet."""
 
@@ -179,7 +182,7 @@
     """Measure a system of some entry boxes."""
     with Bench() as bench:
         names = start_nodes(bench, count)
-        time.sleep(3)
+        time.sleep(SETTLE_SECONDS)
         return {
             'nodes': count,
             **measure_idle(bench, names),
--- a/waywell/process/documents.py
+++ b/waywell/process/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from waywell.connection.peer import Beat, DocumentNews, DocumentWanted
@@ -24,9 +25,14 @@
     from collections.abc import Callable
 
     from waywell.ids import NodeId
+    from waywell.process.clock import Clock
     from waywell.process.links import PeerLinks
 
 
+ASK_SECONDS = 1.0
+"""Seconds until another neighbour is asked for the same document."""
+
+
 class InForce:
     """The versions that requests are served by; replaced, never changed."""
 
@@ -73,6 +79,8 @@
         The versions, read by the other tasks.
     links
         Streams to other nodes.
+    clock
+        Where the time is read.
     """
 
     class Offer(Message, frozen=True):
@@ -84,11 +92,18 @@
         document: Document
         """The whole version."""
 
-    def __init__(self, in_force: InForce, links: PeerLinks) -> None:
+    def __init__(
+        self,
+        in_force: InForce,
+        links: PeerLinks,
+        clock: Clock,
+    ) -> None:
         """Start with what is in force."""
         super().__init__('documents')
         self.in_force = in_force
         self._links = links
+        self._clock = clock
+        self._asked_at: dict[DocumentKind, float] = {}
         self._watchers: list[Callable[[DocumentKind], None]] = []
         links.subscribe(self, Beat, DocumentNews, DocumentWanted)
 
@@ -155,6 +170,12 @@
             self._ask(node, DocumentKind.ROSTER, numbers.roster)
 
     def _ask(self, node: NodeId, kind: DocumentKind, have: int) -> None:
+        """Ask one neighbour, though several may have shown a later one."""
+        now = self._clock.read()
+        asked_at = self._asked_at.get(kind, -math.inf)
+        if now - asked_at < ASK_SECONDS:
+            return
+        self._asked_at[kind] = now
         self._links.send(node, DocumentWanted(kind, have))
 
     def _answer(self, node: NodeId, wanted: DocumentWanted) -> None:
@@ -186,6 +207,7 @@
         document: Document,
         source: NodeId | None,
     ) -> None:
+        self._asked_at.pop(kind, None)
         log_event('document_adopted', kind=kind.value, number=document.number)
         change = compare_documents(before, document)
         self._links.spread(DocumentNews(kind, change=change), skip=source)
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -61,6 +61,9 @@
 JOIN_SECONDS = 1.0
 """Seconds between two attempts to find other entry boxes."""
 
+JOIN_DIALS = 2
+"""Entry boxes that a new one calls at each attempt."""
+
 DRAIN_LOOK_SECONDS = 0.05
 """Seconds between two looks at the work in flight while stopping."""
 
@@ -91,6 +94,7 @@
         self.target = HttpTarget(settings.limits.connect_seconds)
         self.incarnation = Incarnation(int(self.clock.read_wall() * 1000))
         self.refuses_new = False
+        self._random = Random(self.incarnation)
         self._peer_server: Any = None
         self._ports: list[Any] = []
         self._helpers: set[asyncio.Task[None]] = set()
@@ -230,7 +234,7 @@
             region=node.region,
             host=host,
             caller_port=caller.getHost().port,
-            peer_port=sockets[0].getsockname()[1],
+            peer_port=node.shown_peer_port or sockets[0].getsockname()[1],
             admin_port=admin.getHost().port,
         )
 
@@ -239,15 +243,15 @@
         self.members = MembershipTable(self._own, timing.suspicion)
         self.links = PeerLinks(lambda: self.members.own)
         self.gossip = Gossip(self.members, self.links, self.clock, timing)
-        self.documents = Documents(self.in_force, self.links)
+        self.documents = Documents(self.in_force, self.links, self.clock)
         self.documents.watch_changes(self._note_document)
         self.administration = Administration(self.platform, self.documents)
         self.hall_duty = HallDuty(
             self.platform,
             self.gossip,
             self.clock,
-            timing.lease,
             self.documents,
+            timing,
         )
         self.assembly = AssemblyDuty(
             self.platform,
@@ -294,7 +298,7 @@
             target=self.target,
             clock=self.clock,
             history=history,
-            random=Random(self.incarnation),
+            random=self._random,
         )
         self._dispatcher = Dispatcher(parts, self.describe)
 
@@ -360,7 +364,9 @@
         """Look for other entry boxes until a stream stands."""
         while True:
             if not self.links.list_peers():
-                for host, port in await self._find_others():
+                found = await self._find_others()
+                count = min(JOIN_DIALS, len(found))
+                for host, port in self._random.sample(found, count):
                     self.links.dial(host, port)
             await asyncio.sleep(JOIN_SECONDS)
 
--- a/waywell/process/settings.py
+++ b/waywell/process/settings.py
@@ -13,6 +13,9 @@
 
 _NAME = re.compile(r'[A-Za-z0-9._-]{1,64}')
 
+PORT_KEYS = ('caller_port', 'peer_port', 'admin_port', 'shown_peer_port')
+"""Settings of a node that are port numbers."""
+
 HIGHEST_PORT = 65_535
 """Highest port number."""
 
@@ -42,6 +45,9 @@
     admin_port: int = 0
     """Port for operators; 0 takes a free one."""
 
+    shown_peer_port: int = 0
+    """Port at which others reach the peer port, where it is another one."""
+
 
 @attrs.frozen
 class PlatformSettings:
@@ -84,6 +90,9 @@
     lease: float = 6.0
     """Term of a lease in the platform."""
 
+    recheck: float = 60.0
+    """Between two reads of whole documents, to repair a missed watch."""
+
     probe: float = 1.0
     """Between two health checks of a box."""
 
@@ -178,7 +187,7 @@
         faults.append('node.host: an IP number')
     faults.extend(
         f'node.{key}: 0 to {HIGHEST_PORT}'
-        for key in ('caller_port', 'peer_port', 'admin_port')
+        for key in PORT_KEYS
         if not 0 <= getattr(node, key) <= HIGHEST_PORT
     )
     return faults
--- a/waywell/process/watch.py
+++ b/waywell/process/watch.py
@@ -26,13 +26,11 @@
     from waywell.process.clock import Clock
     from waywell.process.documents import Documents
     from waywell.process.membership import NodeRecord
+    from waywell.process.settings import TimingSettings
 
 WATCH_SECONDS = 20.0
 """Seconds for which one watch waits."""
 
-RECHECK_SECONDS = 5.0
-"""Seconds between two reads that repair what a watch missed."""
-
 FAILED_WAIT = 1.0
 """Seconds until a failed call is tried again."""
 
@@ -47,6 +45,8 @@
     ----------
     documents
         Where stored versions are offered.
+    timing
+        Periods and bounds.
     """
 
     class PresenceTick(Message, frozen=True):
@@ -60,12 +60,14 @@
         platform: Platform,
         gossip: Gossip,
         clock: Clock,
-        term: float,
         documents: Documents,
+        timing: TimingSettings,
     ) -> None:
         """Start without the lease."""
+        self._recheck = timing.recheck
         self._hall = gossip.table.own.hall
-        super().__init__(f'hall-{self._hall}', platform, gossip, clock, term)
+        name = f'hall-{self._hall}'
+        super().__init__(name, platform, gossip, clock, timing.lease)
         self._documents = documents
         self._stores = {
             kind: DocumentStore(kind, platform) for kind in DocumentKind
@@ -76,7 +78,7 @@
         """Begin to look at the lease, and to watch when it is held."""
         super().start()
         self.repeat(PRESENCE_SECONDS, self.PresenceTick())
-        self.repeat(RECHECK_SECONDS, self.RecheckTick())
+        self.repeat(self._recheck, self.RecheckTick())
         self.spawn(self._watch_on())
 
     def list_eligible(self) -> list[NodeRecord]:
--- a/waywell/standins/harness.py
+++ b/waywell/standins/harness.py
@@ -249,6 +249,7 @@
         limits: dict[str, float] | None = None,
         switch: str = '',
         module: list[str] | None = None,
+        node: dict[str, int] | None = None,
     ) -> Process:
         """Start an entry daemon, or one that a test has changed."""
         plain: dict[str, Any] = {
@@ -259,6 +260,7 @@
         lines = [
             *(f'{key} = {json.dumps(put)}' for key, put in plain.items()),
             f'[node]\nname = "{name}"\nhall = "{hall}"',
+            *(f'{key} = {put}' for key, put in (node or {}).items()),
             f'[platform]\nurl = "{self.platform_url}"\ntimeout = 1.5',
             '[timing]',
             *(f'{key} = {put}' for key, put in (timing or {}).items()),
