Let parts that started apart meet through the platform

Cause: an entry box stopped looking for others once one stream stood, so boxes that started at the same moment could stay in two parts for good. Now the holder of each hall's duty looks every 3 s for listed entry boxes that it does not know and calls one.

--- a/tests/test_parted.py
+++ b/tests/test_parted.py
@@ -8,7 +8,7 @@
 
 from tests.checker import find_lowered
 from tests.conftest import QUICK
-from tests.relay import Relay
+from tests.relay import Relay, reserve_port
 from waywell.standins.harness import (
     BoxSpec,
     make_configuration,
@@ -135,3 +135,23 @@
     )
     assert count_live(bench, NAMES[0]) == 1
     assert ask(bench, NAMES[0], 'app')[0] == 200
+
+
+def test_parts_that_started_apart_meet_by_the_platform(bench: Bench) -> None:
+    """Two pairs know only each other until the platform is back."""
+    bench.set_platform_faults(outage=True)
+    ports = {name: reserve_port() for name in ('a1', 'a2', 'b1', 'b2')}
+    for name, port in ports.items():
+        mate = name[0] + ('2' if name[1] == '1' else '1')
+        bench.start_entry(
+            name,
+            hall=f'hall-{name[0]}',
+            timing=QUICK,
+            node={'peer_port': port},
+            top={'seeds': [f'127.0.0.1:{ports[mate]}']},
+        )
+    for name in ports:
+        wait_until(lambda name=name: count_live(bench, name) == 2, 'the mate')
+    bench.set_platform_faults(outage=False)
+    for name in ports:
+        wait_until(lambda name=name: count_live(bench, name) == 4, 'the rest')
--- a/waywell/process/gossip.py
+++ b/waywell/process/gossip.py
@@ -195,6 +195,10 @@
             return
         self._take_beat(received.node, message)
 
+    def call(self, host: str, peer_port: int) -> None:
+        """Open a stream to an entry box that is not in the view."""
+        self._links.dial(host, peer_port)
+
     def dump(self) -> dict[str, object]:
         """Return the view as plain values."""
         return {
--- a/waywell/process/watch.py
+++ b/waywell/process/watch.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 from typing import TYPE_CHECKING
 
 import msgspec
 from returns.result import Failure
 
 from waywell.connection.platform import ANY_VERSION, Kind
+from waywell.ids import NodeId
 from waywell.process.actor import Message
 from waywell.process.duty import Duty
 from waywell.process.gossip import Gossip
@@ -34,6 +36,9 @@
 FAILED_WAIT = 1.0
 """Seconds until a failed call is tried again."""
 
+MEET_SECONDS = 3.0
+"""Seconds between two looks for entry boxes of another part."""
+
 PRESENCE_SECONDS = 1.0
 """Seconds between two looks at whether the presence object is old."""
 
@@ -52,6 +57,9 @@
     class PresenceTick(Message, frozen=True):
         """A look at the presence object is due."""
 
+    class MeetTick(Message, frozen=True):
+        """A look for entry boxes that this one doesn't know is due."""
+
     class RecheckTick(Message, frozen=True):
         """A read that repairs what a watch missed is due."""
 
@@ -69,6 +77,7 @@
         name = f'hall-{self._hall}'
         super().__init__(name, platform, gossip, clock, timing.lease)
         self._documents = documents
+        self._random = Random(gossip.table.own.incarnation)
         self._stores = {
             kind: DocumentStore(kind, platform) for kind in DocumentKind
         }
@@ -78,6 +87,7 @@
         """Begin to look at the lease, and to watch when it is held."""
         super().start()
         self.repeat(PRESENCE_SECONDS, self.PresenceTick())
+        self.repeat(MEET_SECONDS, self.MeetTick())
         self.repeat(self._recheck, self.RecheckTick())
         self.spawn(self._watch_on())
 
@@ -105,6 +115,28 @@
         if not isinstance(answer, Failure):
             self._written = present
 
+    async def on_meet_tick(self, _tick: MeetTick) -> None:
+        """Call a listed entry box that this one doesn't know.
+
+        Entry boxes that started apart know only those of their part, and
+        have no reason of their own to look for more.
+        """
+        if not self.is_held():
+            return
+        answer = await self.platform.fetch_all(Kind.PRESENCE)
+        if isinstance(answer, Failure):
+            return
+        strangers = [
+            listed
+            for stored in answer.unwrap().objects
+            for listed in stored.body
+            if self._is_strange(NodeId(listed['node']))
+        ]
+        if strangers:
+            # Each call makes two parts one, so one at a time is enough.
+            listed = self._random.choice(strangers)
+            self.gossip.call(listed['host'], listed['peer_port'])
+
     async def on_recheck_tick(self, _tick: RecheckTick) -> None:
         """Read both documents: a watch may have missed a change."""
         if not self.is_held():
@@ -123,6 +155,10 @@
         self._written = []
         await self.on_recheck_tick(self.RecheckTick())
 
+    def _is_strange(self, node: NodeId) -> bool:
+        record = self.gossip.table.find(node)
+        return record is None or record.state is NodeState.LOST
+
     async def _restore(
         self,
         kind: DocumentKind,
