Mend what a reading of control under faults showed

Found by reading the code as a newcomer and by the benchmarks: - Cause: a plan whose write failed was left out at the next tick, as its input had not changed. Now it is made until it is known to be written (test_refused_roster_write_is_made_again). - Cause: a box list that comes back empty would have broken every group. It is not acted on while the probers disagree (test_empty_box_list_stops_nothing, test_list_that_lacks_most_boxes_is_doubted). - Cause: the end of a run was told to the home of its claim before the caller had its final word, up to 2 s for a frozen home. It is told in the background (test_frozen_home_holds_back_no_answer). - Cause: words of other probers waited behind a round of probes, up to a second for a box that does not answer; ticks heaped up behind slow handlers. A round is a task of its own, and one tick waits at most (test_actor). - Cause: all boxes were probed at the same moment, 2,400 exchanges in memory. Slowness is forgiven by half in 3 s without an answer.

The ports of the daemon moved to a module of their own.

--- a/tests/test_assembly.py
+++ b/tests/test_assembly.py
@@ -10,6 +10,7 @@
 from waywell.ids import BoxId, DomainName, Epoch, GroupId, HallName
 from waywell.version.assembly import (
     AssemblyView,
+    doubts_boxes,
     find_missing,
     plan_assembly,
 )
@@ -207,6 +208,31 @@
     assert (back.epoch, back.members) == (served.epoch, served.members)
 
 
+@pytest.mark.parametrize(
+    ('gone', 'down', 'doubted'),
+    [
+        (set(), set(), False),
+        ({0}, set(), False),
+        ({0, 1, 2}, set(), True),
+        ({0, 1, 2, 3}, set(), True),
+        ({0, 1, 2}, {0, 1}, False),
+        ({0, 1}, set(), False),
+    ],
+)
+def test_list_that_lacks_most_boxes_is_doubted(
+    gone: set,
+    down: set,
+    doubted: bool,
+) -> None:
+    boxes = [make_box(n) for n in range(4)]
+    roster = settle(boxes, make_objects(4, size=1))
+    groups = list(roster)
+    lost = {groups[number].head.box for number in gone}
+    seen = {box.box: box for box in boxes if box.box not in lost}
+    words = {groups[number].group for number in down}
+    assert doubts_boxes(roster, seen, words) is doubted
+
+
 def test_half_formed_group_is_formed_again() -> None:
     boxes = {f'b{n}': make_box(n) for n in range(2)}
     configuration = make_objects(1)
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -174,6 +174,46 @@
     assert find_shared_boxes(bench) == []
 
 
+def test_refused_roster_write_is_made_again(bench: Bench) -> None:
+    """A change that was seen once is not lost with its first write."""
+    start_halls(bench, entries=1, boxes=3)
+    bench.wait_serving('entry-0', 'llm-main', 1)
+    bench.set_platform_faults(refuse_kind='roster')
+    lost = bench.read_status('entry-0')['groups'][0]['boxes'][1]
+    bench.list_box(lost, 'lost')
+    log = bench.entries['entry-0'].log
+    wait_until(
+        lambda: 'roster_not_written' in log.read_text(),
+        'a write to be refused',
+    )
+    bench.set_platform_faults(refuse_kind='')
+    wait_until(
+        lambda: lost not in bench.read_status('entry-0')['groups'][0]['boxes'],
+        'the lost box to be replaced',
+    )
+    bench.wait_serving('entry-0', 'llm-main', 1)
+
+
+def test_empty_box_list_stops_nothing(bench: Bench) -> None:
+    """The list lacks every box, but the boxes answer their probers."""
+    start_halls(bench, entries=2, boxes=4, groups=2)
+    for entry in ('entry-0', 'entry-1'):
+        bench.wait_serving(entry, 'llm-main', 2)
+    bench.set_platform_faults(forget_kind='box')
+    holder = wait_until(
+        lambda: find_holder(bench, 'assembly'),
+        'an assembler',
+    )
+    log = bench.entries[holder].log
+    wait_until(
+        lambda: 'box_list_doubted' in log.read_text(),
+        'the list to be doubted',
+    )
+    for entry in ('entry-0', 'entry-1'):
+        assert ask(bench, entry).status == 200
+    assert bench.count_serving('entry-1', 'llm-main') == 2
+
+
 def test_operators_race_on_one_version(pair: Bench) -> None:
     number = pair.get_admin('entry-1').call('GET', '/v1/configuration')
     expected = number.read_json()['number']
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -67,7 +67,7 @@
     weights = []
     for _ in range(5):
         weights.append(table.get_load(GROUP, 0, 0, 10).weight)
-        table.note_answer(GROUP, 0.1)
+        table.note_answer(GROUP, 0.1, 10)
     assert weights == sorted(weights)
     assert weights[0] < 0.5
     assert table.get_load(GROUP, 0, 0, 10).weight == 1
@@ -94,7 +94,7 @@
     names = [GroupId(f'g{number}') for number in range(5)]
     for name in names:
         for _ in range(5):
-            table.note_answer(name, 1.0 if name == 'g0' else 0.1)
+            table.note_answer(name, 1.0 if name == 'g0' else 0.1, 0)
     typical = table.find_typical(names)
     slow = table.get_load(names[0], 0, typical, 0)
     usual = table.get_load(names[1], 0, typical, 0)
@@ -102,6 +102,20 @@
     assert usual.slowness == 1
 
 
+def test_slowness_is_forgiven_with_time() -> None:
+    table = HealthTable(6)
+    for _ in range(5):
+        table.note_answer(GROUP, 2.0, now=0)
+    slowness = [
+        table.get_load(GROUP, 0, 0.1, now).slowness for now in (0, 3, 6, 30)
+    ]
+    assert slowness[0] == 20
+    assert slowness == sorted(slowness, reverse=True)
+    assert slowness[-1] < 1.1
+    table.note_timeout(GROUP, 2.0, now=30)
+    assert table.get_load(GROUP, 0, 0.1, 30).slowness == 20
+
+
 def make_group(boxes: int) -> Group:
     return Group(
         GROUP,
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -178,6 +178,23 @@
     assert count_runs(pair)[name] == 1
 
 
+def test_frozen_home_holds_back_no_answer(pair: Bench) -> None:
+    """The answer to a run goes out though the home can't be told."""
+    pair.set_target_faults('app-1', slow=0.4)
+    name = get_prefix(pair, 'entry-2') + 'h'
+    thread, answers = start_submitting(pair, 'entry-1', name)
+    wait_until(lambda: count_runs(pair)[name], 'the run to begin')
+    pair.entries['entry-2'].send_signal(signal.SIGSTOP)
+    thread.join()
+    # The log line of the request is written when all is done with it.
+    log = pair.entries['entry-1'].log
+    wait_until(lambda: name in log.read_text(), 'the request to end')
+    frozen = pair.entries['entry-2'].is_stopped()
+    pair.entries['entry-2'].send_signal(signal.SIGCONT)
+    assert frozen
+    assert answers[0].status == 200
+
+
 def test_platform_down_serves_issued_ids_and_no_others(pair: Bench) -> None:
     pair.set_platform_faults(outage=True)
     name = get_prefix(pair, 'entry-1') + 'd'
--- a/waywell/bench/__main__.py
+++ b/waywell/bench/__main__.py
@@ -8,6 +8,7 @@
     faults,
     repair,
     request,
+    reserve,
     size,
 )
 
@@ -19,6 +20,7 @@
     size.main()
     decisions.main()
     repair.main()
+    reserve.main()
     faults.main()
 
 
--- a/waywell/bench/decisions.py
+++ b/waywell/bench/decisions.py
@@ -174,7 +174,7 @@
     random = Random(1)
     health = HealthTable(6)
     for group in found:
-        health.note_answer(group.group, random.random())
+        health.note_answer(group.group, random.random(), 0)
     balance = Balance(health, LoadTable())
     loads = balance.weigh('llm', found, 0)
     is_usable = partial(_is_usable, health)
--- a/waywell/bench/faults.py
+++ b/waywell/bench/faults.py
@@ -112,7 +112,7 @@
         )
         runs = count_runs(bench)
         bench.set_target_faults('b0', slow=NORMAL_SECONDS)
-        finish_load(start_load(bench, names, AUTH, workers=12, requests=150))
+        finish_load(start_load(bench, names, AUTH, workers=12, requests=600))
         later = count_runs(bench)
         share = (later['b0'] - runs['b0']) / (
             sum(later.values()) - sum(runs.values())
--- a/waywell/connection/http_target.py
+++ b/waywell/connection/http_target.py
@@ -49,7 +49,7 @@
 
     from waywell.version.roster import Member
 
-IDLE_CONNECTIONS = 4
+IDLE_CONNECTIONS = 16
 """Idle connections kept to one target."""
 
 IDLE_SECONDS = 30.0
--- a/waywell/process/actor.py
+++ b/waywell/process/actor.py
@@ -40,6 +40,7 @@
         self.name = name
         self._inbox: asyncio.Queue[object] = asyncio.Queue()
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._due: set[type] = set()
 
     def post(self, message: object) -> None:
         """Put a message into the queue."""
@@ -63,7 +64,11 @@
         return task
 
     def repeat(self, seconds: float, message: object) -> None:
-        """Post a message now and then every so many seconds."""
+        """Post a message now and then every so many seconds.
+
+        One that still waits in the queue is not posted again, so that a
+        slow handler has no heap of old ticks to work off.
+        """
         self.spawn(self._post_repeatedly(seconds, message))
 
     def dump(self) -> dict[str, object]:
@@ -71,13 +76,17 @@
         return {'inbox': self._inbox.qsize()}
 
     async def _post_repeatedly(self, seconds: float, message: object) -> None:
+        kind = type(message)
         while True:
-            self.post(message)
+            if kind not in self._due:
+                self._due.add(kind)
+                self.post(message)
             await asyncio.sleep(seconds)
 
     async def _run(self) -> None:
         while True:
             message = await self._inbox.get()
+            self._due.discard(type(message))
             await self._handle(message)
 
     async def _handle(self, message: object) -> None:
--- a/waywell/process/assembly.py
+++ b/waywell/process/assembly.py
@@ -18,7 +18,11 @@
 from waywell.process.health import Verdict
 from waywell.process.release import ReleaseTracker
 from waywell.process.store import DocumentStore
-from waywell.version.assembly import AssemblyView, plan_assembly
+from waywell.version.assembly import (
+    AssemblyView,
+    doubts_boxes,
+    plan_assembly,
+)
 from waywell.version.document import Document, DocumentKind
 from waywell.version.repair import CostPolicy
 from waywell.version.roster import (
@@ -150,11 +154,13 @@
         if self._base is None:
             return
         roster = self._roster
-        if self._is_settled(roster):
+        if self._is_settled(roster) or self._doubts_boxes(roster):
             return
         await self._ask_loads(roster)
         plan = self._plan(roster)
         if plan and self.is_held():
+            # Until it is known to be written, the plan has to be made again.
+            self._planned_for = ()
             await self._write(roster, plan)
         if self._base is not None and self.is_held():
             self._give_orders(self._roster)
@@ -211,6 +217,16 @@
         )
         return not unsettled and not moving and not self._fenced_off
 
+    def _doubts_boxes(self, roster: Roster) -> bool:
+        """Answer whether the box list must not be acted on."""
+        down = self._health.list_down(self.clock.read())
+        if not doubts_boxes(roster, self.boxes, down):
+            return False
+        # Looked at again at each tick: the probers may come to agree.
+        self._planned_for = ()
+        log_warning('box_list_doubted', boxes=len(self.boxes))
+        return True
+
     def _plan(self, roster: Roster) -> Plan:
         now = self.clock.read()
         self._note_broken(roster, now)
--- a/waywell/process/claims.py
+++ b/waywell/process/claims.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import asyncio
 import hashlib
 from typing import TYPE_CHECKING
 
@@ -44,8 +45,12 @@
         """Claim an id; ``None`` when its claim can't be known now."""
 
     @abc.abstractmethod
-    async def settle(self, key: ClaimKey, state: ClaimState) -> None:
-        """Tell how the run of a granted request ended."""
+    def settle(self, key: ClaimKey, state: ClaimState) -> None:
+        """Tell how the run of a granted request ended.
+
+        Nobody waits for it: until the home knows, it answers repeats as
+        those of a request that still runs.
+        """
 
 
 class HomeClaimer(Claimer):
@@ -71,6 +76,7 @@
         self.table = table
         self._members = members
         self._clock = clock
+        self._telling: set[asyncio.Task[ClaimState | None]] = set()
 
     def answer(self, ask: ClaimAsk) -> ClaimAnswer:
         """Answer another entry box about an id that has its home here."""
@@ -97,9 +103,17 @@
         """Claim an id at its home."""
         return await self._ask(key, None)
 
-    async def settle(self, key: ClaimKey, state: ClaimState) -> None:
+    def settle(self, key: ClaimKey, state: ClaimState) -> None:
         """Tell the home how the run ended."""
-        await self._ask(key, state)
+        issued = read_issued(key.request_id)
+        if issued is None or issued.node == self._members.own_name:
+            self.table.settle(key, state)
+            return
+        telling = asyncio.get_running_loop().create_task(
+            self._ask(key, state),
+        )
+        self._telling.add(telling)
+        telling.add_done_callback(self._telling.discard)
 
     async def _ask(
         self,
@@ -168,7 +182,7 @@
             return None
         return await self._look_up(name, operation)
 
-    async def settle(self, key: ClaimKey, state: ClaimState) -> None:
+    def settle(self, key: ClaimKey, state: ClaimState) -> None:
         """Leave the claim as it is: a repeat learns that it may have run."""
 
     async def _look_up(self, name: str, operation: str) -> ClaimState | None:
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -7,17 +7,12 @@
 from typing import TYPE_CHECKING, Any
 
 from returns.result import Failure
-from twisted.internet import reactor
 
-from waywell.connection.admin import AdminBackend, make_admin_site
-from waywell.connection.caller import (
-    CallerBackend,
-    CallerRequest,
-    CallerSite,
-)
+from waywell.connection.admin import AdminBackend
+from waywell.connection.caller import CallerBackend, CallerRequest
 from waywell.connection.http_platform import HttpPlatform
 from waywell.connection.http_target import HttpTarget
-from waywell.connection.peer import PeerService, make_server
+from waywell.connection.peer import PeerService
 from waywell.connection.platform import Kind
 from waywell.ids import HallName, Incarnation, NodeId
 from waywell.process.administration import Administration
@@ -39,6 +34,7 @@
 )
 from waywell.process.metrics import Metrics
 from waywell.process.operations import Operations
+from waywell.process.ports import Ports
 from waywell.process.prober import Prober
 from waywell.process.release import may_route_unfenced
 from waywell.process.watch import HallDuty
@@ -95,8 +91,7 @@
         self.incarnation = Incarnation(int(self.clock.read_wall() * 1000))
         self.refuses_new = False
         self._random = Random(self.incarnation)
-        self._peer_server: Any = None
-        self._ports: list[Any] = []
+        self._ports = self._make_ports()
         self._helpers: set[asyncio.Task[None]] = set()
 
     @property
@@ -106,7 +101,7 @@
 
     async def start(self) -> None:
         """Listen, join the others, begin to serve."""
-        await self._listen()
+        await self._ports.open()
         self._make_tasks()
         self._make_dispatcher()
         self._show_metrics()
@@ -140,10 +135,10 @@
         while self.admission.total and self.clock.read() < ends_at:
             await asyncio.sleep(DRAIN_LOOK_SECONDS)
         # The last answers may still wait for callers that read slowly.
-        self._caller_site.hang_up()
-        while self._caller_site.channels and self.clock.read() < ends_at:
+        self._ports.hang_up()
+        while self._ports.count_callers() and self.clock.read() < ends_at:
             await asyncio.sleep(DRAIN_LOOK_SECONDS)
-        left = len(self._caller_site.channels)
+        left = self._ports.count_callers()
         await self._close()
         log_event('stopped', node=self.own.node, cut=left)
 
@@ -193,54 +188,41 @@
             'request_id_prefix': prefix,
         }
 
-    async def _listen(self) -> None:
-        """Open the three ports, so that the record can name them."""
-        host = self.settings.node.host
-        node = self.settings.node
-        backend = CallerBackend(
+    def _make_ports(self) -> Ports:
+        caller = CallerBackend(
             serve=self._serve,
             list_entries=self.list_entries,
             get_configuration=self._get_configuration,
             report=self._report,
             body_bytes=self.settings.limits.body_bytes,
         )
-        self._caller_site = CallerSite(backend)
-        caller = reactor.listenTCP(
-            node.caller_port,
-            self._caller_site,
-            interface=host,
-        )
         operations = Operations(self)
-        self._admin_backend = AdminBackend(
+        admin = AdminBackend(
             find_operator=operations.find_operator,
             handlers=operations.list_handlers(),
             write_metrics=self.metrics.write,
         )
-        admin = reactor.listenTCP(
-            node.admin_port,
-            make_admin_site(self._admin_backend),
-            interface=host,
-        )
-        self._ports = [caller, admin]
-        self._peer_server = make_server(
-            PeerService(self._accept_peer, self._answer_claim),
-        )
-        await self._peer_server.start(host, node.peer_port)
-        sockets = self._peer_server._server.sockets  # noqa: SLF001
-        self._own = NodeRecord(
+        peer = PeerService(self._accept_peer, self._answer_claim)
+        return Ports(self.settings.node, caller, admin, peer)
+
+    def _make_record(self) -> NodeRecord:
+        """Return the first record of this node, which names its ports."""
+        node = self.settings.node
+        return NodeRecord(
             node=NodeId(node.name),
             incarnation=self.incarnation,
             hall=HallName(node.hall),
             region=node.region,
-            host=host,
-            caller_port=caller.getHost().port,
-            peer_port=node.shown_peer_port or sockets[0].getsockname()[1],
-            admin_port=admin.getHost().port,
+            host=node.host,
+            caller_port=self._ports.caller_port,
+            peer_port=self._ports.peer_port,
+            admin_port=self._ports.admin_port,
         )
 
     def _make_tasks(self) -> None:
         timing = self.settings.timing
-        self.members = MembershipTable(self._own, timing.suspicion)
+        record = self._make_record()
+        self.members = MembershipTable(record, timing.suspicion)
         self.links = PeerLinks(lambda: self.members.own)
         self.gossip = Gossip(self.members, self.links, self.clock, timing)
         self.documents = Documents(self.in_force, self.links, self.clock)
@@ -397,10 +379,8 @@
             await asyncio.sleep(MEASURE_SECONDS)
 
     async def _close(self) -> None:
-        for port in self._ports:
-            port.stopListening()
+        self._ports.close()
         for helper in self._helpers:
             helper.cancel()
         for actor in self.actors:
             await actor.stop()
-        self._peer_server.close()
--- a/waywell/process/health.py
+++ b/waywell/process/health.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -33,6 +34,12 @@
 SLOW_FACTOR = 2.0
 """Times the median from which a group counts as slow."""
 
+FORGIVEN_SHARE = 0.5
+"""What is left of a group's slowness after the time below."""
+
+FORGIVEN_SECONDS = 3.0
+"""Seconds without an answer in which slowness is forgiven by that share."""
+
 LEARN_ANSWERS = 3
 """Answers before a group's mean is compared to others."""
 
@@ -84,6 +91,7 @@
     in_flight: int = 0
     latency: float = 0.0
     answers: int = 0
+    answered_at: float = 0.0
 
 
 class HealthTable:
@@ -146,9 +154,15 @@
         """Count a request out."""
         self._get_notes(group).in_flight -= 1
 
-    def note_answer(self, group: GroupId, seconds: float) -> None:
+    def note_answer(
+        self,
+        group: GroupId,
+        seconds: float,
+        now: float,
+    ) -> None:
         """Take in the time to the first byte of an answer."""
         notes = self._get_notes(group)
+        notes.answered_at = now
         notes.backoff = 0
         notes.steps = min(RETURN_STEPS, notes.steps + 1)
         notes.answers += 1
@@ -156,7 +170,12 @@
             notes.latency = seconds
         notes.latency += LATENCY_SHARE * (seconds - notes.latency)
 
-    def note_timeout(self, group: GroupId, seconds: float) -> None:
+    def note_timeout(
+        self,
+        group: GroupId,
+        seconds: float,
+        now: float,
+    ) -> None:
         """Take in that there was no answer for so long.
 
         The caller's deadline may have been too short, so this makes a
@@ -164,6 +183,7 @@
         """
         notes = self._get_notes(group)
         notes.answers += 1
+        notes.answered_at = now
         longer = max(notes.latency, seconds)
         notes.latency += LATENCY_SHARE * (longer - notes.latency)
 
@@ -206,7 +226,7 @@
         resting = now < notes.rests_until
         return GroupLoad(
             in_flight=notes.in_flight + reported,
-            slowness=_find_slowness(notes, typical),
+            slowness=_find_slowness(notes, typical, now),
             weight=0 if resting else notes.steps / RETURN_STEPS,
         )
 
@@ -244,8 +264,21 @@
     return sorted(latencies)[len(latencies) // 2]
 
 
-def _find_slowness(notes: _GroupNotes, typical: float) -> float:
+def _find_slowness(
+    notes: _GroupNotes,
+    typical: float,
+    now: float,
+) -> float:
+    """Return how slow a group is, less so the longer ago that was seen.
+
+    A slow group gets little work, so little is heard of it; were it not
+    forgiven with time, it would never show that it is well again.
+    """
     if notes.answers < LEARN_ANSWERS or typical <= 0:
         return 1
     slowness = notes.latency / typical
-    return slowness if slowness >= SLOW_FACTOR else 1
+    if slowness < SLOW_FACTOR:
+        return 1
+    age = max(0, now - notes.answered_at)
+    forgiven = math.pow(FORGIVEN_SHARE, age / FORGIVEN_SECONDS)
+    return 1 + (slowness - 1) * forgiven
--- /dev/null
+++ b/waywell/process/ports.py
@@ -0,0 +1,91 @@
+"""The three ports of an entry box: for callers, operators and peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import reactor
+
+from waywell.connection.admin import AdminBackend, make_admin_site
+from waywell.connection.caller import CallerBackend, CallerSite
+from waywell.connection.peer import PeerService, make_server
+
+if TYPE_CHECKING:
+    from waywell.process.settings import NodeSettings
+
+
+class Ports:
+    """Listens for an entry box.
+
+    Parameters
+    ----------
+    settings
+        Address and port numbers.
+    caller
+        What serves callers.
+    admin
+        What serves operators.
+    peer
+        What serves other entry boxes.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        caller: CallerBackend,
+        admin: AdminBackend,
+        peer: PeerService,
+    ) -> None:
+        """Keep what serves; nothing listens yet."""
+        self.caller_port = 0
+        self.admin_port = 0
+        self.peer_port = 0
+        self._settings = settings
+        self._caller_site = CallerSite(caller)
+        self._admin_site = make_admin_site(admin)
+        self._peer_server = make_server(peer)
+        self._listening: list[Any] = []
+
+    async def open(self) -> None:
+        """Listen on all ports.
+
+        Raises
+        ------
+        OSError
+            When a port can't be had.
+        """
+        settings = self._settings
+        self.caller_port = self._listen(
+            settings.caller_port,
+            self._caller_site,
+        )
+        self.admin_port = self._listen(settings.admin_port, self._admin_site)
+        await self._peer_server.start(settings.host, settings.peer_port)
+        # grpclib does not say which port it took.
+        server: Any = self._peer_server
+        sockets = server._server.sockets
+        own_port = sockets[0].getsockname()[1]
+        self.peer_port = settings.shown_peer_port or own_port
+
+    def hang_up(self) -> None:
+        """Close the callers' connections when all is written."""
+        self._caller_site.hang_up()
+
+    def count_callers(self) -> int:
+        """Return the callers' connections that are open."""
+        return len(self._caller_site.channels)
+
+    def close(self) -> None:
+        """Stop listening."""
+        for port in self._listening:
+            port.stopListening()
+        self._peer_server.close()
+
+    def _listen(self, number: int, site: Any) -> int:
+        port = reactor.listenTCP(
+            number,
+            site,
+            interface=self._settings.host,
+        )
+        self._listening.append(port)
+        return int(port.getHost().port)
--- a/waywell/process/prober.py
+++ b/waywell/process/prober.py
@@ -31,6 +31,9 @@
 REFRESH_SHARE = 0.4
 """Part of the evidence's lifetime after which a word is said again."""
 
+GROUPS_AT_ONCE = 4
+"""Groups that are probed side by side."""
+
 RING_POINTS = 8
 """Places of one node on the ring, for an even spread."""
 
@@ -147,22 +150,19 @@
         self._timing = timing
         self._said: dict[GroupId, Evidence] = {}
         self._said_at: dict[GroupId, float] = {}
+        self._round: asyncio.Task[None] | None = None
         self._picked: list[Group] = []
         self._picked_for: tuple[int, int] = (-1, -1)
         links.subscribe(self, HealthNews, LoadNews)
 
-    async def on_probe_tick(self, _tick: ProbeTick) -> None:
-        """Probe each group of this node's part."""
-        groups = self._pick_groups()
-        verdicts = await asyncio.gather(
-            *(self._probe_group(group) for group in groups),
-        )
-        words = [word for word in verdicts if word is not None]
-        if words:
-            self._links.spread(HealthNews(tuple(words)))
-        news = self._loads.take_news()
-        if news:
-            self._links.spread(LoadNews(news))
+    def on_probe_tick(self, _tick: ProbeTick) -> None:
+        """Begin a round of probes, unless one is still under way.
+
+        It is a task of its own: words of others are not to wait for a
+        box that does not answer.
+        """
+        if self._round is None or self._round.done():
+            self._round = self.spawn(self._probe_all())
 
     def on_received(self, received: PeerLinks.Received) -> None:
         """Take in words and loads; pass on what is news."""
@@ -194,6 +194,16 @@
             },
         }
 
+    async def _probe_all(self) -> None:
+        """Probe each group of this node's part."""
+        groups = self._pick_groups()
+        # A probe in flight costs memory, so a few groups go at a time.
+        for start in range(0, len(groups), GROUPS_AT_ONCE):
+            await self._probe_some(groups[start : start + GROUPS_AT_ONCE])
+        news = self._loads.take_news()
+        if news:
+            self._links.spread(LoadNews(news))
+
     def _pick_groups(self) -> list[Group]:
         table = self._gossip.table
         versions = (self._in_force.roster.number, table.digest)
@@ -206,9 +216,26 @@
             ]
             records = list(table.records)
             self._picked = pick_probed(serving, records, table.own)
+            self._forget_words({group.group for group in self._picked})
             self._health.keep_only(set(self._in_force.roster.groups))
         return self._picked
 
+    def _forget_words(self, kept: set[GroupId]) -> None:
+        """Forget what was said of groups that others probe now."""
+        for group in tuple(self._said):
+            if group not in kept:
+                self._said.pop(group)
+                self._said_at.pop(group)
+
+    async def _probe_some(self, groups: list[Group]) -> None:
+        """Probe some groups side by side; spread what is news."""
+        verdicts = await asyncio.gather(
+            *(self._probe_group(group) for group in groups),
+        )
+        words = tuple(word for word in verdicts if word is not None)
+        if words:
+            self._links.spread(HealthNews(words))
+
     async def _probe_group(self, group: Group) -> Evidence | None:
         answers = await asyncio.gather(
             *(
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -290,7 +290,7 @@
             raise
         finally:
             if key is not None:
-                await self._get_claimer(key).settle(key, state)
+                self._get_claimer(key).settle(key, state)
 
     async def _attempt_all(self, work: Work) -> bool:
         """Make attempts until one is answered."""
@@ -361,12 +361,12 @@
             raise
         now = clock.read()
         if not isinstance(answer, Failure):
-            health.note_answer(group.group, now - started_at)
+            health.note_answer(group.group, now - started_at, now)
             return answer.unwrap()
         health.note_end(group.group)
         fault = answer.failure()
         if fault is DispatchFault.TIMED_OUT:
-            health.note_timeout(group.group, now - started_at)
+            health.note_timeout(group.group, now - started_at, now)
         elif fault is not DispatchFault.TOO_LATE:
             health.note_failure(group.group, now)
         return self._take_fault(work, group, fault)
--- a/waywell/standins/platform.py
+++ b/waywell/standins/platform.py
@@ -38,6 +38,9 @@
     box_lag: float = 0.0
     """Seconds by which the box list lags."""
 
+    refuse_kind: str = ''
+    """Kind of which every write is refused."""
+
     delay: float = 0.0
     """Seconds by which each answer is late."""
 
@@ -142,6 +145,7 @@
             self.store.save()
         if raw.pop('go_back', False):
             self.store.go_back()
+        self._forget_kind(raw.pop('forget_kind', ''))
         now = msgspec.to_builtins(self.faults)
         self.faults = msgspec.convert({**now, **raw}, Faults)
         if self.faults.outage:
@@ -158,6 +162,12 @@
             },
         )
 
+    def _forget_kind(self, kind: str) -> None:
+        """Delete all objects of a kind at one moment."""
+        for stored in self.store.fetch_all(kind).objects:
+            self.store.delete(kind, stored.name)
+        self._wake()
+
     def _serve(self, request: Request, path: str) -> None:
         parts = path.strip('/').split('/')
         method = request.method.decode()
@@ -184,6 +194,9 @@
         if len(raw) > PLATFORM_VALUE_BYTES:
             _answer(request, 413, None)
             return
+        if kind == self.faults.refuse_kind:
+            _answer(request, 429, None)
+            return
         body = msgspec.json.decode(raw)
         expected = int(request.args[b'expected'][0])
         if kind == 'box' and self.faults.box_lag:
--- a/waywell/version/assembly.py
+++ b/waywell/version/assembly.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -24,6 +24,10 @@
     from waywell.version.roster import Roster
 
 
+LEAST_DOUBTED = 2
+"""Groups that a list must strike before it is doubted."""
+
+
 class AssemblyView(msgspec.Struct, frozen=True):
     """What a planner looks at."""
 
@@ -75,6 +79,34 @@
     )
 
 
+def doubts_boxes(
+    roster: Roster,
+    boxes: Mapping[BoxId, Box],
+    down: Collection[GroupId],
+) -> bool:
+    """Answer whether a box list is too bad to be believed.
+
+    A list that lacks most boxes of the serving groups, while the probers
+    speak against few of those groups, is likelier wrong than true: to
+    act on it would stop what serves.
+
+    Parameters
+    ----------
+    roster
+        Roster in force.
+    boxes
+        Box list.
+    down
+        Groups that the probers speak against.
+    """
+    serving = [group for group in roster if group.state is GroupState.SERVING]
+    struck = [group for group in serving if find_missing(group, boxes)]
+    if len(struck) < LEAST_DOUBTED or len(struck) * 2 <= len(serving):
+        return False
+    agreed = sum(group.group in down for group in struck)
+    return agreed * 2 < len(struck)
+
+
 def _is_missing(member: Member, box: Box | None) -> bool:
     if box is None or box.state is BoxState.LOST:
         return True
