--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -169,7 +169,9 @@
     table.note(GROUP, 11)
     assert table.take_news() == ()
     other = LoadTable()
-    assert other.hear(((GROUP, 1, 10),)) == ((GROUP, 1, 10),)
-    assert other.hear(((GROUP, 1, 10),)) == ()
+    other.hear(((GROUP, 1, 10),))
+    assert other.take_news() == ((GROUP, 1, 10),)
+    other.hear(((GROUP, 1, 10),))
+    assert other.take_news() == ()
     assert other.get_reported() == {GROUP: 10}
     assert find_level(0) == 0
--- a/waywell/bench/__main__.py
+++ b/waywell/bench/__main__.py
@@ -6,6 +6,7 @@
     control,
     decisions,
     faults,
+    memory,
     repair,
     request,
     reserve,
@@ -15,6 +16,7 @@
 
 def main() -> None:
     """Run all benchmarks."""
+    memory.main()
     request.main()
     control.main()
     size.main()
--- a/waywell/bench/decisions.py
+++ b/waywell/bench/decisions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+import tracemalloc
 from functools import partial
 from random import Random
 from typing import TYPE_CHECKING, Any
@@ -10,12 +11,15 @@
 import msgspec
 
 from waywell.bench.figures import fit_slope, write_figures
+from waywell.connection.peer import LoadNews
 from waywell.ids import (
     BoxId,
     DomainName,
+    GroupId,
     HallName,
     Incarnation,
     NodeId,
+    RequestId,
     SessionId,
 )
 from waywell.process.health import HealthTable
@@ -23,7 +27,7 @@
 from waywell.process.membership import MembershipTable, NodeRecord
 from waywell.process.prober import pick_probed
 from waywell.request.balance import Balance
-from waywell.request.claim import ClaimKey, ClaimTable
+from waywell.request.claim import ClaimKey, ClaimTable, issue_prefix
 from waywell.request.routing import choose_for_session, choose_less_loaded
 from waywell.standins.harness import hash_text
 from waywell.version.assembly import AssemblyView, plan_assembly
@@ -260,16 +264,31 @@
 
 def measure_claims(claims: int) -> dict[str, Any]:
     """Measure a home that keeps some claims."""
-    table = ClaimTable(NodeId('n'), Incarnation(1))
+    table = ClaimTable(NodeId('entry-1'), Incarnation(1))
+    prefix = issue_prefix(NodeId('entry-1'), Incarnation(1), 1)
     keys = [
-        ClaimKey('account', f'n:1:1:{number}')  # type: ignore[arg-type]
+        ClaimKey('account', RequestId(f'{prefix}{number:08}'))
         for number in range(claims)
     ]
+    tracemalloc.start()
     began_at = time.perf_counter()
     for key in keys:
-        table.claim(key, NodeId('n'), 1, 2)
+        table.claim(key, NodeId('entry-1'), 1, 2)
     passed = time.perf_counter() - began_at
-    return {'claims': claims, 'claim_us': passed / claims * 1e6}
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return {
+        'claims': len(table),
+        'claim_us_traced': passed / claims * 1e6,
+        'bytes_a_claim': kept / claims,
+    }
+
+
+def measure_report() -> dict[str, Any]:
+    """Measure one report of a load on the wire."""
+    reports = [(GroupId(f'main.{number}.0'), 4, 17) for number in range(100)]
+    raw = msgspec.msgpack.encode(LoadNews(tuple(reports)))
+    return {'reports': len(reports), 'bytes_a_report': len(raw) / len(reports)}
 
 
 def main() -> None:
@@ -290,6 +309,7 @@
         [measure_configuration(size) for size in sizes],
     )
     write_figures('claims', [measure_claims(size) for size in (1000, 8000)])
+    write_figures('reports', [measure_report()])
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/waywell/bench/memory.py
@@ -0,0 +1,47 @@
+"""Resident memory of a daemon's imports, step by step.
+
+``python -m waywell.bench.memory``; each step is a process of its own.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+from waywell.bench.figures import write_figures
+
+READ = (
+    'import os; pages = open("/proc/self/statm").read().split()[1]; '
+    'print(int(pages) * os.sysconf("SC_PAGE_SIZE") / 1e6)'
+)
+"""Prints the resident memory of the process that runs it, in megabytes."""
+
+REACTOR = (
+    'import asyncio; from twisted.internet import asyncioreactor; '
+    'asyncioreactor.install(asyncio.new_event_loop()); '
+)
+"""Installs the reactor."""
+
+STEPS = {
+    'interpreter': '',
+    'reactor': REACTOR,
+    'whole daemon': f'{REACTOR} import waywell.process.entry; ',
+}
+"""What is imported before the memory is read."""
+
+
+def main() -> None:
+    """Run the benchmark."""
+    rows = []
+    for step, code in STEPS.items():
+        done = subprocess.run(
+            [sys.executable, '-c', f'{code}{READ}'],
+            capture_output=True,
+            check=True,
+        )
+        rows.append({'step': step, 'memory_mb': float(done.stdout)})
+    write_figures('memory', rows)
+
+
+if __name__ == '__main__':
+    main()
--- a/waywell/process/loads.py
+++ b/waywell/process/loads.py
@@ -41,20 +41,22 @@
         self._news[group] = (group, sequence + 1, load)
 
     def take_news(self) -> tuple[Report, ...]:
-        """Return the reports to spread, once."""
+        """Return the reports to spread, once.
+
+        Those heard from others wait here with the own ones, so that a
+        neighbour gets one message for all that changed since the last.
+        """
         news = tuple(self._news.values())
         self._news.clear()
         return news
 
-    def hear(self, reports: tuple[Report, ...]) -> tuple[Report, ...]:
-        """Take in reports; return those that are news."""
-        fresh = []
+    def hear(self, reports: tuple[Report, ...]) -> None:
+        """Take in reports; those that are news are to be passed on."""
         for group, sequence, load in reports:
             if sequence > self._known.get(group, (0, 0))[0]:
                 self._known[group] = (sequence, load)
                 self._loads[group] = load
-                fresh.append((group, sequence, load))
-        return tuple(fresh)
+                self._news[group] = (group, sequence, load)
 
     def get_reported(self) -> Mapping[GroupId, float]:
         """Return the loads by group."""
--- a/waywell/process/prober.py
+++ b/waywell/process/prober.py
@@ -168,9 +168,7 @@
         """Take in words and loads; pass on what is news."""
         message = received.message
         if isinstance(message, LoadNews):
-            fresh = self._loads.hear(message.loads)
-            if fresh:
-                self._links.spread(LoadNews(fresh), skip=received.node)
+            self._loads.hear(message.loads)
             return
         now = self._clock.read()
         news = tuple(
--- a/waywell/request/balance.py
+++ b/waywell/request/balance.py
@@ -16,7 +16,7 @@
     from waywell.process.loads import LoadTable
     from waywell.version.roster import Group
 
-SUMMARY_SECONDS = 0.25
+SUMMARY_SECONDS = 0.5
 """Seconds for which a summary over all groups of a service holds."""
 
 
