Prove that a leaving group refuses and that sessions keep their group

Both proofs are shown to fail: a daemon that sends to groups in every state answers 200 where 503 is right, and one that chooses anew for each request moves sessions. Five functions that nothing used are gone.

--- a/tests/switched.py
+++ b/tests/switched.py
@@ -79,6 +79,30 @@
     release.may_route_unfenced = lambda *_rest: True
 
 
+def serve_leaving() -> None:
+    """Send requests to groups in every state."""
+    from twisted.internet import asyncioreactor
+
+    _install_early(asyncioreactor)
+    from waywell.request import dispatcher
+
+    dispatcher.Dispatcher._can_use = lambda _self, work, group: (
+        group.group not in work.tried
+    )
+
+
+def forget_sessions() -> None:
+    """Choose a group for each request of a session anew."""
+    from random import Random
+
+    from waywell.request import routing
+
+    random = Random(1)
+    routing.choose_for_session = lambda _session, *rest: (
+        routing.choose_less_loaded(*rest, random)
+    )
+
+
 def accept_cut_answers() -> None:
     """Take every end of a target's connection for the answer's end."""
     from twisted.internet import asyncioreactor
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -13,7 +14,6 @@
     Ledger,
     apply_change,
     compare_documents,
-    decode_document,
 )
 
 ENTRIES = st.dictionaries(
@@ -37,7 +37,8 @@
 
 def test_encoding_is_reversible() -> None:
     document = Document(4, {'k/n': {'a': [1, 'b']}}, ('op',))
-    assert decode_document(document.encode()) == document
+    decoded = msgspec.json.decode(document.encode(), type=Document)
+    assert decoded == document
 
 
 def test_follow_goes_above_the_floor() -> None:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -8,6 +8,8 @@
 import time
 from typing import TYPE_CHECKING
 
+import pytest
+
 from tests.checker import list_runs
 from tests.conftest import QUICK
 from waywell.client import Answer, UnreachableError
@@ -144,6 +146,40 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('switch', 'status'),
+    [('', 503), ('serve_leaving', 200)],
+)
+def test_leaving_group_refuses_new_work(
+    bench: Bench,
+    switch: str,
+    status: int,
+) -> None:
+    """While it drains; the second case shows that the first can fail."""
+    bench.start_entry('entry-1', timing=QUICK, switch=switch)
+    bench.start_box(BoxSpec('box-1', labels={'pool': 'llm'}))
+    bench.apply('entry-1', make_configuration(boxes_per_group=1))
+    bench.wait_serving('entry-1', 'llm-main', 1)
+    answers: list[Answer] = []
+    thread = threading.Thread(
+        target=stream,
+        args=(bench, 'entry-1', 500, answers),
+    )
+    thread.start()
+    wait_until(lambda: list_runs(bench), 'the stream to begin')
+    bench.list_box('box-1', 'leaving')
+    wait_until(
+        lambda: (
+            bench.read_status('entry-1')['groups'][0]['state'] == 'leaving'
+        ),
+        'the group to leave',
+    )
+    answer = bench.get_caller('entry-1').call('/services/llm/x')
+    assert answer.status == status
+    thread.join()
+    assert answers[0].body.count(b'"token"') == 500
+
+
 def test_stream_past_the_drain_bound_is_cut_visibly(bench: Bench) -> None:
     """What outlasts the bound is cut so that the caller sees the cut."""
     bench.start_box(BoxSpec('box-1', labels={'pool': 'llm'}))
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -82,6 +82,22 @@
         wait_until(lambda: ask_all(bench, 'four') == first, 'the return')
 
 
+def test_without_the_choice_sessions_wander(bench: Bench) -> None:
+    """The proof above can fail."""
+    for number in (1, 2):
+        bench.start_entry(
+            f'entry-{number}',
+            timing=QUICK,
+            switch='forget_sessions',
+        )
+    specs = [BoxSpec(f'box-{n}', labels={'pool': 'llm'}) for n in range(3)]
+    bench.start_boxes(specs)
+    bench.apply('entry-1', make_configuration(groups=3, boxes_per_group=1))
+    for number in (1, 2):
+        bench.wait_serving(f'entry-{number}', 'llm-main', 3)
+    assert ask_all(bench, 'one') != ask_all(bench, 'two')
+
+
 def test_another_accounts_session_is_another_session() -> None:
     account = Account('a')
     work = Work(
--- a/waywell/connection/target.py
+++ b/waywell/connection/target.py
@@ -12,7 +12,7 @@
 from waywell.version.roster import Member
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable
 
     from returns.result import Result
     from twisted.internet.interfaces import IProtocol
@@ -199,16 +199,3 @@
         seconds: float,
     ) -> ProbeAnswer | None:
         """Ask a box how it is; ``None`` when it doesn't answer."""
-
-
-def pick_passed_headers(
-    headers: Mapping[str, list[bytes]],
-    dropped: frozenset[str],
-) -> tuple[tuple[bytes, bytes], ...]:
-    """Return headers without those that belong to one connection."""
-    return tuple(
-        (name.encode(), text)
-        for name, texts in headers.items()
-        if name not in dropped
-        for text in texts
-    )
--- a/waywell/process/gossip.py
+++ b/waywell/process/gossip.py
@@ -79,12 +79,6 @@
         numbers: Numbers | None = None
         """New versions."""
 
-    class Changed(Message, frozen=True):
-        """The view has changed."""
-
-        record: NodeRecord
-        """Record that changed."""
-
     class Reached(Message, frozen=True):
         """This node has reached the platform."""
 
--- a/waywell/process/health.py
+++ b/waywell/process/health.py
@@ -195,11 +195,6 @@
         notes.rests_until = now + notes.backoff
         notes.steps = 1
 
-    def count_in_flight(self, group: GroupId) -> int:
-        """Return this node's requests in flight at a group."""
-        notes = self._notes.get(group)
-        return 0 if notes is None else notes.in_flight
-
     def get_load(
         self,
         group: GroupId,
--- a/waywell/process/measures.py
+++ b/waywell/process/measures.py
@@ -9,7 +9,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
-    from waywell.ids import BoxId
     from waywell.version.objects import Configuration
 
 
@@ -74,8 +73,3 @@
     def list_seconds(self) -> dict[str, float]:
         """Return group-seconds of downtime by group set."""
         return {name: round(lost, 3) for name, lost in self._seconds.items()}
-
-
-def list_boxes(stored: Mapping[BoxId, Box]) -> list[Box]:
-    """Return boxes in order of their names."""
-    return [stored[name] for name in sorted(stored)]
--- a/waywell/version/document.py
+++ b/waywell/version/document.py
@@ -86,17 +86,6 @@
     """Operation ids of the new version."""
 
 
-def decode_document(raw: bytes) -> Document:
-    """Read a document from JSON bytes.
-
-    Raises
-    ------
-    msgspec.MsgspecError
-        When the bytes are no document.
-    """
-    return msgspec.json.decode(raw, type=Document)
-
-
 def compare_documents(old: Document, new: Document) -> Change:
     """Return the change that leads from ``old`` to ``new``."""
     replaced = {
