Send on the stream that was heard last; tell early callers so

Cause: two nodes can hold two streams, one from each side. A node that was frozen kept a stream that its peer had given up, and sent its questions on whichever came first, so it could stay at an older roster though beats showed it a later one. Ruled out: membership (all live at all nodes, in the dump) and the ledger (the change on its base was there).

--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,30 @@
+"""The entry node before it has started."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from waywell.codes import Code, Ran, Refusal
+from waywell.process.entry import EntryNode
+from waywell.process.settings import check_settings
+
+SETTINGS = """
+[node]
+name = "e1"
+hall = "h"
+[platform]
+url = "http://127.0.0.1:1"
+"""
+
+
+def test_callers_that_come_early_are_told_so() -> None:
+    async def ask() -> None:
+        EntryNode(check_settings(SETTINGS, 'test')).list_entries()
+
+    with pytest.raises(Refusal) as caught:
+        asyncio.run(ask())
+    assert caught.value.code is Code.NODE_STARTING
+    assert caught.value.ran is Ran.MAY_HAVE_RUN
+    assert caught.value.retry_after == 1
--- a/waywell/bench/faults.py
+++ b/waywell/bench/faults.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import json
-import subprocess
-import sys
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import fire
 
 from waywell.bench.figures import write_figures
+from waywell.bench.tool import finish_load, start_load
 from waywell.standins.harness import (
     CALLER_KEY,
     Bench,
@@ -18,6 +17,12 @@
     make_configuration,
 )
 
+if TYPE_CHECKING:
+    import subprocess
+
+LOAD_PATH = '/services/llm/x'
+"""Path of the requests."""
+
 BOXES = 6
 """Replicas of one box."""
 
@@ -37,31 +42,15 @@
 """Headers of the account that doesn't."""
 
 
-def start_load(
+def load_entries(
     bench: Bench,
     entries: list[str],
     headers: dict[str, str],
     **options: Any,
 ) -> subprocess.Popen[bytes]:
-    """Start the load tool against some entry boxes."""
+    """Start a load on the model service through some entry boxes."""
     ports = [bench.entries[name].ports['caller_port'] for name in entries]
-    hosts = '+'.join(f'127.0.0.1:{port}' for port in ports)
-    words = [
-        sys.executable,
-        '-m',
-        'waywell.bench.load',
-        f'--hosts={hosts}',
-        '--path=/services/llm/x',
-        f'--headers={json.dumps(headers)}',
-        *(f'--{key}={put}' for key, put in options.items()),
-    ]
-    return subprocess.Popen(words, stdout=subprocess.PIPE)
-
-
-def finish_load(load: subprocess.Popen[bytes]) -> dict[str, Any]:
-    """Return the figures of a load."""
-    told, _ = load.communicate()
-    return dict(json.loads(told))
+    return start_load(ports, LOAD_PATH, headers, **options)
 
 
 def start_system(
@@ -108,11 +97,11 @@
         names = start_system(bench, choice)
         bench.set_target_faults('b0', slow=SLOW_SECONDS)
         told = finish_load(
-            start_load(bench, names, AUTH, workers=12, requests=150),
+            load_entries(bench, names, AUTH, workers=12, requests=150),
         )
         runs = count_runs(bench)
         bench.set_target_faults('b0', slow=NORMAL_SECONDS)
-        finish_load(start_load(bench, names, AUTH, workers=12, requests=600))
+        finish_load(load_entries(bench, names, AUTH, workers=12, requests=600))
         later = count_runs(bench)
         share = (later['b0'] - runs['b0']) / (
             sum(later.values()) - sum(runs.values())
@@ -135,7 +124,7 @@
         for name in bench.targets:
             bench.set_target_faults(name, close_after_read=True)
         told = finish_load(
-            start_load(bench, names, AUTH, workers=8, requests=250),
+            load_entries(bench, names, AUTH, workers=8, requests=250),
         )
         asked = sum(told['statuses'].values())
         ran = sum(count_runs(bench).values())
@@ -160,7 +149,7 @@
         flood = None
         if flooding:
             headers = {'authorization': f'Bearer {FLOOD_KEY}'}
-            flood = start_load(
+            flood = load_entries(
                 bench,
                 names,
                 headers,
@@ -169,7 +158,7 @@
                 gap=0.05,
             )
         told = finish_load(
-            start_load(bench, names, AUTH, workers=8, requests=15),
+            load_entries(bench, names, AUTH, workers=8, requests=15),
         )
         flooded: dict[str, Any] = {'whole': 0, 'statuses': {}}
         if flood is not None:
--- a/waywell/bench/request.py
+++ b/waywell/bench/request.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import json
-import subprocess
-import sys
 from typing import Any
 
 from waywell.bench.figures import read_cpu, read_memory, write_figures
+from waywell.bench.tool import run_load
 from waywell.standins.harness import (
     CALLER_KEY,
     Bench,
@@ -31,27 +29,6 @@
 """Headers that name the client account."""
 
 
-def run_load_tool(
-    hosts: list[int],
-    path: str,
-    headers: dict[str, str],
-    **options: Any,
-) -> dict[str, Any]:
-    """Run the load tool as a process; return its figures."""
-    names = '+'.join(f'127.0.0.1:{port}' for port in hosts)
-    words = [
-        sys.executable,
-        '-m',
-        'waywell.bench.load',
-        f'--hosts={names}',
-        f'--path={path}',
-        f'--headers={json.dumps(headers)}',
-        *(f'--{key}={put}' for key, put in options.items()),
-    ]
-    done = subprocess.run(words, capture_output=True, check=True)
-    return dict(json.loads(done.stdout))
-
-
 def start_one(bench: Bench) -> tuple[int, int, int]:
     """Start one entry box before one model and one plain target.
 
@@ -77,8 +54,8 @@
 
 def measure_small(caller: int, app: int, pid: int) -> dict[str, Any]:
     """Measure small requests, one worker at a time for the latency."""
-    straight = run_load_tool([app], '/x', {}, workers=1, requests=REQUESTS)
-    through = run_load_tool(
+    straight = run_load([app], '/x', {}, workers=1, requests=REQUESTS)
+    through = run_load(
         [caller],
         '/services/app/x',
         AUTH,
@@ -86,7 +63,7 @@
         requests=REQUESTS,
     )
     before = read_cpu(pid)
-    full = run_load_tool(
+    full = run_load(
         [caller],
         '/services/app/x',
         AUTH,
@@ -110,7 +87,7 @@
     """Measure tokens of streams through the entry box."""
     headers = {**AUTH, 'standin-tokens': str(TOKENS)}
     before = read_cpu(pid)
-    told = run_load_tool(
+    told = run_load(
         [caller],
         '/services/llm/v1/chat',
         headers,
--- a/waywell/connection/caller.py
+++ b/waywell/connection/caller.py
@@ -140,17 +140,19 @@
         if self.clientproto != b'HTTP/1.1':
             self.refuse(Refusal(Code.UNSUPPORTED_HTTP))
             return
+        try:
+            await self._serve_path()
+        except Refusal as refusal:
+            self.refuse(refusal)
+
+    async def _serve_path(self) -> None:
         if self.path == ENTRIES_PATH:
             self._answer_entries()
             return
         number = str(self.backend.get_configuration()).encode()
         self.setHeader(CONFIGURATION_HEADER.encode(), number)
-        try:
-            await self.backend.serve(self._submit(), _RequestPort(self))
-        except Refusal as refusal:
-            self.refuse(refusal)
-        else:
-            self.backend.report(self, Code.OK, Ran.RAN)
+        await self.backend.serve(self._submit(), _RequestPort(self))
+        self.backend.report(self, Code.OK, Ran.RAN)
 
     def _answer_entries(self) -> None:
         raw = msgspec.json.encode(self.backend.list_entries())
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -8,6 +8,7 @@
 
 from returns.result import Failure
 
+from waywell.codes import Code, Ran, Refusal
 from waywell.connection.admin import AdminBackend
 from waywell.connection.caller import CallerBackend, CallerRequest
 from waywell.connection.http_platform import HttpPlatform
@@ -46,7 +47,6 @@
 from waywell.request.retry import RetryBudget
 
 if TYPE_CHECKING:
-    from waywell.codes import Code, Ran
     from waywell.process.settings import Settings
     from waywell.version.document import DocumentKind
     from waywell.version.roster import Group
@@ -90,6 +90,7 @@
         self.target = HttpTarget(settings.limits.connect_seconds)
         self.incarnation = Incarnation(int(self.clock.read_wall() * 1000))
         self.refuses_new = False
+        self._is_started = False
         self._random = Random(self.incarnation)
         self._ports = self._make_ports()
         self._helpers: set[asyncio.Task[None]] = set()
@@ -105,6 +106,7 @@
         self._make_tasks()
         self._make_dispatcher()
         self._show_metrics()
+        self._is_started = True
         for actor in self.actors:
             actor.start()
         self.gossip.repeat(self.settings.timing.beat, Gossip.Tick())
@@ -160,7 +162,14 @@
         return self.health.is_usable(group.group, group.epoch, now)
 
     def list_entries(self) -> dict[str, Any]:
-        """Return the entry list: live nodes, those of this hall first."""
+        """Return the entry list: live nodes, those of this hall first.
+
+        Raises
+        ------
+        Refusal
+            Before the node has started.
+        """
+        self._check_started()
         live = [
             record
             for record in self.members.list_live()
@@ -315,10 +324,20 @@
         return count_serving(self.in_force.roster, self.is_usable)
 
     async def _serve(self, submission: Any, caller: Any) -> None:
+        self._check_started()
         if self.refuses_new:
             self._dispatcher.refuse_leaving(submission, self.list_entries())
         await self._dispatcher.serve(submission, caller)
 
+    def _check_started(self) -> None:
+        """Refuse callers that come between the ports and the rest."""
+        if not self._is_started:
+            raise Refusal(
+                Code.NODE_STARTING,
+                Ran.MAY_HAVE_RUN,
+                retry_after=1,
+            )
+
     def _get_configuration(self) -> int:
         return self.in_force.numbers.configuration
 
--- a/waywell/process/links.py
+++ b/waywell/process/links.py
@@ -40,6 +40,7 @@
         self.task: asyncio.Task[None] | None = None
         self.sent = 0
         self.received = 0
+        self.heard_at = 0.0
 
     def close(self) -> None:
         if self.task is not None:
@@ -105,17 +106,14 @@
 
     def send(self, node: NodeId, message: Wire) -> None:
         """Send a message on one stream to a peer, if one stands."""
-        for link in self._links:
-            if link.peer == node:
-                self._put(link, message)
-                return
+        link = self._find_best().get(node)
+        if link is not None:
+            self._put(link, message)
 
     def spread(self, message: Wire, skip: NodeId | None = None) -> None:
         """Send a message to every peer once, but for one."""
-        done = {skip}
-        for link in tuple(self._links):
-            if link.peer is not None and link.peer not in done:
-                done.add(link.peer)
+        for peer, link in self._find_best().items():
+            if peer != skip:
                 self._put(link, message)
 
     def dial(self, host: str, port: int, node: NodeId | None = None) -> None:
@@ -159,6 +157,18 @@
             'received_bytes': PeerTraffic.received,
         }
 
+    def _find_best(self) -> dict[NodeId, _Link]:
+        """Return for each peer the stream that was heard last.
+
+        There can be two, one from each side, and of these one that the
+        peer has given up without this side noticing.
+        """
+        best: dict[NodeId, _Link] = {}
+        for link in sorted(self._links, key=_get_heard_at):
+            if link.peer is not None:
+                best[link.peer] = link
+        return best
+
     def _put(self, link: _Link, message: Wire) -> None:
         if link.outgoing.qsize() >= MOST_QUEUED:
             link.close()
@@ -188,6 +198,7 @@
         if not isinstance(hello, Hello):
             return
         link.peer = hello.record.node
+        link.heard_at = asyncio.get_running_loop().time()
         self._links.add(link)
         sending = self.spawn(_send_all(link, stream))
         try:
@@ -208,6 +219,7 @@
             if message is None or link.peer is None:
                 return
             link.received += 1
+            link.heard_at = asyncio.get_running_loop().time()
             received = self.Received(link.peer, message)
             for actor in self._subscribers.get(type(message), ()):
                 actor.post(received)
@@ -217,6 +229,10 @@
             actor.post(message)
 
 
+def _get_heard_at(link: _Link) -> float:
+    return link.heard_at
+
+
 async def _send_all(link: _Link, stream: Any) -> None:
     with contextlib.suppress(Exception):
         while True:
