--- a/waywell/codes.py
+++ b/waywell/codes.py
@@ -35,6 +35,8 @@
     BAD_HEADER = 1008
     NOT_ADMITTED = 1009
     BAD_REQUEST_ID = 1010
+    NO_ROUTE = 1011
+    HEAD_TOO_SLOW = 1012
 
     ACCOUNT_RATE = 2001
     ACCOUNT_IN_FLIGHT = 2002
@@ -43,6 +45,7 @@
     DEADLINE_PASSED = 2005
     NODE_STARTING = 2006
     NODE_BUSY = 2007
+    ROUTES_STALE = 2008
 
     TARGET_UNREACHABLE = 3001
     TARGET_FAILED = 3002
@@ -90,6 +93,10 @@
             400,
             'The request id was not issued by an entry box.',
         ),
+        Code.NO_ROUTE: CodeFacts(404, 'No route has this host and path.'),
+        Code.HEAD_TOO_SLOW: CodeFacts(
+            408, 'The head of the request did not come in time.'
+        ),
         Code.ACCOUNT_RATE: CodeFacts(429, 'The account is over its rate.'),
         Code.ACCOUNT_IN_FLIGHT: CodeFacts(
             429,
@@ -102,6 +109,10 @@
             503, 'No configuration is in force yet.'
         ),
         Code.NODE_BUSY: CodeFacts(503, 'This entry box is at its limit.'),
+        Code.ROUTES_STALE: CodeFacts(
+            503,
+            'It is not sure that the routes here are the newest.',
+        ),
         Code.TARGET_UNREACHABLE: CodeFacts(503, 'No target could be reached.'),
         Code.TARGET_FAILED: CodeFacts(502, 'The target broke off.'),
         Code.FENCE_REFUSED: CodeFacts(503, 'The target refused the epoch.'),
--- a/waywell/connection/caller.py
+++ b/waywell/connection/caller.py
@@ -292,13 +292,14 @@
     """
 
     protocol = CallerChannel
+    request_class = CallerRequest
     displayTracebacks = False
 
-    def __init__(self, backend: CallerBackend) -> None:
+    def __init__(self, backend: Any) -> None:
         """Serve for a node."""
         super().__init__(
             None,
-            requestFactory=CallerRequest,
+            requestFactory=self.request_class,
             timeout=IDLE_SECONDS,
             parsePOSTFormSubmission=False,
         )
--- a/waywell/connection/deferreds.py
+++ b/waywell/connection/deferreds.py
@@ -14,7 +14,10 @@
 """What a deferred fires with."""
 
 
-async def await_deferred(deferred: Deferred[Answer], seconds: float) -> Answer:
+async def await_deferred(
+    deferred: Deferred[Answer],
+    seconds: float | None,
+) -> Answer:
     """Return what a deferred fires with.
 
     Raises
--- /dev/null
+++ b/waywell/connection/exchange.py
@@ -0,0 +1,228 @@
+"""One request to one replica, on a connection of its own.
+
+What a kept connection may still bring, a late answer or a close in the moment
+of the write, would leave open whether a request ran.  A connection that is
+used once leaves nothing open.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+from twisted.internet import reactor
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.web.client import (
+    HTTP11ClientProtocol,
+    PotentialDataLoss,
+    Request,
+    ResponseDone,
+)
+from twisted.web.http_headers import Headers
+
+from waywell.connection.bodies import BytesBody
+from waywell.connection.deferreds import await_deferred
+from waywell.connection.http_target import HOP_HEADERS
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.python.failure import Failure as TwistedFailure
+
+    from waywell.connection.wire import RawHeaders
+
+
+class SendFault(enum.Enum):
+    """Why a request brought no answer."""
+
+    NOT_SENT = 'not_sent'
+    """No connection came up; no byte left."""
+
+    TOO_LATE = 'too_late'
+    """It was not wanted any more when the connection stood."""
+
+    BROKEN = 'broken'
+    """Bytes left, and what came back is no answer."""
+
+
+class Outgoing(msgspec.Struct, frozen=True):
+    """A request on its way to a box."""
+
+    host: str
+    """IP number of the box."""
+
+    port: int
+    """Its port."""
+
+    method: str
+    """HTTP method."""
+
+    target: str
+    """Path and query."""
+
+    headers: tuple[tuple[bytes, bytes], ...]
+    """Headers, the host among them."""
+
+    body: bytes = b''
+    """Body."""
+
+
+class BodySink(Protocol):
+    """Takes the body of an answer as it comes; see the subclasses."""
+
+    def on_bytes(self, raw: bytes) -> None:
+        """Take in a piece."""
+        raise NotImplementedError
+
+    def on_end(self, is_whole: bool) -> None:
+        """Take in the end."""
+        raise NotImplementedError
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
+        """Pass a piece on."""
+        self.on_bytes(data)
+
+    def connectionLost(  # noqa: N802
+        self,
+        reason: TwistedFailure = connectionDone,
+    ) -> None:
+        """Pass the end on, with whether the body is whole."""
+        if reason.check(ResponseDone):
+            self.on_end(is_whole=True)
+        elif reason.check(PotentialDataLoss):
+            # The body has no length: only an orderly close ends it.
+            self.on_end(is_whole=not self.was_reset())
+        else:
+            self.on_end(is_whole=False)
+
+    def was_reset(self) -> bool:
+        """Answer whether the connection ended without an orderly close."""
+        return False
+
+    def pause(self) -> None:
+        """Read no more for now."""
+        transport: Any = self.transport
+        if transport is not None:
+            transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read on."""
+        transport: Any = self.transport
+        if transport is not None:
+            transport.resumeProducing()
+
+
+class _OnceProtocol(HTTP11ClientProtocol):
+    """A client connection that remembers how it ended."""
+
+    was_reset = False
+
+    def connectionLost(  # noqa: N802
+        self,
+        reason: TwistedFailure = connectionDone,
+    ) -> None:
+        self.was_reset = reason.check(ConnectionDone) is None
+        super().connectionLost(reason)
+
+
+class Exchange:
+    """A request that was sent, and its answer.
+
+    Parameters
+    ----------
+    protocol
+        The connection.
+    response
+        The head of the answer.
+    """
+
+    def __init__(self, protocol: Any, response: Any) -> None:
+        """Read the head."""
+        self._protocol = protocol
+        self._response = response
+        self.status = int(response.code)
+        self.headers: RawHeaders = tuple(
+            (name, text)
+            for name, texts in response.headers.getAllRawHeaders()
+            for text in texts
+            if name.lower().decode('latin-1') not in HOP_HEADERS
+        )
+        known = isinstance(response.length, int)
+        self.length: int | None = response.length if known else None
+
+    @property
+    def was_reset(self) -> bool:
+        """Return whether the connection ended without an orderly close."""
+        return bool(self._protocol.was_reset)
+
+    def deliver(self, sink: BodySink) -> None:
+        """Let the body come."""
+        self._response.deliverBody(sink)
+
+    def abort(self) -> None:
+        """Break the connection; the rest is not wanted."""
+        transport: Any = self._protocol.transport
+        if transport is not None:
+            transport.abortConnection()
+
+
+async def open_exchange(
+    outgoing: Outgoing,
+    connect_seconds: float,
+    may_send: Callable[[], bool],
+) -> Result[Exchange, SendFault]:
+    """Connect, send a request and wait for the head of its answer.
+
+    Cancelling the caller's task breaks the connection.
+
+    Parameters
+    ----------
+    outgoing
+        The request.
+    connect_seconds
+        Seconds for the connection to come up.
+    may_send
+        Asked in the turn of the event loop that writes the first byte.
+    """
+    endpoint = TCP4ClientEndpoint(
+        reactor,
+        outgoing.host,
+        outgoing.port,
+        timeout=connect_seconds,
+    )
+    try:
+        protocol: Any = await await_deferred(
+            endpoint.connect(Factory.forProtocol(_OnceProtocol)),
+            connect_seconds,
+        )
+    except Exception:
+        return Failure(SendFault.NOT_SENT)
+    if not may_send():
+        protocol.transport.abortConnection()
+        return Failure(SendFault.TOO_LATE)
+    return await _request(protocol, outgoing)
+
+
+async def _request(
+    protocol: Any,
+    outgoing: Outgoing,
+) -> Result[Exchange, SendFault]:
+    headers = Headers()
+    for name, text in outgoing.headers:
+        headers.addRawHeader(name, text)
+    request = Request(
+        outgoing.method.encode('latin-1'),
+        outgoing.target.encode('latin-1'),
+        headers,
+        BytesBody(outgoing.body) if outgoing.body else None,
+        persistent=False,
+    )
+    try:
+        response = await await_deferred(protocol.request(request), None)
+    except Exception:
+        return Failure(SendFault.BROKEN)
+    return Success(Exchange(protocol, response))
--- /dev/null
+++ b/waywell/connection/front.py
@@ -0,0 +1,212 @@
+"""The port for callers on the platform: requests by host and path."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import msgspec
+from twisted.internet.interfaces import IPushProducer
+from zope.interface import implementer
+
+from waywell.codes import Code, Ran, Refusal
+from waywell.connection.caller import (
+    CODE_HEADER,
+    RAN_HEADER,
+    CallerChannel,
+    CallerRequest,
+    CallerSite,
+)
+from waywell.request.forwarder import CallerAnswer
+
+if TYPE_CHECKING:
+    from waywell.connection.wire import RawHeaders, Wire
+    from waywell.request.ask import Ask
+    from waywell.version.routes import CallerLimits
+
+NOT_RUN_STATUS = 503
+"""HTTP status that promises that a request has not run."""
+
+
+@attrs.frozen
+class FrontBackend:
+    """What the port needs of the node."""
+
+    wire: Wire
+    """How requests look."""
+
+    serve: Callable[[Ask, CallerAnswer], Awaitable[None]]
+    """Serves a request; raises a refusal."""
+
+    get_limits: Callable[[], CallerLimits]
+    """Returns the limits in force."""
+
+    is_leaving: Callable[[], bool]
+    """Answers whether callers are to go elsewhere."""
+
+    report: Callable[[CallerRequest, Code, Ran], None]
+    """Takes in how a request ended."""
+
+    @property
+    def body_bytes(self) -> int:
+        """Return the largest body."""
+        return self.get_limits().body_bytes
+
+
+class FrontRequest(CallerRequest):
+    """One request of a caller on the platform."""
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Answer with a refusal, at once."""
+        self.backend.report(self, refusal.code, refusal.ran)
+        if self.is_gone:
+            return
+        raw = msgspec.json.encode(refusal.describe())
+        self.setResponseCode(_choose_status(refusal))
+        self.setHeader(b'content-type', b'application/json')
+        self.setHeader(b'content-length', str(len(raw)).encode())
+        self.setHeader(CODE_HEADER.encode(), str(int(refusal.code)).encode())
+        self.setHeader(RAN_HEADER.encode(), refusal.ran.value.encode())
+        if refusal.retry_after is not None:
+            self.setHeader(b'retry-after', f'{refusal.retry_after:g}'.encode())
+        self.close_if_leaving()
+        self.write(raw)
+        self.finish()
+
+    def close_if_leaving(self) -> None:
+        """Tell the caller not to use this connection again."""
+        if self.backend.is_leaving():
+            self.setHeader(b'connection', b'close')
+            self.channel.persistent = False
+
+    async def _serve_path(self) -> None:
+        raw_headers = tuple(
+            (name, text)
+            for name, texts in self.requestHeaders.getAllRawHeaders()
+            for text in texts
+        )
+        ask = self.backend.wire.read_ask(
+            self.method.decode('latin-1'),
+            self.uri.decode('latin-1'),
+            raw_headers,
+            self.content.getvalue(),
+        )
+        await self.backend.serve(ask, _FrontAnswer(self))
+        self.backend.report(self, Code.OK, Ran.RAN)
+
+
+def _choose_status(refusal: Refusal) -> int:
+    """Return the status of a refusal; 5xx promises nothing but by 503."""
+    if refusal.ran is Ran.NOT_RUN and refusal.status > NOT_RUN_STATUS:
+        return NOT_RUN_STATUS
+    return refusal.status
+
+
+@implementer(IPushProducer)
+class _FrontAnswer(CallerAnswer):
+    """Writes an answer, as fast as the caller reads."""
+
+    def __init__(self, request: FrontRequest) -> None:
+        self._request = request
+        self._writable: asyncio.Future[None] | None = None
+        self._is_registered = False
+
+    def begin(
+        self,
+        status: int,
+        headers: RawHeaders,
+        length: int | None,
+    ) -> None:
+        request = self._request
+        request.setResponseCode(status)
+        for name, text in headers:
+            request.responseHeaders.addRawHeader(name, text)
+        if length is not None:
+            request.setHeader(b'content-length', str(length).encode())
+        request.close_if_leaving()
+        request.registerProducer(self, True)
+        self._is_registered = True
+
+    async def write(self, raw: bytes) -> None:
+        self._request.write(raw)
+        if self._writable is not None:
+            await self._writable
+
+    def finish(self) -> None:
+        self._unregister()
+        self._request.finish()
+
+    def cut(self) -> None:
+        self._unregister()
+        self._request.loseConnection()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Wait: the caller is slow."""
+        if self._writable is None:
+            loop = asyncio.get_running_loop()
+            self._writable = loop.create_future()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Go on: the caller has caught up."""
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Go on: the caller has gone, and the request is cancelled."""
+        self.resumeProducing()
+
+    def _unregister(self) -> None:
+        if self._is_registered:
+            self._is_registered = False
+            self._request.unregisterProducer()
+
+
+class FrontChannel(CallerChannel):
+    """A caller's connection, with the time limits in force."""
+
+    _head_timer: Any = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Take the idle limit in force."""
+        limits = self.site.backend.get_limits()
+        self.timeOut = limits.idle_seconds
+        self.totalHeadersSize = limits.header_bytes
+        super().connectionMade()
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Take in a line; the first one of a head starts its time limit."""
+        if self._head_timer is None and line:
+            limits = self.site.backend.get_limits()
+            self._head_timer = self.callLater(
+                limits.header_seconds, self._give_up_head
+            )
+        super().lineReceived(line)
+
+    def allHeadersReceived(self) -> None:  # noqa: N802
+        """Stop the head's time limit."""
+        self._stop_head_timer()
+        super().allHeadersReceived()
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Stop the head's time limit."""
+        self._stop_head_timer()
+        super().connectionLost(reason)
+
+    def _stop_head_timer(self) -> None:
+        timer = self._head_timer
+        self._head_timer = None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def _give_up_head(self) -> None:
+        self.write_refusal(Refusal(Code.HEAD_TOO_SLOW))
+
+
+class FrontSite(CallerSite):
+    """Makes the requests of callers on the platform."""
+
+    protocol = FrontChannel
+    request_class = FrontRequest
--- a/waywell/connection/http_platform.py
+++ b/waywell/connection/http_platform.py
@@ -9,12 +9,8 @@
 
 import msgspec
 from returns.result import Failure, Result, Success
-from twisted.internet import reactor
-from twisted.internet.error import ConnectError
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
 
-from waywell.connection.bodies import BytesBody
-from waywell.connection.deferreds import await_deferred
+from waywell.connection.http_calls import CallAnswer, HttpCalls
 from waywell.connection.platform import (
     Changes,
     Kind,
@@ -51,12 +47,7 @@
 
     def __init__(self, url: str, timeout: float) -> None:
         """Open no connection yet."""
-        self._url = url.rstrip('/')
-        self._timeout = timeout
-        self._pool = HTTPConnectionPool(reactor)
-        # The pool would repeat requests by itself.
-        self._pool.retryAutomatically = False
-        self._agent = Agent(reactor, connectTimeout=timeout, pool=self._pool)
+        self._calls = HttpCalls(url, timeout)
 
     async def fetch(
         self,
@@ -75,6 +66,7 @@
     async def fetch_all(
         self,
         kind: Kind,
+        fresh: bool = True,
     ) -> Result[Changes, PlatformFault]:
         """Return all objects of a kind and where a watch goes on."""
         return await self._call_changes(f'/objects/{kind.value}', 0)
@@ -134,41 +126,20 @@
         extra: float = 0,
     ) -> Result[bytes | None, PlatformFault]:
         """Return the answer's body, or ``None`` for not found."""
-        try:
-            return await self._exchange(method, path, body, extra)
-        except ConnectError:
-            return Failure(PlatformFault.NOT_SENT)
-        except Exception:
-            # Whatever broke after the connection stood: a write may have
-            # been carried out.
-            return Failure(PlatformFault.UNANSWERED)
-
-    async def _exchange(
-        self,
-        method: str,
-        path: str,
-        body: bytes | None,
-        extra: float,
-    ) -> Result[bytes | None, PlatformFault]:
-        limit = self._timeout + extra
-        response: Any = await await_deferred(
-            self._agent.request(
-                method.encode(),
-                f'{self._url}{path}'.encode(),
-                None,
-                None if body is None else BytesBody(body),
-            ),
-            limit,
+        called = await self._calls.call(method, path, body, extra)
+        return called.bind(_take_answer)
+
+
+def _take_answer(answer: CallAnswer) -> Result[bytes | None, PlatformFault]:
+    if answer.status == HTTPStatus.NOT_FOUND:
+        return Success(None)
+    if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        return Failure(PlatformFault.UNANSWERED)
+    if answer.status >= HTTPStatus.BAD_REQUEST:
+        return Failure(
+            _FAULT_BY_STATUS.get(answer.status, PlatformFault.REFUSED),
         )
-        raw: bytes = await await_deferred(readBody(response), limit)
-        if response.code == HTTPStatus.NOT_FOUND:
-            return Success(None)
-        if response.code >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            return Failure(PlatformFault.UNANSWERED)
-        if response.code >= HTTPStatus.BAD_REQUEST:
-            fault = _FAULT_BY_STATUS.get(response.code, PlatformFault.REFUSED)
-            return Failure(fault)
-        return Success(raw)
+    return Success(answer.raw)
 
 
 def _make_path(kind: Kind, name: str) -> str:
--- a/waywell/connection/platform.py
+++ b/waywell/connection/platform.py
@@ -67,6 +67,9 @@
     complete: bool = False
     """Whether these are all objects, not only what changed."""
 
+    unreadable: tuple[str, ...] = ()
+    """Names of objects that are not understood, and so left out."""
+
 
 class PlatformFault(enum.Enum):
     """Why a call to the platform failed."""
@@ -77,12 +80,21 @@
     NOT_SENT = 'not_sent'
     """The platform was not reached; nothing was written."""
 
+    NOT_LISTENING = 'not_listening'
+    """Nothing listens at the address; nothing was written."""
+
     UNANSWERED = 'unanswered'
     """No answer came: a write may have taken effect."""
 
     TOO_LARGE = 'too_large'
     """The body is over the platform's limit; nothing was written."""
 
+    HISTORY_GONE = 'history_gone'
+    """A watch asked from a revision that is no longer kept."""
+
+    UNREADABLE = 'unreadable'
+    """What is stored is not understood."""
+
     REFUSED = 'refused'
     """The platform answered with an error; nothing was written."""
 
@@ -102,8 +114,17 @@
     async def fetch_all(
         self,
         kind: Kind,
+        fresh: bool = True,
     ) -> Result[Changes, PlatformFault]:
-        """Return all objects of a kind and where a watch goes on."""
+        """Return all objects of a kind and where a watch goes on.
+
+        Parameters
+        ----------
+        kind
+            Kind of the objects.
+        fresh
+            Whether an answer that is seconds old won't do.
+        """
 
     @abc.abstractmethod
     async def write(
--- a/waywell/daemon.py
+++ b/waywell/daemon.py
@@ -4,17 +4,28 @@
 
 import asyncio
 import signal
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from twisted.internet import asyncioreactor
 
 from waywell.process.events import open_log
 
 if TYPE_CHECKING:
-    from waywell.process.entry import EntryNode
+    from collections.abc import Callable
+
     from waywell.process.settings import Settings
 
 
+class Node(Protocol):
+    """What a daemon starts and stops."""
+
+    async def start(self) -> None:
+        """Begin to serve."""
+
+    async def stop(self) -> None:
+        """End in good order."""
+
+
 class Daemon:
     """Starts a node and stops it on a signal.
 
@@ -32,7 +43,7 @@
 
     def __init__(
         self,
-        node: EntryNode,
+        node: Node,
         reactor: Any,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
@@ -67,8 +78,15 @@
         self._reactor.stop()
 
 
-def run_entry(settings: Settings) -> str:
-    """Run an entry node until it is told to stop.
+def run_node(make_node: Callable[[], Node], log_level: str) -> str:
+    """Run a node until it is told to stop.
+
+    Parameters
+    ----------
+    make_node
+        Makes the node; called when the reactor is installed.
+    log_level
+        Least level that is logged.
 
     Returns
     -------
@@ -78,13 +96,28 @@
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
-    open_log(settings.log_level)
+    open_log(log_level)
     # The reactor must be installed before anything imports it.
     from twisted.internet import reactor  # noqa: PLC0415
 
-    from waywell.process.entry import EntryNode  # noqa: PLC0415
-
-    daemon = Daemon(EntryNode(settings), reactor, loop)
+    daemon = Daemon(make_node(), reactor, loop)
     reactor.callWhenRunning(daemon.begin)
     reactor.run(installSignalHandlers=False)
     return daemon.fault
+
+
+def run_entry(settings: Settings) -> str:
+    """Run an entry node until it is told to stop.
+
+    Returns
+    -------
+    str
+        Why it could not start, or an empty text.
+    """
+
+    def make() -> Node:
+        from waywell.process.entry import EntryNode  # noqa: PLC0415
+
+        return EntryNode(settings)
+
+    return run_node(make, settings.log_level)
--- a/waywell/ids.py
+++ b/waywell/ids.py
@@ -36,3 +36,6 @@
 
 Epoch = NewType('Epoch', int)
 """Fence of a group: a target refuses work of an epoch below its own."""
+
+ModelName = NewType('ModelName', str)
+"""Name of a model that engines serve."""
--- /dev/null
+++ b/waywell/platform/__main__.py
@@ -0,0 +1,34 @@
+"""Runs a front daemon on the platform: ``python -m waywell.platform SETTINGS``."""
+
+from __future__ import annotations
+
+import sys
+
+from waywell.daemon import Node, run_node
+from waywell.process.front_settings import load_front_settings
+from waywell.version.faults import FaultsError
+
+EXIT_FAULTS = 2
+"""The settings have faults."""
+
+
+def main(path: str) -> str:
+    """Run until told to stop; return why it could not start, or nothing."""
+    settings = load_front_settings(path)
+
+    def make() -> Node:
+        # The reactor must be installed before anything imports it.
+        from waywell.platform.adapter import make_adapter  # noqa: PLC0415
+        from waywell.process.front import FrontNode  # noqa: PLC0415
+
+        return FrontNode(settings, make_adapter(settings))
+
+    return run_node(make, settings.log_level)
+
+
+if __name__ == '__main__':
+    try:
+        sys.exit(main(sys.argv[1]) or 0)
+    except FaultsError as error:
+        sys.stderr.write(f'{error}\n')
+        sys.exit(EXIT_FAULTS)
--- /dev/null
+++ b/waywell/platform/adapter.py
@@ -0,0 +1,28 @@
+"""The platform's parts of a front daemon, put together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from waywell.platform.desk import (
+    make_directory_handlers,
+    make_ready_handlers,
+)
+from waywell.platform.messages import ServerWire
+from waywell.platform.orders import ServerOrders
+from waywell.platform.store import ObjectStore
+from waywell.process.front import FrontAdapter
+
+if TYPE_CHECKING:
+    from waywell.process.front_settings import FrontSettings
+
+
+def make_adapter(settings: FrontSettings) -> FrontAdapter:
+    """Return what speaks the platform's language."""
+    return FrontAdapter(
+        platform=ObjectStore(settings.store.address, settings.store.timeout),
+        wire=ServerWire(),
+        orders=ServerOrders(),
+        make_ready=make_ready_handlers,
+        make_directory=make_directory_handlers,
+    )
--- /dev/null
+++ b/waywell/platform/desk.py
@@ -0,0 +1,45 @@
+"""The calls of clients and of the platform that are answered at once."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from http import HTTPStatus
+
+import msgspec
+
+from waywell.connection.desk import DeskAnswer, DeskHandler
+
+READY_PATH = '/api/ready'
+"""Asked by the platform each second."""
+
+RESOLVE_PATH = '/api/resolve'
+"""Asked by clients, for the addresses to connect to."""
+
+
+def make_ready_handlers(
+    is_ready: Callable[[], bool],
+) -> Mapping[str, DeskHandler]:
+    """Return what answers whether this node is ready."""
+
+    def answer(_query: Mapping[str, str]) -> DeskAnswer:
+        if is_ready():
+            return DeskAnswer(HTTPStatus.OK)
+        return DeskAnswer(HTTPStatus.SERVICE_UNAVAILABLE)
+
+    return {READY_PATH: answer}
+
+
+def make_directory_handlers(
+    list_addresses: Callable[[str], Sequence[str]],
+    keep_seconds: float,
+) -> Mapping[str, DeskHandler]:
+    """Return what answers which addresses clients may use."""
+
+    def answer(query: Mapping[str, str]) -> DeskAnswer:
+        addresses = list_addresses(query.get('zone', ''))
+        if not addresses:
+            return DeskAnswer(HTTPStatus.SERVICE_UNAVAILABLE)
+        body = {'addresses': addresses, 'ttl_s': keep_seconds}
+        return DeskAnswer(HTTPStatus.OK, msgspec.json.encode(body))
+
+    return {RESOLVE_PATH: answer}
--- /dev/null
+++ b/waywell/platform/messages.py
@@ -0,0 +1,167 @@
+"""Messages of callers and servers on the platform."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+
+from waywell.codes import Code, Refusal
+from waywell.connection.http_target import HOP_HEADERS
+from waywell.connection.wire import RawHeaders, Wire
+from waywell.ids import ModelName
+from waywell.request.ask import AnswerMark, Ask, Delivery
+from waywell.version.fleet import FleetBox
+
+# The id of one attempt of a client; a repeat has another.
+ATTEMPT_HEADER = 'x-request-attempt-id'
+DEADLINE_HEADER = 'x-deadline-ms'
+RESUME_HEADER = 'last-event-id'
+MODEL_HEADER = 'x-model'
+# Two numbers: tokens of the prompt, and the most that are generated.
+TOKENS_HEADER = 'x-token-count'
+HINT_HEADER = 'x-length-hint'
+KEY_HEADER = 'authorization'
+TENANT_HEADER = 'x-tenant'
+PRIORITY_HEADER = 'x-request-priority'
+# Names one life of one server, not a replica of several boxes.
+BOX_HEADER = 'x-expect-replica'
+REJECTED_HEADER = 'x-not-executed'
+VERSION_HEADER = 'x-expect-version'
+
+MISDIRECTED = 421
+"""HTTP status of a server that is another one, or no head."""
+
+KEY_SCHEME = 'bearer'
+"""Scheme of the header with the key."""
+
+_SET_BY_US = frozenset(
+    (
+        KEY_HEADER,
+        TENANT_HEADER,
+        PRIORITY_HEADER,
+        BOX_HEADER,
+        VERSION_HEADER,
+        DEADLINE_HEADER,
+        RESUME_HEADER,
+    ),
+)
+
+_DROPPED = HOP_HEADERS | _SET_BY_US | {'expect'}
+
+
+class ServerWire(Wire):
+    """Decodes the platform's headers."""
+
+    def read_ask(
+        self,
+        method: str,
+        target: str,
+        headers: RawHeaders,
+        body: bytes,
+    ) -> Ask:
+        """Return what a caller asks."""
+        texts = MappingProxyType(
+            {
+                name.decode('latin-1').lower(): text.decode('latin-1')
+                for name, text in headers
+            },
+        )
+        prompt, answer = _read_tokens(texts.get(TOKENS_HEADER, ''))
+        milliseconds = _read_number(texts, DEADLINE_HEADER)
+        return Ask(
+            attempt=texts.get(ATTEMPT_HEADER, ''),
+            method=method,
+            target=target,
+            host=texts.get('host', ''),
+            headers=_pass_on(headers),
+            body=body,
+            key=_read_key(texts.get(KEY_HEADER, '')),
+            seconds=None if milliseconds is None else milliseconds / 1000,
+            resume_after=_read_number(texts, RESUME_HEADER),
+            model=ModelName(texts.get(MODEL_HEADER, '')),
+            prompt_tokens=prompt,
+            answer_tokens=answer,
+            likely_tokens=_read_number(texts, HINT_HEADER) or 0,
+        )
+
+    def make_headers(
+        self,
+        ask: Ask,
+        delivery: Delivery,
+        box: FleetBox,
+    ) -> RawHeaders:
+        """Return the headers of a request to a server."""
+        own = {
+            DEADLINE_HEADER: str(max(1, int(delivery.seconds * 1000))),
+            BOX_HEADER: box.box,
+        }
+        if delivery.account is not None:
+            own[TENANT_HEADER] = delivery.account
+        if delivery.priority is not None:
+            own[PRIORITY_HEADER] = str(delivery.priority)
+        if delivery.resume_after is not None:
+            own[RESUME_HEADER] = str(delivery.resume_after)
+        return (
+            *ask.headers,
+            *(
+                (name.encode(), text.encode('latin-1'))
+                for name, text in own.items()
+            ),
+        )
+
+    def read_mark(self, status: int, headers: RawHeaders) -> AnswerMark:
+        """Return what a server says of its answer."""
+        texts = {
+            name.decode('latin-1').lower(): text.decode('latin-1')
+            for name, text in headers
+        }
+        return AnswerMark(
+            attempt=texts.get(ATTEMPT_HEADER, ''),
+            is_rejected=REJECTED_HEADER in texts,
+            is_misdirected=status == MISDIRECTED,
+        )
+
+
+def _pass_on(headers: RawHeaders) -> RawHeaders:
+    """Return the headers that concern more than one connection.
+
+    A header that the caller's ``Connection`` names is its own affair too.
+    """
+    named = {
+        word.strip().lower()
+        for name, text in headers
+        if name.lower() == b'connection'
+        for word in text.decode('latin-1').split(',')
+    }
+    dropped = _DROPPED | named
+    return tuple(
+        (name, text)
+        for name, text in headers
+        if name.decode('latin-1').lower() not in dropped
+    )
+
+
+def _read_key(text: str) -> str:
+    scheme, _, key = text.partition(' ')
+    return key.strip() if scheme.lower() == KEY_SCHEME else ''
+
+
+def _read_number(texts: MappingProxyType[str, str], name: str) -> int | None:
+    text = texts.get(name, '').strip()
+    if not text:
+        return None
+    if not text.isdecimal():
+        raise Refusal(Code.BAD_HEADER, detail=f'{name}: a whole number')
+    return int(text)
+
+
+def _read_tokens(text: str) -> tuple[int, int]:
+    """Return the tokens of the prompt and the most of the answer."""
+    if not text:
+        return 0, 0
+    prompt, _, answer = text.partition(',')
+    try:
+        return int(prompt), int(answer or 0)
+    except ValueError as error:
+        raise Refusal(
+            Code.BAD_HEADER, detail=f'{TOKENS_HEADER}: two whole numbers'
+        ) from error
--- /dev/null
+++ b/waywell/platform/orders.py
@@ -0,0 +1,86 @@
+"""Orders to servers of the platform."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any
+
+import msgspec
+from returns.result import Failure
+
+from waywell.connection.box_orders import BoxOrders
+from waywell.connection.http_calls import HttpCalls
+from waywell.connection.platform import PlatformFault
+from waywell.version.orders import (
+    Assignment,
+    BoxOrder,
+    Close,
+    Join,
+    Leave,
+    Open,
+    OrderResult,
+    Stage,
+)
+
+ORDER_PATH = '/api/order'
+"""Path at which a server takes orders."""
+
+EXPECT_HEADER = 'X-Expect-Replica'
+"""Every other server answers 421."""
+
+ORDER_SECONDS = 0.6
+"""For a server to answer: it only says that it begins."""
+
+_RESULT_BY_STATUS: MappingProxyType[int, OrderResult] = MappingProxyType(
+    {
+        HTTPStatus.OK: OrderResult.TAKEN,
+        HTTPStatus.ACCEPTED: OrderResult.TAKEN,
+        HTTPStatus.CONFLICT: OrderResult.MISFIT,
+        HTTPStatus.PRECONDITION_FAILED: OrderResult.OUTDATED,
+        HTTPStatus.MISDIRECTED_REQUEST: OrderResult.GONE,
+    },
+)
+
+_WORD_BY_ORDER: MappingProxyType[type, str] = MappingProxyType(
+    {
+        Join: 'join',
+        Open: 'open',
+        Close: 'close',
+        Leave: 'leave',
+        Stage: 'stage',
+    },
+)
+
+
+class ServerOrders(BoxOrders):
+    """Gives orders over HTTP."""
+
+    async def give(self, assignment: Assignment) -> OrderResult:
+        """Give an order to a box and return what came of it."""
+        box = assignment.box
+        calls = HttpCalls(
+            f'http://{box.host}:{box.port}',
+            ORDER_SECONDS,
+            {'content-type': 'application/json', EXPECT_HEADER: box.box},
+            keeps_connections=False,
+        )
+        raw = msgspec.json.encode(encode_order(assignment))
+        called = await calls.call('POST', ORDER_PATH, raw)
+        if isinstance(called, Failure):
+            gone = called.failure() is PlatformFault.NOT_LISTENING
+            return OrderResult.GONE if gone else OrderResult.UNKNOWN
+        status = called.unwrap().status
+        return _RESULT_BY_STATUS.get(status, OrderResult.UNKNOWN)
+
+
+def encode_order(assignment: Assignment) -> dict[str, Any]:
+    """Return the body that carries an order."""
+    order: BoxOrder = assignment.order
+    body: dict[str, Any] = msgspec.to_builtins(order)
+    body['operation'] = _WORD_BY_ORDER[type(order)]
+    # The number of orders that the server has taken, not a store revision.
+    body['expect_rev'] = assignment.box.orders_taken
+    if isinstance(order, Close):
+        body['strategy'] = 'wait'
+    return body
--- /dev/null
+++ b/waywell/platform/servers.py
@@ -0,0 +1,102 @@
+"""Entries of the platform's list of servers, decoded into boxes."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import Any
+
+import msgspec
+
+from waywell.ids import (
+    BoxId,
+    DomainName,
+    Epoch,
+    GroupId,
+    HallName,
+    ModelName,
+    ServiceName,
+)
+from waywell.version.fleet import FleetBox, MemberState, Standing
+
+_STATE_BY_WORD = MappingProxyType(
+    {
+        'joining': MemberState.JOINING,
+        'ready': MemberState.READY,
+        'open': MemberState.OPEN,
+        'closing': MemberState.CLOSING,
+        'broken': MemberState.BROKEN,
+    },
+)
+
+
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Group(msgspec.Struct):
+    name: str
+    epoch: int
+    rank: int = 0
+    state: str = 'joining'
+
+
+class _Server(msgspec.Struct):
+    service: str
+    address: str
+    zone: str = ''
+    # Of the box; a group has as many as one box, not the sum.
+    slots: int = 1
+    # Of the box's planned end, not of its group.
+    state: str = 'ready'
+    models: list[_Model] = []
+    staged: list[Any] = []
+    domain: str = ''
+    group: _Group | None = None
+    # Counts orders that were begun, not versions of the entry.
+    seq_no: int = 0
+
+
+def decode_server(name: str, spec: Any) -> FleetBox:
+    """Return the box that an entry tells of.
+
+    Raises
+    ------
+    ValueError
+        When it is not understood.
+    """
+    server = msgspec.convert(spec, _Server, strict=False)
+    host, _, port = server.address.rpartition(':')
+    return FleetBox(
+        box=BoxId(name),
+        service=ServiceName(server.service),
+        host=host,
+        port=int(port),
+        hall=HallName(server.zone),
+        domain=DomainName(server.domain),
+        places=server.slots,
+        leaving=server.state != 'ready',
+        models=tuple(ModelName(model.name) for model in server.models),
+        staged=tuple(_decode_staged(staged) for staged in server.staged),
+        standing=server.group and _decode_group(server.group),
+        orders_taken=server.seq_no,
+    )
+
+
+def _decode_staged(staged: Any) -> ModelName:
+    """Return a staged model, which is told by name or as a table."""
+    if isinstance(staged, str):
+        return ModelName(staged)
+    return ModelName(msgspec.convert(staged, _Model).name)
+
+
+def _decode_group(group: _Group) -> Standing | None:
+    if not group.name:
+        return None
+    if group.state not in _STATE_BY_WORD:
+        raise ValueError(f'group {group.name}: state {group.state!r}')
+    return Standing(
+        GroupId(group.name),
+        Epoch(group.epoch),
+        group.rank,
+        _STATE_BY_WORD[group.state],
+    )
--- /dev/null
+++ b/waywell/process/front.py
@@ -0,0 +1,382 @@
+"""The front daemon: an entry box on the platform, put together."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+from random import Random
+from typing import Any
+
+import attrs
+import msgspec
+from returns.result import Failure
+
+from waywell.codes import Code, Ran
+from waywell.connection.box_orders import BoxOrders
+from waywell.connection.caller import CallerRequest
+from waywell.connection.desk import DeskAnswer, DeskHandler
+from waywell.connection.front import FrontBackend
+from waywell.connection.peer import ClaimAnswer, ClaimAsk, PeerService
+from waywell.connection.platform import Kind, Platform
+from waywell.connection.wire import Wire
+from waywell.ids import HallName, Incarnation, NodeId
+from waywell.process.clock import SystemClock
+from waywell.process.events import log_event, log_warning
+from waywell.process.fleet_watch import FleetWatch
+from waywell.process.forming import FormingDuty
+from waywell.process.front_ports import FrontHandlers, FrontPorts
+from waywell.process.front_settings import FrontSettings
+from waywell.process.gossip import Gossip, Numbers
+from waywell.process.links import PeerLinks
+from waywell.process.membership import (
+    MembershipTable,
+    NodeRecord,
+    NodeState,
+)
+from waywell.process.metrics import Metrics
+from waywell.process.outlook import Outlook
+from waywell.process.route_watch import RouteWatch
+from waywell.request.ask import Ask
+from waywell.request.claim import ClaimState
+from waywell.request.demand import DemandMeter
+from waywell.request.forwarder import (
+    CallerAnswer,
+    Forwarder,
+    ForwarderParts,
+)
+from waywell.request.placement import Chooser
+from waywell.request.replica_book import ReplicaBook
+from waywell.request.resend_budget import ResendBudget, ResendLimits
+
+JOIN_SECONDS = 1.0
+"""Seconds between two attempts to find other entry boxes."""
+
+JOIN_DIALS = 2
+"""Entry boxes that a new one calls at each attempt."""
+
+TEND_SECONDS = 0.25
+"""Seconds between two looks at whether this node is ready."""
+
+KEPT_FACTOR = 3.0
+"""Times the term of the entry list for which some callers keep it."""
+
+STOP_MARGIN = 0.6
+"""Seconds before the forced end at which what still runs is cut."""
+
+DRAIN_LOOK_SECONDS = 0.05
+"""Seconds between two looks at the work in flight while stopping."""
+
+
+@attrs.frozen
+class FrontAdapter:
+    """What speaks the platform's language for the daemon."""
+
+    platform: Platform
+    """The platform's store."""
+
+    wire: Wire
+    """Requests and answers."""
+
+    orders: BoxOrders
+    """Orders to boxes."""
+
+    make_ready: Callable[[Callable[[], bool]], Mapping[str, DeskHandler]]
+    """Makes the handlers that answer whether the node is ready."""
+
+    make_directory: Callable[
+        [Callable[[str], Sequence[str]], float],
+        Mapping[str, DeskHandler],
+    ]
+    """Makes the handlers that answer which entry boxes there are."""
+
+
+class FrontNode:
+    """One entry box on the platform.
+
+    Parameters
+    ----------
+    settings
+        Its settings.
+    adapter
+        What speaks the platform's language.
+    """
+
+    def __init__(self, settings: FrontSettings, adapter: FrontAdapter) -> None:
+        """Put the parts together; nothing listens yet."""
+        self.settings = settings
+        self.clock = SystemClock()
+        self.metrics = Metrics()
+        self.outlook = Outlook(settings.promises)
+        self.book = ReplicaBook()
+        self.demand = DemandMeter()
+        self.incarnation = Incarnation(int(self.clock.read_wall() * 1000))
+        self.in_flight = 0
+        self._adapter = adapter
+        self._is_leaving = False
+        self._random = Random(self.incarnation)
+        self._helpers: set[asyncio.Task[None]] = set()
+        self._ports = FrontPorts(settings.node, self._make_handlers())
+        self.budget = ResendBudget(
+            ResendLimits(
+                settings.resends.ratio,
+                settings.resends.slack,
+                settings.resends.window,
+            ),
+        )
+
+    async def start(self) -> None:
+        """Listen, join the others, begin to serve."""
+        self._make_tasks()
+        self._forwarder = self._make_forwarder()
+        await self._ports.open()
+        for actor in self.actors:
+            actor.start()
+        self.gossip.repeat(self.settings.timing.beat, Gossip.Tick())
+        for work in (self._join(), self._tend()):
+            self._helpers.add(asyncio.get_running_loop().create_task(work))
+        log_event(
+            'listening',
+            node=self.settings.node.name,
+            callers=self.settings.node.callers,
+            peers=self.settings.node.peers,
+        )
+
+    async def stop(self) -> None:
+        """Leave the entry list, finish the work in flight, then end.
+
+        New requests are served for as long as callers may keep the entry
+        list.
+        """
+        promises = self.settings.promises
+        began_at = self.clock.read()
+        log_event('leaving', node=self.settings.node.name)
+        self._is_leaving = True
+        self.gossip.post(Gossip.Advance(state=NodeState.LEAVING))
+        kept = promises.entry_list_kept * KEPT_FACTOR
+        ends_at = began_at + promises.stop_within - STOP_MARGIN
+        await asyncio.sleep(min(kept, promises.stop_within - 2.0))
+        self._ports.stop_accepting()
+        while self.in_flight and self.clock.read() < ends_at:
+            await asyncio.sleep(DRAIN_LOOK_SECONDS)
+        cut = self.in_flight
+        self._ports.hang_up()
+        while self._ports.count_callers() and self.clock.read() < ends_at:
+            await asyncio.sleep(DRAIN_LOOK_SECONDS)
+        self._ports.close()
+        for helper in self._helpers:
+            helper.cancel()
+        for actor in self.actors:
+            await actor.stop()
+        log_event('stopped', node=self.settings.node.name, cut=cut)
+
+    def is_ready(self) -> bool:
+        """Answer whether callers should be sent here."""
+        now = self.clock.read()
+        return (
+            self.outlook.has_routes
+            and self.outlook.are_keys_fresh(now)
+            and not self._is_leaving
+        )
+
+    def list_addresses(self, hall: str) -> list[str]:
+        """Return the addresses of entry boxes that are ready."""
+        live = [
+            record
+            for record in self.members.list_live()
+            if record.state is NodeState.LIVE and record.configuration
+        ]
+        live.sort(key=lambda record: (record.hall != hall, record.node))
+        return [f'{record.host}:{record.caller_port}' for record in live]
+
+    def count_nodes(self) -> int:
+        """Return the entry boxes that share budgets, also unheard ones."""
+        return len(self.members.records)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as plain values."""
+        return {
+            'node': self.settings.node.name,
+            'ready': self.is_ready(),
+            'in_flight': self.in_flight,
+            **{actor.name: actor.dump() for actor in self.actors},
+        }
+
+    def _make_handlers(self) -> FrontHandlers:
+        return FrontHandlers(
+            backend=FrontBackend(
+                wire=self._adapter.wire,
+                serve=self._serve,
+                get_limits=lambda: self.outlook.index.table.limits,
+                is_leaving=lambda: self._is_leaving,
+                report=self._report,
+            ),
+            readiness=self._adapter.make_ready(self.is_ready),
+            directory=self._adapter.make_directory(
+                self.list_addresses,
+                self.settings.promises.entry_list_kept,
+            ),
+            metrics={
+                '/metrics': self._answer_metrics,
+                '/dump': self._answer_dump,
+            },
+            peer=PeerService(self._accept_peer, _answer_no_claim),
+        )
+
+    def _make_record(self) -> NodeRecord:
+        node = self.settings.node
+        return NodeRecord(
+            node=NodeId(node.name),
+            incarnation=self.incarnation,
+            hall=HallName(node.hall),
+            region=node.region,
+            host=node.host,
+            caller_port=self._ports.callers.port,
+            peer_port=self._ports.peers.port,
+            admin_port=node.metrics_port,
+        )
+
+    def _make_tasks(self) -> None:
+        timing = self.settings.timing
+        platform = self._adapter.platform
+        self.members = MembershipTable(self._make_record(), timing.suspicion)
+        self.links = PeerLinks(lambda: self.members.own)
+        self.gossip = Gossip(self.members, self.links, self.clock, timing)
+        self.routes = RouteWatch(platform, self.outlook, self.clock)
+        self.fleet = FleetWatch(platform, self.outlook, self.clock)
+        self.forming = FormingDuty(
+            platform,
+            self.gossip,
+            self.clock,
+            self.outlook,
+            self._adapter.orders,
+            self.settings,
+            self._read_demand,
+        )
+        self.actors = (
+            self.links,
+            self.gossip,
+            self.routes,
+            self.fleet,
+            self.forming,
+        )
+
+    def _make_forwarder(self) -> Forwarder:
+        node = self.settings.node
+        return Forwarder(
+            ForwarderParts(
+                outlook=self.outlook,
+                wire=self._adapter.wire,
+                chooser=Chooser(NodeId(node.name), HallName(node.hall)),
+                book=self.book,
+                budget=self.budget,
+                clock=self.clock,
+                draw=self._random.random,
+                count_nodes=self.count_nodes,
+            ),
+        )
+
+    def _read_demand(self, now: float) -> Mapping[Any, float]:
+        nodes = self.members.count_live()
+        return {
+            model: places * nodes
+            for model, places in self.demand.read(now).items()
+        }
+
+    async def _serve(self, ask: Ask, answer: CallerAnswer) -> None:
+        self.in_flight += 1
+        began_at = self.clock.read()
+        try:
+            await self._forwarder.serve(ask, answer)
+        finally:
+            self.in_flight -= 1
+            now = self.clock.read()
+            if ask.model:
+                self.demand.note(ask.model, now - began_at, now)
+
+    def _report(self, request: CallerRequest, code: Code, ran: Ran) -> None:
+        self.metrics.count_request(code, ran)
+        if code is not Code.OK:
+            log_event(
+                'refused',
+                path=(request.path or b'').decode('latin-1'),
+                code=int(code),
+                name=code.name,
+                ran=ran.value,
+                routes_age=self.outlook.get_routes_age(self.clock.read()),
+            )
+
+    def _answer_metrics(self, _query: Mapping[str, str]) -> DeskAnswer:
+        return DeskAnswer(200, self.metrics.write(), 'text/plain')
+
+    def _answer_dump(self, _query: Mapping[str, str]) -> DeskAnswer:
+        raw = msgspec.json.encode(self.dump(), enc_hook=str)
+        return DeskAnswer(200, raw)
+
+    async def _accept_peer(self, stream: Any) -> None:
+        await self.links.accept(stream)
+
+    async def _tend(self) -> None:
+        """Tell the others whether this node serves, and drop old records."""
+        told = 0
+        while True:
+            version = self.outlook.index.table.version
+            number = version if self.is_ready() else 0
+            if number != told:
+                told = number
+                self.gossip.post(Gossip.Advance(numbers=Numbers(number, 0)))
+                log_event('readiness', ready=bool(number), routes=version)
+            self.book.forget_others(self.outlook.list_keys())
+            await asyncio.sleep(TEND_SECONDS)
+
+    async def _join(self) -> None:
+        """Be found by others, and look for them until a stream stands."""
+        is_listed = False
+        while True:
+            if not is_listed:
+                is_listed = await self._list_self()
+            if not self.links.list_peers():
+                found = await self._find_others()
+                count = min(JOIN_DIALS, len(found))
+                for host, port in self._random.sample(found, count):
+                    self.links.dial(host, port)
+            await asyncio.sleep(JOIN_SECONDS)
+
+    async def _list_self(self) -> bool:
+        """Write this node's address into the platform, once a run."""
+        own = self.members.own
+        platform = self._adapter.platform
+        read = await platform.fetch(Kind.PRESENCE, own.node)
+        if isinstance(read, Failure):
+            return False
+        stored = read.unwrap()
+        body = {'host': own.host, 'peer_port': own.peer_port}
+        if stored is not None and stored.body == body:
+            return True
+        version = stored.version if stored else 0
+        written = await platform.write(Kind.PRESENCE, own.node, body, version)
+        if isinstance(written, Failure):
+            log_warning('not_listed', fault=written.failure().value)
+            return False
+        return True
+
+    async def _find_others(self) -> list[tuple[str, int]]:
+        """Return addresses from the settings and the platform."""
+        own = self.settings.node.peers
+        found = []
+        for seed in self.settings.seeds:
+            host, _, port = seed.rpartition(':')
+            if seed and seed != own:
+                found.append((host, int(port)))
+        answer = await self._adapter.platform.fetch_all(Kind.PRESENCE, False)
+        if not isinstance(answer, Failure):
+            found.extend(
+                (stored.body['host'], stored.body['peer_port'])
+                for stored in answer.unwrap().objects
+                if stored.name != self.settings.node.name
+            )
+        return found
+
+
+def _answer_no_claim(_ask: ClaimAsk) -> ClaimAnswer:
+    """Answer that nothing is known: each attempt has an id of its own here."""
+    return ClaimAnswer(ClaimState.UNKNOWN)
--- /dev/null
+++ b/waywell/process/front_ports.py
@@ -0,0 +1,104 @@
+"""The ports of a front daemon."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+from twisted.internet import reactor
+
+from waywell.connection.desk import DeskHandler, DeskSite
+from waywell.connection.front import FrontBackend, FrontSite
+from waywell.connection.peer import PeerService, make_server
+from waywell.process.front_settings import (
+    Address,
+    FrontNodeSettings,
+    parse_address,
+)
+
+
+@attrs.frozen
+class FrontHandlers:
+    """What serves at each port."""
+
+    backend: FrontBackend
+    """Callers."""
+
+    readiness: Mapping[str, DeskHandler]
+    """Whether the node is ready."""
+
+    directory: Mapping[str, DeskHandler]
+    """Which entry boxes there are."""
+
+    metrics: Mapping[str, DeskHandler]
+    """Metrics and the state dump."""
+
+    peer: PeerService
+    """Other entry boxes."""
+
+
+class FrontPorts:
+    """Listens for a front daemon.
+
+    Parameters
+    ----------
+    settings
+        Addresses.
+    handlers
+        What serves.
+    """
+
+    def __init__(
+        self,
+        settings: FrontNodeSettings,
+        handlers: FrontHandlers,
+    ) -> None:
+        """Keep what serves; nothing listens yet."""
+        self.callers = parse_address(settings.callers)
+        self.peers = parse_address(settings.peers)
+        self._readiness = parse_address(settings.readiness)
+        self._directory = parse_address(settings.directory)
+        self._metrics = Address(settings.host, settings.metrics_port)
+        self._handlers = handlers
+        self._site = FrontSite(handlers.backend)
+        self._peer_server = make_server(handlers.peer)
+        self._listening: list[Any] = []
+
+    async def open(self) -> None:
+        """Listen on all ports.
+
+        Raises
+        ------
+        OSError
+            When a port can't be had.
+        """
+        handlers = self._handlers
+        self.callers = self._listen(self.callers, self._site)
+        self._listen(self._readiness, DeskSite(handlers.readiness))
+        self._listen(self._directory, DeskSite(handlers.directory))
+        self._listen(self._metrics, DeskSite(handlers.metrics))
+        await self._peer_server.start(self.peers.host, self.peers.port)
+
+    def stop_accepting(self) -> None:
+        """Take no new connections of callers."""
+        self._listening[0].stopListening()
+
+    def hang_up(self) -> None:
+        """Close the callers' connections when all is written."""
+        self._site.hang_up()
+
+    def count_callers(self) -> int:
+        """Return the callers' connections that are open."""
+        return len(self._site.channels)
+
+    def close(self) -> None:
+        """Stop listening."""
+        for port in self._listening:
+            port.stopListening()
+        self._peer_server.close()
+
+    def _listen(self, address: Address, site: Any) -> Address:
+        port = reactor.listenTCP(address.port, site, interface=address.host)
+        self._listening.append(port)
+        return Address(address.host, int(port.getHost().port))
--- /dev/null
+++ b/waywell/process/front_settings.py
@@ -0,0 +1,227 @@
+"""Settings of a front daemon, read from TOML and checked whole."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import attrs
+
+from waywell.process.settings import TimingSettings
+from waywell.version.configuration import read_toml
+from waywell.version.faults import FaultsError, structure_input
+
+MS = 0.001
+"""Seconds in a millisecond."""
+
+
+@attrs.frozen
+class Address:
+    """Where one of the daemon's ports is."""
+
+    host: str
+    """IP number."""
+
+    port: int
+    """Port number."""
+
+
+@attrs.frozen
+class FrontNodeSettings:
+    """Who and where this entry box is."""
+
+    name: str
+    """Name of the entry box, unique in the system."""
+
+    hall: str
+    """Data hall that it stands in."""
+
+    region: str = 'default'
+    """Region of the data hall."""
+
+    host: str = '127.0.0.1'
+    """IP number by which others reach it."""
+
+    callers: str = ''
+    """Address for callers, ``IP:PORT``."""
+
+    readiness: str = ''
+    """Address at which it says whether it serves."""
+
+    directory: str = ''
+    """Address of the entry list."""
+
+    peers: str = ''
+    """Address for other entry boxes."""
+
+    metrics_port: int = 0
+    """Port for metrics and the state dump; 0 takes a free one."""
+
+
+@attrs.frozen
+class StoreSettings:
+    """The platform's store."""
+
+    address: str
+    """``IP:PORT``."""
+
+    timeout: float = 1.0
+    """Seconds until a call counts as unanswered."""
+
+
+@attrs.frozen
+class PromiseSettings:
+    """Bounds that the operators were promised.
+
+    The platform fills most of them in milliseconds; the code reads the
+    properties, which are in seconds.
+    """
+
+    keys_refused_within_ms: float = 5000.0
+    """From the word that a key is removed until every node refuses it."""
+
+    boxes_left_within_ms: float = 2000.0
+    """From the word that a box leaves until it gets nothing more."""
+
+    routes_in_force_within_ms: float = 2000.0
+    """From a new version of the routes until all nodes serve by it."""
+
+    group_stalls_for_ms: float = 6000.0
+    """For which a group that lost a member stands still before it breaks."""
+
+    heartbeat_ms: float = 1200.0
+    """Between two entries of a box in the box list."""
+
+    stop_within: float = 8.0
+    """Seconds from the order to stop until the process is ended by force."""
+
+    entry_list_kept: float = 2.0
+    """Seconds for which callers may keep the entry list."""
+
+    @property
+    def keys_refused_within(self) -> float:
+        """Return the bound for removed keys, in seconds."""
+        return self.keys_refused_within_ms * MS
+
+    @property
+    def boxes_left_within(self) -> float:
+        """Return the bound for leaving boxes, in seconds."""
+        return self.boxes_left_within_ms * MS
+
+    @property
+    def group_stalls_for(self) -> float:
+        """Return how long a group stands still, in seconds."""
+        return self.group_stalls_for_ms * MS
+
+
+@attrs.frozen
+class ResendSettings:
+    """What all entry boxes together may send a second time."""
+
+    ratio: float = 0.1
+    """Second sends for each request."""
+
+    slack: float = 10.0
+    """Second sends beyond the ratio, over the window."""
+
+    window: float = 10.0
+    """Seconds over which they are counted."""
+
+
+@attrs.frozen
+class FrontSettings:
+    """All settings of a front daemon."""
+
+    node: FrontNodeSettings
+    """Who and where."""
+
+    store: StoreSettings
+    """The platform's store."""
+
+    promises: PromiseSettings = PromiseSettings()
+    """Bounds."""
+
+    resends: ResendSettings = ResendSettings()
+    """Second sends."""
+
+    timing: TimingSettings = TimingSettings()
+    """Periods of membership and leases."""
+
+    seeds: list[str] = attrs.Factory(list)
+    """Peer addresses, ``IP:PORT``, to join by."""
+
+    log_level: str = 'INFO'
+    """Least level that is logged."""
+
+
+def parse_address(text: str) -> Address:
+    """Return the address that ``IP:PORT`` names.
+
+    Raises
+    ------
+    FaultsError
+        When it has another form.
+    """
+    host, mark, port = text.rpartition(':')
+    if not mark or not port.isdecimal():
+        raise FaultsError([f'{text!r}: IP:PORT'])
+    return Address(host, int(port))
+
+
+def check_front_settings(text: str, place: str) -> FrontSettings:
+    """Turn TOML text into settings.
+
+    Raises
+    ------
+    FaultsError
+        With every fault found.
+    """
+    settings = structure_input(read_toml(text, place), FrontSettings, place)
+    faults = [
+        *_find_bad_addresses(settings),
+        *_find_bad_bounds(settings),
+    ]
+    if faults:
+        raise FaultsError(f'{place}.{fault}' for fault in faults)
+    return settings
+
+
+def load_front_settings(path: str) -> FrontSettings:
+    """Read settings from a file.
+
+    Raises
+    ------
+    FaultsError
+        With every fault found, or the reason why the file can't be read.
+    """
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise FaultsError([f'{path}: {error}']) from error
+    return check_front_settings(text, path)
+
+
+def _find_bad_addresses(settings: FrontSettings) -> list[str]:
+    node = settings.node
+    addresses = {
+        'node.callers': node.callers,
+        'node.readiness': node.readiness,
+        'node.directory': node.directory,
+        'node.peers': node.peers,
+        'store.address': settings.store.address,
+    }
+    faults = []
+    for key, text in addresses.items():
+        try:
+            parse_address(text)
+        except FaultsError as error:
+            faults.append(f'{key}: {error}')
+    return faults
+
+
+def _find_bad_bounds(settings: FrontSettings) -> list[str]:
+    return [
+        f'{part}.{field.name}: above 0'
+        for part in ('promises', 'resends', 'timing')
+        for field in attrs.fields(type(getattr(settings, part)))
+        if getattr(getattr(settings, part), field.name) <= 0
+    ]
--- /dev/null
+++ b/waywell/process/outlook.py
@@ -0,0 +1,166 @@
+"""What this node knows of routes and boxes, and how sure that is."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from waywell.codes import Code, Refusal
+from waywell.version.fleet import Fleet, Replica, ReplicaKey
+from waywell.version.routes import RouteIndex, RouteTable
+
+if TYPE_CHECKING:
+    from waywell.ids import ModelName, ServiceName
+    from waywell.process.front_settings import PromiseSettings
+
+KEY_MARGIN = 0.4
+"""Seconds by which keys are given up before the promised bound: a send that
+is decided may wait this long in the machine before its bytes leave."""
+
+ROUTES_BACK_SECONDS = 0.5
+"""Advice to callers while the routes are not confirmed."""
+
+
+class Outlook:
+    """Routes and boxes in force at this node.
+
+    Everything is replaced whole by its owner, so that the request path reads
+    it without waiting.
+
+    Parameters
+    ----------
+    promises
+        Bounds that the operators were promised.
+    """
+
+    def __init__(self, promises: PromiseSettings) -> None:
+        """Know nothing yet."""
+        self.index = RouteIndex(RouteTable(0))
+        self.fleet = Fleet({})
+        self._promises = promises
+        self._confirmed_at = -math.inf
+        self._boxes_at = -math.inf
+        self._replicas: dict[tuple[ServiceName, ModelName], list[Replica]] = {}
+
+    @property
+    def has_routes(self) -> bool:
+        """Return whether any version is in force."""
+        return self.index.table.version > 0
+
+    def take_routes(self, table: RouteTable) -> bool:
+        """Put a version in force, unless it is not newer; answer whether."""
+        if table.version <= self.index.table.version:
+            return False
+        self.index = RouteIndex(table)
+        self._replicas.clear()
+        return True
+
+    def confirm_routes(self, asked_at: float) -> None:
+        """Note that the version in force was the newest at a moment.
+
+        Parameters
+        ----------
+        asked_at
+            When the question was sent whose answer said so, in seconds.
+        """
+        self._confirmed_at = max(self._confirmed_at, asked_at)
+
+    def take_fleet(self, fleet: Fleet, asked_at: float) -> None:
+        """Put a box list in force that was asked for at a moment."""
+        self.fleet = fleet
+        self._boxes_at = max(self._boxes_at, asked_at)
+        self._replicas.clear()
+
+    def confirm_fleet(self, asked_at: float) -> None:
+        """Note that the box list was the newest at a moment."""
+        self._boxes_at = max(self._boxes_at, asked_at)
+
+    def get_routes_age(self, now: float) -> float:
+        """Return for how long the routes are not confirmed, in seconds."""
+        return round(now - self._confirmed_at, 3)
+
+    def get_boxes_age(self, now: float) -> float:
+        """Return for how long the box list is not confirmed, in seconds."""
+        return round(now - self._boxes_at, 3)
+
+    def check_routes(self, now: float) -> None:
+        """Refuse while nothing sure enough is known.
+
+        Raises
+        ------
+        Refusal
+            Before the first version, or when the one in force may be old.
+        """
+        if not self.has_routes:
+            raise Refusal(Code.NODE_STARTING, retry_after=ROUTES_BACK_SECONDS)
+        if not self.are_keys_fresh(now):
+            raise Refusal(Code.ROUTES_STALE, retry_after=ROUTES_BACK_SECONDS)
+
+    def check_keys(self, now: float) -> None:
+        """Refuse when a key may have been removed unnoticed.
+
+        Raises
+        ------
+        Refusal
+            When the routes are not confirmed within the promised bound.
+        """
+        if not self.are_keys_fresh(now):
+            raise Refusal(Code.ROUTES_STALE, retry_after=ROUTES_BACK_SECONDS)
+
+    def are_keys_fresh(self, now: float) -> bool:
+        """Answer whether a key that is known here can be relied on."""
+        bound = self._promises.keys_refused_within - KEY_MARGIN
+        return now - self._confirmed_at < bound
+
+    def list_replicas(
+        self,
+        service: ServiceName,
+        model: ModelName,
+    ) -> list[Replica]:
+        """Return the replicas that may get a request."""
+        key = (service, model)
+        found = self._replicas.get(key)
+        if found is None:
+            found = self._find_replicas(service, model)
+            self._replicas[key] = found
+        return found
+
+    def list_keys(self) -> set[ReplicaKey]:
+        """Return the identities of all boxes with their present epochs."""
+        return {
+            ReplicaKey(box.box, box.standing.epoch)
+            if box.standing
+            else ReplicaKey(box.box)
+            for box in self.fleet.boxes.values()
+        }
+
+    def may_send_to(self, replica: Replica) -> bool:
+        """Answer whether a replica that was chosen is still in force."""
+        box = self.fleet.boxes.get(replica.key.box)
+        if box is None or box.leaving:
+            return False
+        if box.standing is None:
+            return not replica.group
+        return box.standing.epoch == replica.key.epoch
+
+    def doubt(self, replica: Replica) -> None:
+        """Take out a replica that disowns its group, until the list changes."""
+        for found in self._replicas.values():
+            if replica in found:
+                found.remove(replica)
+
+    def _find_replicas(
+        self,
+        service: ServiceName,
+        name: ModelName,
+    ) -> list[Replica]:
+        known = self.index.find_service(service)
+        engine = known.engine if known else None
+        if engine is None:
+            return self.fleet.list_plain(service)
+        model = engine.find_model(name)
+        if model is None:
+            return []
+        return self.fleet.list_serving(
+            service, model.name, model.boxes_per_group
+        )
--- /dev/null
+++ b/waywell/request/attempt.py
@@ -0,0 +1,286 @@
+"""One attempt at a request: a task that sends it and tells what comes back."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.result import Failure
+
+from waywell.connection.exchange import (
+    BodySink,
+    Exchange,
+    Outgoing,
+    SendFault,
+    open_exchange,
+)
+from waywell.request.events import EventCutter, StreamEvent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from waywell.connection.wire import Wire
+    from waywell.request.ask import AnswerMark
+    from waywell.version.fleet import Replica
+
+CONNECT_SECONDS = 0.15
+"""For a connection to come up: a few times the longest way between halls;
+a box without power says nothing at all."""
+
+STREAM_TYPE = b'text/event-stream'
+"""Content type of a stream of events."""
+
+GATHERED_BYTES = 262_144
+"""Most bytes of a plain answer that wait for its end, so that an answer that
+breaks off can be asked for again; a longer one is passed on as it comes."""
+
+MOST_WAITING = 64
+"""Pieces that wait for the caller until the replica is read no further."""
+
+
+class Inbox:
+    """Where the attempts at one request put what comes."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.queue: asyncio.Queue[object] = asyncio.Queue()
+        self._paused: set[_BodyReader] = set()
+
+    def put(self, message: object) -> None:
+        """Put a message in."""
+        self.queue.put_nowait(message)
+
+    def pause_if_full(self, reader: _BodyReader) -> None:
+        """Stop a reader while the caller is slower than the replica."""
+        if self.queue.qsize() > MOST_WAITING:
+            reader.pause()
+            self._paused.add(reader)
+
+    async def get(self, seconds: float) -> object | None:
+        """Return the next message, or ``None`` when none comes in time."""
+        try:
+            async with asyncio.timeout(seconds):
+                message = await self.queue.get()
+        except TimeoutError:
+            return None
+        if self._paused and self.queue.empty():
+            for reader in self._paused:
+                reader.resume()
+            self._paused.clear()
+        return message
+
+
+class Attempt:
+    """Sends a request to one replica.
+
+    Parameters
+    ----------
+    replica
+        Where it goes.
+    number
+        Place among the attempts at the request, from 1.
+    inbox
+        Where what comes is put.
+    """
+
+    class Head(msgspec.Struct, frozen=True):
+        """The head of an answer came."""
+
+        attempt: Attempt
+        """Sender."""
+
+        status: int
+        """HTTP status."""
+
+        headers: tuple[tuple[bytes, bytes], ...]
+        """Headers to pass on."""
+
+        mark: AnswerMark
+        """What the replica says of the answer."""
+
+        length: int | None
+        """Length of the body, where it is told."""
+
+    class Piece(msgspec.Struct, frozen=True):
+        """A piece of the body came; of a stream, one whole event."""
+
+        attempt: Attempt
+        """Sender."""
+
+        event: StreamEvent
+        """The piece."""
+
+    class End(msgspec.Struct, frozen=True):
+        """The body has ended."""
+
+        attempt: Attempt
+        """Sender."""
+
+        is_whole: bool
+        """Whether all of it came."""
+
+    class Fault(msgspec.Struct, frozen=True):
+        """No answer came."""
+
+        attempt: Attempt
+        """Sender."""
+
+        fault: SendFault
+        """Why."""
+
+    def __init__(self, replica: Replica, number: int, inbox: Inbox) -> None:
+        """Send nothing yet."""
+        self.replica = replica
+        self.number = number
+        self.started_at = 0.0
+        self.has_begun = False
+        self.was_sent = False
+        self._inbox = inbox
+        self._task: asyncio.Task[None] | None = None
+        self._exchange: Exchange | None = None
+        self.head: Attempt.Head | None = None
+        self._is_over = False
+
+    def start(
+        self,
+        outgoing: Outgoing,
+        wire: Wire,
+        may_send: Callable[[], bool],
+        now: float,
+    ) -> None:
+        """Begin to send."""
+        self.started_at = now
+        work = self._run(outgoing, wire, may_send)
+        self._task = asyncio.get_running_loop().create_task(work)
+
+    def stop(self) -> None:
+        """Break it off; nothing more is told of it."""
+        self._is_over = True
+        if self._task is not None:
+            self._task.cancel()
+        if self._exchange is not None:
+            self._exchange.abort()
+
+    def tell(self, message: object) -> None:
+        """Put a message into the inbox, unless it was broken off."""
+        if not self._is_over:
+            self._inbox.put(message)
+
+    async def _run(
+        self,
+        outgoing: Outgoing,
+        wire: Wire,
+        may_send: Callable[[], bool],
+    ) -> None:
+        def check() -> bool:
+            self.was_sent = may_send()
+            return self.was_sent
+
+        opened = await open_exchange(outgoing, CONNECT_SECONDS, check)
+        if isinstance(opened, Failure):
+            self.tell(self.Fault(self, opened.failure()))
+            return
+        exchange = opened.unwrap()
+        self._exchange = exchange
+        mark = wire.read_mark(exchange.status, exchange.headers)
+        self.tell(
+            self.Head(
+                self,
+                exchange.status,
+                exchange.headers,
+                mark,
+                exchange.length,
+            ),
+        )
+        exchange.deliver(_make_reader(self, exchange, self._inbox))
+
+
+class _BodyReader(BodySink):
+    """Tells the pieces of a body."""
+
+    def __init__(
+        self,
+        attempt: Attempt,
+        exchange: Exchange,
+        inbox: Inbox,
+    ) -> None:
+        self._attempt = attempt
+        self._exchange = exchange
+        self._inbox = inbox
+
+    def was_reset(self) -> bool:
+        return self._exchange.was_reset
+
+    def on_end(self, is_whole: bool) -> None:
+        self._attempt.tell(Attempt.End(self._attempt, is_whole))
+
+    def _tell(self, event: StreamEvent) -> None:
+        self._attempt.tell(Attempt.Piece(self._attempt, event))
+        self._inbox.pause_if_full(self)
+
+
+class _EventReader(_BodyReader):
+    """Tells whole events only: a replica may break off within one."""
+
+    def __init__(
+        self,
+        attempt: Attempt,
+        exchange: Exchange,
+        inbox: Inbox,
+    ) -> None:
+        super().__init__(attempt, exchange, inbox)
+        self._cutter = EventCutter()
+
+    def on_bytes(self, raw: bytes) -> None:
+        for event in self._cutter.feed(raw):
+            self._tell(event)
+
+    def on_end(self, is_whole: bool) -> None:
+        if is_whole and self._cutter.rest:
+            self._tell(StreamEvent(self._cutter.rest, None))
+        super().on_end(is_whole)
+
+
+class _PlainReader(_BodyReader):
+    """Gathers a body of moderate size and tells it whole."""
+
+    def __init__(
+        self,
+        attempt: Attempt,
+        exchange: Exchange,
+        inbox: Inbox,
+    ) -> None:
+        super().__init__(attempt, exchange, inbox)
+        self._gathered = bytearray()
+
+    def on_bytes(self, raw: bytes) -> None:
+        self._gathered += raw
+        if len(self._gathered) > GATHERED_BYTES:
+            self._flush()
+
+    def on_end(self, is_whole: bool) -> None:
+        if is_whole and self._gathered:
+            self._flush()
+        super().on_end(is_whole)
+
+    def _flush(self) -> None:
+        self._tell(StreamEvent(bytes(self._gathered), None))
+        self._gathered.clear()
+
+
+def is_stream(headers: tuple[tuple[bytes, bytes], ...]) -> bool:
+    """Answer whether an answer is a stream of events."""
+    return any(
+        name.lower() == b'content-type' and text.startswith(STREAM_TYPE)
+        for name, text in headers
+    )
+
+
+def _make_reader(
+    attempt: Attempt,
+    exchange: Exchange,
+    inbox: Inbox,
+) -> _BodyReader:
+    maker = _EventReader if is_stream(exchange.headers) else _PlainReader
+    return maker(attempt, exchange, inbox)
--- /dev/null
+++ b/waywell/request/patience.py
@@ -0,0 +1,67 @@
+"""How long an attempt may be silent before another is made beside it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from waywell.version.routes import RouteKind
+
+if TYPE_CHECKING:
+    from waywell.request.ask import Ask
+    from waywell.version.routes import Engine, Route
+
+PLAIN_PART = 0.6
+"""Part of the goal after which a plain request is sent again: what is left
+covers one more answer in the usual time."""
+
+FIRST_PART = 0.6
+"""Part of the goal after which a stream without an event is tried elsewhere."""
+
+GAP_PART = 0.6
+"""Part of the longest pause that is in time after which a stream is taken up
+elsewhere; the rest is for reading the prompt once more."""
+
+LEAST_GAP = 0.1
+"""Least silence that says something, in seconds: two passes of an engine."""
+
+DEFAULT_GOAL = 0.5
+"""Goal of a route that names none, in seconds."""
+
+
+@attrs.frozen
+class Patience:
+    """Silences that are borne, in seconds."""
+
+    first: float
+    """From the sending to the first event, or the whole plain answer."""
+
+    gap: float
+    """Between two events."""
+
+    expected_first: float
+    """What the first event takes on an idle replica; 0 where unknown."""
+
+
+def measure_patience(
+    route: Route,
+    engine: Engine | None,
+    ask: Ask,
+) -> Patience:
+    """Return the silences that an attempt is granted."""
+    goal = route.goal or DEFAULT_GOAL
+    if route.kind is not RouteKind.STREAM:
+        return Patience(goal * PLAIN_PART, goal * PLAIN_PART, 0.0)
+    gap = max(LEAST_GAP, (route.gap_goal or goal) * GAP_PART)
+    return Patience(goal * FIRST_PART, gap, _expect_first(engine, ask))
+
+
+def _expect_first(engine: Engine | None, ask: Ask) -> float:
+    if engine is None or not engine.read_per_second:
+        return 0.0
+    model = engine.find_model(ask.model)
+    pace = model.pace if model else 1.0
+    reading = ask.prompt_tokens / engine.read_per_second
+    step = engine.step_seconds * engine.steps_a_pass
+    return (reading + step) * pace
--- /dev/null
+++ b/waywell/request/replica_book.py
@@ -0,0 +1,112 @@
+"""What one node has seen of each replica: its own load, silence, failures."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from waywell.version.fleet import ReplicaKey
+
+REST_SECONDS = 1.0
+"""For which a replica that fell silent or failed gets nothing new; a streak
+of failures doubles it.  The list lapses after about three heartbeats."""
+
+LONGEST_REST = 8.0
+"""Longest rest, in seconds; a replica that fails for longer is tried anew."""
+
+SMOOTHING = 0.2
+"""Weight of the newest reading in a running mean."""
+
+
+@attrs.define
+class ReplicaRecord:
+    """One replica, as this node has seen it."""
+
+    in_flight: int = 0
+    """Requests of this node."""
+
+    tokens: int = 0
+    """Tokens of these requests, to be read and written."""
+
+    heard_at: float = 0.0
+    """When it last sent something, in seconds."""
+
+    rests_until: float = 0.0
+    """Until when it gets nothing new."""
+
+    streak: int = 0
+    """Silences and failures in a row."""
+
+    slowness: float = 1.0
+    """Running mean of how much slower than expected its answers begin."""
+
+
+class ReplicaBook:
+    """Keeps a record a replica."""
+
+    def __init__(self) -> None:
+        """Start without records."""
+        self._records: dict[ReplicaKey, ReplicaRecord] = {}
+
+    def get(self, key: ReplicaKey) -> ReplicaRecord:
+        """Return the record of a replica."""
+        record = self._records.get(key)
+        if record is None:
+            record = ReplicaRecord()
+            self._records[key] = record
+        return record
+
+    def forget_others(self, keys: Iterable[ReplicaKey]) -> None:
+        """Drop the idle records of replicas that are gone."""
+        present = set(keys)
+        for key, record in tuple(self._records.items()):
+            if key not in present and not record.in_flight:
+                self._records.pop(key)
+
+    def note_start(self, key: ReplicaKey, tokens: int) -> None:
+        """Count a request in."""
+        record = self.get(key)
+        record.in_flight += 1
+        record.tokens += tokens
+
+    def note_end(self, key: ReplicaKey, tokens: int) -> None:
+        """Count a request out."""
+        record = self.get(key)
+        record.in_flight -= 1
+        record.tokens -= tokens
+
+    def note_heard(self, key: ReplicaKey, now: float) -> None:
+        """Note that something came."""
+        record = self.get(key)
+        record.heard_at = now
+        record.streak = 0
+        record.rests_until = 0.0
+
+    def note_first(self, key: ReplicaKey, ratio: float) -> None:
+        """Note how long an answer's beginning took.
+
+        Parameters
+        ----------
+        key
+            The replica.
+        ratio
+            The time, as a part of what was expected.
+        """
+        record = self.get(key)
+        record.slowness += SMOOTHING * (ratio - record.slowness)
+
+    def note_failure(self, key: ReplicaKey, now: float) -> None:
+        """Let a replica rest that failed, refused or fell silent."""
+        record = self.get(key)
+        record.streak += 1
+        rest = min(LONGEST_REST, REST_SECONDS * 2 ** (record.streak - 1))
+        record.rests_until = now + rest
+
+    def is_silent(self, key: ReplicaKey, since: float, now: float) -> bool:
+        """Answer whether nothing came for a while although work is there."""
+        record = self.get(key)
+        return record.in_flight > 0 and now - record.heard_at > since
--- /dev/null
+++ b/waywell/version/fleet.py
@@ -0,0 +1,245 @@
+"""Target boxes and replica groups as the boxes themselves tell them.
+
+A box tells which group it stands in, so the groups that serve can be read off
+the box list by every node, also after all of them were restarted.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import defaultdict
+from functools import cached_property
+
+import msgspec
+
+from waywell.ids import (
+    BoxId,
+    DomainName,
+    Epoch,
+    GroupId,
+    HallName,
+    ModelName,
+    ServiceName,
+)
+
+
+class MemberState(enum.Enum):
+    """State of a box within its group."""
+
+    JOINING = 'joining'
+    """It loads the model."""
+
+    READY = 'ready'
+    """It has loaded the model; the group does not serve yet."""
+
+    OPEN = 'open'
+    """The group serves; the head says so."""
+
+    CLOSING = 'closing'
+    """The group finishes its work and takes nothing new."""
+
+    BROKEN = 'broken'
+    """A member was lost, and the head has given up."""
+
+
+class Standing(msgspec.Struct, frozen=True):
+    """A box's place in a group."""
+
+    group: GroupId
+    """The group."""
+
+    epoch: Epoch
+    """Its epoch."""
+
+    rank: int
+    """Place in the list of members; the head has 0."""
+
+    state: MemberState
+    """What the box says of it."""
+
+
+class FleetBox(msgspec.Struct, frozen=True):
+    """A target box as the box list shows it."""
+
+    box: BoxId
+    """Its name; a restart gives a new one."""
+
+    service: ServiceName
+    """Service that it answers for."""
+
+    host: str
+    """IP number."""
+
+    port: int
+    """Port."""
+
+    hall: HallName
+    """Data hall."""
+
+    domain: DomainName = DomainName('')
+    """Fabric domain; empty for a plain service."""
+
+    places: int = 1
+    """Requests that it runs at once."""
+
+    leaving: bool = False
+    """Whether it is to get nothing new."""
+
+    models: tuple[ModelName, ...] = ()
+    """Models that it serves, or served last."""
+
+    staged: tuple[ModelName, ...] = ()
+    """Models whose weights lie in its own memory."""
+
+    standing: Standing | None = None
+    """Its place in a group."""
+
+    orders_taken: int = 0
+    """Orders that it has begun in this life."""
+
+
+class ReplicaKey(msgspec.Struct, frozen=True):
+    """What tells replicas apart over restarts and regroupings."""
+
+    box: BoxId
+    """Box that takes the requests."""
+
+    epoch: Epoch = Epoch(0)
+    """Epoch of its group; 0 for a plain service."""
+
+
+class Replica(msgspec.Struct, frozen=True):
+    """Something that requests can be sent to."""
+
+    key: ReplicaKey
+    """Its identity."""
+
+    head: FleetBox
+    """Box that takes the requests."""
+
+    model: ModelName = ModelName('')
+    """Model that it serves; empty for a plain service."""
+
+    group: GroupId = GroupId('')
+    """Name of its group; empty for a plain service."""
+
+
+class FleetGroup(msgspec.Struct, frozen=True):
+    """A group as its present members tell it."""
+
+    group: GroupId
+    """Name."""
+
+    epoch: Epoch
+    """Epoch."""
+
+    members: tuple[FleetBox, ...]
+    """Members that are on the list, by rank."""
+
+    @property
+    def head(self) -> FleetBox | None:
+        """Return the member that takes the requests, if it is listed."""
+        first = self.members[0]
+        return first if _get_rank(first) == 0 else None
+
+    @property
+    def domain(self) -> DomainName:
+        """Return the fabric domain of the first member."""
+        return self.members[0].domain
+
+    @property
+    def service(self) -> ServiceName:
+        """Return the service of the first member."""
+        return self.members[0].service
+
+    def is_in(self, *states: MemberState) -> bool:
+        """Answer whether every listed member is in one of some states."""
+        return all(
+            member.standing is not None and member.standing.state in states
+            for member in self.members
+        )
+
+
+class Fleet:
+    """The box list at one moment.
+
+    Parameters
+    ----------
+    boxes
+        All boxes, by name.
+    """
+
+    def __init__(self, boxes: dict[BoxId, FleetBox]) -> None:
+        """Keep the boxes."""
+        self.boxes = boxes
+
+    @cached_property
+    def groups(self) -> dict[GroupId, FleetGroup]:
+        """Return the groups, by name."""
+        gathered: dict[tuple[GroupId, Epoch], list[FleetBox]] = defaultdict(
+            list
+        )
+        for box in self.boxes.values():
+            if box.standing is not None:
+                key = (box.standing.group, box.standing.epoch)
+                gathered[key].append(box)
+        return {
+            group: FleetGroup(
+                group, epoch, tuple(sorted(members, key=_get_rank))
+            )
+            for (group, epoch), members in sorted(gathered.items())
+        }
+
+    def list_plain(self, service: ServiceName) -> list[Replica]:
+        """Return the boxes of a plain service that may get requests."""
+        return [
+            Replica(ReplicaKey(box.box), box)
+            for box in self.boxes.values()
+            if box.service == service and not box.leaving
+        ]
+
+    def list_serving(
+        self,
+        service: ServiceName,
+        model: ModelName,
+        size: int,
+    ) -> list[Replica]:
+        """Return the whole groups of a model that may get requests."""
+        return [
+            _make_replica(group, model)
+            for group in self.groups.values()
+            if group.service == service
+            and parse_group(group.group) == model
+            and _serves(group, size)
+        ]
+
+
+def name_group(model: ModelName, epoch: Epoch) -> GroupId:
+    """Return the name of a group; it tells the group's model."""
+    return GroupId(f'{model}.{epoch}')
+
+
+def parse_group(group: GroupId) -> ModelName:
+    """Return the model of a group from its name."""
+    return ModelName(group.rpartition('.')[0])
+
+
+def _serves(group: FleetGroup, size: int) -> bool:
+    head = group.head
+    if head is None or len(group.members) != size:
+        return False
+    standing = head.standing
+    if standing is None or standing.state is not MemberState.OPEN:
+        return False
+    if any(member.leaving for member in group.members):
+        return False
+    return group.is_in(MemberState.READY, MemberState.OPEN)
+
+
+def _make_replica(group: FleetGroup, model: ModelName) -> Replica:
+    head = group.members[0]
+    return Replica(ReplicaKey(head.box, group.epoch), head, model, group.group)
+
+
+def _get_rank(box: FleetBox) -> int:
+    return 0 if box.standing is None else box.standing.rank
--- /dev/null
+++ b/waywell/version/forming.py
@@ -0,0 +1,500 @@
+"""Which orders bring the groups closer to what should stand.
+
+The groups are read off the boxes; nothing but the epoch is kept elsewhere, so
+a new holder of the duty, or one after all nodes were restarted, adopts what
+stands.  Three rules hold for each order:
+
+- A box joins a group only when its former group is known not to serve: it is
+  ready or broken, or its head has left it, is gone, or must have given up.
+- A group is opened only when each of its boxes has told that it is ready
+  under the group's name and epoch.
+- Loads from the weight store keep its pace.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import Counter, defaultdict, deque
+from typing import TYPE_CHECKING
+
+import attrs
+
+from waywell.ids import BoxId, DomainName, Epoch, GroupId, ModelName
+from waywell.version.fleet import (
+    Fleet,
+    FleetBox,
+    FleetGroup,
+    MemberState,
+    name_group,
+    parse_group,
+)
+from waywell.version.orders import (
+    Assignment,
+    BoxOrder,
+    Close,
+    Join,
+    Leave,
+    Open,
+    Stage,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from waywell.ids import ServiceName
+    from waywell.version.routes import Engine, EngineModel
+
+PENDING_SECONDS = 2.5
+"""For which an order that was sent is waited for in the box list: two
+heartbeats."""
+
+GATHER_SECONDS = 4.0
+"""For which boxes that were ordered into a group may not show it yet."""
+
+LOAD_PATIENCE = 3.0
+"""Times a load's usual length after which a box that still loads is given
+up."""
+
+REJOIN_SECONDS = 0.2
+"""To join with the model that the box served last."""
+
+PACE_SHARE = 0.9
+"""Part of the weight store's pace that is used; the rest covers loads that a
+former holder began."""
+
+
+class Verdict(enum.Enum):
+    """What is to be done about a group."""
+
+    SERVING = 'serving'
+    """Nothing: it serves whole."""
+
+    UNDER_WAY = 'under_way'
+    """Nothing yet: it forms, closes, or may still serve somewhere."""
+
+    READY = 'ready'
+    """It is to be opened."""
+
+    CLOSE = 'close'
+    """It is to finish its work: a member leaves."""
+
+    BREAK = 'break'
+    """It has lost a member; the head is to leave it at once."""
+
+    FREE = 'free'
+    """It serves nowhere; its boxes may join others."""
+
+
+@attrs.frozen
+class FormingGroup:
+    """A group whose joins were ordered by this holder."""
+
+    members: tuple[BoxId, ...]
+    """Its members."""
+
+    begun_at: float
+    """When, in seconds."""
+
+
+@attrs.define
+class FormingMemory:
+    """What the holder of the duty remembers between plans."""
+
+    next_epoch: int = 1
+    """Epoch of the next group."""
+
+    pending: dict[BoxId, tuple[BoxOrder, float]] = attrs.Factory(dict)
+    """Orders whose effect is not seen yet, with when they were sent."""
+
+    forming: dict[GroupId, FormingGroup] = attrs.Factory(dict)
+    """Groups that were ordered."""
+
+    seen_at: dict[GroupId, float] = attrs.Factory(dict)
+    """When a group was first seen in its present trouble."""
+
+    heads: dict[GroupId, FleetBox] = attrs.Factory(dict)
+    """Heads of groups that served, as they were last listed."""
+
+    settled: set[GroupId] = attrs.Factory(set)
+    """Groups whose head is known to be gone or to have left."""
+
+    loads: deque[float] = attrs.Factory(deque)
+    """When loads were begun, in seconds."""
+
+
+@attrs.frozen
+class FormingView:
+    """What a plan is made of."""
+
+    service: ServiceName
+    """Service whose groups are planned."""
+
+    engine: Engine
+    """Its engines."""
+
+    fleet: Fleet
+    """The box list."""
+
+    demand: Mapping[ModelName, float]
+    """Work that callers ask of each model, in places."""
+
+    stall_seconds: float
+    """For which a group that lost a member stands still."""
+
+
+class FormingPlanner:
+    """Plans for one service.
+
+    Parameters
+    ----------
+    view
+        What is known.
+    memory
+        What the holder remembers; changed by the plan.
+    now
+        The present time, in seconds.
+    """
+
+    def __init__(
+        self,
+        view: FormingView,
+        memory: FormingMemory,
+        now: float,
+    ) -> None:
+        """Plan nothing yet."""
+        self._view = view
+        self._memory = memory
+        self._now = now
+        self._assignments: list[Assignment] = []
+        self._standing: Counter[ModelName] = Counter()
+        self._boxes = [
+            box
+            for box in view.fleet.boxes.values()
+            if box.service == view.service
+        ]
+        self._groups = [
+            group
+            for group in view.fleet.groups.values()
+            if group.service == view.service
+        ]
+
+    def plan(self) -> list[Assignment]:
+        """Return the orders to give now."""
+        self._forget_seen()
+        verdicts = {group.group: self._judge(group) for group in self._groups}
+        for group in self._groups:
+            self._act(group, verdicts[group.group])
+        self._count_forming()
+        free = self._list_free(verdicts)
+        if self._is_first_start():
+            self._form(free, takes_loads=True)
+            return self._assignments
+        left = self._form(free, takes_loads=False)
+        self._stage(left)
+        return self._assignments
+
+    def _forget_seen(self) -> None:
+        """Drop what was waited for and is seen, or was waited for in vain."""
+        memory = self._memory
+        for name, (order, sent_at) in tuple(memory.pending.items()):
+            box = self._view.fleet.boxes.get(name)
+            if self._now - sent_at > PENDING_SECONDS:
+                memory.pending.pop(name)
+            elif box is not None and _shows(box, order):
+                memory.pending.pop(name)
+        present = {group.group for group in self._groups}
+        for group, forming in tuple(memory.forming.items()):
+            late = self._now - forming.begun_at > GATHER_SECONDS
+            if late and group not in present:
+                memory.forming.pop(group)
+        for group in tuple(memory.seen_at):
+            if group not in present:
+                memory.seen_at.pop(group)
+        for group in tuple(memory.heads):
+            if group not in present:
+                memory.heads.pop(group)
+        memory.settled &= present
+
+    def _judge(self, group: FleetGroup) -> Verdict:
+        """Return what is to be done about a group."""
+        model = self._view.engine.find_model(parse_group(group.group))
+        if model is None:
+            return self._judge_unwanted(group)
+        leaving = any(member.leaving for member in group.members)
+        whole = len(group.members) == model.boxes_per_group
+        if whole and not leaving:
+            return self._judge_whole(group, model)
+        if whole:
+            return self._judge_unwanted(group)
+        return self._judge_incomplete(group)
+
+    def _judge_whole(self, group: FleetGroup, model: EngineModel) -> Verdict:
+        state = _get_head_state(group)
+        if state is MemberState.OPEN:
+            self._memory.seen_at.pop(group.group, None)
+            self._memory.heads[group.group] = group.members[0]
+            return Verdict.SERVING
+        if state is MemberState.CLOSING:
+            return Verdict.UNDER_WAY
+        if state is MemberState.BROKEN:
+            return Verdict.FREE
+        if group.is_in(MemberState.READY):
+            return Verdict.READY
+        if group.is_in(MemberState.READY, MemberState.JOINING):
+            seen = self._memory.seen_at.setdefault(group.group, self._now)
+            patience = LOAD_PATIENCE * model.load_seconds + GATHER_SECONDS
+            late = self._now - seen > patience
+            return Verdict.FREE if late else Verdict.UNDER_WAY
+        return Verdict.FREE
+
+    def _judge_unwanted(self, group: FleetGroup) -> Verdict:
+        """Judge a whole group that is to end in good order."""
+        state = _get_head_state(group)
+        if state is MemberState.OPEN:
+            return Verdict.CLOSE
+        if state is MemberState.CLOSING:
+            return Verdict.UNDER_WAY
+        return Verdict.FREE
+
+    def _judge_incomplete(self, group: FleetGroup) -> Verdict:
+        """Judge a group some of whose members are not on the list."""
+        seen = self._memory.seen_at.setdefault(group.group, self._now)
+        waited = self._now - seen
+        if self._is_gathering(group):
+            return Verdict.UNDER_WAY
+        head = group.head
+        if head is None:
+            return self._judge_headless(group, waited)
+        state = _get_head_state(group)
+        if state in {MemberState.OPEN, MemberState.CLOSING}:
+            return Verdict.BREAK
+        if state is MemberState.JOINING and waited < GATHER_SECONDS:
+            return Verdict.UNDER_WAY
+        return Verdict.FREE
+
+    def _judge_headless(self, group: FleetGroup, waited: float) -> Verdict:
+        """Judge a group whose head is not listed, but may still serve."""
+        if group.group in self._memory.settled:
+            return Verdict.FREE
+        if waited > self._view.stall_seconds:
+            return Verdict.FREE
+        head = self._memory.heads.get(group.group)
+        if head is not None:
+            # It may live and serve, cut off from the platform only.
+            self._assign(head, Leave(group.group, group.epoch))
+        return Verdict.UNDER_WAY
+
+    def _is_gathering(self, group: FleetGroup) -> bool:
+        """Answer whether its other members may only not show it yet."""
+        forming = self._memory.forming.get(group.group)
+        if forming is None:
+            return False
+        if self._now - forming.begun_at > GATHER_SECONDS:
+            return False
+        boxes = self._view.fleet.boxes
+        return all(
+            name in boxes and not boxes[name].leaving
+            for name in forming.members
+        )
+
+    def _act(self, group: FleetGroup, verdict: Verdict) -> None:
+        """Give the orders that a verdict asks for."""
+        head = group.head
+        if head is None:
+            return
+        if verdict is Verdict.READY:
+            self._assign(head, Open(group.group, group.epoch))
+        elif verdict is Verdict.CLOSE:
+            self._assign(head, Close(group.group, group.epoch))
+        elif verdict is Verdict.BREAK:
+            self._assign(head, Leave(group.group, group.epoch))
+        if verdict in {Verdict.SERVING, Verdict.READY, Verdict.UNDER_WAY}:
+            self._standing[parse_group(group.group)] += 1
+
+    def _count_forming(self) -> None:
+        """Count the groups that no box shows yet."""
+        present = {group.group for group in self._groups}
+        for name in self._memory.forming:
+            if name not in present:
+                self._standing[parse_group(name)] += 1
+
+    def _assign(self, box: FleetBox, order: BoxOrder) -> None:
+        if box.box not in self._memory.pending:
+            self._memory.pending[box.box] = (order, self._now)
+            self._assignments.append(Assignment(box, order))
+
+    def _list_free(
+        self,
+        verdicts: Mapping[GroupId, Verdict],
+    ) -> dict[DomainName, list[FleetBox]]:
+        """Return the boxes that may join a group, by fabric domain."""
+        held = {
+            name
+            for forming in self._memory.forming.values()
+            for name in forming.members
+            if self._now - forming.begun_at <= GATHER_SECONDS
+        }
+        free: dict[DomainName, list[FleetBox]] = defaultdict(list)
+        for box in self._boxes:
+            standing = box.standing
+            if box.leaving or box.box in self._memory.pending:
+                continue
+            if standing is not None:
+                if verdicts.get(standing.group) is not Verdict.FREE:
+                    continue
+            elif box.box in held:
+                continue
+            free[box.domain].append(box)
+        return free
+
+    def _is_first_start(self) -> bool:
+        """Answer whether no box has ever loaded anything.
+
+        Then no request has come yet, and loads keep no pace.
+        """
+        return not any(
+            box.models or box.staged or box.standing for box in self._boxes
+        )
+
+    def _form(
+        self,
+        free: dict[DomainName, list[FleetBox]],
+        takes_loads: bool,
+    ) -> dict[DomainName, list[FleetBox]]:
+        """Form groups, that of the greatest need first."""
+        while True:
+            best = self._find_best(free, takes_loads)
+            if best is None:
+                return free
+            model, boxes = best
+            self._join(model, boxes)
+            domain = boxes[0].domain
+            taken = {box.box for box in boxes}
+            free[domain] = [
+                box for box in free[domain] if box.box not in taken
+            ]
+
+    def _find_best(
+        self,
+        free: Mapping[DomainName, list[FleetBox]],
+        takes_loads: bool,
+    ) -> tuple[EngineModel, list[FleetBox]] | None:
+        for model in sorted(self._view.engine.models, key=self._rank_need):
+            found = [
+                _pick_fastest(boxes, model, takes_loads)
+                for boxes in free.values()
+            ]
+            ready = [boxes for boxes in found if boxes]
+            if ready:
+                return model, min(
+                    ready, key=lambda boxes: _get_time(boxes, model)
+                )
+        return None
+
+    def _rank_need(self, model: EngineModel) -> tuple[float, ModelName]:
+        """Return a rank: the model with the most work a place is first."""
+        places = self._standing[model.name] * self._view.engine.places
+        work = self._view.demand.get(model.name, 0.0)
+        return (-(work + 1.0) / (places + 1.0), model.name)
+
+    def _join(self, model: EngineModel, boxes: list[FleetBox]) -> None:
+        memory = self._memory
+        epoch = Epoch(memory.next_epoch)
+        memory.next_epoch += 1
+        group = name_group(model.name, epoch)
+        members = tuple(box.box for box in boxes)
+        memory.forming[group] = FormingGroup(members, self._now)
+        self._standing[model.name] += 1
+        for box in boxes:
+            self._assign(box, Join(group, epoch, model.name, members))
+
+    def _stage(self, left: Mapping[DomainName, list[FleetBox]]) -> None:
+        """Load a model into boxes that stand idle and hold none."""
+        idle = [
+            box
+            for boxes in left.values()
+            for box in boxes
+            if not box.staged and not box.models
+        ]
+        for box in idle:
+            if not self._may_load():
+                return
+            model = self._choose_staged(left[box.domain])
+            self._assign(box, Stage(model.name))
+            self._memory.loads.append(self._now)
+
+    def _choose_staged(self, idle: Iterable[FleetBox]) -> EngineModel:
+        """Return the model that completes a group in the domain soonest."""
+        held = Counter(
+            model for box in idle for model in box.staged or box.models
+        )
+        wanted = [
+            model
+            for model in sorted(self._view.engine.models, key=self._rank_need)
+            if held[model.name] % model.boxes_per_group
+        ]
+        if wanted:
+            return wanted[0]
+        return min(self._view.engine.models, key=self._rank_need)
+
+    def _may_load(self) -> bool:
+        """Answer whether the weight store's pace allows one more load."""
+        engine = self._view.engine
+        loads = self._memory.loads
+        longest = max(model.load_seconds for model in engine.models)
+        while loads and self._now - loads[0] > longest:
+            loads.popleft()
+        if len(loads) >= engine.loads_at_once:
+            return False
+        recent = sum(self._now - begun < 1.0 for begun in loads)
+        return recent < max(1.0, engine.loads_per_second * PACE_SHARE)
+
+
+def _get_head_state(group: FleetGroup) -> MemberState | None:
+    head = group.head
+    if head is None or head.standing is None:
+        return None
+    return head.standing.state
+
+
+def _shows(box: FleetBox, order: BoxOrder) -> bool:
+    """Answer whether a box's entry shows the effect of an order."""
+    standing = box.standing
+    if isinstance(order, Join):
+        return standing is not None and standing.epoch >= order.epoch
+    if isinstance(order, Stage):
+        return order.model in box.staged
+    if isinstance(order, Open):
+        return standing is None or standing.state is not MemberState.READY
+    if isinstance(order, Close):
+        return standing is None or standing.state is not MemberState.OPEN
+    return standing is None or standing.epoch != order.epoch
+
+
+def _pick_fastest(
+    boxes: list[FleetBox],
+    model: EngineModel,
+    takes_loads: bool,
+) -> list[FleetBox]:
+    """Return the boxes that make up a group soonest, or none."""
+    fit = [
+        box
+        for box in boxes
+        if takes_loads or model.name in box.models or model.name in box.staged
+    ]
+    fit.sort(key=lambda box: (_estimate(box, model), box.box))
+    size = model.boxes_per_group
+    return fit[:size] if len(fit) >= size else []
+
+
+def _get_time(boxes: list[FleetBox], model: EngineModel) -> float:
+    return max(_estimate(box, model) for box in boxes)
+
+
+def _estimate(box: FleetBox, model: EngineModel) -> float:
+    """Return the seconds until a box is ready in a group of a model."""
+    if model.name in box.models:
+        return REJOIN_SECONDS
+    if model.name in box.staged:
+        return model.warm_seconds
+    return model.load_seconds
--- /dev/null
+++ b/waywell/version/orders.py
@@ -0,0 +1,97 @@
+"""Orders to boxes: to load models, and to form and dissolve groups."""
+
+from __future__ import annotations
+
+import enum
+from typing import Union
+
+import msgspec
+
+from waywell.ids import BoxId, Epoch, GroupId, ModelName
+from waywell.version.fleet import FleetBox
+
+
+class Join(msgspec.Struct, frozen=True):
+    """Become a member of a group; replaces an older membership."""
+
+    group: GroupId
+    """The group."""
+
+    epoch: Epoch
+    """Its epoch; a box refuses one below the highest that it has seen."""
+
+    model: ModelName
+    """Model to load."""
+
+    members: tuple[BoxId, ...]
+    """All members; the first takes the requests."""
+
+
+class Open(msgspec.Struct, frozen=True):
+    """Begin to serve; to the head of a group that is ready."""
+
+    group: GroupId
+    """The group."""
+
+    epoch: Epoch
+    """Its epoch."""
+
+
+class Close(msgspec.Struct, frozen=True):
+    """Take nothing new and finish what runs; to a head."""
+
+    group: GroupId
+    """The group."""
+
+    epoch: Epoch
+    """Its epoch."""
+
+
+class Leave(msgspec.Struct, frozen=True):
+    """Leave a group at once, whatever runs."""
+
+    group: GroupId
+    """The group."""
+
+    epoch: Epoch
+    """Its epoch."""
+
+
+class Stage(msgspec.Struct, frozen=True):
+    """Load a model's weights into the box's own memory."""
+
+    model: ModelName
+    """The model."""
+
+
+BoxOrder = Union[Join, Open, Close, Leave, Stage]  # noqa: UP007 - read by msgspec
+"""All orders."""
+
+
+class OrderResult(enum.Enum):
+    """What came of an order."""
+
+    TAKEN = 'taken'
+    """It has begun, is done, or held already."""
+
+    MISFIT = 'misfit'
+    """It does not fit the box's state, or the box took another one before."""
+
+    OUTDATED = 'outdated'
+    """The box has seen a higher epoch."""
+
+    GONE = 'gone'
+    """No such box is there any more: nothing listens, or another answers."""
+
+    UNKNOWN = 'unknown'
+    """No answer: it may have been taken, or may still be, seconds later."""
+
+
+class Assignment(msgspec.Struct, frozen=True):
+    """An order and the box that it is for."""
+
+    box: FleetBox
+    """The box, as it was when the order was planned."""
+
+    order: BoxOrder
+    """The order."""
