Leave the sequence number of box entries out of orders

Cause: the box list's number counts entries written, not orders taken; each order carried it as the expected number and was refused. Ruled out: epochs, wrong order bodies (the same bodies are taken without it).

--- a/waywell/connection/exchange.py
+++ b/waywell/connection/exchange.py
@@ -222,7 +222,7 @@
         persistent=False,
     )
     try:
-        response = await await_deferred(protocol.request(request), None)
+        response: Any = await await_deferred(protocol.request(request), None)
     except Exception:
         return Failure(SendFault.BROKEN)
     return Success(Exchange(protocol, response))
--- a/waywell/connection/front.py
+++ b/waywell/connection/front.py
@@ -19,12 +19,13 @@
     CallerRequest,
     CallerSite,
 )
+from waywell.connection.wire import Wire
+from waywell.request.ask import Ask
 from waywell.request.forwarder import CallerAnswer
+from waywell.version.routes import CallerLimits
 
 if TYPE_CHECKING:
-    from waywell.connection.wire import RawHeaders, Wire
-    from waywell.request.ask import Ask
-    from waywell.version.routes import CallerLimits
+    from waywell.connection.wire import RawHeaders
 
 NOT_RUN_STATUS = 503
 """HTTP status that promises that a request has not run."""
@@ -58,6 +59,8 @@
 class FrontRequest(CallerRequest):
     """One request of a caller on the platform."""
 
+    backend: Any
+
     def refuse(self, refusal: Refusal) -> None:
         """Answer with a refusal, at once."""
         self.backend.report(self, refusal.code, refusal.ran)
--- a/waywell/connection/http_platform.py
+++ b/waywell/connection/http_platform.py
@@ -25,7 +25,7 @@
 WATCH_MARGIN = 3.0
 """Seconds beyond a watch's own wait until it counts as unanswered."""
 
-_FAULT_BY_STATUS = MappingProxyType(
+_FAULT_BY_STATUS: MappingProxyType[int, PlatformFault] = MappingProxyType(
     {
         HTTPStatus.CONFLICT: PlatformFault.CONFLICT,
         HTTPStatus.PRECONDITION_FAILED: PlatformFault.CONFLICT,
--- a/waywell/platform/desk.py
+++ b/waywell/platform/desk.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
 from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from waywell.connection.desk import DeskAnswer, DeskHandler
 
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping, Sequence
+
 READY_PATH = '/api/ready'
 """Asked by the platform each second."""
 
--- a/waywell/platform/manifest.py
+++ b/waywell/platform/manifest.py
@@ -158,7 +158,9 @@
         name=ServiceName(service.name),
         health_path=service.health_path,
         connections=service.max_conns,
-        engine=service.engine and _decode_engine(service.engine),
+        engine=None
+        if service.engine is None
+        else _decode_engine(service.engine),
     )
 
 
--- a/waywell/platform/messages.py
+++ b/waywell/platform/messages.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from types import MappingProxyType
+from typing import TYPE_CHECKING
 
 from waywell.codes import Code, Refusal
 from waywell.connection.http_target import HOP_HEADERS
 from waywell.connection.wire import RawHeaders, Wire
 from waywell.ids import ModelName
 from waywell.request.ask import AnswerMark, Ask, Delivery
-from waywell.version.fleet import FleetBox
+
+if TYPE_CHECKING:
+    from waywell.version.fleet import FleetBox
 
 # The id of one attempt of a client; a repeat has another.
 ATTEMPT_HEADER = 'x-request-attempt-id'
--- a/waywell/platform/orders.py
+++ b/waywell/platform/orders.py
@@ -79,8 +79,6 @@
     order: BoxOrder = assignment.order
     body: dict[str, Any] = msgspec.to_builtins(order)
     body['operation'] = _WORD_BY_ORDER[type(order)]
-    # The number of orders that the server has taken, not a store revision.
-    body['expect_rev'] = assignment.box.orders_taken
     if isinstance(order, Close):
         body['strategy'] = 'wait'
     return body
--- a/waywell/platform/servers.py
+++ b/waywell/platform/servers.py
@@ -41,6 +41,8 @@
 
 
 class _Server(msgspec.Struct):
+    # Its ``seq_no`` is left out: here it numbers the entries that the server
+    # has written, while in a report the same name counts orders taken.
     service: str
     address: str
     zone: str = ''
@@ -52,8 +54,6 @@
     staged: list[Any] = []
     domain: str = ''
     group: _Group | None = None
-    # Counts orders that were begun, not versions of the entry.
-    seq_no: int = 0
 
 
 def decode_server(name: str, spec: Any) -> FleetBox:
@@ -77,8 +77,7 @@
         leaving=server.state != 'ready',
         models=tuple(ModelName(model.name) for model in server.models),
         staged=tuple(_decode_staged(staged) for staged in server.staged),
-        standing=server.group and _decode_group(server.group),
-        orders_taken=server.seq_no,
+        standing=None if server.group is None else _decode_group(server.group),
     )
 
 
--- a/waywell/platform/store.py
+++ b/waywell/platform/store.py
@@ -41,7 +41,7 @@
     },
 )
 
-_FAULT_BY_STATUS = MappingProxyType(
+_FAULT_BY_STATUS: MappingProxyType[int, PlatformFault] = MappingProxyType(
     {
         HTTPStatus.CONFLICT: PlatformFault.CONFLICT,
         HTTPStatus.GONE: PlatformFault.HISTORY_GONE,
--- a/waywell/process/fleet_watch.py
+++ b/waywell/process/fleet_watch.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from waywell.connection.platform import Kind, PlatformFault
 from waywell.ids import BoxId
@@ -91,7 +91,7 @@
             self._take(answer.unwrap(), asked_at, now)
             await asyncio.sleep(max(0.0, asked_at + PACE_SECONDS - now))
 
-    async def _look(self) -> object:
+    async def _look(self) -> Result[Changes, PlatformFault]:
         if not self._revision:
             return await self._platform.fetch_all(Kind.BOX)
         return await self._platform.watch(
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from waywell.process.actor import Message
@@ -22,7 +21,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from waywell.connection.box_orders import BoxOrders
     from waywell.connection.platform import Platform
@@ -172,7 +171,7 @@
         memory = self._memories.get(service)
         if memory is None:
             first = self.lease.state.epoch * EPOCHS_A_TERM + 1
-            memory = FormingMemory(next_epoch=first)
+            memory = FormingMemory(next_epoch=first, first_epoch=first)
             self._memories[service] = memory
         return memory
 
@@ -187,7 +186,6 @@
             order=type(order).__name__.lower(),
             box=assignment.box.box,
             group=order.model if isinstance(order, Stage) else order.group,
-            taken_before=assignment.box.orders_taken,
             result=result.value,
         )
         self.post(self.Ordered(assignment, result))
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable, Mapping, Sequence
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 import msgspec
@@ -13,7 +13,6 @@
 
 from waywell.codes import Code, Ran
 from waywell.connection.box_orders import BoxOrders
-from waywell.connection.caller import CallerRequest
 from waywell.connection.desk import DeskAnswer, DeskHandler
 from waywell.connection.front import FrontBackend
 from waywell.connection.peer import ClaimAnswer, ClaimAsk, PeerService
@@ -25,7 +24,6 @@
 from waywell.process.fleet_watch import FleetWatch
 from waywell.process.forming import FormingDuty
 from waywell.process.front_ports import FrontHandlers, FrontPorts
-from waywell.process.front_settings import FrontSettings
 from waywell.process.gossip import Gossip, Numbers
 from waywell.process.links import PeerLinks
 from waywell.process.membership import (
@@ -36,7 +34,6 @@
 from waywell.process.metrics import Metrics
 from waywell.process.outlook import Outlook
 from waywell.process.route_watch import RouteWatch
-from waywell.request.ask import Ask
 from waywell.request.claim import ClaimState
 from waywell.request.demand import DemandMeter
 from waywell.request.forwarder import (
@@ -48,6 +45,11 @@
 from waywell.request.replica_book import ReplicaBook
 from waywell.request.resend_budget import ResendBudget, ResendLimits
 
+if TYPE_CHECKING:
+    from waywell.connection.caller import CallerRequest
+    from waywell.process.front_settings import FrontSettings
+    from waywell.request.ask import Ask
+
 JOIN_SECONDS = 1.0
 """Seconds between two attempts to find other entry boxes."""
 
--- a/waywell/process/route_watch.py
+++ b/waywell/process/route_watch.py
@@ -93,14 +93,16 @@
         if isinstance(answer, Failure):
             # What was missed in the meantime is found by reading anew.
             self._revision = 0
-            return answer.failure()
+            fault: PlatformFault = answer.failure()
+            return fault
         self._take_changes(answer.unwrap(), asked_at)
         return None
 
     async def _read(self, asked_at: float) -> PlatformFault | None:
         answer = await self._platform.fetch_all(Kind.CONFIGURATION)
         if isinstance(answer, Failure):
-            return answer.failure()
+            fault: PlatformFault = answer.failure()
+            return fault
         self._take_changes(answer.unwrap(), asked_at)
         return None
 
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -15,13 +15,13 @@
     SendFault,
     open_exchange,
 )
+from waywell.request.ask import AnswerMark
 from waywell.request.events import EventCutter, StreamEvent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from waywell.connection.wire import Wire
-    from waywell.request.ask import AnswerMark
     from waywell.version.fleet import Replica
 
 CONNECT_SECONDS = 0.15
--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -10,22 +10,22 @@
 
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.exchange import Outgoing, SendFault
+from waywell.connection.wire import Wire
+from waywell.ids import ServiceName
+from waywell.process.clock import Clock
 from waywell.process.events import log_event
+from waywell.process.outlook import Outlook
 from waywell.request.ask import Ask, Delivery
 from waywell.request.attempt import Attempt, Inbox
 from waywell.request.patience import Patience, measure_patience
+from waywell.request.placement import Chooser
+from waywell.request.replica_book import ReplicaBook
+from waywell.request.resend_budget import ResendBudget
 from waywell.version.fleet import Replica, ReplicaKey
-from waywell.version.routes import Engine, Route, RouteKind
+from waywell.version.routes import Engine, KeyHolder, Route, RouteKind
 
 if TYPE_CHECKING:
-    from waywell.connection.wire import RawHeaders, Wire
-    from waywell.ids import ServiceName
-    from waywell.process.clock import Clock
-    from waywell.process.outlook import Outlook
-    from waywell.request.placement import Chooser
-    from waywell.request.replica_book import ReplicaBook
-    from waywell.request.resend_budget import ResendBudget
-    from waywell.version.routes import KeyHolder
+    from waywell.connection.wire import RawHeaders
 
 COME_BACK_SECONDS = 0.25
 """Advice to callers while no replica can serve: a group that is patched from
@@ -304,7 +304,7 @@
         if holder is not None and holder.priority is not None:
             priority = holder.priority
         delivery = Delivery(
-            account=holder and holder.account,
+            account=None if holder is None else holder.account,
             seconds=errand.ends_at - now,
             resume_after=errand.last_event,
             priority=priority if errand.engine else None,
--- a/waywell/request/placement.py
+++ b/waywell/request/placement.py
@@ -7,10 +7,11 @@
 
 import attrs
 
+from waywell.ids import HallName, NodeId
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from waywell.ids import HallName, NodeId
     from waywell.request.replica_book import ReplicaBook
     from waywell.version.fleet import Replica, ReplicaKey
 
--- a/waywell/version/fleet.py
+++ b/waywell/version/fleet.py
@@ -94,9 +94,6 @@
     standing: Standing | None = None
     """Its place in a group."""
 
-    orders_taken: int = 0
-    """Orders that it has begun in this life."""
-
 
 class ReplicaKey(msgspec.Struct, frozen=True):
     """What tells replicas apart over restarts and regroupings."""
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -15,11 +15,19 @@
 
 import enum
 from collections import Counter, defaultdict, deque
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 import attrs
 
-from waywell.ids import BoxId, DomainName, Epoch, GroupId, ModelName
+from waywell.ids import (
+    BoxId,
+    DomainName,
+    Epoch,
+    GroupId,
+    ModelName,
+    ServiceName,
+)
 from waywell.version.fleet import (
     Fleet,
     FleetBox,
@@ -37,12 +45,12 @@
     Open,
     Stage,
 )
+from waywell.version.routes import Engine
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable
 
-    from waywell.ids import ServiceName
-    from waywell.version.routes import Engine, EngineModel
+    from waywell.version.routes import EngineModel
 
 PENDING_SECONDS = 2.5
 """For which an order that was sent is waited for in the box list: two
@@ -51,6 +59,9 @@
 GATHER_SECONDS = 4.0
 """For which boxes that were ordered into a group may not show it yet."""
 
+LATE_SECONDS = 15.0
+"""For which an order without an answer may still be carried out."""
+
 LOAD_PATIENCE = 3.0
 """Times a load's usual length after which a box that still loads is given
 up."""
@@ -103,6 +114,10 @@
     next_epoch: int = 1
     """Epoch of the next group."""
 
+    first_epoch: int = 0
+    """First epoch of this holder; what others ordered of older groups is not
+    known, so these are not opened but formed anew."""
+
     pending: dict[BoxId, tuple[BoxOrder, float]] = attrs.Factory(dict)
     """Orders whose effect is not seen yet, with when they were sent."""
 
@@ -115,6 +130,10 @@
     heads: dict[GroupId, FleetBox] = attrs.Factory(dict)
     """Heads of groups that served, as they were last listed."""
 
+    abandoned: dict[GroupId, float] = attrs.Factory(dict)
+    """Groups whose members were ordered elsewhere, with when that was.  Such
+    an order may be carried out seconds later, so they are never opened."""
+
     settled: set[GroupId] = attrs.Factory(set)
     """Groups whose head is known to be gone or to have left."""
 
@@ -214,6 +233,9 @@
             if group not in present:
                 memory.heads.pop(group)
         memory.settled &= present
+        for group, at in tuple(memory.abandoned.items()):
+            if group not in present and self._now - at > LATE_SECONDS:
+                memory.abandoned.pop(group)
 
     def _judge(self, group: FleetGroup) -> Verdict:
         """Return what is to be done about a group."""
@@ -239,7 +261,9 @@
         if state is MemberState.BROKEN:
             return Verdict.FREE
         if group.is_in(MemberState.READY):
-            return Verdict.READY
+            known = group.epoch >= self._memory.first_epoch
+            abandoned = group.group in self._memory.abandoned
+            return Verdict.READY if known and not abandoned else Verdict.FREE
         if group.is_in(MemberState.READY, MemberState.JOINING):
             seen = self._memory.seen_at.setdefault(group.group, self._now)
             patience = LOAD_PATIENCE * model.load_seconds + GATHER_SECONDS
@@ -406,6 +430,8 @@
         memory.forming[group] = FormingGroup(members, self._now)
         self._standing[model.name] += 1
         for box in boxes:
+            if box.standing is not None:
+                memory.abandoned[box.standing.group] = self._now
             self._assign(box, Join(group, epoch, model.name, members))
 
     def _stage(self, left: Mapping[DomainName, list[FleetBox]]) -> None:
--- a/waywell/version/routes.py
+++ b/waywell/version/routes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Mapping
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
@@ -15,7 +16,7 @@
 from waywell.ids import AccountName, ModelName, ServiceName
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable
 
 
 class RouteKind(enum.Enum):
