Stage idle boxes; guess the demand by boxes; log how groups stand

Read from the log: after 21 s some 25 boxes stand idle, since groups of four lack one box each and loads (7 at once, 16 s) are the scarce thing.

--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -10,6 +10,7 @@
 from waywell.version.forming import (
     FormingMemory,
     FormingPlanner,
+    FormingSummary,
     FormingView,
 )
 from waywell.version.orders import (
@@ -97,6 +98,7 @@
         self._stall = settings.promises.group_stalls_for
         self._read_demand = read_demand
         self._memories: dict[ServiceName, FormingMemory] = {}
+        self._summaries: dict[ServiceName, FormingSummary] = {}
         self._box_count = 0
         self._counted_at = 0.0
 
@@ -123,8 +125,10 @@
                 self._read_demand(now),
                 self._stall,
             )
-            for assignment in FormingPlanner(view, memory, now).plan():
+            planner = FormingPlanner(view, memory, now)
+            for assignment in planner.plan():
                 self.spawn(self._give(assignment))
+            self._note_summary(name, planner.summary, view)
 
     def on_ordered(self, ordered: Ordered) -> None:
         """Note what came of an order."""
@@ -175,6 +179,31 @@
             self._memories[service] = memory
         return memory
 
+    def _note_summary(
+        self,
+        service: ServiceName,
+        summary: FormingSummary,
+        view: FormingView,
+    ) -> None:
+        """Log how the groups stand when that has changed."""
+        if self._summaries.get(service) == summary:
+            return
+        self._summaries[service] = summary
+        log_event(
+            'groups',
+            service=service,
+            boxes=len(view.fleet.boxes),
+            **summary.groups,
+            idle=','.join(
+                f'{domain}:{count}'
+                for domain, count in sorted(summary.idle.items())
+            ),
+            demand=','.join(
+                f'{model}:{places:.0f}'
+                for model, places in sorted(view.demand.items())
+            ),
+        )
+
     async def _give(self, assignment: Assignment) -> None:
         if not self.is_held():
             return
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -16,6 +16,7 @@
 import enum
 from collections import Counter, defaultdict, deque
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 import attrs
@@ -48,8 +49,6 @@
 from waywell.version.routes import Engine
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from waywell.version.routes import EngineModel
 
 PENDING_SECONDS = 2.5
@@ -69,6 +68,10 @@
 REJOIN_SECONDS = 0.2
 """To join with the model that the box served last."""
 
+LEAST_DEMAND = 5.0
+"""Places taken by callers from which on the models' demand is measured and
+not guessed from the operators' shares of the boxes."""
+
 PACE_SHARE = 0.9
 """Part of the weight store's pace that is used; the rest covers loads that a
 former holder began."""
@@ -140,6 +143,9 @@
     loads: deque[float] = attrs.Factory(deque)
     """When loads were begun, in seconds."""
 
+    staging: dict[BoxId, tuple[ModelName, float]] = attrs.Factory(dict)
+    """Models that boxes load beside all else, with when that began."""
+
 
 @attrs.frozen
 class FormingView:
@@ -161,6 +167,17 @@
     """For which a group that lost a member stands still."""
 
 
+@attrs.frozen
+class FormingSummary:
+    """How the groups of a service stand, for logs."""
+
+    groups: Mapping[str, int] = MappingProxyType({})
+    """Groups by model and verdict."""
+
+    idle: Mapping[DomainName, int] = MappingProxyType({})
+    """Boxes that are in no group, by fabric domain."""
+
+
 class FormingPlanner:
     """Plans for one service.
 
@@ -185,6 +202,7 @@
         self._memory = memory
         self._now = now
         self._assignments: list[Assignment] = []
+        self.summary = FormingSummary()
         self._standing: Counter[ModelName] = Counter()
         self._boxes = [
             box
@@ -205,6 +223,13 @@
             self._act(group, verdicts[group.group])
         self._count_forming()
         free = self._list_free(verdicts)
+        self.summary = FormingSummary(
+            Counter(
+                f'{parse_group(group)}.{verdict.value}'
+                for group, verdict in verdicts.items()
+            ),
+            {domain: len(boxes) for domain, boxes in free.items() if boxes},
+        )
         if self._is_first_start():
             self._form(free, takes_loads=True)
             return self._assignments
@@ -233,10 +258,21 @@
             if group not in present:
                 memory.heads.pop(group)
         memory.settled &= present
+        self._forget_staging()
         for group, at in tuple(memory.abandoned.items()):
             if group not in present and self._now - at > LATE_SECONDS:
                 memory.abandoned.pop(group)
 
+    def _forget_staging(self) -> None:
+        """Drop the stagings that are done, or that take too long."""
+        for name, (model, begun_at) in tuple(self._memory.staging.items()):
+            box = self._view.fleet.boxes.get(name)
+            known = self._view.engine.find_model(model)
+            longest = LOAD_PATIENCE * known.load_seconds if known else 0.0
+            late = self._now - begun_at > longest
+            if box is None or late or model in box.staged:
+                self._memory.staging.pop(name)
+
     def _judge(self, group: FleetGroup) -> Verdict:
         """Return what is to be done about a group."""
         model = self._view.engine.find_model(parse_group(group.group))
@@ -411,16 +447,28 @@
             ready = [boxes for boxes in found if boxes]
             if ready:
                 return model, min(
-                    ready, key=lambda boxes: _get_time(boxes, model)
+                    ready,
+                    key=lambda boxes: (
+                        _get_time(boxes, model),
+                        -len(free[boxes[0].domain]),
+                    ),
                 )
         return None
 
     def _rank_need(self, model: EngineModel) -> tuple[float, ModelName]:
         """Return a rank: the model with the most work a place is first."""
         places = self._standing[model.name] * self._view.engine.places
-        work = self._view.demand.get(model.name, 0.0)
+        work = self._get_demand(model)
         return (-(work + 1.0) / (places + 1.0), model.name)
 
+    def _get_demand(self, model: EngineModel) -> float:
+        """Return the places that callers take; a guess before they come."""
+        if sum(self._view.demand.values()) >= LEAST_DEMAND:
+            return self._view.demand.get(model.name, 0.0)
+        engine = self._view.engine
+        boxes = model.share * len(self._boxes)
+        return boxes / model.boxes_per_group * engine.places
+
     def _join(self, model: EngineModel, boxes: list[FleetBox]) -> None:
         memory = self._memory
         epoch = Epoch(memory.next_epoch)
@@ -435,33 +483,54 @@
             self._assign(box, Join(group, epoch, model.name, members))
 
     def _stage(self, left: Mapping[DomainName, list[FleetBox]]) -> None:
-        """Load a model into boxes that stand idle and hold none."""
-        idle = [
-            box
-            for boxes in left.values()
-            for box in boxes
-            if not box.staged and not box.models
-        ]
-        for box in idle:
-            if not self._may_load():
-                return
-            model = self._choose_staged(left[box.domain])
-            self._assign(box, Stage(model.name))
-            self._memory.loads.append(self._now)
-
-    def _choose_staged(self, idle: Iterable[FleetBox]) -> EngineModel:
-        """Return the model that completes a group in the domain soonest."""
-        held = Counter(
-            model for box in idle for model in box.staged or box.models
+        """Load models into idle boxes, so that they can join groups soon.
+
+        A box that served one model and holds the weights of another can
+        join a group of either within about a second.
+        """
+        for idle in left.values():
+            if not idle:
+                continue
+            model = self._choose_staged(idle)
+            for box in self._list_lacking(idle, model):
+                if not self._may_load():
+                    return
+                self._assign(box, Stage(model.name))
+                self._memory.loads.append(self._now)
+                self._memory.staging[box.box] = (model.name, self._now)
+
+    def _choose_staged(self, idle: list[FleetBox]) -> EngineModel:
+        """Return the model whose group the idle boxes of a domain could be.
+
+        Too few boxes for any group are spares for the model of the greatest
+        need.
+        """
+        ranked = sorted(self._view.engine.models, key=self._rank_need)
+        return next(
+            (model for model in ranked if model.boxes_per_group <= len(idle)),
+            ranked[0],
         )
-        wanted = [
-            model
-            for model in sorted(self._view.engine.models, key=self._rank_need)
-            if held[model.name] % model.boxes_per_group
+
+    def _list_lacking(
+        self,
+        idle: list[FleetBox],
+        model: EngineModel,
+    ) -> list[FleetBox]:
+        """Return the idle boxes that are to load a model now."""
+        staging = self._memory.staging
+        having = sum(
+            _holds(box, model) or staging.get(box.box, ('',))[0] == model.name
+            for box in idle
+        )
+        lacking = [
+            box
+            for box in idle
+            if not _holds(box, model) and box.box not in staging
         ]
-        if wanted:
-            return wanted[0]
-        return min(self._view.engine.models, key=self._rank_need)
+        wanted = len(idle) - len(idle) % model.boxes_per_group - having
+        if len(idle) < model.boxes_per_group:
+            wanted = len(idle) - having
+        return lacking[: max(0, wanted)]
 
     def _may_load(self) -> bool:
         """Answer whether the weight store's pace allows one more load."""
@@ -497,17 +566,18 @@
     return standing is None or standing.epoch != order.epoch
 
 
+def _holds(box: FleetBox, model: EngineModel) -> bool:
+    """Answer whether a box can join a group of a model without a load."""
+    return model.name in box.models or model.name in box.staged
+
+
 def _pick_fastest(
     boxes: list[FleetBox],
     model: EngineModel,
     takes_loads: bool,
 ) -> list[FleetBox]:
     """Return the boxes that make up a group soonest, or none."""
-    fit = [
-        box
-        for box in boxes
-        if takes_loads or model.name in box.models or model.name in box.staged
-    ]
+    fit = [box for box in boxes if takes_loads or _holds(box, model)]
     fit.sort(key=lambda box: (_estimate(box, model), box.box))
     size = model.boxes_per_group
     return fit[:size] if len(fit) >= size else []
