Stage a second model in every box before callers come

Cause: 25 idle boxes held the weights of one model only, and loads under traffic are scarce (7 at once for 12 to 16 s). Before the first request a load takes a tenth.

--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -140,6 +140,10 @@
     settled: set[GroupId] = attrs.Factory(set)
     """Groups whose head is known to be gone or to have left."""
 
+    began_empty: bool = False
+    """Whether this holder saw the very first start: then loads keep no pace
+    until callers come."""
+
     loads: deque[float] = attrs.Factory(deque)
     """When loads were begun, in seconds."""
 
@@ -231,7 +235,12 @@
             {domain: len(boxes) for domain, boxes in free.items() if boxes},
         )
         if self._is_first_start():
+            self._memory.began_empty = True
+            self._form(free, takes_loads=True)
+            return self._assignments
+        if self._memory.began_empty and not self._has_callers():
             self._form(free, takes_loads=True)
+            self._stage_seconds()
             return self._assignments
         left = self._form(free, takes_loads=False)
         self._stage(left)
@@ -461,9 +470,12 @@
         work = self._get_demand(model)
         return (-(work + 1.0) / (places + 1.0), model.name)
 
+    def _has_callers(self) -> bool:
+        return sum(self._view.demand.values()) >= LEAST_DEMAND
+
     def _get_demand(self, model: EngineModel) -> float:
         """Return the places that callers take; a guess before they come."""
-        if sum(self._view.demand.values()) >= LEAST_DEMAND:
+        if self._has_callers():
             return self._view.demand.get(model.name, 0.0)
         engine = self._view.engine
         boxes = model.share * len(self._boxes)
@@ -499,6 +511,27 @@
                 self._memory.loads.append(self._now)
                 self._memory.staging[box.box] = (model.name, self._now)
 
+    def _stage_seconds(self) -> None:
+        """Load a second model into every box while that costs little.
+
+        A box that serves one model can then join groups of another within
+        seconds for the rest of its life.
+        """
+        for box in self._boxes:
+            standing = box.standing
+            if standing is None or standing.state is MemberState.JOINING:
+                continue
+            others = [
+                model
+                for model in sorted(
+                    self._view.engine.models, key=self._rank_need
+                )
+                if not _holds(box, model)
+            ]
+            if others and box.box not in self._memory.staging:
+                self._assign(box, Stage(others[0].name))
+                self._memory.staging[box.box] = (others[0].name, self._now)
+
     def _choose_staged(self, idle: list[FleetBox]) -> EngineModel:
         """Return the model whose group the idle boxes of a domain could be.
 
