Probe the members of a silent group; let survivors leave a lost head; reclaim

Cause: a lost box was seen when its entry lapsed, 3 to 4 s later, and the survivors of a lost head waited for its stall. Silence of streams now raises a doubt that spreads over the peer streams; the holder asks the members, and the others leave.

--- a/waywell/connection/peer.py
+++ b/waywell/connection/peer.py
@@ -14,7 +14,7 @@
 from grpclib.encoding.base import CodecBase
 from grpclib.server import Server
 
-from waywell.ids import GroupId, NodeId, RequestId
+from waywell.ids import BoxId, Epoch, GroupId, NodeId, RequestId
 from waywell.process.health import Evidence
 from waywell.process.membership import NodeRecord
 from waywell.request.claim import ClaimState
@@ -97,6 +97,22 @@
     """Group, sequence of the word, requests in flight."""
 
 
+class ReplicaDoubt(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """A replica from which nothing comes any more although it has work."""
+
+    doubt: str
+    """Id of the doubt, so that it is passed on once."""
+
+    group: GroupId
+    """Group of the replica; empty for a plain service."""
+
+    box: BoxId
+    """Box that takes its requests."""
+
+    epoch: Epoch
+    """Epoch of its group."""
+
+
 Wire = Union[  # noqa: UP007 - evaluated by the decoder
     Hello,
     Beat,
@@ -105,6 +121,7 @@
     DocumentWanted,
     HealthNews,
     LoadNews,
+    ReplicaDoubt,
 ]
 """All messages of the exchange stream."""
 
--- a/waywell/daemon.py
+++ b/waywell/daemon.py
@@ -25,11 +25,15 @@
     async def stop(self) -> None:
         """End in good order."""
 
+    def reload(self) -> None:
+        """Take in that the settings file may have changed."""
+
 
 class Daemon:
     """Starts a node and stops it on a signal.
 
     SIGTERM and SIGINT begin a graceful stop; a second one ends at once.
+    SIGHUP says that the settings file may have changed.
 
     Parameters
     ----------
@@ -61,6 +65,7 @@
     async def _start(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._begin_stop)
+        self._loop.add_signal_handler(signal.SIGHUP, self._node.reload)
         try:
             await self._node.start()
         except Exception as error:
--- a/waywell/platform/orders.py
+++ b/waywell/platform/orders.py
@@ -12,6 +12,7 @@
 from waywell.connection.box_orders import BoxOrders
 from waywell.connection.http_calls import HttpCalls
 from waywell.connection.platform import PlatformFault
+from waywell.version.fleet import FleetBox
 from waywell.version.orders import (
     Assignment,
     BoxOrder,
@@ -26,6 +27,12 @@
 ORDER_PATH = '/api/order'
 """Path at which a server takes orders."""
 
+REPORT_PATH = '/api/report'
+"""Path at which a server tells how it is; takes none of its places."""
+
+PROBE_SECONDS = 0.3
+"""For a server to report: a hundred times the way there and back."""
+
 EXPECT_HEADER = 'X-Expect-Replica'
 """Every other server answers 421."""
 
@@ -58,13 +65,7 @@
 
     async def give(self, assignment: Assignment) -> OrderResult:
         """Give an order to a box and return what came of it."""
-        box = assignment.box
-        calls = HttpCalls(
-            f'http://{box.host}:{box.port}',
-            ORDER_SECONDS,
-            {'content-type': 'application/json', EXPECT_HEADER: box.box},
-            keeps_connections=False,
-        )
+        calls = _make_calls(assignment.box, ORDER_SECONDS)
         raw = msgspec.json.encode(encode_order(assignment))
         called = await calls.call('POST', ORDER_PATH, raw)
         if isinstance(called, Failure):
@@ -73,6 +74,24 @@
         status = called.unwrap().status
         return _RESULT_BY_STATUS.get(status, OrderResult.UNKNOWN)
 
+    async def is_alive(self, box: FleetBox) -> bool:
+        """Ask a server for its report; answer whether one came."""
+        calls = _make_calls(box, PROBE_SECONDS)
+        called = await calls.call('GET', REPORT_PATH)
+        if isinstance(called, Failure):
+            return False
+        answered: bool = called.unwrap().status == HTTPStatus.OK
+        return answered
+
+
+def _make_calls(box: FleetBox, seconds: float) -> HttpCalls:
+    return HttpCalls(
+        f'http://{box.host}:{box.port}',
+        seconds,
+        {'content-type': 'application/json', EXPECT_HEADER: box.box},
+        keeps_connections=False,
+    )
+
 
 def encode_order(assignment: Assignment) -> dict[str, Any]:
     """Return the body that carries an order."""
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -4,9 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from waywell.ids import BoxId, GroupId
 from waywell.process.actor import Message
 from waywell.process.duty import Duty
 from waywell.process.events import log_event, log_warning
+from waywell.version.fleet import Fleet, FleetBox
 from waywell.version.forming import (
     FormingMemory,
     FormingPlanner,
@@ -41,6 +43,13 @@
 EPOCHS_A_TERM = 1_000_000
 """Epochs that one holder has; the next one's are higher."""
 
+PROBES = 2
+"""Questions without an answer after which a box counts as lost: one packet
+may be lost."""
+
+ASK_AGAIN_SECONDS = 1.0
+"""Between two questions to a lost box that is still listed."""
+
 SETTLE_SECONDS = 1.5
 """For which the list of a service must have been the same before the first
 groups are formed, so that whole domains are there."""
@@ -70,6 +79,21 @@
     class PlanTick(Message, frozen=True):
         """A plan is due."""
 
+    class Doubted(Message, frozen=True):
+        """A node hears nothing of a group any more."""
+
+        group: GroupId
+        """The group."""
+
+    class Probed(Message, frozen=True):
+        """A box was asked for a sign of life."""
+
+        box: FleetBox
+        """The box."""
+
+        is_alive: bool
+        """Whether one came."""
+
     class Ordered(Message, frozen=True):
         """A box has answered an order, or has not."""
 
@@ -99,6 +123,7 @@
         self._read_demand = read_demand
         self._memories: dict[ServiceName, FormingMemory] = {}
         self._summaries: dict[ServiceName, FormingSummary] = {}
+        self._asking: set[BoxId] = set()
         self._box_count = 0
         self._counted_at = 0.0
 
@@ -118,10 +143,11 @@
             return
         for name, engine in self._outlook.index.list_engines():
             memory = self._get_memory(name)
+            self._ask_lost(memory, now)
             view = FormingView(
                 name,
                 engine,
-                self._outlook.fleet,
+                self._list_present(memory),
                 self._read_demand(now),
                 self._stall,
             )
@@ -139,11 +165,29 @@
             memory.pending.pop(assignment.box.box, None)
             if isinstance(order, Join):
                 memory.forming.pop(order.group, None)
-        if isinstance(order, Leave) and ordered.result in {
-            OrderResult.TAKEN,
-            OrderResult.GONE,
-        }:
-            memory.settled.add(order.group)
+        if isinstance(order, Leave):
+            self._note_left(assignment.box, order, ordered.result)
+
+    def on_doubted(self, doubted: Doubted) -> None:
+        """Ask the members of a doubted group for a sign of life."""
+        group = self._outlook.fleet.groups.get(doubted.group)
+        if not self.is_held() or group is None:
+            return
+        for member in group.members:
+            self._ask(member)
+
+    def on_probed(self, probed: Probed) -> None:
+        """Count a box as lost, or as back."""
+        name = probed.box.box
+        self._asking.discard(name)
+        lost = self._get_memory(probed.box.service).lost
+        if probed.is_alive and name in lost:
+            lost.pop(name)
+            log_event('box_back', box=name)
+        elif not probed.is_alive:
+            if name not in lost:
+                log_warning('box_silent', box=name)
+            lost[name] = self.clock.read()
 
     def dump(self) -> dict[str, object]:
         """Return the duty as plain values."""
@@ -159,6 +203,54 @@
             },
         }
 
+    def _list_present(self, memory: FormingMemory) -> Fleet:
+        """Return the box list without those that give no sign of life."""
+        fleet = self._outlook.fleet
+        if not memory.lost:
+            return fleet
+        return Fleet(
+            {
+                name: box
+                for name, box in fleet.boxes.items()
+                if name not in memory.lost
+            },
+        )
+
+    def _ask_lost(self, memory: FormingMemory, now: float) -> None:
+        """Ask lost boxes again while they are listed."""
+        boxes = self._outlook.fleet.boxes
+        for name, asked_at in tuple(memory.lost.items()):
+            if name not in boxes:
+                memory.lost.pop(name)
+            elif now - asked_at > ASK_AGAIN_SECONDS:
+                self._ask(boxes[name])
+
+    def _ask(self, box: FleetBox) -> None:
+        if box.box not in self._asking:
+            self._asking.add(box.box)
+            self.spawn(self._probe(box))
+
+    async def _probe(self, box: FleetBox) -> None:
+        for _attempt in range(PROBES):
+            if await self._orders.is_alive(box):
+                self.post(self.Probed(box, is_alive=True))
+                return
+        self.post(self.Probed(box, is_alive=False))
+
+    def _note_left(
+        self,
+        box: FleetBox,
+        order: Leave,
+        result: OrderResult,
+    ) -> None:
+        """Note that a head has left its group, or is gone."""
+        memory = self._get_memory(box.service)
+        known = memory.heads.get(order.group)
+        was_head = box.standing is not None and box.standing.rank == 0
+        was_head = was_head or (known is not None and known.box == box.box)
+        if was_head and result in {OrderResult.TAKEN, OrderResult.GONE}:
+            memory.settled.add(order.group)
+
     def _may_plan(self, now: float) -> bool:
         """Answer whether the box list is new enough and has settled."""
         count = len(self._outlook.fleet.boxes)
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -18,8 +18,9 @@
 from waywell.connection.peer import ClaimAnswer, ClaimAsk, PeerService
 from waywell.connection.platform import Kind, Platform
 from waywell.connection.wire import Wire
-from waywell.ids import HallName, Incarnation, NodeId
+from waywell.ids import GroupId, HallName, Incarnation, NodeId
 from waywell.process.clock import SystemClock
+from waywell.process.doubts import Doubts
 from waywell.process.events import log_event, log_warning
 from waywell.process.fleet_watch import FleetWatch
 from waywell.process.forming import FormingDuty
@@ -254,8 +255,12 @@
             self.settings,
             self._read_demand,
         )
+        self.doubts = Doubts(
+            self.links, self.book, self.clock, self._note_doubt
+        )
         self.actors = (
             self.links,
+            self.doubts,
             self.gossip,
             self.routes,
             self.fleet,
@@ -274,9 +279,21 @@
                 clock=self.clock,
                 draw=self._random.random,
                 count_nodes=self.count_nodes,
+                raise_doubt=self.doubts.raise_doubt,
             ),
         )
 
+    def _note_doubt(self, group: GroupId) -> None:
+        if group:
+            self.forming.post(FormingDuty.Doubted(group))
+
+    def reload(self) -> None:
+        """Note that the settings may have changed.
+
+        All of them hold for the life of the process but the log level.
+        """
+        log_event('reloaded', node=self.settings.node.name)
+
     def _read_demand(self, now: float) -> Mapping[Any, float]:
         nodes = self.members.count_live()
         return {
--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -88,6 +88,9 @@
     count_nodes: Callable[[], int]
     """Returns how many entry boxes share the budget."""
 
+    raise_doubt: Callable[[Replica], None]
+    """Tells the other nodes that nothing comes from a replica."""
+
 
 @attrs.define
 class Errand:
@@ -375,6 +378,7 @@
             key = attempt.replica.key
             if book.is_silent(key, self._patience.gap, now):
                 book.note_failure(key, now)
+                self._parts.raise_doubt(attempt.replica)
                 self._log('silent', attempt, now)
 
     def _spend(self, now: float) -> bool:
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections import Counter, defaultdict, deque
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -72,6 +73,14 @@
 """Places taken by callers from which on the models' demand is measured and
 not guessed from the operators' shares of the boxes."""
 
+RECLAIM_LOAD = 0.6
+"""Part of a model's places taken from which on it gets groups of another:
+above it, requests begin to wait for places of their group."""
+
+RECLAIM_RATIO = 1.5
+"""How much less the giving model's places must be taken afterwards, so that
+groups do not go back and forth."""
+
 PACE_SHARE = 0.9
 """Part of the weight store's pace that is used; the rest covers loads that a
 former holder began."""
@@ -92,6 +101,9 @@
     CLOSE = 'close'
     """It is to finish its work: a member leaves."""
 
+    HEADLESS = 'headless'
+    """Its head is lost; the others are to leave it at once."""
+
     BREAK = 'break'
     """It has lost a member; the head is to leave it at once."""
 
@@ -147,6 +159,10 @@
     loads: deque[float] = attrs.Factory(deque)
     """When loads were begun, in seconds."""
 
+    lost: dict[BoxId, float] = attrs.Factory(dict)
+    """Boxes that gave no sign of life although they are listed, with when
+    they were last asked."""
+
     staging: dict[BoxId, tuple[ModelName, float]] = attrs.Factory(dict)
     """Models that boxes load beside all else, with when that began."""
 
@@ -243,6 +259,7 @@
             self._stage_seconds()
             return self._assignments
         left = self._form(free, takes_loads=False)
+        self._reclaim(left, verdicts)
         self._stage(left)
         return self._assignments
 
@@ -347,11 +364,7 @@
             return Verdict.FREE
         if waited > self._view.stall_seconds:
             return Verdict.FREE
-        head = self._memory.heads.get(group.group)
-        if head is not None:
-            # It may live and serve, cut off from the platform only.
-            self._assign(head, Leave(group.group, group.epoch))
-        return Verdict.UNDER_WAY
+        return Verdict.HEADLESS
 
     def _is_gathering(self, group: FleetGroup) -> bool:
         """Answer whether its other members may only not show it yet."""
@@ -368,6 +381,8 @@
 
     def _act(self, group: FleetGroup, verdict: Verdict) -> None:
         """Give the orders that a verdict asks for."""
+        if verdict is Verdict.HEADLESS:
+            self._dissolve(group)
         head = group.head
         if head is None:
             return
@@ -380,6 +395,19 @@
         if verdict in {Verdict.SERVING, Verdict.READY, Verdict.UNDER_WAY}:
             self._standing[parse_group(group.group)] += 1
 
+    def _dissolve(self, group: FleetGroup) -> None:
+        """Let the members leave a group whose head is lost.
+
+        The head is told as well: it may live and serve, cut off from the
+        platform only.
+        """
+        leave = Leave(group.group, group.epoch)
+        head = self._memory.heads.get(group.group)
+        if head is not None:
+            self._assign(head, leave)
+        for member in group.members:
+            self._assign(member, leave)
+
     def _count_forming(self) -> None:
         """Count the groups that no box shows yet."""
         present = {group.group for group in self._groups}
@@ -494,6 +522,86 @@
                 memory.abandoned[box.standing.group] = self._now
             self._assign(box, Join(group, epoch, model.name, members))
 
+    def _reclaim(
+        self,
+        idle: Mapping[DomainName, list[FleetBox]],
+        verdicts: Mapping[GroupId, Verdict],
+    ) -> None:
+        """Close groups of a model with room for one that has too little.
+
+        One new group at a time, so that the next look sees what it changed.
+        """
+        serving = [
+            group
+            for group in self._groups
+            if verdicts[group.group] is Verdict.SERVING
+        ]
+        if any(group.group in self._memory.abandoned for group in serving):
+            return
+        needy = min(self._view.engine.models, key=self._rank_need)
+        if self._get_load(needy) < RECLAIM_LOAD:
+            return
+        by_domain: dict[DomainName, list[FleetGroup]] = defaultdict(list)
+        for group in serving:
+            by_domain[group.domain].append(group)
+        found = [
+            self._find_donors(needy, idle.get(domain, []), groups)
+            for domain, groups in by_domain.items()
+        ]
+        best = min((donors for donors in found if donors), key=len, default=())
+        for group in best:
+            self._memory.abandoned[group.group] = self._now
+            self._assign(group.members[0], Close(group.group, group.epoch))
+
+    def _find_donors(
+        self,
+        needy: EngineModel,
+        idle: list[FleetBox],
+        serving: list[FleetGroup],
+    ) -> tuple[FleetGroup, ...]:
+        """Return the groups of a domain that would make up one of a model."""
+        lacking = needy.boxes_per_group - sum(
+            _holds(box, needy) for box in idle
+        )
+        donors: list[FleetGroup] = []
+        for group in serving:
+            enough = sum(len(donor.members) for donor in donors) >= lacking
+            if not enough and self._can_give(group, needy, donors):
+                donors.append(group)
+        enough = sum(len(donor.members) for donor in donors) >= lacking
+        return tuple(donors) if enough else ()
+
+    def _can_give(
+        self,
+        group: FleetGroup,
+        needy: EngineModel,
+        others: list[FleetGroup],
+    ) -> bool:
+        """Answer whether a group is less needed than one of another model."""
+        name = parse_group(group.group)
+        model = self._view.engine.find_model(name)
+        if model is None or model.name == needy.name:
+            return False
+        if not all(_holds(box, needy) for box in group.members):
+            return False
+        left = self._get_load(model, given=len(others) + 1)
+        return left * RECLAIM_RATIO < self._get_load(needy)
+
+    def _get_load(self, model: EngineModel, given: int = 0) -> float:
+        """Return the part of a model's places that is taken.
+
+        Parameters
+        ----------
+        model
+            The model.
+        given
+            Groups that it would have less.
+        """
+        groups = self._standing[model.name] - given
+        if groups <= 0:
+            return math.inf
+        return self._get_demand(model) / (groups * self._view.engine.places)
+
     def _stage(self, left: Mapping[DomainName, list[FleetBox]]) -> None:
         """Load models into idle boxes, so that they can join groups soon.
 
