--- a/waywell/platform/servers.py
+++ b/waywell/platform/servers.py
@@ -50,7 +50,6 @@
     slots: int = 1
     # Of the box's planned end, not of its group.
     state: str = 'ready'
-    models: list[_Model] = []
     staged: list[Any] = []
     domain: str = ''
     group: _Group | None = None
@@ -75,7 +74,6 @@
         domain=DomainName(server.domain),
         places=server.slots,
         leaving=server.state != 'ready',
-        models=tuple(ModelName(model.name) for model in server.models),
         staged=tuple(_decode_staged(staged) for staged in server.staged),
         standing=None if server.group is None else _decode_group(server.group),
     )
--- a/waywell/version/fleet.py
+++ b/waywell/version/fleet.py
@@ -85,9 +85,6 @@
     leaving: bool = False
     """Whether it is to get nothing new."""
 
-    models: tuple[ModelName, ...] = ()
-    """Models that it serves, or served last."""
-
     staged: tuple[ModelName, ...] = ()
     """Models whose weights lie in its own memory."""
 
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -73,6 +73,11 @@
 """Places taken by callers from which on the models' demand is measured and
 not guessed from the operators' shares of the boxes."""
 
+CONVERT_LOAD = 0.45
+"""Part of a model's places taken from which on boxes that served another model
+are made into a group of it.  A box keeps the weights of one model only beside
+the one that it serves, so each change loses a choice for later."""
+
 RECLAIM_LOAD = 0.6
 """Part of a model's places taken from which on it gets groups of another:
 above it, requests begin to wait for places of their group."""
@@ -163,6 +168,9 @@
     """Boxes that gave no sign of life although they are listed, with when
     they were last asked."""
 
+    last_models: dict[BoxId, ModelName] = attrs.Factory(dict)
+    """Model that each box served last."""
+
     staging: dict[BoxId, tuple[ModelName, float]] = attrs.Factory(dict)
     """Models that boxes load beside all else, with when that began."""
 
@@ -238,6 +246,7 @@
     def plan(self) -> list[Assignment]:
         """Return the orders to give now."""
         self._forget_seen()
+        self._note_models()
         verdicts = {group.group: self._judge(group) for group in self._groups}
         for group in self._groups:
             self._act(group, verdicts[group.group])
@@ -415,10 +424,80 @@
             if name not in present:
                 self._standing[parse_group(name)] += 1
 
-    def _assign(self, box: FleetBox, order: BoxOrder) -> None:
-        if box.box not in self._memory.pending:
-            self._memory.pending[box.box] = (order, self._now)
-            self._assignments.append(Assignment(box, order))
+    def _assign(self, box: FleetBox, order: BoxOrder) -> bool:
+        """Give an order, unless one is open; answer whether it is given."""
+        if box.box in self._memory.pending:
+            return False
+        self._memory.pending[box.box] = (order, self._now)
+        self._assignments.append(Assignment(box, order))
+        return True
+
+    def _order_stage(self, box: FleetBox, model: EngineModel) -> None:
+        if self._assign(box, Stage(model.name)):
+            self._memory.staging[box.box] = (model.name, self._now)
+            self._memory.loads.append(self._now)
+
+    def _note_models(self) -> None:
+        """Remember which model each box served last.
+
+        Its entry does not tell any more once it has left its group, but it
+        joins a group of the same model at once.
+        """
+        last = self._memory.last_models
+        for box in self._boxes:
+            standing = box.standing
+            if standing and standing.state is not MemberState.JOINING:
+                last[box.box] = parse_group(standing.group)
+        for name in tuple(last):
+            if name not in self._view.fleet.boxes:
+                last.pop(name)
+
+    def _served(self, box: FleetBox, model: EngineModel) -> bool:
+        """Answer whether a model is the one that a box served last."""
+        return self._memory.last_models.get(box.box) == model.name
+
+    def _holds(self, box: FleetBox, model: EngineModel) -> bool:
+        """Answer whether a box can join a group of a model without a load."""
+        return self._served(box, model) or model.name in box.staged
+
+    def _estimate(self, box: FleetBox, model: EngineModel) -> float:
+        """Return the seconds until a box is ready in a group of a model."""
+        if self._served(box, model):
+            return REJOIN_SECONDS
+        if model.name in box.staged:
+            return model.warm_seconds
+        return model.load_seconds
+
+    def _get_time(self, boxes: list[FleetBox], model: EngineModel) -> float:
+        return max(self._estimate(box, model) for box in boxes)
+
+    def _pick_fastest(
+        self,
+        boxes: list[FleetBox],
+        model: EngineModel,
+        takes_loads: bool,
+        converts: bool,
+    ) -> list[FleetBox]:
+        """Return the boxes that make up a group soonest, or none.
+
+        Parameters
+        ----------
+        boxes
+            Boxes of one domain that may join.
+        model
+            Model of the group.
+        takes_loads
+            Whether they may load its weights.
+        converts
+            Whether a group may be made up of boxes none of which served it
+            last; they lose the model that they did serve.
+        """
+        fit = [box for box in boxes if takes_loads or self._holds(box, model)]
+        if not converts and not any(self._served(box, model) for box in fit):
+            return []
+        fit.sort(key=lambda box: (self._estimate(box, model), box.box))
+        size = model.boxes_per_group
+        return fit[:size] if len(fit) >= size else []
 
     def _list_free(
         self,
@@ -449,9 +528,7 @@
 
         Then no request has come yet, and loads keep no pace.
         """
-        return not any(
-            box.models or box.staged or box.standing for box in self._boxes
-        )
+        return not any(box.staged or box.standing for box in self._boxes)
 
     def _form(
         self,
@@ -477,8 +554,9 @@
         takes_loads: bool,
     ) -> tuple[EngineModel, list[FleetBox]] | None:
         for model in sorted(self._view.engine.models, key=self._rank_need):
+            converts = self._get_load(model) > CONVERT_LOAD
             found = [
-                _pick_fastest(boxes, model, takes_loads)
+                self._pick_fastest(boxes, model, takes_loads, converts)
                 for boxes in free.values()
             ]
             ready = [boxes for boxes in found if boxes]
@@ -486,7 +564,7 @@
                 return model, min(
                     ready,
                     key=lambda boxes: (
-                        _get_time(boxes, model),
+                        self._get_time(boxes, model),
                         -len(free[boxes[0].domain]),
                     ),
                 )
@@ -561,7 +639,7 @@
     ) -> tuple[FleetGroup, ...]:
         """Return the groups of a domain that would make up one of a model."""
         lacking = needy.boxes_per_group - sum(
-            _holds(box, needy) for box in idle
+            self._holds(box, needy) for box in idle
         )
         donors: list[FleetGroup] = []
         for group in serving:
@@ -582,7 +660,7 @@
         model = self._view.engine.find_model(name)
         if model is None or model.name == needy.name:
             return False
-        if not all(_holds(box, needy) for box in group.members):
+        if not all(self._holds(box, needy) for box in group.members):
             return False
         left = self._get_load(model, given=len(others) + 1)
         return left * RECLAIM_RATIO < self._get_load(needy)
@@ -615,9 +693,7 @@
             for box in self._list_lacking(idle, model):
                 if not self._may_load():
                     return
-                self._assign(box, Stage(model.name))
-                self._memory.loads.append(self._now)
-                self._memory.staging[box.box] = (model.name, self._now)
+                self._order_stage(box, model)
 
     def _stage_seconds(self) -> None:
         """Load a second model into every box while that costs little.
@@ -634,11 +710,10 @@
                 for model in sorted(
                     self._view.engine.models, key=self._rank_need
                 )
-                if not _holds(box, model)
+                if not self._holds(box, model)
             ]
             if others and box.box not in self._memory.staging:
-                self._assign(box, Stage(others[0].name))
-                self._memory.staging[box.box] = (others[0].name, self._now)
+                self._order_stage(box, others[0])
 
     def _choose_staged(self, idle: list[FleetBox]) -> EngineModel:
         """Return the model whose group the idle boxes of a domain could be.
@@ -660,13 +735,14 @@
         """Return the idle boxes that are to load a model now."""
         staging = self._memory.staging
         having = sum(
-            _holds(box, model) or staging.get(box.box, ('',))[0] == model.name
+            self._holds(box, model)
+            or staging.get(box.box, ('',))[0] == model.name
             for box in idle
         )
         lacking = [
             box
             for box in idle
-            if not _holds(box, model) and box.box not in staging
+            if not self._holds(box, model) and box.box not in staging
         ]
         wanted = len(idle) - len(idle) % model.boxes_per_group - having
         if len(idle) < model.boxes_per_group:
@@ -705,33 +781,3 @@
     if isinstance(order, Close):
         return standing is None or standing.state is not MemberState.OPEN
     return standing is None or standing.epoch != order.epoch
-
-
-def _holds(box: FleetBox, model: EngineModel) -> bool:
-    """Answer whether a box can join a group of a model without a load."""
-    return model.name in box.models or model.name in box.staged
-
-
-def _pick_fastest(
-    boxes: list[FleetBox],
-    model: EngineModel,
-    takes_loads: bool,
-) -> list[FleetBox]:
-    """Return the boxes that make up a group soonest, or none."""
-    fit = [box for box in boxes if takes_loads or _holds(box, model)]
-    fit.sort(key=lambda box: (_estimate(box, model), box.box))
-    size = model.boxes_per_group
-    return fit[:size] if len(fit) >= size else []
-
-
-def _get_time(boxes: list[FleetBox], model: EngineModel) -> float:
-    return max(_estimate(box, model) for box in boxes)
-
-
-def _estimate(box: FleetBox, model: EngineModel) -> float:
-    """Return the seconds until a box is ready in a group of a model."""
-    if model.name in box.models:
-        return REJOIN_SECONDS
-    if model.name in box.staged:
-        return model.warm_seconds
-    return model.load_seconds
