Keep the slack of second sends over restarts of all nodes

A fresh process now takes a fifth for one window, and nothing before it knows how many nodes there are.

--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -116,6 +116,7 @@
         self.in_flight = 0
         self._adapter = adapter
         self._is_leaving = False
+        self._listed_nodes = 0
         self._random = Random(self.incarnation)
         self._helpers: set[asyncio.Task[None]] = set()
         self._ports = FrontPorts(settings.node, self._make_handlers())
@@ -125,6 +126,7 @@
                 settings.resends.slack,
                 settings.resends.window,
             ),
+            self.clock.read(),
         )
 
     async def start(self) -> None:
@@ -192,8 +194,12 @@
         return [f'{record.host}:{record.caller_port}' for record in live]
 
     def count_nodes(self) -> int:
-        """Return the entry boxes that share budgets, also unheard ones."""
-        return len(self.members.records)
+        """Return the entry boxes that share budgets, also unheard ones.
+
+        It is 0 until the platform or another entry box has told.
+        """
+        known = len(self.members.records)
+        return max(self._listed_nodes, known if known > 1 else 0)
 
     def dump(self) -> dict[str, Any]:
         """Return the state as plain values."""
@@ -361,12 +367,17 @@
             await asyncio.sleep(JOIN_SECONDS)
 
     async def _list_self(self) -> bool:
-        """Write this node's address into the platform, once a run."""
+        """Write this node's address into the platform, once a run.
+
+        The list also tells how many nodes share what all may spend.
+        """
         own = self.members.own
         platform = self._adapter.platform
         read = await platform.fetch(Kind.PRESENCE, own.node)
-        if isinstance(read, Failure):
+        listed = await platform.fetch_all(Kind.PRESENCE, False)
+        if isinstance(read, Failure) or isinstance(listed, Failure):
             return False
+        self._listed_nodes = max(1, len(listed.unwrap().objects))
         stored = read.unwrap()
         body = {'host': own.host, 'peer_port': own.peer_port}
         if stored is not None and stored.body == body:
--- a/waywell/request/resend_budget.py
+++ b/waywell/request/resend_budget.py
@@ -13,6 +13,10 @@
 TRUSTED_SHARE = 0.8
 """Part of the budget that is spent; the rest covers requests in flight."""
 
+FRESH_SHARE = 0.2
+"""Part of its slack that a process takes in its first window: after all nodes
+were killed at once, it was spent before."""
+
 
 @attrs.frozen
 class ResendLimits:
@@ -50,11 +54,15 @@
     ----------
     limits
         The budget of all nodes.
+    started_at
+        When this process started, in seconds.  What an earlier process of
+        this node has spent of the slack is not known for one window.
     """
 
-    def __init__(self, limits: ResendLimits) -> None:
+    def __init__(self, limits: ResendLimits, started_at: float) -> None:
         """Start without requests."""
         self._limits = limits
+        self._started_at = started_at
         self._counts: dict[ServiceName, _Counts] = defaultdict(_Counts)
 
     def note_request(self, service: ServiceName, now: float) -> None:
@@ -69,15 +77,24 @@
         service
             Service that gets it.
         nodes
-            Entry boxes that share the budget, this one counted.
+            Entry boxes that share the budget, this one counted; 0 while
+            that is not known, and then nothing of the slack is taken.
         now
             The present time, in seconds.
         """
         counts = self._counts[service]
         counts.forget(now - self._limits.window)
         earned = self._limits.ratio * len(counts.requests)
-        part = earned + self._limits.slack / max(1, nodes)
+        part = earned + self._get_slack(nodes, now)
         if len(counts.resends) + 1 > part * TRUSTED_SHARE:
             return False
         counts.resends.append(now)
         return True
+
+    def _get_slack(self, nodes: int, now: float) -> float:
+        """Return this node's part of the slack."""
+        if not nodes:
+            return 0.0
+        is_fresh = now - self._started_at < self._limits.window
+        share = FRESH_SHARE if is_fresh else 1.0
+        return self._limits.slack * share / nodes
