--- /dev/null
+++ b/tests/house.py
@@ -0,0 +1,364 @@
+"""Small stand-ins of the platform's store and servers, in its own protocol."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from collections import deque
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+HOST = 'shop.example'
+KEY = 'key-of-shop'
+EVENTS = 6
+"""Events of a whole stream."""
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+
+    def log_message(self, *_words: object) -> None:
+        """Write nothing."""
+
+    def read_body(self) -> bytes:
+        return self.rfile.read(int(self.headers.get('content-length', 0)))
+
+    def answer(
+        self,
+        status: int,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+        self.send_response(status)
+        for name, text in (headers or {}).items():
+            self.send_header(name, text)
+        self.send_header('content-length', str(len(raw)))
+        self.end_headers()
+        self.wfile.write(raw)
+
+    def hang_up(self) -> None:
+        self.close_connection = True
+
+
+class _Listener(ThreadingHTTPServer):
+    def handle_error(self, *_words: object) -> None:
+        """Write nothing: callers hang up as they like."""
+
+
+def _serve(handler: type[_Handler]) -> ThreadingHTTPServer:
+    server = _Listener(('127.0.0.1', 0), handler)
+    server.daemon_threads = True
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
+class Store:
+    """Keeps objects by kind and name; can go silent."""
+
+    def __init__(self) -> None:
+        """Listen."""
+        self.is_down = False
+        self.calls = 0
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._events: list[tuple[int, str, dict[str, Any], bool]] = []
+        self._revision = 0
+        self._changed = threading.Condition()
+        self._server = _serve(self._make_handler())
+
+    @property
+    def address(self) -> str:
+        """Return where it listens."""
+        return f'127.0.0.1:{self._server.server_address[1]}'
+
+    def close(self) -> None:
+        """Listen no more."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+        """Write an object, whatever its revision."""
+        with self._changed:
+            self._revision += 1
+            found = {
+                'metadata': {'name': name, 'revision': self._revision},
+                'spec': spec,
+            }
+            self._objects[kind, name] = found
+            self._events.append((self._revision, kind, found, False))
+            self._changed.notify_all()
+            return found
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        with self._changed:
+            self._revision += 1
+            found = self._objects.pop((kind, name))
+            self._events.append((self._revision, kind, found, True))
+            self._changed.notify_all()
+
+    def _list(self, kind: str) -> dict[str, Any]:
+        with self._changed:
+            items = [
+                found
+                for (its_kind, _name), found in sorted(self._objects.items())
+                if its_kind == kind
+            ]
+            return {'items': items, 'current_rev': self._revision}
+
+    def _watch(self, kind: str, after: int, seconds: float) -> dict[str, Any]:
+        ends_at = time.monotonic() + seconds
+        with self._changed:
+            while True:
+                events = [
+                    {'removed': removed, 'object': found}
+                    for revision, its_kind, found, removed in self._events
+                    if revision > after and its_kind == kind
+                ]
+                left = ends_at - time.monotonic()
+                if events or left <= 0:
+                    return {'events': events, 'current_rev': self._revision}
+                self._changed.wait(left)
+
+    def _write(self, kind: str, body: dict[str, Any], creates: bool) -> Any:
+        name = body['metadata']['name']
+        with self._changed:
+            found = self._objects.get((kind, name))
+            wanted = body['metadata'].get('revision')
+            if creates and found is not None:
+                return 409, found
+            if found is not None and wanted != found['metadata']['revision']:
+                return 409, found
+        return 200, self.put(kind, name, body['spec'])
+
+    def _make_handler(store) -> type[_Handler]:  # noqa: N805
+        class Handler(_Handler):
+            def do_GET(self) -> None:
+                if self._is_cut():
+                    return
+                parts = urlsplit(self.path)
+                _api, _objects, kind, *name = parts.path.strip('/').split('/')
+                query = {
+                    key: texts[-1]
+                    for key, texts in parse_qs(parts.query).items()
+                }
+                if name:
+                    found = store._objects.get((kind, name[0]))
+                    self.answer(200 if found else 404, found)
+                elif 'watch' in query:
+                    seconds = int(query['wait_ms']) / 1000
+                    changes = store._watch(kind, int(query['watch']), seconds)
+                    if not self._is_cut():
+                        self.answer(200, changes)
+                else:
+                    self.answer(200, store._list(kind))
+
+            def do_PUT(self) -> None:
+                self._write(creates=False)
+
+            def do_POST(self) -> None:
+                self._write(creates=True)
+
+            def _write(self, creates: bool) -> None:
+                body = json.loads(self.read_body())
+                if self._is_cut():
+                    return
+                kind = urlsplit(self.path).path.split('/')[3]
+                self.answer(*store._write(kind, body, creates))
+
+            def _is_cut(self) -> bool:
+                store.calls += 1
+                if store.is_down:
+                    self.hang_up()
+                return store.is_down
+
+        return Handler
+
+
+class Server:
+    """A server of the platform: engine of a group, or a plain service."""
+
+    def __init__(self, store: Store, name: str, service: str) -> None:
+        """Listen, and write the entry."""
+        self.name = name
+        self.runs: list[dict[str, str]] = []
+        self.orders: list[dict[str, Any]] = []
+        self.script: deque[str] = deque()
+        self.goes_on = threading.Event()
+        self.goes_on.set()
+        self._store = store
+        self._server = _serve(self._make_handler())
+        port = self._server.server_address[1]
+        self.entry: dict[str, Any] = {
+            'service': service,
+            'address': f'127.0.0.1:{port}',
+            'zone': 'hall-a',
+            'slots': 9,
+            'state': 'ready',
+            'domain': 'd0',
+            'staged': [],
+        }
+        self.write_entry()
+
+    def write_entry(self) -> None:
+        """Write the entry as it is."""
+        self._store.put('servers', self.name, dict(self.entry))
+
+    def close(self) -> None:
+        """Listen no more; the entry stays."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def _take_order(self, order: dict[str, Any]) -> int:
+        self.orders.append(order)
+        group = dict(self.entry.get('group') or {})
+        operation = order['operation']
+        if operation == 'stage':
+            self.entry['staged'] = [order['model']]
+        elif operation == 'join':
+            group = {
+                'name': order['group'],
+                'epoch': order['epoch'],
+                'rank': order['members'].index(self.name),
+                'state': 'ready',
+            }
+            self.entry['staged'] = [order['model']]
+        elif group.get('name') != order['group']:
+            return 409
+        else:
+            word = {'open': 'open', 'close': 'ready'}.get(operation)
+            group = {**group, 'state': word} if word else {}
+        self.entry['group'] = group or None
+        self.write_entry()
+        return 200
+
+    def _make_handler(server) -> type[_Handler]:  # noqa: N805
+        class Handler(_Handler):
+            def do_GET(self) -> None:
+                if self.path == '/api/report':
+                    self.answer(200, {})
+                else:
+                    self._run()
+
+            def do_POST(self) -> None:
+                body = self.read_body()
+                if self.path == '/api/order':
+                    self.answer(server._take_order(json.loads(body)), {})
+                else:
+                    self._run()
+
+            def _run(self) -> None:
+                act = server.script.popleft() if server.script else ''
+                own = {
+                    'X-Request-Attempt-Id': self.headers[
+                        'X-Request-Attempt-Id'
+                    ],
+                    'X-Replica-Stamp': f'stamp-of-{server.name}',
+                }
+                if act == 'reject':
+                    self.answer(503, {}, {**own, 'X-Not-Executed': '1'})
+                    return
+                server.runs.append(dict(self.headers.items()))
+                if act == 'reset':
+                    self.hang_up()
+                elif act == 'fail':
+                    self.answer(500, {}, own)
+                elif act == 'foreign':
+                    self.answer(
+                        200, b'!', {**own, 'X-Request-Attempt-Id': 'z'}
+                    )
+                elif 'X-Model' in self.headers:
+                    self._stream(act, own)
+                else:
+                    server.goes_on.wait(20)
+                    self.answer(200, b'the whole answer', own)
+
+            def _stream(self, act: str, own: dict[str, str]) -> None:
+                self.send_response(200)
+                for name, text in own.items():
+                    self.send_header(name, text)
+                self.send_header('content-type', 'text/event-stream')
+                self.send_header('transfer-encoding', 'chunked')
+                self.end_headers()
+                first = int(self.headers.get('Last-Event-Id', 0)) + 1
+                for number in range(first, EVENTS + 1):
+                    event = b'id: %d\ndata: t%d\n\n' % (number, number)
+                    if act == f'cut-{number}':
+                        self._chunk(event[:9])
+                        self.hang_up()
+                        return
+                    if act == f'wait-{number}':
+                        server.goes_on.wait(20)
+                    self._chunk(event)
+                self._chunk(b'')
+
+            def _chunk(self, raw: bytes) -> None:
+                self.wfile.write(b'%x\r\n%s\r\n' % (len(raw), raw))
+                self.wfile.flush()
+
+        return Handler
+
+
+def make_manifest(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return what the operators write."""
+    route = {'host': HOST, 'latency_goal_ms': 400, 'max_attempts': 2}
+    return {
+        'version': version,
+        'routes': [
+            {
+                **route,
+                'name': 'notes',
+                'path_prefix': '/notes/',
+                'kind': 'streaming',
+                'timeout_ms': 8000,
+                'gap_goal_ms': 300,
+                'service': 'llm',
+                'resumable': True,
+            },
+            {
+                **route,
+                'name': 'match',
+                'path_prefix': '/match/',
+                'kind': 'unsafe',
+                'timeout_ms': 8000,
+                'service': 'app',
+            },
+            {
+                **route,
+                'name': 'stock',
+                'path_prefix': '/stock/',
+                'kind': 'safe',
+                'timeout_ms': 8000,
+                'service': 'app',
+            },
+        ],
+        'services': [
+            {
+                'name': 'llm',
+                'engine': {
+                    'slots': 9,
+                    'models': [
+                        {
+                            'name': 'small',
+                            'size': 2,
+                            'load_s': 1,
+                            'warmup_s': 1,
+                        },
+                    ],
+                    'loads_per_s': 5,
+                    'loads_at_once': 7,
+                },
+            },
+            {'name': 'app'},
+        ],
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 65536,
+            'header_timeout_ms': 3000,
+            'idle_timeout_ms': 15000,
+        },
+        'tenants': [{'name': 'shop', 'api_keys': [KEY]}],
+        **changes,
+    }
--- /dev/null
+++ b/tests/test_forming.py
@@ -0,0 +1,253 @@
+"""Which orders form, open and dissolve groups."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import msgspec
+import pytest
+
+from tests.boxes import make_box, make_fleet, make_group
+from waywell.ids import BoxId, GroupId, ModelName, ServiceName
+from waywell.version.fleet import FleetBox, MemberState
+from waywell.version.forming import (
+    FormingMemory,
+    FormingPlanner,
+    FormingView,
+)
+from waywell.version.orders import (
+    Assignment,
+    Close,
+    Join,
+    Leave,
+    Open,
+    Stage,
+)
+from waywell.version.routes import Engine, EngineModel
+
+LLM = ServiceName('llm')
+BIG, SMALL = ModelName('big'), ModelName('small')
+ENGINE = Engine(
+    places=9,
+    models=(
+        EngineModel(BIG, 4, 0.5, load_seconds=16.0, warm_seconds=1.6),
+        EngineModel(SMALL, 2, 0.5, load_seconds=12.0, warm_seconds=1.1),
+    ),
+    loads_per_second=5.0,
+    loads_at_once=7,
+)
+NOBODY = {BIG: 0.0, SMALL: 0.0}
+CALLERS = {BIG: 10.0, SMALL: 10.0}
+
+
+def plan(
+    boxes: list[FleetBox],
+    memory: FormingMemory,
+    now: float,
+    demand: dict[ModelName, float] | None = None,
+) -> list[Assignment]:
+    view = FormingView(LLM, ENGINE, make_fleet(*boxes), demand or CALLERS, 6.0)
+    return FormingPlanner(view, memory, now).plan()
+
+
+def pick(assignments: list[Assignment], kind: type) -> list[Assignment]:
+    return [one for one in assignments if isinstance(one.order, kind)]
+
+
+def show_join(assignments: list[Assignment], state: MemberState) -> list:
+    """Return the boxes as they show the joins that were ordered."""
+    boxes = []
+    for one in pick(assignments, Join):
+        order = one.order
+        standing = make_group(order.group, 'x')[0].standing
+        rank = order.members.index(one.box.box)
+        standing = msgspec.structs.replace(standing, rank=rank, state=state)
+        boxes.append(
+            msgspec.structs.replace(
+                one.box, standing=standing, staged=(order.model,)
+            ),
+        )
+    return boxes
+
+
+def test_empty_boxes_are_all_joined_at_the_first_start() -> None:
+    boxes = [make_box(f'b{number:02}') for number in range(10)]
+    joins = pick(plan(boxes, FormingMemory(), 1.0, NOBODY), Join)
+    sizes = Counter(one.order.model for one in joins)
+    assert sizes == {BIG: 4, SMALL: 6}
+    assert len({one.box.box for one in joins}) == 10
+
+
+def test_groups_lie_within_one_domain() -> None:
+    boxes = [make_box(f'b{number}', f'd{number % 3}') for number in range(12)]
+    joins = pick(plan(boxes, FormingMemory(), 1.0), Join)
+    domains: dict[GroupId, set[str]] = {}
+    for one in joins:
+        domains.setdefault(one.order.group, set()).add(one.box.domain)
+    assert domains
+    assert all(len(found) == 1 for found in domains.values())
+
+
+def test_a_group_is_opened_when_every_member_is_ready() -> None:
+    memory = FormingMemory()
+    boxes = [make_box(f'b{number}') for number in range(2)]
+    joined = plan(boxes, memory, 1.0)
+    loading = show_join(joined, MemberState.JOINING)
+    ready = show_join(joined, MemberState.READY)
+    mixed = [ready[0], loading[1]]
+    assert not pick(plan(mixed, memory, 2.0), Open)
+    opens = pick(plan(ready, memory, 3.0), Open)
+    assert [one.box.box for one in opens] == ['b0']
+
+
+def test_a_group_of_another_holder_is_formed_anew_not_opened() -> None:
+    memory = FormingMemory(next_epoch=2_000_001, first_epoch=2_000_001)
+    boxes = make_group('small.1000007', 'a', 'b', head_state=MemberState.READY)
+    orders = plan(boxes, memory, 1.0)
+    assert not pick(orders, Open)
+    assert {one.order.epoch for one in pick(orders, Join)} == {2_000_001}
+
+
+def test_an_open_group_of_another_holder_is_left_as_it_is() -> None:
+    memory = FormingMemory(next_epoch=2_000_001, first_epoch=2_000_001)
+    boxes = make_group('small.1000007', 'a', 'b')
+    assert not plan(boxes, memory, 1.0)
+
+
+def test_a_group_whose_member_is_lost_is_left_by_its_head_first() -> None:
+    memory = FormingMemory()
+    head, _lost = make_group('small.7', 'a', 'b')
+    spare = make_box('c', staged=('small',))
+    orders = plan([head, spare], memory, 10.0)
+    assert [one.box.box for one in pick(orders, Leave)] == ['a']
+    assert not pick(orders, Join)
+
+
+def test_survivors_of_a_lost_head_leave_before_they_join_others() -> None:
+    memory = FormingMemory()
+    group = make_group('small.7', 'a', 'b')
+    plan(group, memory, 9.0)
+    spare = make_box('c', staged=('small',))
+    orders = plan([group[1], spare], memory, 10.0)
+    assert {one.box.box for one in pick(orders, Leave)} == {'a', 'b'}
+    assert not pick(orders, Join)
+
+
+def test_survivors_join_others_when_the_lost_head_must_have_given_up() -> None:
+    memory = FormingMemory()
+    group = make_group('small.7', 'a', 'b')
+    plan(group, memory, 9.0)
+    spare = make_box('c', staged=('small',))
+    left = [group[1], spare]
+    plan(left, memory, 10.0)
+    assert not pick(plan(left, memory, 15.9), Join)
+    memory.pending.clear()
+    joins = pick(plan(left, memory, 16.1), Join)
+    assert {one.box.box for one in joins} == {'b', 'c'}
+
+
+def test_a_leaving_member_closes_its_group_in_good_order() -> None:
+    boxes = make_group('small.7', 'a', 'b', leaving='b')
+    orders = plan(boxes, FormingMemory(), 1.0)
+    assert [type(one.order) for one in orders] == [Close]
+    assert orders[0].box.box == 'a'
+
+
+def test_an_open_order_is_not_given_twice() -> None:
+    memory = FormingMemory()
+    boxes = make_group('small.7', 'a', 'b', head_state=MemberState.READY)
+    assert pick(plan(boxes, memory, 1.0), Open)
+    assert not pick(plan(boxes, memory, 1.2), Open)
+
+
+def test_a_group_whose_members_were_ordered_elsewhere_is_never_opened() -> (
+    None
+):
+    memory = FormingMemory()
+    memory.abandoned[GroupId('small.7')] = 1.0
+    boxes = make_group('small.7', 'a', 'b', head_state=MemberState.READY)
+    orders = plan(boxes, memory, 2.0)
+    assert not pick(orders, Open)
+    assert {one.box.box for one in pick(orders, Join)} == {'a', 'b'}
+
+
+def test_epochs_rise_with_each_group() -> None:
+    memory = FormingMemory(next_epoch=5)
+    boxes = [make_box(f'b{number}') for number in range(10)]
+    epochs = {one.order.epoch for one in pick(plan(boxes, memory, 1.0), Join)}
+    assert min(epochs) == 5
+    assert memory.next_epoch == max(epochs) + 1
+
+
+def test_survivors_are_joined_with_a_spare_that_holds_their_model() -> None:
+    memory = FormingMemory()
+    group = make_group('big.7', 'a', 'b', 'c', 'd')
+    plan(group, memory, 1.0)
+    left = [msgspec.structs.replace(box, standing=None) for box in group[:3]]
+    spare = make_box('s', staged=('big',))
+    joins = pick(plan([*left, spare], memory, 2.0), Join)
+    assert {one.box.box for one in joins} == {'a', 'b', 'c', 's'}
+    assert {one.order.model for one in joins} == {BIG}
+
+
+def test_loads_keep_the_weight_stores_pace() -> None:
+    memory = FormingMemory()
+    serving = make_group('small.7', 'a', 'b')
+    empty = [make_box(f'n{number:02}', 'd1') for number in range(20)]
+    loads = 0
+    for step in range(100):
+        loads += len(pick(plan([*serving, *empty], memory, step * 0.1), Stage))
+    assert 0 < loads <= ENGINE.loads_at_once
+
+
+def test_boxes_get_a_second_model_before_callers_come() -> None:
+    memory = FormingMemory()
+    boxes = [make_box(f'b{number}') for number in range(4)]
+    joined = plan(boxes, memory, 1.0, NOBODY)
+    loaded = show_join(joined, MemberState.READY)
+    stages = pick(plan(loaded, memory, 3.0, NOBODY), Stage)
+    # The heads have an open order until they show it.
+    serving = show_join(joined, MemberState.OPEN)
+    stages += pick(plan(serving, memory, 4.0, NOBODY), Stage)
+    assert {one.box.box for one in stages} == {
+        BoxId(f'b{n}') for n in range(4)
+    }
+
+
+def test_a_model_without_places_gets_boxes_of_one_with_room() -> None:
+    memory = FormingMemory()
+    boxes = []
+    for place in range(4):
+        names = (f'h{place}', f'm{place}')
+        boxes += [
+            msgspec.structs.replace(box, staged=(BIG,))
+            for box in make_group(f'small.{place + 1}', *names)
+        ]
+    boxes += make_group('big.9', 'w', 'x', 'y', 'z', domain='d1')
+    orders = plan(boxes, memory, 1.0, {BIG: 9.0, SMALL: 2.0})
+    assert [type(one.order) for one in orders] == [Close, Close]
+    assert not plan(boxes, memory, 1.2, {BIG: 9.0, SMALL: 2.0})
+
+
+def test_no_boxes_are_taken_from_a_model_that_is_short_itself() -> None:
+    boxes = [
+        msgspec.structs.replace(box, staged=(BIG,))
+        for box in make_group('small.1', 'a', 'b')
+        + make_group('small.2', 'c', 'd')
+    ]
+    boxes += make_group('big.9', 'w', 'x', 'y', 'z', domain='d1')
+    orders = plan(boxes, FormingMemory(), 1.0, {BIG: 9.0, SMALL: 17.0})
+    assert not orders
+
+
+@pytest.mark.parametrize('state', [MemberState.OPEN, MemberState.CLOSING])
+def test_no_box_of_a_group_that_may_serve_is_joined_elsewhere(
+    state: MemberState,
+) -> None:
+    boxes = make_group('small.7', 'a', 'b', head_state=state)
+    for taken in (boxes[:1], boxes[1:], boxes):
+        orders = plan(
+            [*taken, make_box('c', staged=('small',))], FormingMemory(), 1.0
+        )
+        names = {one.box.box for one in pick(orders, Join)}
+        assert not names & {'a', 'b'}
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,392 @@
+"""A front daemon as a process of its own, before small stand-ins."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import signal
+import threading
+from collections import deque
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.house import EVENTS, HOST, KEY, Server, Store, make_manifest
+from waywell.standins.harness import Process, wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+WHOLE = b''.join(
+    b'id: %d\ndata: t%d\n\n' % (number, number)
+    for number in range(1, EVENTS + 1)
+)
+
+
+class Front:
+    """A front daemon with a store and servers."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.store = Store()
+        self.servers: dict[str, Server] = {}
+        self.processes: list[Process] = []
+        self._attempts = 0
+
+    def add_servers(self) -> None:
+        for name in ('m1', 'm2', 'm3', 'm4'):
+            self.servers[name] = Server(self.store, name, 'llm')
+        for name in ('a1', 'a2'):
+            self.servers[name] = Server(self.store, name, 'app')
+        self.store.put('config', 'main', make_manifest())
+
+    def start(self, name: str = 'front-1', **promises: float) -> Process:
+        lines = [
+            '[node]',
+            f'name = "{name}"',
+            'hall = "hall-a"',
+            *(
+                f'{port} = "127.0.0.1:0"'
+                for port in ('callers', 'readiness', 'directory', 'peers')
+            ),
+            '[store]',
+            f'address = "{self.store.address}"',
+            '[promises]',
+            'entry_list_kept = 0.2',
+            *(f'{key} = {text}' for key, text in promises.items()),
+            '[timing]',
+            'lease = 2.0',
+        ]
+        path = self.folder / f'{name}.toml'
+        path.write_text('\n'.join(lines), encoding='utf-8')
+        log = self.folder / f'{name}.log'
+        process = Process(['waywell.platform', str(path)], log)
+        self.processes.append(process)
+        return process
+
+    def wait_serving(self, process: Process, groups: int = 2) -> None:
+        wait_until(lambda: self.is_ready(process), 'readiness')
+        wait_until(
+            lambda: self.count_open() == groups,
+            f'{groups} open groups',
+        )
+        # The node's own list may lag behind the servers.
+        wait_until(
+            lambda: self.ask(process, '/notes/1', model='small')[0] == 200,
+            'the first answer',
+        )
+
+    def count_open(self) -> int:
+        return sum(
+            (server.entry.get('group') or {}).get('state') == 'open'
+            for server in self.servers.values()
+        )
+
+    def is_ready(self, process: Process) -> bool:
+        status, _body = self.get(process, 'ready_port', '/api/ready')
+        return status == 200
+
+    def get(self, process: Process, port: str, path: str) -> tuple[int, bytes]:
+        line = http.client.HTTPConnection('127.0.0.1', process.ports[port], 20)
+        line.request('GET', path)
+        answer = line.getresponse()
+        found = answer.status, answer.read()
+        line.close()
+        return found
+
+    def ask(
+        self,
+        process: Process,
+        path: str,
+        model: str = '',
+        key: str = KEY,
+        **headers: str,
+    ) -> tuple[int, bytes, http.client.HTTPResponse]:
+        self._attempts += 1
+        sent = {
+            'Host': HOST,
+            'X-Request-Attempt-Id': f'attempt-{self._attempts}',
+            'X-Deadline-Ms': '8000',
+            'Authorization': f'Bearer {key}',
+            **{name.replace('_', '-'): text for name, text in headers.items()},
+        }
+        if model:
+            sent['X-Model'] = model
+            sent['X-Token-Count'] = '100,30'
+        port = process.ports['caller_port']
+        line = http.client.HTTPConnection('127.0.0.1', port, 20)
+        line.request('POST', path, b'{"a": 1}', sent)
+        answer = line.getresponse()
+        body = answer.read()
+        line.close()
+        return answer.status, body, answer
+
+    def list_runs(self, *names: str) -> list[dict[str, str]]:
+        return [run for name in names for run in self.servers[name].runs]
+
+    def list_heads(self) -> list[Server]:
+        return [
+            server
+            for server in self.servers.values()
+            if (server.entry.get('group') or {}).get('state') == 'open'
+        ]
+
+    def close(self) -> None:
+        for process in self.processes:
+            if process.is_running():
+                process.kill()
+        for server in self.servers.values():
+            server.goes_on.set()
+            server.close()
+        self.store.close()
+
+
+@pytest.fixture
+def front(tmp_path: Path) -> Iterator[Front]:
+    made = Front(tmp_path)
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def served(front: Front) -> tuple[Front, Process]:
+    front.add_servers()
+    process = front.start()
+    front.wait_serving(process)
+    return front, process
+
+
+def test_a_node_without_routes_is_not_ready_and_promises_not_run(
+    front: Front,
+) -> None:
+    process = front.start()
+    assert not front.is_ready(process)
+    status, _body, answer = front.ask(process, '/stock/1')
+    assert status == 503
+    assert answer.getheader('waywell-ran') == 'not_run'
+    assert float(answer.getheader('retry-after')) > 0
+
+
+def test_streams_and_plain_requests_are_served(
+    served: tuple[Front, Process],
+) -> None:
+    front, process = served
+    status, body, answer = front.ask(process, '/notes/1', model='small')
+    assert (status, body) == (200, WHOLE)
+    assert answer.getheader('X-Replica-Stamp').startswith('stamp-of-m')
+    status, body, answer = front.ask(process, '/stock/1?x=2')
+    assert (status, body) == (200, b'the whole answer')
+    (run,) = front.list_runs('a1', 'a2')
+    assert run['X-Tenant'] == 'shop'
+    assert run['X-Expect-Replica'] in {'a1', 'a2'}
+    assert 'Authorization' not in run
+    assert int(run['X-Deadline-Ms']) <= 8000
+    status, raw = front.get(
+        process, 'directory_port', '/api/resolve?name=x&zone=hall-a'
+    )
+    assert status == 200
+    found = json.loads(raw)['addresses']
+    assert found == [f'127.0.0.1:{process.ports["caller_port"]}']
+
+
+def test_unknown_keys_and_routes_are_refused_and_never_sent(
+    served: tuple[Front, Process],
+) -> None:
+    front, process = served
+    assert front.ask(process, '/stock/1', key='wrong')[0] == 401
+    assert front.ask(process, '/nowhere/1')[0] == 404
+    assert not front.list_runs('a1', 'a2')
+
+
+def test_a_request_that_may_not_repeat_is_sent_again_only_when_rejected(
+    served: tuple[Front, Process],
+) -> None:
+    front, process = served
+    for name in ('a1', 'a2'):
+        front.servers[name].script.extend(['reset'])
+    status, _body, answer = front.ask(process, '/match/1')
+    assert status == 502
+    assert answer.getheader('waywell-ran') == 'may_have_run'
+    assert len(front.list_runs('a1', 'a2')) == 1
+    for name in ('a1', 'a2'):
+        front.servers[name].script.clear()
+        front.servers[name].runs.clear()
+    front.servers['a1'].script.append('reject')
+    front.servers['a2'].script.append('reject')
+    statuses = [front.ask(process, '/match/2')[0] for _time in range(2)]
+    assert 200 in statuses
+    assert len(front.list_runs('a1', 'a2')) == statuses.count(200)
+
+
+def test_a_request_that_all_rejected_has_not_run(
+    served: tuple[Front, Process],
+) -> None:
+    front, process = served
+    for name in ('a1', 'a2'):
+        front.servers[name].script.extend(['reject'] * 2)
+    status, _body, answer = front.ask(process, '/match/1')
+    assert status == 503
+    assert answer.getheader('waywell-ran') == 'not_run'
+    assert answer.getheader('X-Replica-Stamp') is None
+    assert not front.list_runs('a1', 'a2')
+
+
+def test_an_answer_to_another_request_is_not_passed_on(
+    served: tuple[Front, Process],
+) -> None:
+    front, process = served
+    for name in ('a1', 'a2'):
+        front.servers[name].script.append('foreign')
+    assert front.ask(process, '/match/1')[0] == 502
+
+
+def test_a_safe_request_goes_on_elsewhere(
+    served: tuple[Front, Process],
+) -> None:
+    front, process = served
+    for act in ('reset', 'fail'):
+        for name in ('a1', 'a2'):
+            front.servers[name].script.clear()
+        front.servers['a1'].script.append(act)
+        front.servers['a2'].script.append('')
+        for _request in range(2):
+            assert front.ask(process, '/stock/1')[0] == 200
+
+
+@pytest.mark.parametrize('act', ['cut-3', 'wait-3', 'cut-1'])
+def test_a_stream_that_breaks_or_stalls_goes_on_at_another_group(
+    served: tuple[Front, Process],
+    act: str,
+) -> None:
+    front, process = served
+    # Whichever head takes the first attempt breaks; the other is sound.
+    shared = deque([act])
+    heads = front.list_heads()
+    for server in heads:
+        server.goes_on.clear()
+        server.script = shared
+        server.runs.clear()
+    status, body, _answer = front.ask(process, '/notes/1', model='small')
+    assert (status, body) == (200, WHOLE)
+    assert sorted(len(server.runs) for server in heads) == [1, 1]
+
+
+def test_keys_are_refused_when_the_store_is_silent_for_too_long(
+    front: Front,
+) -> None:
+    front.add_servers()
+    process = front.start(keys_refused_within_ms=2500)
+    front.wait_serving(process)
+    front.store.is_down = True
+
+    def is_refused() -> bool:
+        status, _body, answer = front.ask(process, '/stock/1')
+        return status == 503 and answer.getheader('waywell-code') == '2008'
+
+    wait_until(is_refused, 'refusals')
+    assert not front.is_ready(process)
+    front.store.is_down = False
+    wait_until(lambda: front.is_ready(process), 'readiness')
+    assert front.ask(process, '/stock/1')[0] == 200
+
+
+def test_a_new_version_is_in_force_and_a_removed_key_is_refused(
+    served: tuple[Front, Process],
+) -> None:
+    front, process = served
+    tenants = [{'name': 'shop', 'api_keys': ['another']}]
+    front.store.put('config', 'main', make_manifest(2, tenants=tenants))
+    wait_until(
+        lambda: front.ask(process, '/stock/1', key='another')[0] == 200,
+        'the new key',
+    )
+    assert front.ask(process, '/stock/1')[0] == 401
+
+
+def test_a_version_that_is_not_understood_leaves_the_last_one_in_force(
+    served: tuple[Front, Process],
+) -> None:
+    front, process = served
+    front.store.put('config', 'main', {'version': 'x', 'routes': 3})
+    log = front.folder / 'front-1.log'
+    wait_until(lambda: 'object_unreadable' in log.read_text(), 'a log line')
+    assert front.ask(process, '/stock/1')[0] in {200, 503}
+
+
+def test_a_planned_stop_finishes_what_was_read(
+    served: tuple[Front, Process],
+) -> None:
+    front, process = served
+    for name in ('a1', 'a2'):
+        front.servers[name].goes_on.clear()
+    answers: list[tuple[int, str | None]] = []
+
+    def ask() -> None:
+        status, _body, answer = front.ask(process, '/match/1')
+        answers.append((status, answer.getheader('connection')))
+
+    thread = threading.Thread(target=ask)
+    thread.start()
+    wait_until(lambda: front.list_runs('a1', 'a2'), 'the run')
+    process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not front.is_ready(process), 'the node to leave')
+    for name in ('a1', 'a2'):
+        front.servers[name].goes_on.set()
+    thread.join()
+    assert answers == [(200, 'close')]
+    assert process.wait() == 0
+
+
+def test_a_hang_up_signal_ends_nothing(served: tuple[Front, Process]) -> None:
+    front, process = served
+    process.send_signal(signal.SIGHUP)
+    log = front.folder / 'front-1.log'
+    wait_until(lambda: 'event=reloaded' in log.read_text(), 'a log line')
+    assert front.ask(process, '/stock/1')[0] == 200
+
+
+def test_a_lost_box_is_seen_by_its_silence_and_its_group_is_patched(
+    served: tuple[Front, Process],
+) -> None:
+    front, process = served
+    head = front.list_heads()[0]
+    group = head.entry['group']['name']
+    members = [
+        server
+        for server in front.servers.values()
+        if (server.entry.get('group') or {}).get('name') == group
+    ]
+    (member,) = [server for server in members if server is not head]
+    for server in front.list_heads():
+        server.goes_on.clear()
+        server.script.append('wait-2')
+    member.close()
+    # Its entry stays; only streams that stand still show the loss.
+    threading.Thread(
+        target=front.ask, args=(process, '/notes/1', 'small'), daemon=True
+    ).start()
+    threading.Thread(
+        target=front.ask, args=(process, '/notes/2', 'small'), daemon=True
+    ).start()
+    wait_until(
+        lambda: any(one['operation'] == 'leave' for one in head.orders),
+        'the head to be told to leave',
+    )
+
+
+def test_an_id_is_followed_through_the_log(
+    served: tuple[Front, Process],
+) -> None:
+    front, process = served
+    for name in ('a1', 'a2'):
+        front.servers[name].script.append('reset')
+    front.ask(process, '/match/1', X_Request_Attempt_Id='look-for-me')
+    log = (front.folder / 'front-1.log').read_text()
+    lines = [line for line in log.splitlines() if 'look-for-me' in line]
+    events = [line.partition('event=')[2].split()[0] for line in lines]
+    assert events == ['attempt', 'failed', 'given_up', 'refused']
+    assert all('age=' in line for line in lines[:3])
+    status, raw = front.get(process, 'metrics_port', '/metrics')
+    assert status == 200
+    assert b'waywell_requests' in raw
--- /dev/null
+++ b/tests/test_outlook.py
@@ -0,0 +1,98 @@
+"""How sure a node is of routes, keys and boxes."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.boxes import make_fleet, make_group
+from waywell.codes import Code, Refusal
+from waywell.ids import ModelName, ServiceName
+from waywell.process.front_settings import PromiseSettings
+from waywell.process.outlook import KEY_MARGIN, Outlook
+from waywell.version.routes import (
+    Engine,
+    EngineModel,
+    RoutedService,
+    RouteTable,
+)
+
+ENGINE = Engine(9, (EngineModel(ModelName('notes'), 2),))
+TABLE = RouteTable(
+    3, services=(RoutedService(ServiceName('llm'), engine=ENGINE),)
+)
+
+
+def make_outlook() -> Outlook:
+    return Outlook(PromiseSettings(keys_refused_within_ms=5000.0))
+
+
+def check(outlook: Outlook, now: float) -> Code | None:
+    try:
+        outlook.check_routes(now)
+    except Refusal as refusal:
+        assert refusal.ran.value == 'not_run'
+        assert refusal.retry_after is not None
+        return refusal.code
+    return None
+
+
+def test_a_node_without_routes_says_that_it_is_starting() -> None:
+    outlook = make_outlook()
+    outlook.confirm_routes(10.0)
+    assert check(outlook, 10.0) is Code.NODE_STARTING
+
+
+def test_routes_that_are_not_confirmed_in_time_serve_nobody() -> None:
+    outlook = make_outlook()
+    outlook.take_routes(TABLE)
+    outlook.confirm_routes(10.0)
+    last = 10.0 + 5.0 - KEY_MARGIN
+    assert check(outlook, last - 0.001) is None
+    assert check(outlook, last) is Code.ROUTES_STALE
+
+
+def test_an_older_confirmation_takes_nothing_back() -> None:
+    outlook = make_outlook()
+    outlook.take_routes(TABLE)
+    outlook.confirm_routes(10.0)
+    outlook.confirm_routes(7.0)
+    assert outlook.get_routes_age(10.0) == 0
+
+
+def test_no_version_goes_back() -> None:
+    outlook = make_outlook()
+    assert outlook.take_routes(RouteTable(5))
+    assert not outlook.take_routes(RouteTable(4))
+    assert not outlook.take_routes(RouteTable(5))
+    assert outlook.index.table.version == 5
+
+
+def test_a_replica_that_left_its_group_gets_nothing_more() -> None:
+    outlook = make_outlook()
+    outlook.take_routes(TABLE)
+    outlook.take_fleet(make_fleet(*make_group('notes.7', 'a', 'b')), 1.0)
+    (replica,) = outlook.list_replicas(ServiceName('llm'), ModelName('notes'))
+    assert outlook.may_send_to(replica)
+    outlook.take_fleet(make_fleet(*make_group('notes.8', 'a', 'b')), 2.0)
+    assert not outlook.may_send_to(replica)
+
+
+def test_a_doubted_replica_is_out_until_the_list_changes() -> None:
+    outlook = make_outlook()
+    outlook.take_routes(TABLE)
+    fleet = make_fleet(*make_group('notes.7', 'a', 'b'))
+    outlook.take_fleet(fleet, 1.0)
+    service, model = ServiceName('llm'), ModelName('notes')
+    (replica,) = outlook.list_replicas(service, model)
+    outlook.doubt(replica)
+    assert not outlook.list_replicas(service, model)
+    outlook.take_fleet(fleet, 2.0)
+    assert outlook.list_replicas(service, model)
+
+
+def test_an_unknown_model_has_no_replica() -> None:
+    outlook = make_outlook()
+    outlook.take_routes(TABLE)
+    assert not outlook.list_replicas(ServiceName('llm'), ModelName('other'))
+    with pytest.raises(Refusal):
+        outlook.check_keys(100.0)
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,74 @@
+"""The choice of a replica."""
+
+from __future__ import annotations
+
+from tests.boxes import make_box
+from waywell.ids import Epoch, HallName, NodeId
+from waywell.request.placement import Chooser
+from waywell.request.replica_book import LONGEST_REST, ReplicaBook
+from waywell.version.fleet import Replica, ReplicaKey
+
+CHOOSER = Chooser(NodeId('entry-1'), HallName('port'))
+
+
+def make_replica(name: str) -> Replica:
+    box = make_box(name)
+    return Replica(ReplicaKey(box.box, Epoch(1)), box)
+
+
+A, B = make_replica('a'), make_replica('b')
+NONE = frozenset()
+
+
+def test_the_less_loaded_is_chosen() -> None:
+    book = ReplicaBook()
+    for loaded, free in ((A, B), (B, A)):
+        for _request in range(3):
+            book.note_start(loaded.key, 100)
+        assert CHOOSER.choose([A, B], NONE, book, 1.0) is free
+        for _request in range(3):
+            book.note_end(loaded.key, 100)
+
+
+def test_one_that_was_tried_is_not_chosen_again() -> None:
+    book = ReplicaBook()
+    assert CHOOSER.choose([A, B], frozenset((A.key,)), book, 1.0) is B
+    assert CHOOSER.choose([A], frozenset((A.key,)), book, 1.0) is None
+
+
+def test_one_that_fell_silent_rests_and_comes_back_when_heard() -> None:
+    book = ReplicaBook()
+    book.note_failure(A.key, 1.0)
+    book.note_start(B.key, 100)
+    assert CHOOSER.choose([A, B], NONE, book, 1.1) is B
+    book.note_heard(A.key, 1.2)
+    assert CHOOSER.choose([A, B], NONE, book, 1.2) is A
+
+
+def test_rest_grows_with_failures_up_to_a_bound() -> None:
+    book = ReplicaBook()
+    for _failure in range(20):
+        book.note_failure(A.key, 1.0)
+    assert book.get(A.key).rests_until == 1.0 + LONGEST_REST
+
+
+def test_one_that_rests_is_better_than_none() -> None:
+    book = ReplicaBook()
+    book.note_failure(A.key, 1.0)
+    assert CHOOSER.choose([A], NONE, book, 1.1) is A
+
+
+def test_a_slow_one_gets_less() -> None:
+    book = ReplicaBook()
+    for _answer in range(30):
+        book.note_first(A.key, 8.0)
+    assert CHOOSER.choose([A, B], NONE, book, 1.0) is B
+
+
+def test_records_of_replicas_that_are_gone_are_dropped() -> None:
+    book = ReplicaBook()
+    book.note_failure(A.key, 1.0)
+    book.note_start(B.key, 10)
+    book.forget_others([])
+    assert book.get(A.key).rests_until == 0
+    assert book.get(B.key).in_flight == 1
--- a/waywell/connection/front.py
+++ b/waywell/connection/front.py
@@ -47,7 +47,7 @@
     is_leaving: Callable[[], bool]
     """Answers whether callers are to go elsewhere."""
 
-    report: Callable[[CallerRequest, Code, Ran], None]
+    report: Callable[[FrontRequest, Code, Ran], None]
     """Takes in how a request ended."""
 
     @property
@@ -61,6 +61,9 @@
 
     backend: Any
 
+    attempt = ''
+    """The caller's id of this attempt, once it is read."""
+
     def refuse(self, refusal: Refusal) -> None:
         """Answer with a refusal, at once."""
         self.backend.report(self, refusal.code, refusal.ran)
@@ -96,6 +99,7 @@
             raw_headers,
             self.content.getvalue(),
         )
+        self.attempt = ask.attempt
         await self.backend.serve(ask, _FrontAnswer(self))
         self.backend.report(self, Code.OK, Ran.RAN)
 
--- a/waywell/daemon.py
+++ b/waywell/daemon.py
@@ -83,15 +83,18 @@
         self._reactor.stop()
 
 
-def run_node(make_node: Callable[[], Node], log_level: str) -> str:
+def run_node(
+    make_node: Callable[[], Node],
+    open_events: Callable[[], object],
+) -> str:
     """Run a node until it is told to stop.
 
     Parameters
     ----------
     make_node
         Makes the node; called when the reactor is installed.
-    log_level
-        Least level that is logged.
+    open_events
+        Opens the log.
 
     Returns
     -------
@@ -101,7 +104,7 @@
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
-    open_log(log_level)
+    open_events()
     # The reactor must be installed before anything imports it.
     from twisted.internet import reactor  # noqa: PLC0415
 
@@ -125,4 +128,4 @@
 
         return EntryNode(settings)
 
-    return run_node(make, settings.log_level)
+    return run_node(make, lambda: open_log(settings.log_level))
--- a/waywell/platform/__main__.py
+++ b/waywell/platform/__main__.py
@@ -1,10 +1,11 @@
-"""Runs a front daemon on the platform: ``python -m waywell.platform SETTINGS``."""
+"""Runs a front daemon: ``python -m waywell.platform SETTINGS``."""
 
 from __future__ import annotations
 
 import sys
 
 from waywell.daemon import Node, run_node
+from waywell.process.events import open_output_log
 from waywell.process.front_settings import load_front_settings
 from waywell.version.faults import FaultsError
 
@@ -23,7 +24,7 @@
 
         return FrontNode(settings, make_adapter(settings))
 
-    return run_node(make, settings.log_level)
+    return run_node(make, lambda: open_output_log(settings.log_level))
 
 
 if __name__ == '__main__':
--- a/waywell/platform/orders.py
+++ b/waywell/platform/orders.py
@@ -4,7 +4,7 @@
 
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from returns.result import Failure
@@ -12,7 +12,6 @@
 from waywell.connection.box_orders import BoxOrders
 from waywell.connection.http_calls import HttpCalls
 from waywell.connection.platform import PlatformFault
-from waywell.version.fleet import FleetBox
 from waywell.version.orders import (
     Assignment,
     BoxOrder,
@@ -24,6 +23,9 @@
     Stage,
 )
 
+if TYPE_CHECKING:
+    from waywell.version.fleet import FleetBox
+
 ORDER_PATH = '/api/order'
 """Path at which a server takes orders."""
 
--- a/waywell/process/doubts.py
+++ b/waywell/process/doubts.py
@@ -4,18 +4,19 @@
 
 import secrets
 from collections import deque
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from waywell.connection.peer import ReplicaDoubt
-from waywell.ids import GroupId
 from waywell.process.actor import Actor
 from waywell.process.events import log_event
-from waywell.process.links import PeerLinks
 from waywell.version.fleet import ReplicaKey
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from waywell.ids import GroupId
     from waywell.process.clock import Clock
+    from waywell.process.links import PeerLinks
     from waywell.request.replica_book import ReplicaBook
     from waywell.version.fleet import Replica
 
--- a/waywell/process/events.py
+++ b/waywell/process/events.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import os
 import sys
+import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -14,6 +17,10 @@
     'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/@+-',
 )
 
+LINES_A_SECOND = 200
+"""Lines of one event that a process writes in a second; some 20 requests a
+second are usual, so only a flood is cut."""
+
 
 def quote_text(raw: object) -> str:
     """Return a value as one word, quoted where it needs to be."""
@@ -38,12 +45,82 @@
     return '{extra[_line]}\n'
 
 
+class LineBudget:
+    """Bounds the lines of each event in a second.
+
+    Parameters
+    ----------
+    lines
+        Lines that an event may have in a second.
+    """
+
+    def __init__(self, lines: int) -> None:
+        """Start without lines."""
+        self._lines = lines
+        self._second = 0
+        self._written: Counter[str] = Counter()
+
+    def allow(self, event: str, now: float) -> bool:
+        """Count a line; answer whether it may be written."""
+        if int(now) != self._second:
+            self._second = int(now)
+            self._written.clear()
+        self._written[event] += 1
+        return self._written[event] <= self._lines
+
+    def take_left_out(self, now: float) -> dict[str, int]:
+        """Return the lines left out in a second that is over, by event."""
+        if int(now) == self._second:
+            return {}
+        left_out = {
+            event: count - self._lines
+            for event, count in self._written.items()
+            if count > self._lines
+        }
+        self._written.clear()
+        return left_out
+
+
+class PipeSink:
+    """Writes lines to a file descriptor and never waits for its reader.
+
+    Parameters
+    ----------
+    descriptor
+        File descriptor.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        """Make the descriptor non-blocking."""
+        self.lost = 0
+        self._descriptor = descriptor
+        os.set_blocking(descriptor, False)
+
+    def __call__(self, line: str) -> None:
+        """Write a line whole, or count it as lost."""
+        try:
+            os.write(self._descriptor, line.encode())
+        except BlockingIOError:
+            self.lost += 1
+
+
+_budget = LineBudget(LINES_A_SECOND)
+
+
 def open_log(level: str) -> None:
     """Send events of a level and above to the standard error."""
     logger.remove()
     logger.add(sys.stderr, level=level, format=_format_record)
 
 
+def open_output_log(level: str) -> PipeSink:
+    """Send events to the standard output, without ever waiting for it."""
+    sink = PipeSink(sys.stdout.fileno())
+    logger.remove()
+    logger.add(sink, level=level, format=_format_record)
+    return sink
+
+
 def log_event(event: str, /, **pairs: object) -> None:
     """Log an event of normal work."""
     _log('INFO', event, pairs)
@@ -60,4 +137,9 @@
 
 
 def _log(level: str, event: str, pairs: dict[str, object]) -> None:
-    logger.log(level, format_pairs({'event': event, **pairs}))
+    now = time.monotonic()
+    for left_event, count in _budget.take_left_out(now).items():
+        left_out = {'event': 'left_out', 'of': left_event, 'lines': count}
+        logger.log('WARNING', format_pairs(left_out))
+    if _budget.allow(event, now):
+        logger.log(level, format_pairs({'event': event, **pairs}))
--- a/waywell/process/fleet_watch.py
+++ b/waywell/process/fleet_watch.py
@@ -135,7 +135,7 @@
         listed: dict[BoxId, FleetBox],
         now: float,
     ) -> bool:
-        """Give up kept boxes that are back or stay away; answer whether any."""
+        """Give up kept boxes that are back or gone; answer whether any."""
         over = [
             name
             for name, until in self._kept.items()
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -14,7 +14,7 @@
 from waywell.codes import Code, Ran
 from waywell.connection.box_orders import BoxOrders
 from waywell.connection.desk import DeskAnswer, DeskHandler
-from waywell.connection.front import FrontBackend
+from waywell.connection.front import FrontBackend, FrontRequest
 from waywell.connection.peer import ClaimAnswer, ClaimAsk, PeerService
 from waywell.connection.platform import Kind, Platform
 from waywell.connection.wire import Wire
@@ -25,6 +25,7 @@
 from waywell.process.fleet_watch import FleetWatch
 from waywell.process.forming import FormingDuty
 from waywell.process.front_ports import FrontHandlers, FrontPorts
+from waywell.process.front_settings import parse_address
 from waywell.process.gossip import Gossip, Numbers
 from waywell.process.links import PeerLinks
 from waywell.process.membership import (
@@ -47,7 +48,6 @@
 from waywell.request.resend_budget import ResendBudget, ResendLimits
 
 if TYPE_CHECKING:
-    from waywell.connection.caller import CallerRequest
     from waywell.process.front_settings import FrontSettings
     from waywell.request.ask import Ask
 
@@ -116,6 +116,7 @@
         self.in_flight = 0
         self._adapter = adapter
         self._is_leaving = False
+        self._is_started = False
         self._listed_nodes = 0
         self._random = Random(self.incarnation)
         self._helpers: set[asyncio.Task[None]] = set()
@@ -131,9 +132,10 @@
 
     async def start(self) -> None:
         """Listen, join the others, begin to serve."""
+        await self._ports.open()
         self._make_tasks()
         self._forwarder = self._make_forwarder()
-        await self._ports.open()
+        self._is_started = True
         for actor in self.actors:
             actor.start()
         self.gossip.repeat(self.settings.timing.beat, Gossip.Tick())
@@ -142,8 +144,11 @@
         log_event(
             'listening',
             node=self.settings.node.name,
-            callers=self.settings.node.callers,
-            peers=self.settings.node.peers,
+            caller_port=self._ports.callers.port,
+            peer_port=self._ports.peers.port,
+            ready_port=self._ports.readiness.port,
+            directory_port=self._ports.directory.port,
+            metrics_port=self._ports.metrics.port,
         )
 
     async def stop(self) -> None:
@@ -178,13 +183,16 @@
         """Answer whether callers should be sent here."""
         now = self.clock.read()
         return (
-            self.outlook.has_routes
+            self._is_started
+            and self.outlook.has_routes
             and self.outlook.are_keys_fresh(now)
             and not self._is_leaving
         )
 
     def list_addresses(self, hall: str) -> list[str]:
         """Return the addresses of entry boxes that are ready."""
+        if not self._is_started:
+            return []
         live = [
             record
             for record in self.members.list_live()
@@ -241,7 +249,7 @@
             host=node.host,
             caller_port=self._ports.callers.port,
             peer_port=self._ports.peers.port,
-            admin_port=node.metrics_port,
+            admin_port=self._ports.metrics.port,
         )
 
     def _make_tasks(self) -> None:
@@ -318,11 +326,12 @@
             if ask.model:
                 self.demand.note(ask.model, now - began_at, now)
 
-    def _report(self, request: CallerRequest, code: Code, ran: Ran) -> None:
+    def _report(self, request: FrontRequest, code: Code, ran: Ran) -> None:
         self.metrics.count_request(code, ran)
         if code is not Code.OK:
             log_event(
                 'refused',
+                request=request.attempt,
                 path=(request.path or b'').decode('latin-1'),
                 code=int(code),
                 name=code.name,
@@ -338,7 +347,8 @@
         return DeskAnswer(200, raw)
 
     async def _accept_peer(self, stream: Any) -> None:
-        await self.links.accept(stream)
+        if self._is_started:
+            await self.links.accept(stream)
 
     async def _tend(self) -> None:
         """Tell the others whether this node serves, and drop old records."""
@@ -391,12 +401,9 @@
 
     async def _find_others(self) -> list[tuple[str, int]]:
         """Return addresses from the settings and the platform."""
-        own = self.settings.node.peers
-        found = []
-        for seed in self.settings.seeds:
-            host, _, port = seed.rpartition(':')
-            if seed and seed != own:
-                found.append((host, int(port)))
+        own = self._ports.peers
+        seeds = [parse_address(seed) for seed in self.settings.seeds]
+        found = [(seed.host, seed.port) for seed in seeds if seed != own]
         answer = await self._adapter.platform.fetch_all(Kind.PRESENCE, False)
         if not isinstance(answer, Failure):
             found.extend(
--- a/waywell/process/front_ports.py
+++ b/waywell/process/front_ports.py
@@ -57,9 +57,9 @@
         """Keep what serves; nothing listens yet."""
         self.callers = parse_address(settings.callers)
         self.peers = parse_address(settings.peers)
-        self._readiness = parse_address(settings.readiness)
-        self._directory = parse_address(settings.directory)
-        self._metrics = Address(settings.host, settings.metrics_port)
+        self.readiness = parse_address(settings.readiness)
+        self.directory = parse_address(settings.directory)
+        self.metrics = Address(settings.host, settings.metrics_port)
         self._handlers = handlers
         self._site = FrontSite(handlers.backend)
         self._peer_server = make_server(handlers.peer)
@@ -74,11 +74,19 @@
             When a port can't be had.
         """
         handlers = self._handlers
-        self.callers = self._listen(self.callers, self._site)
-        self._listen(self._readiness, DeskSite(handlers.readiness))
-        self._listen(self._directory, DeskSite(handlers.directory))
-        self._listen(self._metrics, DeskSite(handlers.metrics))
         await self._peer_server.start(self.peers.host, self.peers.port)
+        # grpclib does not say which port it took.
+        server: Any = self._peer_server
+        port = server._server.sockets[0].getsockname()[1]  # noqa: SLF001
+        self.peers = Address(self.peers.host, int(port))
+        self.callers = self._listen(self.callers, self._site)
+        self.readiness = self._listen(
+            self.readiness, DeskSite(handlers.readiness)
+        )
+        self.directory = self._listen(
+            self.directory, DeskSite(handlers.directory)
+        )
+        self.metrics = self._listen(self.metrics, DeskSite(handlers.metrics))
 
     def stop_accepting(self) -> None:
         """Take no new connections of callers."""
--- a/waywell/process/outlook.py
+++ b/waywell/process/outlook.py
@@ -144,7 +144,7 @@
         return box.standing.epoch == replica.key.epoch
 
     def doubt(self, replica: Replica) -> None:
-        """Take out a replica that disowns its group, until the list changes."""
+        """Take a replica out that disowns its group; a new list clears it."""
         for found in self._replicas.values():
             if replica in found:
                 found.remove(replica)
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -16,7 +16,7 @@
     open_exchange,
 )
 from waywell.request.ask import AnswerMark
-from waywell.request.events import EventCutter, StreamEvent
+from waywell.request.stream_events import EventCutter, StreamEvent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -212,7 +212,7 @@
 
 
 class _Journey:
-    """The attempts at one request, until an answer is passed on or given up."""
+    """The attempts at one request, until it is answered or given up."""
 
     def __init__(
         self,
--- a/waywell/request/patience.py
+++ b/waywell/request/patience.py
@@ -17,7 +17,7 @@
 covers one more answer in the usual time."""
 
 FIRST_PART = 0.6
-"""Part of the goal after which a stream without an event is tried elsewhere."""
+"""Part of the goal after which a stream without an event is sent again."""
 
 GAP_PART = 0.6
 """Part of the longest pause that is in time after which a stream is taken up
--- a/waywell/standins/harness.py
+++ b/waywell/standins/harness.py
@@ -72,7 +72,7 @@
     words
         Command after the interpreter.
     log
-        File for the standard error.
+        File for its output and errors.
     """
 
     def __init__(self, words: list[str], log: Path) -> None:
@@ -80,11 +80,11 @@
         self.log = log
         self._words = words
         self._ports: dict[str, int] = {}
-        with log.open('ab') as stderr:
+        with log.open('ab') as output:
             self._process = subprocess.Popen(
                 [sys.executable, '-m', *words],
-                stderr=stderr,
-                stdout=subprocess.DEVNULL,
+                stderr=output,
+                stdout=output,
                 stdin=subprocess.DEVNULL,
             )
 
