Keep to the attempt that goes on first; never join events out of order

Ruled out: the change of routes (the requests cut had nothing to do with the removed key). The order of events is now checked before an attempt is chosen, and any event of the first ends the second. tests/test_forwarder.py fails without it.

--- /dev/null
+++ b/tests/test_forwarder.py
@@ -0,0 +1,313 @@
+"""Attempts at one request that run side by side."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from tests.boxes import make_fleet, make_group
+from waywell.codes import Code, Ran, Refusal
+from waywell.connection.exchange import SendFault
+from waywell.ids import HallName, ModelName, NodeId, ServiceName
+from waywell.process.clock import Clock
+from waywell.process.front_settings import PromiseSettings
+from waywell.process.outlook import Outlook
+from waywell.request.ask import AnswerMark, Ask
+from waywell.request.attempt import Attempt
+from waywell.request.forwarder import (
+    CallerAnswer,
+    Forwarder,
+    ForwarderParts,
+)
+from waywell.request.placement import Chooser
+from waywell.request.replica_book import ReplicaBook
+from waywell.request.resend_budget import ResendBudget, ResendLimits
+from waywell.request.stream_events import StreamEvent
+from waywell.version.routes import (
+    Engine,
+    EngineModel,
+    Route,
+    RoutedService,
+    RouteKind,
+    RouteTable,
+    ServiceShare,
+)
+
+MODEL = ModelName('notes')
+STREAM_HEADERS = ((b'content-type', b'text/event-stream'),)
+
+
+class _FixedClock(Clock):
+    now = 100.0
+
+    def read(self) -> float:
+        return self.now
+
+    def read_wall(self) -> float:
+        return self.now
+
+
+class _Answer(CallerAnswer):
+    def __init__(self) -> None:
+        self.body = b''
+        self.status = 0
+        self.end = ''
+
+    def begin(self, status: int, headers: Any, length: int | None) -> None:
+        assert not self.status
+        self.status = status
+
+    async def write(self, raw: bytes) -> None:
+        self.body += raw
+
+    def finish(self) -> None:
+        self.end = 'whole'
+
+    def cut(self) -> None:
+        self.end = 'cut'
+
+
+class _Wire:
+    def make_headers(self, *_words: object) -> tuple:
+        return ()
+
+
+class Stage:
+    """A forwarder whose attempts are driven by hand."""
+
+    def __init__(self, kind: RouteKind = RouteKind.STREAM) -> None:
+        self.clock = _FixedClock()
+        self.attempts: list[Attempt] = []
+        self.answer = _Answer()
+        self.refusal: Refusal | None = None
+        stream = kind is RouteKind.STREAM
+        route = Route(
+            'r',
+            'h',
+            '/',
+            kind,
+            timeout=8.0,
+            goal=0.4,
+            shares=(ServiceShare(ServiceName('llm'), 1.0),),
+            gap_goal=0.3,
+            most_targets=2,
+            resumable=stream,
+        )
+        engine = Engine(9, (EngineModel(MODEL, 2),))
+        outlook = Outlook(PromiseSettings())
+        outlook.take_routes(
+            RouteTable(
+                1,
+                (route,),
+                (RoutedService(ServiceName('llm'), engine=engine),),
+            ),
+        )
+        outlook.confirm_routes(self.clock.now)
+        outlook.take_fleet(
+            make_fleet(
+                *make_group('notes.7', 'a', 'b'),
+                *make_group('notes.8', 'c', 'd'),
+            ),
+            self.clock.now,
+        )
+        self.forwarder = Forwarder(
+            ForwarderParts(
+                outlook=outlook,
+                wire=_Wire(),
+                chooser=Chooser(NodeId('n'), HallName('port')),
+                book=ReplicaBook(),
+                budget=ResendBudget(ResendLimits(0.2, 90.0, 10.0), 0.0),
+                clock=self.clock,
+                draw=lambda: 0.0,
+                count_nodes=lambda: 1,
+                raise_doubt=lambda _replica: None,
+            ),
+        )
+
+    def note_start(
+        self,
+        attempt: Attempt,
+        _outgoing: object,
+        _wire: object,
+        may_send: Any,
+        now: float,
+    ) -> None:
+        attempt.started_at = now
+        assert may_send()
+        self.attempts.append(attempt)
+
+    async def begin(self) -> asyncio.Task:
+        ask = Ask('a1', 'POST', '/x', 'h', (), b'', model=MODEL)
+        task = asyncio.create_task(self._serve(ask))
+        await self.settle()
+        return task
+
+    async def settle(self) -> None:
+        for _turn in range(10):
+            await asyncio.sleep(0)
+
+    async def pass_time(self, seconds: float) -> None:
+        """Let the clock pass, and wake the forwarder as a timer would."""
+        self.clock.now += seconds
+        self.attempts[0]._inbox.put(None)
+        await self.settle()
+
+    async def head(self, attempt: Attempt, **changes: Any) -> None:
+        facts = {'status': 200, 'mark': AnswerMark('a1'), **changes}
+        attempt.tell(
+            Attempt.Head(
+                attempt, headers=STREAM_HEADERS, length=None, **facts
+            ),
+        )
+        await self.settle()
+
+    async def events(self, attempt: Attempt, *numbers: int) -> None:
+        for number in numbers:
+            raw = b'id: %d\n\n' % number
+            attempt.tell(Attempt.Piece(attempt, StreamEvent(raw, number)))
+        await self.settle()
+
+    async def end(self, attempt: Attempt, is_whole: bool = True) -> None:
+        attempt.tell(Attempt.End(attempt, is_whole))
+        await self.settle()
+
+    async def _serve(self, ask: Ask) -> None:
+        try:
+            await self.forwarder.serve(ask, self.answer)
+        except Refusal as refusal:
+            self.refusal = refusal
+
+
+@pytest.fixture
+def stage(monkeypatch: pytest.MonkeyPatch) -> Stage:
+    made = Stage()
+    _drive(made, monkeypatch)
+    return made
+
+
+def _drive(made: Stage, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(
+        Attempt,
+        'start',
+        lambda *words: made.note_start(*words),
+    )
+
+
+def list_numbers(body: bytes) -> list[int]:
+    return [
+        int(line[4:]) for line in body.split(b'\n') if line.startswith(b'id: ')
+    ]
+
+
+def test_the_first_attempt_goes_on_when_it_wakes_before_the_second(
+    stage: Stage,
+) -> None:
+    async def play() -> None:
+        await stage.begin()
+        (first,) = stage.attempts
+        await stage.head(first)
+        await stage.events(first, 1, 2)
+        await stage.pass_time(0.25)
+        second = stage.attempts[1]
+        await stage.head(second)
+        # The first was only late; what the second brings is surplus.
+        await stage.events(first, 3, 4)
+        await stage.events(second, 3, 4)
+        await stage.events(first, 5)
+        await stage.end(first)
+
+    asyncio.run(play())
+    assert list_numbers(stage.answer.body) == [1, 2, 3, 4, 5]
+    assert stage.answer.end == 'whole'
+
+
+def test_the_second_attempt_goes_on_where_the_first_fell_silent(
+    stage: Stage,
+) -> None:
+    async def play() -> None:
+        await stage.begin()
+        (first,) = stage.attempts
+        await stage.head(first)
+        await stage.events(first, 1, 2)
+        await stage.pass_time(0.25)
+        second = stage.attempts[1]
+        assert second.replica != first.replica
+        await stage.head(second)
+        await stage.events(second, 3)
+        await stage.events(first, 3)
+        await stage.events(second, 4)
+        await stage.end(second)
+
+    asyncio.run(play())
+    assert list_numbers(stage.answer.body) == [1, 2, 3, 4]
+    assert stage.answer.end == 'whole'
+
+
+def test_a_skipped_event_is_never_passed_on(stage: Stage) -> None:
+    async def play() -> None:
+        await stage.begin()
+        (first,) = stage.attempts
+        await stage.head(first)
+        await stage.events(first, 1, 3)
+        await stage.head(stage.attempts[1])
+        await stage.events(stage.attempts[1], 2, 4)
+
+    asyncio.run(play())
+    assert list_numbers(stage.answer.body) == [1, 2]
+    assert stage.answer.end == 'cut'
+
+
+def test_no_more_replicas_are_tried_than_the_route_allows(
+    stage: Stage,
+) -> None:
+    async def play() -> None:
+        await stage.begin()
+        for _failure in range(2):
+            attempt = stage.attempts[-1]
+            attempt.tell(Attempt.Fault(attempt, SendFault.BROKEN))
+            await stage.settle()
+
+    asyncio.run(play())
+    assert len(stage.attempts) == 2
+    assert stage.refusal is not None
+    assert stage.refusal.ran is Ran.MAY_HAVE_RUN
+
+
+def test_an_unsafe_request_is_never_tried_beside_a_silent_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    stage = Stage(RouteKind.UNSAFE)
+    _drive(stage, monkeypatch)
+
+    async def play() -> None:
+        task = await stage.begin()
+        await stage.pass_time(3.0)
+        assert len(stage.attempts) == 1
+        await stage.pass_time(6.0)
+        await task
+
+    asyncio.run(play())
+    assert len(stage.attempts) == 1
+    assert stage.refusal is not None
+    assert stage.refusal.code is Code.DEADLINE_PASSED
+    assert stage.refusal.ran is Ran.MAY_HAVE_RUN
+
+
+def test_rejections_leave_a_request_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    stage = Stage(RouteKind.UNSAFE)
+    _drive(stage, monkeypatch)
+
+    async def play() -> None:
+        await stage.begin()
+        rejected = AnswerMark('a1', is_rejected=True)
+        for _rejection in range(2):
+            await stage.head(stage.attempts[-1], status=503, mark=rejected)
+
+    asyncio.run(play())
+    assert len(stage.attempts) == 2
+    assert stage.refusal is not None
+    assert stage.refusal.ran is Ran.NOT_RUN
--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -422,23 +422,30 @@
             return
         now = self._parts.clock.read()
         self._parts.book.note_heard(attempt.replica.key, now)
-        if not attempt.has_begun:
-            self._settle_on(attempt, now)
-        number = piece.event.number
-        if number is not None:
-            expected = (self._errand.last_event or 0) + 1
-            if self._errand.last_event is not None and number != expected:
-                self._fail(attempt, now, f'event_{number}_for_{expected}')
-                return
-            self._errand.last_event = number
+        if not self._is_next(piece):
+            # Another attempt was ahead of this one, or it skips an event.
+            self._fail(attempt, now, f'event_{piece.event.number}')
+            return
+        self._settle_on(attempt, now)
+        if piece.event.number is not None:
+            self._errand.last_event = piece.event.number
         self._begin(attempt.head)
         await self._answer.write(piece.event.raw)
 
+    def _is_next(self, piece: Attempt.Piece) -> bool:
+        """Answer whether a piece goes on where the answer stands."""
+        last = self._errand.last_event
+        number = piece.event.number
+        return number is None or last is None or number == last + 1
+
     def _settle_on(self, attempt: Attempt, now: float) -> None:
-        attempt.has_begun = True
+        """Go on with the attempt that brought a piece, and no other."""
         for other in tuple(self._running):
             if other is not attempt:
                 self._drop(other)
+        if attempt.has_begun:
+            return
+        attempt.has_begun = True
         expected = self._patience.expected_first
         if expected > 0 and self._errand.engine is not None:
             ratio = (now - attempt.started_at) / expected
