Let one node a hall read the platform for the others

Others now ask the reader of their hall over the peer streams; ages count from the question. Found on the way: nodes that started at one moment stood in two parts that never met, so a part of them read alone; each node now looks in the platform's list for those it does not know.

--- a/waywell/connection/http_platform.py
+++ b/waywell/connection/http_platform.py
@@ -53,6 +53,7 @@
         self,
         kind: Kind,
         name: str,
+        fresh: bool = True,
     ) -> Result[Stored | None, PlatformFault]:
         """Return an object, or ``None`` where there is none."""
         answer = await self._call('GET', _make_path(kind, name))
--- a/waywell/connection/peer.py
+++ b/waywell/connection/peer.py
@@ -19,6 +19,8 @@
 from waywell.process.membership import NodeRecord
 from waywell.request.claim import ClaimState
 from waywell.version.document import Change, Document, DocumentKind
+from waywell.version.fleet import FleetBox
+from waywell.version.routes import RouteTable
 
 EXCHANGE_PATH = '/waywell.Peer/Exchange'
 """The stream between two neighbours."""
@@ -113,6 +115,59 @@
     """Epoch of its group."""
 
 
+class FeedAsk(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """What do you know of routes and boxes, and how old is it?"""
+
+    ask: int
+    """Number of the question at the asker."""
+
+    version: int
+    """Version of the routes that the asker has."""
+
+    run: int
+    """Incarnation whose box list the asker holds; 0 for none."""
+
+    serial: int
+    """Number of that list at the answerer."""
+
+    wants_routes: bool = False
+    """Whether the asker can't read a newer version of the routes itself."""
+
+
+class FeedAnswer(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """What a node knows, and how old it is."""
+
+    ask: int
+    """Number of the question."""
+
+    version: int
+    """Version of the routes in force."""
+
+    routes_age: float
+    """Seconds since that version was known to be the newest."""
+
+    run: int
+    """Incarnation of the answerer."""
+
+    serial: int
+    """Number of its box list."""
+
+    boxes_age: float
+    """Seconds since that list was known to be the newest."""
+
+    is_whole: bool
+    """Whether all boxes are told, not only what differs."""
+
+    boxes: tuple[FleetBox, ...] = ()
+    """Boxes, all or those that differ."""
+
+    gone: tuple[BoxId, ...] = ()
+    """Boxes that are not on the list any more."""
+
+    routes: RouteTable | None = None
+    """The routes, where the asker wants them and they are newer."""
+
+
 Wire = Union[  # noqa: UP007 - evaluated by the decoder
     Hello,
     Beat,
@@ -122,6 +177,8 @@
     HealthNews,
     LoadNews,
     ReplicaDoubt,
+    FeedAsk,
+    FeedAnswer,
 ]
 """All messages of the exchange stream."""
 
--- a/waywell/connection/platform.py
+++ b/waywell/connection/platform.py
@@ -107,8 +107,19 @@
         self,
         kind: Kind,
         name: str,
+        fresh: bool = True,
     ) -> Result[Stored | None, PlatformFault]:
-        """Return an object, or ``None`` where there is none."""
+        """Return an object, or ``None`` where there is none.
+
+        Parameters
+        ----------
+        kind
+            Kind of the object.
+        name
+            Its name.
+        fresh
+            Whether an answer that is seconds old won't do.
+        """
 
     @abc.abstractmethod
     async def fetch_all(
--- a/waywell/platform/manifest.py
+++ b/waywell/platform/manifest.py
@@ -124,7 +124,7 @@
         services=tuple(
             _decode_service(service) for service in manifest.services
         ),
-        holders=MappingProxyType(_decode_holders(manifest.tenants or [])),
+        holders=_decode_holders(manifest.tenants or []),
         limits=_decode_limits(manifest.limits),
         has_accounts=manifest.tenants is not None,
     )
--- a/waywell/platform/store.py
+++ b/waywell/platform/store.py
@@ -29,6 +29,9 @@
 WATCH_MARGIN = 1.0
 """Seconds beyond a watch's own wait until it counts as unanswered."""
 
+STALE = MappingProxyType({'serializable': '1'})
+"""Query of a read that may be seconds old; it costs a tenth."""
+
 MOST_PAGES = 100
 """Pages of one list, so that a list that never ends is given up."""
 
@@ -114,9 +117,12 @@
         self,
         kind: Kind,
         name: str,
+        fresh: bool = True,
     ) -> Result[Stored | None, PlatformFault]:
         """Return an object, or ``None`` where there is none."""
-        called = await self._calls.call('GET', _make_path(kind, name))
+        query = {} if fresh else STALE
+        path = _make_path(kind, name, **query)
+        called = await self._calls.call('GET', path)
         if isinstance(called, Success):
             if called.unwrap().status == HTTPStatus.NOT_FOUND:
                 return Success(None)
@@ -130,7 +136,7 @@
         """Return all objects of a kind and where a watch goes on."""
         found: list[_Event] = []
         revision = 0
-        query = {} if fresh else {'serializable': '1'}
+        query = {} if fresh else dict(STALE)
         for _page in range(MOST_PAGES):
             called = await self._calls.call('GET', _make_path(kind, **query))
             decoded = called.bind(_take_body).bind(_decode_page)
--- a/waywell/process/duty.py
+++ b/waywell/process/duty.py
@@ -81,7 +81,10 @@
             await self._write(move, now)
 
     async def _look(self) -> None:
-        answer = await self._platform.fetch(Kind.LEASE, self._name)
+        # An old answer only leads to a write that meets a conflict.
+        answer = await self._platform.fetch(
+            Kind.LEASE, self._name, fresh=False
+        )
         if isinstance(answer, Failure):
             return
         self._gossip.post(Gossip.Reached())
--- /dev/null
+++ b/waywell/process/feed.py
@@ -0,0 +1,285 @@
+"""The task that lets few nodes read the platform for the others.
+
+In each data hall one node, chosen by a hash from the live ones, reads routes
+and boxes; the others ask it a few times a second.  An answer tells how old
+each piece of knowledge is; its age counts from when the question was sent, so
+a message that waited somewhere never looks newer than it is.  A node whose
+knowledge grows old reads by itself and asks every peer.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from waywell.connection.peer import FeedAnswer, FeedAsk
+from waywell.ids import NodeId
+from waywell.process.actor import Actor, Message
+from waywell.process.events import log_event
+from waywell.process.membership import NodeRecord, NodeState, rank_contenders
+from waywell.version.fleet import Fleet
+
+if TYPE_CHECKING:
+    from waywell.process.clock import Clock
+    from waywell.process.gossip import Gossip
+    from waywell.process.links import PeerLinks
+    from waywell.process.outlook import Outlook
+
+ASK_SECONDS = 0.35
+"""Between two questions: a box that leaves must be known everywhere well
+within two seconds."""
+
+ROUTES_FED_SECONDS = 2.4
+"""Age of routes up to which a node does not read them itself: a reader's watch
+waits 1.2 s, and questions come every third of a second."""
+
+BOXES_FED_SECONDS = 1.4
+"""Age of the box list up to which a node does not read it itself."""
+
+MOST_OPEN = 32
+"""Questions without an answer that are remembered."""
+
+UNKNOWN_AGE = 1e9
+"""Age of what was never known, in seconds."""
+
+MOST_SERIALS = 64
+"""Versions of the box list that changes can be told from."""
+
+
+class _Followed(msgspec.Struct, frozen=True):
+    """A box list of another node that is held here."""
+
+    node: NodeId = NodeId('')
+    """Whose it is."""
+
+    run: int = 0
+    """Incarnation of that node."""
+
+    serial: int = 0
+    """Its number there."""
+
+    fleet: Fleet = Fleet({})
+    """The list."""
+
+
+class _Asked(msgspec.Struct, frozen=True):
+    """A question that is open."""
+
+    at: float
+    """When it was sent, in seconds."""
+
+    base: _Followed
+    """What its answer may tell changes from."""
+
+
+class Feed(Actor):
+    """Asks the reader of this hall, and answers others.
+
+    Parameters
+    ----------
+    links
+        Streams to other nodes.
+    gossip
+        Membership.
+    outlook
+        What this node knows.
+    clock
+        Where the time is read.
+    """
+
+    class Tick(Message, frozen=True):
+        """A question is due."""
+
+    def __init__(
+        self,
+        links: PeerLinks,
+        gossip: Gossip,
+        outlook: Outlook,
+        clock: Clock,
+    ) -> None:
+        """Know no reader yet."""
+        super().__init__('feed')
+        self._links = links
+        self._gossip = gossip
+        self._outlook = outlook
+        self._clock = clock
+        self._own = gossip.table.own
+        self._life = self._own.incarnation
+        self._serial = 0
+        self._asked: OrderedDict[int, _Asked] = OrderedDict()
+        self._fleets: OrderedDict[int, Fleet] = OrderedDict()
+        self._followed = _Followed()
+        self._reader: NodeId | None = None
+        self.behind_version = 0
+        links.subscribe(self, FeedAsk, FeedAnswer)
+
+    def start(self) -> None:
+        """Begin to ask."""
+        super().start()
+        self.repeat(ASK_SECONDS, self.Tick())
+
+    def is_reader(self) -> bool:
+        """Answer whether this node reads for its hall."""
+        return self._reader in {None, self._own.node}
+
+    def needs_routes(self, now: float) -> bool:
+        """Answer whether this node has to read the routes itself."""
+        if self.is_reader() or self.behind_version:
+            return True
+        return self._outlook.get_routes_age(now) > ROUTES_FED_SECONDS
+
+    def needs_boxes(self, now: float) -> bool:
+        """Answer whether this node has to read the box list itself."""
+        if self.is_reader():
+            return True
+        return self._outlook.get_boxes_age(now) > BOXES_FED_SECONDS
+
+    def on_tick(self, _tick: Tick) -> None:
+        """Ask the reader, or everyone when what is known grows old."""
+        now = self._clock.read()
+        reader = self._choose_reader()
+        self._gossip.keep_stream(reader)
+        if reader is None:
+            return
+        if self.needs_routes(now) or self.needs_boxes(now):
+            for peer in self._links.list_peers():
+                self._ask(peer, now)
+        else:
+            self._ask(reader.node, now)
+
+    def on_received(self, received: PeerLinks.Received) -> None:
+        """Answer a question, or take in an answer."""
+        if isinstance(received.message, FeedAsk):
+            self._answer(received.node, received.message)
+        else:
+            self._take(received.node, received.message)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state as plain values."""
+        return {
+            **super().dump(),
+            'reader': self._reader,
+            'followed': self._followed,
+            'serial': self._outlook.fleet_serial,
+        }
+
+    def _choose_reader(self) -> NodeRecord | None:
+        """Return the reader of this hall; ``None`` where that is this node."""
+        live = {
+            record.node: record
+            for record in self._gossip.table.list_live()
+            if record.hall == self._own.hall and record.state is NodeState.LIVE
+        }
+        live.setdefault(self._own.node, self._own)
+        first = rank_contenders(
+            list(live.values()), f'reader/{self._own.hall}', 1
+        )[0]
+        if first != self._reader:
+            self._reader = first
+            log_event('reader_chosen', reader=first, hall=self._own.hall)
+        return None if first == self._own.node else live[first]
+
+    def _ask(self, peer: NodeId, now: float) -> None:
+        self._serial += 1
+        base = self._followed if self._followed.node == peer else _Followed()
+        self._asked[self._serial] = _Asked(now, base)
+        while len(self._asked) > MOST_OPEN:
+            self._asked.popitem(last=False)
+        ask = FeedAsk(
+            self._serial,
+            self._outlook.index.table.version,
+            base.run,
+            base.serial,
+            wants_routes=self.behind_version > 0,
+        )
+        self._links.send(peer, ask)
+
+    def _answer(self, peer: NodeId, ask: FeedAsk) -> None:
+        now = self._clock.read()
+        fleet, serial = self._outlook.fleet, self._outlook.fleet_serial
+        self._remember(fleet, serial)
+        base = self._fleets.get(ask.serial) if ask.run == self._life else None
+        table = self._outlook.index.table
+        is_newer = ask.wants_routes and table.version > ask.version
+        known = base.boxes if base else {}
+        answer = FeedAnswer(
+            ask=ask.ask,
+            version=table.version,
+            routes_age=_bound(self._outlook.get_routes_age(now)),
+            run=self._life,
+            serial=serial,
+            boxes_age=_bound(self._outlook.get_boxes_age(now)),
+            is_whole=base is None,
+            boxes=tuple(
+                box
+                for name, box in fleet.boxes.items()
+                if known.get(name) != box
+            ),
+            gone=tuple(known.keys() - fleet.boxes.keys()),
+            routes=table if is_newer else None,
+        )
+        self._links.send(peer, answer)
+
+    def _remember(self, fleet: Fleet, serial: int) -> None:
+        if serial not in self._fleets:
+            self._fleets[serial] = fleet
+            while len(self._fleets) > MOST_SERIALS:
+                self._fleets.popitem(last=False)
+
+    def _take(self, peer: NodeId, answer: FeedAnswer) -> None:
+        asked = self._asked.pop(answer.ask, None)
+        if asked is None:
+            return
+        self._take_routes(answer, asked.at)
+        if not self.is_reader():
+            self._take_boxes(peer, answer, asked)
+
+    def _take_routes(self, answer: FeedAnswer, asked_at: float) -> None:
+        if answer.routes is not None:
+            self._outlook.take_routes(answer.routes)
+        own = self._outlook.index.table.version
+        if answer.version > own:
+            self.behind_version = answer.version
+        elif own >= self.behind_version:
+            self.behind_version = 0
+        if answer.version == own and own:
+            self._outlook.confirm_routes(asked_at - answer.routes_age)
+
+    def _take_boxes(
+        self,
+        peer: NodeId,
+        answer: FeedAnswer,
+        asked: _Asked,
+    ) -> None:
+        """Take in a newer box list."""
+        base = asked.base
+        if not answer.is_whole and base.run != answer.run:
+            return
+        fleet = base.fleet
+        if answer.is_whole or answer.boxes or answer.gone:
+            fleet = _apply(base.fleet, answer)
+        self._followed = _Followed(peer, answer.run, answer.serial, fleet)
+        seen_at = asked.at - answer.boxes_age
+        if not self._outlook.is_newer_fleet(seen_at):
+            return
+        if fleet.boxes == self._outlook.fleet.boxes:
+            self._outlook.confirm_fleet(seen_at)
+        else:
+            self._outlook.take_fleet(fleet, seen_at)
+
+
+def _apply(base: Fleet, answer: FeedAnswer) -> Fleet:
+    """Return the list that an answer tells."""
+    boxes = {} if answer.is_whole else dict(base.boxes)
+    boxes.update({box.box: box for box in answer.boxes})
+    for name in answer.gone:
+        boxes.pop(name, None)
+    return Fleet(boxes)
+
+
+def _bound(age: float) -> float:
+    """Return an age as a number that every codec can carry."""
+    return age if math.isfinite(age) else UNKNOWN_AGE
--- a/waywell/process/fleet_watch.py
+++ b/waywell/process/fleet_watch.py
@@ -14,6 +14,8 @@
 from waywell.version.fleet import Fleet, FleetBox
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from waywell.connection.platform import Changes, Platform
     from waywell.process.clock import Clock
     from waywell.process.outlook import Outlook
@@ -22,8 +24,12 @@
 """Between two looks: boxes change all the time, and each call has a price;
 a box that leaves must get nothing new within two seconds."""
 
-WATCH_SECONDS = 0.8
-"""For which a look waits when nothing changes."""
+WATCH_SECONDS = 0.4
+"""For which a look waits when nothing changes: the list must be confirmed as
+often as it is asked for."""
+
+IDLE_SECONDS = 0.1
+"""Between two looks at whether this node has to read by itself."""
 
 FAILED_WAIT = 0.25
 """Seconds until a failed call is made again."""
@@ -44,6 +50,8 @@
         Where the list is put in force.
     clock
         Where the time is read.
+    is_needed
+        Answers whether no other node reads for this one.
     """
 
     def __init__(
@@ -51,9 +59,11 @@
         platform: Platform,
         outlook: Outlook,
         clock: Clock,
+        is_needed: Callable[[float], bool],
     ) -> None:
         """Know nothing yet."""
         super().__init__('fleet')
+        self._is_needed = is_needed
         self._platform = platform
         self._outlook = outlook
         self._clock = clock
@@ -81,6 +91,10 @@
     async def _watch(self) -> None:
         while True:
             asked_at = self._clock.read()
+            if not self._is_needed(asked_at):
+                self._revision = 0
+                await asyncio.sleep(IDLE_SECONDS)
+                continue
             answer = await self._look()
             now = self._clock.read()
             if isinstance(answer, Failure):
@@ -109,13 +123,16 @@
                 listed[name] = stored.body
         self._revision = changes.revision
         self._keep_vanished(listed, now)
-        if listed == self._listed and not self._drop_kept(listed, now):
+        self._drop_kept(listed, now)
+        self._listed = listed
+        known = self._outlook.fleet.boxes
+        kept = {name: known[name] for name in self._kept if name in known}
+        boxes = {**kept, **listed}
+        if boxes == known:
             self._outlook.confirm_fleet(asked_at)
             return
-        self._log_changes(listed)
-        kept = {name: self._outlook.fleet.boxes[name] for name in self._kept}
-        self._listed = listed
-        self._outlook.take_fleet(Fleet({**kept, **listed}), asked_at)
+        self._log_changes(boxes, known)
+        self._outlook.take_fleet(Fleet(boxes), asked_at)
 
     def _keep_vanished(
         self,
@@ -130,29 +147,24 @@
             if name in known and not known[name].leaving:
                 self._kept[name] = now + KEEP_SECONDS
 
-    def _drop_kept(
+    def _drop_kept(self, listed: dict[BoxId, FleetBox], now: float) -> None:
+        """Give up kept boxes that are back, or that stay away."""
+        for name, until in tuple(self._kept.items()):
+            if name in listed or now > until:
+                self._kept.pop(name)
+
+    def _log_changes(
         self,
-        listed: dict[BoxId, FleetBox],
-        now: float,
-    ) -> bool:
-        """Give up kept boxes that are back or gone; answer whether any."""
-        over = [
-            name
-            for name, until in self._kept.items()
-            if name in listed or now > until
-        ]
-        for name in over:
-            self._kept.pop(name)
-        return bool(over)
-
-    def _log_changes(self, listed: dict[BoxId, FleetBox]) -> None:
+        boxes: dict[BoxId, FleetBox],
+        known: dict[BoxId, FleetBox],
+    ) -> None:
         log_event(
             'boxes_changed',
             revision=self._revision,
-            boxes=len(listed),
+            boxes=len(boxes),
             kept=len(self._kept),
-            gone=','.join(sorted(self._listed.keys() - listed.keys())),
-            new=len(listed.keys() - self._listed.keys()),
+            gone=','.join(sorted(known.keys() - boxes.keys())),
+            new=len(boxes.keys() - known.keys()),
         )
 
     def _note_fault(self, fault: PlatformFault, now: float) -> None:
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -22,10 +22,11 @@
 from waywell.process.clock import SystemClock
 from waywell.process.doubts import Doubts
 from waywell.process.events import log_event, log_warning
+from waywell.process.feed import Feed
 from waywell.process.fleet_watch import FleetWatch
 from waywell.process.forming import FormingDuty
 from waywell.process.front_ports import FrontHandlers, FrontPorts
-from waywell.process.front_settings import parse_address
+from waywell.process.front_settings import Address, parse_address
 from waywell.process.gossip import Gossip, Numbers
 from waywell.process.links import PeerLinks
 from waywell.process.membership import (
@@ -57,6 +58,9 @@
 JOIN_DIALS = 2
 """Entry boxes that a new one calls at each attempt."""
 
+LOOK_AGAIN_SECONDS = 5.0
+"""Seconds between two looks for entry boxes that this one does not know."""
+
 TEND_SECONDS = 0.25
 """Seconds between two looks at whether this node is ready."""
 
@@ -172,6 +176,9 @@
         self._ports.hang_up()
         while self._ports.count_callers() and self.clock.read() < ends_at:
             await asyncio.sleep(DRAIN_LOOK_SECONDS)
+        await self._adapter.platform.delete(
+            Kind.PRESENCE, self.members.own.node
+        )
         self._ports.close()
         for helper in self._helpers:
             helper.cancel()
@@ -258,8 +265,13 @@
         self.members = MembershipTable(self._make_record(), timing.suspicion)
         self.links = PeerLinks(lambda: self.members.own)
         self.gossip = Gossip(self.members, self.links, self.clock, timing)
-        self.routes = RouteWatch(platform, self.outlook, self.clock)
-        self.fleet = FleetWatch(platform, self.outlook, self.clock)
+        self.feed = Feed(self.links, self.gossip, self.outlook, self.clock)
+        self.routes = RouteWatch(
+            platform, self.outlook, self.clock, self.feed.needs_routes
+        )
+        self.fleet = FleetWatch(
+            platform, self.outlook, self.clock, self._needs_boxes
+        )
         self.forming = FormingDuty(
             platform,
             self.gossip,
@@ -275,6 +287,7 @@
         self.actors = (
             self.links,
             self.doubts,
+            self.feed,
             self.gossip,
             self.routes,
             self.fleet,
@@ -297,6 +310,10 @@
             ),
         )
 
+    def _needs_boxes(self, now: float) -> bool:
+        """Answer whether this node has to read the box list itself."""
+        return self.forming.is_held() or self.feed.needs_boxes(now)
+
     def _note_doubt(self, group: GroupId) -> None:
         if group:
             self.forming.post(FormingDuty.Doubted(group))
@@ -364,30 +381,30 @@
             await asyncio.sleep(TEND_SECONDS)
 
     async def _join(self) -> None:
-        """Be found by others, and look for them until a stream stands."""
+        """Be found by others, and go on looking for those not known.
+
+        Nodes that start at one moment may meet in parts that know nothing of
+        each other; the list in the platform shows whom a part lacks.
+        """
         is_listed = False
         while True:
             if not is_listed:
                 is_listed = await self._list_self()
-            if not self.links.list_peers():
-                found = await self._find_others()
-                count = min(JOIN_DIALS, len(found))
-                for host, port in self._random.sample(found, count):
-                    self.links.dial(host, port)
-            await asyncio.sleep(JOIN_SECONDS)
+            strangers = await self._find_strangers()
+            count = min(JOIN_DIALS, len(strangers))
+            for address in self._random.sample(strangers, count):
+                self.links.dial(address.host, address.port)
+            is_settled = is_listed and self.links.list_peers()
+            pause = LOOK_AGAIN_SECONDS if is_settled else JOIN_SECONDS
+            await asyncio.sleep(pause if not strangers else JOIN_SECONDS)
 
     async def _list_self(self) -> bool:
-        """Write this node's address into the platform, once a run.
-
-        The list also tells how many nodes share what all may spend.
-        """
+        """Write this node's address into the platform, once a run."""
         own = self.members.own
         platform = self._adapter.platform
         read = await platform.fetch(Kind.PRESENCE, own.node)
-        listed = await platform.fetch_all(Kind.PRESENCE, False)
-        if isinstance(read, Failure) or isinstance(listed, Failure):
+        if isinstance(read, Failure):
             return False
-        self._listed_nodes = max(1, len(listed.unwrap().objects))
         stored = read.unwrap()
         body = {'host': own.host, 'peer_port': own.peer_port}
         if stored is not None and stored.body == body:
@@ -399,19 +416,23 @@
             return False
         return True
 
-    async def _find_others(self) -> list[tuple[str, int]]:
-        """Return addresses from the settings and the platform."""
-        own = self._ports.peers
-        seeds = [parse_address(seed) for seed in self.settings.seeds]
-        found = [(seed.host, seed.port) for seed in seeds if seed != own]
-        answer = await self._adapter.platform.fetch_all(Kind.PRESENCE, False)
-        if not isinstance(answer, Failure):
-            found.extend(
-                (stored.body['host'], stored.body['peer_port'])
-                for stored in answer.unwrap().objects
-                if stored.name != self.settings.node.name
+    async def _find_strangers(self) -> list[Address]:
+        """Return addresses of entry boxes that are not known to be live."""
+        live = self.members.list_live()
+        known = {Address(record.host, record.peer_port) for record in live}
+        found = {parse_address(seed) for seed in self.settings.seeds}
+        if self.links.list_peers():
+            # Seeds may be old; they only help to find the first peer.
+            found.clear()
+        listed = await self._adapter.platform.fetch_all(Kind.PRESENCE, False)
+        if not isinstance(listed, Failure):
+            objects = listed.unwrap().objects
+            self._listed_nodes = max(self._listed_nodes, len(objects))
+            found.update(
+                Address(stored.body['host'], stored.body['peer_port'])
+                for stored in objects
             )
-        return found
+        return sorted(found - known, key=str)
 
 
 def _answer_no_claim(_ask: ClaimAsk) -> ClaimAnswer:
--- a/waywell/process/gossip.py
+++ b/waywell/process/gossip.py
@@ -103,6 +103,7 @@
         self._reached_at = -math.inf
         self._pending: dict[NodeId, tuple[NodeRecord, NodeId | None]] = {}
         self._watchers: list[Callable[[NodeRecord], None]] = []
+        self._kept: NodeRecord | None = None
         links.subscribe(
             self,
             PeerLinks.Opened,
@@ -115,6 +116,12 @@
         """Call a watcher with each record that changes."""
         self._watchers.append(watcher)
 
+    def keep_stream(self, record: NodeRecord | None) -> None:
+        """Keep a stream to a node that is no neighbour, or to none."""
+        if record != self._kept:
+            self._kept = record
+            self._dial_neighbours(self._clock.read())
+
     def get_platform_age(self, now: float) -> float:
         """Return seconds since any node is known to have reached it."""
         return now - self._reached_at
@@ -240,7 +247,8 @@
 
     def _dial_neighbours(self, now: float) -> None:
         wanted = set()
-        for record in self.table.list_neighbours():
+        kept = [self._kept] if self._kept else []
+        for record in (*self.table.list_neighbours(), *kept):
             address = (record.host, record.peer_port)
             wanted.add(address)
             self._links.dial(*address, record.node)
--- a/waywell/process/outlook.py
+++ b/waywell/process/outlook.py
@@ -37,6 +37,7 @@
         """Know nothing yet."""
         self.index = RouteIndex(RouteTable(0))
         self.fleet = Fleet({})
+        self.fleet_serial = 0
         self._promises = promises
         self._confirmed_at = -math.inf
         self._boxes_at = -math.inf
@@ -68,9 +69,14 @@
     def take_fleet(self, fleet: Fleet, asked_at: float) -> None:
         """Put a box list in force that was asked for at a moment."""
         self.fleet = fleet
+        self.fleet_serial += 1
         self._boxes_at = max(self._boxes_at, asked_at)
         self._replicas.clear()
 
+    def is_newer_fleet(self, asked_at: float) -> bool:
+        """Answer whether a list of a moment is newer than the one in force."""
+        return asked_at > self._boxes_at
+
     def confirm_fleet(self, asked_at: float) -> None:
         """Note that the box list was the newest at a moment."""
         self._boxes_at = max(self._boxes_at, asked_at)
--- a/waywell/process/route_watch.py
+++ b/waywell/process/route_watch.py
@@ -12,6 +12,8 @@
 from waywell.process.events import log_event, log_warning
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from waywell.connection.platform import Changes, Platform, Stored
     from waywell.process.clock import Clock
     from waywell.process.outlook import Outlook
@@ -23,6 +25,9 @@
 """For which a watch waits: its answer confirms the version in force, which
 must happen several times within the promised bound; each call has a price."""
 
+IDLE_SECONDS = 0.1
+"""Between two looks at whether this node has to read by itself."""
+
 FAILED_WAIT = 0.25
 """Seconds until a failed call is made again."""
 
@@ -41,6 +46,8 @@
         Where the routes are put in force.
     clock
         Where the time is read.
+    is_needed
+        Answers whether no other node reads for this one.
     """
 
     def __init__(
@@ -48,9 +55,11 @@
         platform: Platform,
         outlook: Outlook,
         clock: Clock,
+        is_needed: Callable[[float], bool],
     ) -> None:
         """Know nothing yet."""
         super().__init__('routes')
+        self._is_needed = is_needed
         self._platform = platform
         self._outlook = outlook
         self._clock = clock
@@ -76,6 +85,11 @@
     async def _watch(self) -> None:
         while True:
             asked_at = self._clock.read()
+            if not self._is_needed(asked_at):
+                # What is missed from now on is found by reading anew.
+                self._revision = 0
+                await asyncio.sleep(IDLE_SECONDS)
+                continue
             fault = await self._look(asked_at)
             if fault is None:
                 self._note_reached()
--- a/waywell/version/routes.py
+++ b/waywell/version/routes.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Mapping
-from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -219,7 +217,7 @@
     services: tuple[RoutedService, ...] = ()
     """Services."""
 
-    holders: Mapping[str, KeyHolder] = MappingProxyType({})
+    holders: dict[str, KeyHolder] = {}
     """Client account by key."""
 
     limits: CallerLimits = CallerLimits()
