--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -55,6 +55,9 @@
             '[promises]',
             'entry_list_kept = 0.2',
             *(f'{key} = {text}' for key, text in promises.items()),
+            '[resends]',
+            # So that a test's few requests may each be sent again.
+            'ratio = 2.0',
             '[timing]',
             'lease = 2.0',
         ]
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -119,7 +119,6 @@
         )
         self._outlook = outlook
         self._orders = orders
-        self._stall = settings.promises.group_stalls_for
         self._read_demand = read_demand
         self._memories: dict[ServiceName, FormingMemory] = {}
         self._summaries: dict[ServiceName, FormingSummary] = {}
@@ -149,7 +148,6 @@
                 engine,
                 self._list_present(memory),
                 self._read_demand(now),
-                self._stall,
             )
             planner = FormingPlanner(view, memory, now)
             for assignment in planner.plan():
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -150,6 +150,9 @@
     heads: dict[GroupId, FleetBox] = attrs.Factory(dict)
     """Heads of groups that served, as they were last listed."""
 
+    opened: set[GroupId] = attrs.Factory(set)
+    """Groups that this holder ordered to open."""
+
     abandoned: dict[GroupId, float] = attrs.Factory(dict)
     """Groups whose members were ordered elsewhere, with when that was.  Such
     an order may be carried out seconds later, so they are never opened."""
@@ -191,9 +194,6 @@
     demand: Mapping[ModelName, float]
     """Work that callers ask of each model, in places."""
 
-    stall_seconds: float
-    """For which a group that lost a member stands still."""
-
 
 @attrs.frozen
 class FormingSummary:
@@ -293,6 +293,7 @@
             if group not in present:
                 memory.heads.pop(group)
         memory.settled &= present
+        memory.opened &= present
         self._forget_staging()
         for group, at in tuple(memory.abandoned.items()):
             if group not in present and self._now - at > LATE_SECONDS:
@@ -334,13 +335,26 @@
         if group.is_in(MemberState.READY):
             known = group.epoch >= self._memory.first_epoch
             abandoned = group.group in self._memory.abandoned
-            return Verdict.READY if known and not abandoned else Verdict.FREE
+            if known and not abandoned:
+                return Verdict.READY
+            return self._judge_closed(group)
         if group.is_in(MemberState.READY, MemberState.JOINING):
             seen = self._memory.seen_at.setdefault(group.group, self._now)
             patience = LOAD_PATIENCE * model.load_seconds + GATHER_SECONDS
             late = self._now - seen > patience
-            return Verdict.FREE if late else Verdict.UNDER_WAY
-        return Verdict.FREE
+            return self._judge_closed(group) if late else Verdict.UNDER_WAY
+        return self._judge_closed(group)
+
+    def _judge_closed(self, group: FleetGroup) -> Verdict:
+        """Judge a group that no box shows to serve.
+
+        An order to open it that this holder or another gave may still take
+        effect, also seconds later; it can't any more once the head has left.
+        """
+        own = group.epoch >= self._memory.first_epoch
+        if own and group.group not in self._memory.opened:
+            return Verdict.FREE
+        return Verdict.BREAK
 
     def _judge_unwanted(self, group: FleetGroup) -> Verdict:
         """Judge a whole group that is to end in good order."""
@@ -349,7 +363,9 @@
             return Verdict.CLOSE
         if state is MemberState.CLOSING:
             return Verdict.UNDER_WAY
-        return Verdict.FREE
+        if state is MemberState.BROKEN:
+            return Verdict.FREE
+        return self._judge_closed(group)
 
     def _judge_incomplete(self, group: FleetGroup) -> Verdict:
         """Judge a group some of whose members are not on the list."""
@@ -359,20 +375,24 @@
             return Verdict.UNDER_WAY
         head = group.head
         if head is None:
-            return self._judge_headless(group, waited)
+            return self._judge_headless(group)
         state = _get_head_state(group)
         if state in {MemberState.OPEN, MemberState.CLOSING}:
             return Verdict.BREAK
         if state is MemberState.JOINING and waited < GATHER_SECONDS:
             return Verdict.UNDER_WAY
-        return Verdict.FREE
+        if state is MemberState.BROKEN:
+            return Verdict.FREE
+        return self._judge_closed(group)
 
-    def _judge_headless(self, group: FleetGroup, waited: float) -> Verdict:
-        """Judge a group whose head is not listed, but may still serve."""
+    def _judge_headless(self, group: FleetGroup) -> Verdict:
+        """Judge a group whose head is not listed, but may still serve.
+
+        It may be cut off from the platform only, for any time, so the
+        others stay with it until each has left.
+        """
         if group.group in self._memory.settled:
             return Verdict.FREE
-        if waited > self._view.stall_seconds:
-            return Verdict.FREE
         return Verdict.HEADLESS
 
     def _is_gathering(self, group: FleetGroup) -> bool:
@@ -397,6 +417,7 @@
             return
         if verdict is Verdict.READY:
             self._assign(head, Open(group.group, group.epoch))
+            self._memory.opened.add(group.group)
         elif verdict is Verdict.CLOSE:
             self._assign(head, Close(group.group, group.epoch))
         elif verdict is Verdict.BREAK:
