Split the forming plan: memory, verdicts, need of models, reclaiming

Behaviour as before, but for two things: loads before callers come no longer count against the pace of later ones, and with callers present empty boxes are staged at the pace even when nothing was ever loaded.

--- a/tests/test_forming.py
+++ b/tests/test_forming.py
@@ -10,11 +10,8 @@
 from tests.boxes import make_box, make_fleet, make_group
 from waywell.ids import BoxId, GroupId, ModelName, ServiceName
 from waywell.version.fleet import FleetBox, MemberState
-from waywell.version.forming import (
-    FormingMemory,
-    FormingPlanner,
-    FormingView,
-)
+from waywell.version.forming import FormingPlanner, FormingView
+from waywell.version.forming_memory import FormingMemory
 from waywell.version.orders import (
     Assignment,
     Close,
@@ -80,7 +77,7 @@
 
 def test_groups_lie_within_one_domain() -> None:
     boxes = [make_box(f'b{number}', f'd{number % 3}') for number in range(12)]
-    joins = pick(plan(boxes, FormingMemory(), 1.0), Join)
+    joins = pick(plan(boxes, FormingMemory(), 1.0, NOBODY), Join)
     domains: dict[GroupId, set[str]] = {}
     for one in joins:
         domains.setdefault(one.order.group, set()).add(one.box.domain)
@@ -91,7 +88,7 @@
 def test_a_group_is_opened_when_every_member_is_ready() -> None:
     memory = FormingMemory()
     boxes = [make_box(f'b{number}') for number in range(2)]
-    joined = plan(boxes, memory, 1.0)
+    joined = plan(boxes, memory, 1.0, NOBODY)
     loading = show_join(joined, MemberState.JOINING)
     ready = show_join(joined, MemberState.READY)
     mixed = [ready[0], loading[1]]
@@ -196,7 +193,8 @@
 def test_epochs_rise_with_each_group() -> None:
     memory = FormingMemory(next_epoch=5)
     boxes = [make_box(f'b{number}') for number in range(10)]
-    epochs = {one.order.epoch for one in pick(plan(boxes, memory, 1.0), Join)}
+    joins = pick(plan(boxes, memory, 1.0, NOBODY), Join)
+    epochs = {one.order.epoch for one in joins}
     assert min(epochs) == 5
     assert memory.next_epoch == max(epochs) + 1
 
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -10,11 +10,11 @@
 from waywell.process.events import log_event, log_warning
 from waywell.version.fleet import Fleet, FleetBox
 from waywell.version.forming import (
-    FormingMemory,
     FormingPlanner,
     FormingSummary,
     FormingView,
 )
+from waywell.version.forming_memory import FormingMemory
 from waywell.version.orders import (
     Assignment,
     Join,
@@ -146,7 +146,7 @@
             view = FormingView(
                 name,
                 engine,
-                self._list_present(memory),
+                self._list_present(name, memory),
                 self._read_demand(now),
             )
             planner = FormingPlanner(view, memory, now)
@@ -201,16 +201,17 @@
             },
         }
 
-    def _list_present(self, memory: FormingMemory) -> Fleet:
-        """Return the box list without those that give no sign of life."""
-        fleet = self._outlook.fleet
-        if not memory.lost:
-            return fleet
+    def _list_present(
+        self,
+        service: ServiceName,
+        memory: FormingMemory,
+    ) -> Fleet:
+        """Return the boxes of a service that give signs of life."""
         return Fleet(
             {
                 name: box
-                for name, box in fleet.boxes.items()
-                if name not in memory.lost
+                for name, box in self._outlook.fleet.boxes.items()
+                if box.service == service and name not in memory.lost
             },
         )
 
--- /dev/null
+++ b/waywell/version/forming_memory.py
@@ -0,0 +1,231 @@
+"""What the holder of the forming duty remembers between plans."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from waywell.ids import BoxId, GroupId, ModelName
+from waywell.version.fleet import FleetBox, MemberState, parse_group
+from waywell.version.orders import BoxOrder, Close, Join, Open, Stage
+
+if TYPE_CHECKING:
+    from collections.abc import Container
+
+    from waywell.version.fleet import Fleet
+    from waywell.version.routes import Engine, EngineModel
+
+PENDING_SECONDS = 2.5
+"""For which an order that was sent is waited for in the box list: two
+heartbeats."""
+
+GATHER_SECONDS = 4.0
+"""For which boxes that were ordered into a group may not show it yet."""
+
+LATE_SECONDS = 15.0
+"""For which an order without an answer may still be carried out."""
+
+LOAD_PATIENCE = 3.0
+"""Times a load's usual length after which a box that still loads is given
+up."""
+
+REJOIN_SECONDS = 0.2
+"""To join with the model that the box served last."""
+
+PACE_SHARE = 0.9
+"""Part of the weight store's pace that is used; the rest covers loads that a
+former holder began."""
+
+
+@attrs.frozen
+class FormingGroup:
+    """A group whose joins were ordered by this holder."""
+
+    members: tuple[BoxId, ...]
+    """Its members."""
+
+    begun_at: float
+    """When, in seconds."""
+
+    def is_fresh(self, now: float) -> bool:
+        """Answer whether its boxes may only not show it yet."""
+        return now - self.begun_at <= GATHER_SECONDS
+
+
+@attrs.frozen
+class Staging:
+    """A model that a box loads beside all else."""
+
+    model: ModelName
+    """The model."""
+
+    begun_at: float
+    """When it was ordered, in seconds."""
+
+
+@attrs.define
+class FormingMemory:
+    """What the holder of the duty remembers between plans."""
+
+    next_epoch: int = 1
+    """Epoch of the next group."""
+
+    first_epoch: int = 0
+    """First epoch of this holder; what others ordered of older groups is not
+    known, so these are not opened but formed anew."""
+
+    pending: dict[BoxId, tuple[BoxOrder, float]] = attrs.Factory(dict)
+    """Orders whose effect is not seen yet, with when they were sent."""
+
+    forming: dict[GroupId, FormingGroup] = attrs.Factory(dict)
+    """Groups that were ordered."""
+
+    seen_at: dict[GroupId, float] = attrs.Factory(dict)
+    """When a group was first seen in its present trouble."""
+
+    heads: dict[GroupId, FleetBox] = attrs.Factory(dict)
+    """Heads of groups that served, as they were last listed."""
+
+    opened: set[GroupId] = attrs.Factory(set)
+    """Groups that this holder ordered to open."""
+
+    abandoned: dict[GroupId, float] = attrs.Factory(dict)
+    """Groups whose members were ordered elsewhere, with when that was.  Such
+    an order may be carried out seconds later, so they are never opened."""
+
+    settled: set[GroupId] = attrs.Factory(set)
+    """Groups whose head is known to be gone or to have left."""
+
+    began_empty: bool = False
+    """Whether this holder saw the very first start: then loads keep no pace
+    until callers come."""
+
+    loads: deque[float] = attrs.Factory(deque)
+    """When loads were begun, in seconds."""
+
+    lost: dict[BoxId, float] = attrs.Factory(dict)
+    """Boxes that gave no sign of life although they are listed, with when
+    they were last asked."""
+
+    last_models: dict[BoxId, ModelName] = attrs.Factory(dict)
+    """Model that each box served last."""
+
+    staging: dict[BoxId, Staging] = attrs.Factory(dict)
+    """Models that boxes load beside all else."""
+
+    def update(self, fleet: Fleet, engine: Engine, now: float) -> None:
+        """Take in a box list: drop what is seen, or was waited for in vain."""
+        present = set(fleet.groups)
+        self._forget_orders(fleet, now)
+        self._forget_groups(present, now)
+        self._forget_staging(fleet, engine, now)
+        self._note_models(fleet)
+
+    def note_order(self, box: FleetBox, order: BoxOrder, now: float) -> bool:
+        """Remember an order, unless one is open; answer whether so."""
+        if box.box in self.pending:
+            return False
+        self.pending[box.box] = (order, now)
+        return True
+
+    def list_held(self, now: float) -> set[BoxId]:
+        """Return the boxes that were ordered into groups just now."""
+        return {
+            name
+            for forming in self.forming.values()
+            for name in forming.members
+            if forming.is_fresh(now)
+        }
+
+    def has_served(self, box: FleetBox, model: EngineModel) -> bool:
+        """Answer whether a model is the one that a box served last."""
+        return self.last_models.get(box.box) == model.name
+
+    def holds(self, box: FleetBox, model: EngineModel) -> bool:
+        """Answer whether a box can join a group of a model without a load."""
+        return self.has_served(box, model) or model.name in box.staged
+
+    def estimate(self, box: FleetBox, model: EngineModel) -> float:
+        """Return the seconds until a box is ready in a group of a model."""
+        if self.has_served(box, model):
+            return REJOIN_SECONDS
+        if model.name in box.staged:
+            return model.warm_seconds
+        return model.load_seconds
+
+    def may_load(self, engine: Engine, now: float) -> bool:
+        """Answer whether the weight store's pace allows one more load."""
+        longest = max(model.load_seconds for model in engine.models)
+        while self.loads and now - self.loads[0] > longest:
+            self.loads.popleft()
+        if len(self.loads) >= engine.loads_at_once:
+            return False
+        recent = sum(now - begun < 1.0 for begun in self.loads)
+        return recent < max(1.0, engine.loads_per_second * PACE_SHARE)
+
+    def _forget_orders(self, fleet: Fleet, now: float) -> None:
+        for name, (order, sent_at) in tuple(self.pending.items()):
+            box = fleet.boxes.get(name)
+            is_seen = box is not None and _shows(box, order)
+            if is_seen or now - sent_at > PENDING_SECONDS:
+                self.pending.pop(name)
+
+    def _forget_groups(self, present: set[GroupId], now: float) -> None:
+        for group, forming in tuple(self.forming.items()):
+            if group not in present and not forming.is_fresh(now):
+                self.forming.pop(group)
+        for group, at in tuple(self.abandoned.items()):
+            if group not in present and now - at > LATE_SECONDS:
+                self.abandoned.pop(group)
+        _keep_only(self.seen_at, present)
+        _keep_only(self.heads, present)
+        self.settled &= present
+        self.opened &= present
+
+    def _forget_staging(
+        self,
+        fleet: Fleet,
+        engine: Engine,
+        now: float,
+    ) -> None:
+        for name, staging in tuple(self.staging.items()):
+            box = fleet.boxes.get(name)
+            known = engine.find_model(staging.model)
+            longest = LOAD_PATIENCE * known.load_seconds if known else 0.0
+            is_late = now - staging.begun_at > longest
+            if box is None or is_late or staging.model in box.staged:
+                self.staging.pop(name)
+
+    def _note_models(self, fleet: Fleet) -> None:
+        """Remember which model each box served last.
+
+        Its entry does not tell any more once it has left its group, but it
+        joins a group of the same model at once.
+        """
+        for box in fleet.boxes.values():
+            standing = box.standing
+            if standing and standing.state is not MemberState.JOINING:
+                self.last_models[box.box] = parse_group(standing.group)
+        _keep_only(self.last_models, fleet.boxes)
+
+
+def _keep_only(known: dict[Any, Any], present: Container[Any]) -> None:
+    for key in tuple(known):
+        if key not in present:
+            known.pop(key)
+
+
+def _shows(box: FleetBox, order: BoxOrder) -> bool:
+    """Answer whether a box's entry shows the effect of an order."""
+    standing = box.standing
+    if isinstance(order, Join):
+        return standing is not None and standing.epoch >= order.epoch
+    if isinstance(order, Stage):
+        return order.model in box.staged
+    if isinstance(order, Open):
+        return standing is None or standing.state is not MemberState.READY
+    if isinstance(order, Close):
+        return standing is None or standing.state is not MemberState.OPEN
+    return standing is None or standing.epoch != order.epoch
--- /dev/null
+++ b/waywell/version/model_need.py
@@ -0,0 +1,71 @@
+"""How much work each model has for the places of its groups."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+import attrs
+
+from waywell.ids import ModelName
+from waywell.version.routes import Engine
+
+if TYPE_CHECKING:
+    from waywell.version.routes import EngineModel
+
+LEAST_DEMAND = 5.0
+"""Places taken by callers from which on the models' demand is measured and
+not guessed from the operators' shares of the boxes."""
+
+
+@attrs.frozen
+class ModelNeed:
+    """What callers ask of the models, and the groups that stand for it."""
+
+    engine: Engine
+    """Engines of the service."""
+
+    demand: Mapping[ModelName, float]
+    """Work that callers ask of each model, in places."""
+
+    boxes: int
+    """Boxes of the service."""
+
+    groups: Counter[ModelName] = attrs.Factory(Counter)
+    """Groups of each model that serve or will."""
+
+    def has_callers(self) -> bool:
+        """Answer whether enough requests came to go by them."""
+        return sum(self.demand.values()) >= LEAST_DEMAND
+
+    def rank_models(self) -> list[EngineModel]:
+        """Return the models, that with the most work a place first."""
+        return sorted(self.engine.models, key=self._rank)
+
+    def get_load(self, model: EngineModel, given: int = 0) -> float:
+        """Return the part of a model's places that is taken.
+
+        Parameters
+        ----------
+        model
+            The model.
+        given
+            Groups that it would have less.
+        """
+        groups = self.groups[model.name] - given
+        if groups <= 0:
+            return math.inf
+        return self._get_work(model) / (groups * self.engine.places)
+
+    def _get_work(self, model: EngineModel) -> float:
+        """Return the places that callers take; a guess before they come."""
+        if self.has_callers():
+            return self.demand.get(model.name, 0.0)
+        boxes = model.share * self.boxes
+        return boxes / model.boxes_per_group * self.engine.places
+
+    def _rank(self, model: EngineModel) -> tuple[float, ModelName]:
+        places = self.groups[model.name] * self.engine.places
+        return (-(self._get_work(model) + 1.0) / (places + 1.0), model.name)
--- /dev/null
+++ b/waywell/version/reclaim.py
@@ -0,0 +1,96 @@
+"""Which groups of one model give their boxes to another."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import attrs
+
+from waywell.version.fleet import parse_group
+from waywell.version.forming_memory import FormingMemory
+from waywell.version.model_need import ModelNeed
+from waywell.version.routes import EngineModel
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from waywell.ids import DomainName
+    from waywell.version.fleet import FleetBox, FleetGroup
+
+RECLAIM_LOAD = 0.6
+"""Part of a model's places taken from which on it gets groups of another:
+above it, requests begin to wait for places of their group."""
+
+RECLAIM_RATIO = 1.5
+"""How much less the giving model's places must be taken afterwards, so that
+groups do not go back and forth."""
+
+
+def choose_donors(
+    need: ModelNeed,
+    memory: FormingMemory,
+    idle: Mapping[DomainName, list[FleetBox]],
+    serving: list[FleetGroup],
+) -> tuple[FleetGroup, ...]:
+    """Return the fewest groups to close so that a needy model gets one more.
+
+    Parameters
+    ----------
+    need
+        What callers ask of the models.
+    memory
+        What the holder remembers of the boxes.
+    idle
+        Boxes in no group, by fabric domain.
+    serving
+        Groups that serve.
+    """
+    needy = need.rank_models()[0]
+    if need.get_load(needy) < RECLAIM_LOAD:
+        return ()
+    by_domain: dict[DomainName, list[FleetGroup]] = defaultdict(list)
+    for group in serving:
+        by_domain[group.domain].append(group)
+    search = _DonorSearch(need, memory, needy)
+    found = [
+        search.find(idle.get(domain, []), groups)
+        for domain, groups in by_domain.items()
+    ]
+    return min((donors for donors in found if donors), key=len, default=())
+
+
+@attrs.frozen
+class _DonorSearch:
+    """Looks for groups that give their boxes to one model."""
+
+    need: ModelNeed
+    memory: FormingMemory
+    needy: EngineModel
+
+    def find(
+        self,
+        idle: list[FleetBox],
+        serving: list[FleetGroup],
+    ) -> tuple[FleetGroup, ...]:
+        """Return the groups of a domain that would make up a new one."""
+        lacking = self.needy.boxes_per_group - sum(
+            self.memory.holds(box, self.needy) for box in idle
+        )
+        donors: list[FleetGroup] = []
+        for group in serving:
+            if lacking > 0 and self._can_give(group, len(donors) + 1):
+                donors.append(group)
+                lacking -= len(group.members)
+        return tuple(donors) if lacking <= 0 else ()
+
+    def _can_give(self, group: FleetGroup, given: int) -> bool:
+        """Answer whether a group is less needed than one of the model."""
+        model = self.need.engine.find_model(parse_group(group.group))
+        if model is None or model.name == self.needy.name:
+            return False
+        members = group.members
+        if not all(self.memory.holds(box, self.needy) for box in members):
+            return False
+        left = self.need.get_load(model, given)
+        return left * RECLAIM_RATIO < self.need.get_load(self.needy)
