Split the way of a request; show which groups a node sees serve

tests/test_front.py waited for groups that servers showed open, not for those that the node saw; a retry then found one group only (traced from its log).

--- a/tests/front_bench.py
+++ b/tests/front_bench.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import json
 from typing import TYPE_CHECKING
 
 from tests.house import EVENTS, HOST, KEY, Server, Store, make_manifest
@@ -65,20 +66,15 @@
     def wait_serving(self, process: Process, groups: int = 2) -> None:
         wait_until(lambda: self.is_ready(process), 'readiness')
         wait_until(
-            lambda: self.count_open() == groups,
-            f'{groups} open groups',
-        )
-        # The node's own list may lag behind the servers.
-        wait_until(
-            lambda: self.ask(process, '/notes/1', model='small')[0] == 200,
-            'the first answer',
+            lambda: self.read_serving(process) == groups,
+            f'{groups} groups that the node sees serve',
         )
 
-    def count_open(self) -> int:
-        return sum(
-            (server.entry.get('group') or {}).get('state') == 'open'
-            for server in self.servers.values()
-        )
+    def read_serving(self, process: Process) -> int:
+        """Return the groups that serve, as a node sees them."""
+        _status, raw = self.get(process, 'metrics_port', '/dump')
+        found = json.loads(raw)['serving'].get('llm/small', 0)
+        return int(found)
 
     def is_ready(self, process: Process) -> bool:
         status, _body = self.get(process, 'ready_port', '/api/ready')
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -16,11 +16,8 @@
 from waywell.process.outlook import Outlook
 from waywell.request.ask import AnswerMark, Ask
 from waywell.request.attempt import Attempt
-from waywell.request.forwarder import (
-    CallerAnswer,
-    Forwarder,
-    ForwarderParts,
-)
+from waywell.request.errand import CallerAnswer, ForwarderParts
+from waywell.request.forwarder import Forwarder
 from waywell.request.placement import Chooser
 from waywell.request.replica_book import ReplicaBook
 from waywell.request.resend_budget import ResendBudget, ResendLimits
--- a/waywell/connection/exchange.py
+++ b/waywell/connection/exchange.py
@@ -119,7 +119,9 @@
 class _OnceProtocol(HTTP11ClientProtocol):
     """A client connection that remembers how it ended."""
 
-    was_reset = False
+    def __init__(self) -> None:
+        super().__init__()
+        self.was_reset = False
 
     def connectionLost(  # noqa: N802
         self,
--- a/waywell/connection/front.py
+++ b/waywell/connection/front.py
@@ -21,10 +21,12 @@
 )
 from waywell.connection.wire import Wire
 from waywell.request.ask import Ask
-from waywell.request.forwarder import CallerAnswer
+from waywell.request.errand import CallerAnswer
 from waywell.version.routes import CallerLimits
 
 if TYPE_CHECKING:
+    from twisted.web.http import HTTPChannel
+
     from waywell.connection.wire import RawHeaders
 
 NOT_RUN_STATUS = 503
@@ -61,8 +63,11 @@
 
     backend: Any
 
-    attempt = ''
-    """The caller's id of this attempt, once it is read."""
+    def __init__(self, channel: HTTPChannel, *rest: Any) -> None:
+        """Start before the first line."""
+        super().__init__(channel, *rest)
+        # The caller's id of this attempt, once it is read.
+        self.attempt = ''
 
     def refuse(self, refusal: Refusal) -> None:
         """Answer with a refusal, at once."""
@@ -174,7 +179,10 @@
 class FrontChannel(CallerChannel):
     """A caller's connection, with the time limits in force."""
 
-    _head_timer: Any = None
+    def __init__(self) -> None:
+        """Start before the first byte."""
+        super().__init__()
+        self._head_timer: Any = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Take the idle limit in force."""
--- a/waywell/connection/peer.py
+++ b/waywell/connection/peer.py
@@ -133,6 +133,10 @@
     wants_routes: bool = False
     """Whether the asker can't read a newer version of the routes itself."""
 
+    def wants_newer(self, version: int) -> bool:
+        """Answer whether the asker needs the routes of a version."""
+        return self.wants_routes and version > self.version
+
 
 class FeedAnswer(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """What a node knows, and how old it is."""
--- a/waywell/daemon.py
+++ b/waywell/daemon.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import signal
+from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol
 
 from twisted.internet import asyncioreactor
 
-from waywell.process.events import open_log
+from waywell.process.events import log_event, open_log
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,9 +26,6 @@
     async def stop(self) -> None:
         """End in good order."""
 
-    def reload(self) -> None:
-        """Take in that the settings file may have changed."""
-
 
 class Daemon:
     """Starts a node and stops it on a signal.
@@ -65,13 +63,17 @@
     async def _start(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._begin_stop)
-        self._loop.add_signal_handler(signal.SIGHUP, self._node.reload)
+        self._loop.add_signal_handler(signal.SIGHUP, self._note_hang_up)
         try:
             await self._node.start()
         except Exception as error:
             self.fault = repr(error)
             self._reactor.stop()
 
+    def _note_hang_up(self) -> None:
+        """Log it: settings are read at the start of a process only."""
+        log_event('reloaded')
+
     def _begin_stop(self) -> None:
         if self._stopping is None:
             self._stopping = self._loop.create_task(self._stop())
@@ -122,10 +124,13 @@
     str
         Why it could not start, or an empty text.
     """
+    return run_node(
+        partial(_make_entry, settings),
+        partial(open_log, settings.log_level),
+    )
 
-    def make() -> Node:
-        from waywell.process.entry import EntryNode  # noqa: PLC0415
 
-        return EntryNode(settings)
+def _make_entry(settings: Settings) -> Node:
+    from waywell.process.entry import EntryNode  # noqa: PLC0415
 
-    return run_node(make, lambda: open_log(settings.log_level))
+    return EntryNode(settings)
--- a/waywell/platform/__main__.py
+++ b/waywell/platform/__main__.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import sys
+from functools import partial
 
 from waywell.daemon import Node, run_node
 from waywell.process.events import open_output_log
-from waywell.process.front_settings import load_front_settings
+from waywell.process.front_settings import (
+    FrontSettings,
+    load_front_settings,
+)
 from waywell.version.faults import FaultsError
 
 EXIT_FAULTS = 2
@@ -16,15 +20,18 @@
 def main(path: str) -> str:
     """Run until told to stop; return why it could not start, or nothing."""
     settings = load_front_settings(path)
+    return run_node(
+        partial(_make_node, settings),
+        partial(open_output_log, settings.log_level),
+    )
 
-    def make() -> Node:
-        # The reactor must be installed before anything imports it.
-        from waywell.platform.adapter import make_adapter  # noqa: PLC0415
-        from waywell.process.front import FrontNode  # noqa: PLC0415
 
-        return FrontNode(settings, make_adapter(settings))
+def _make_node(settings: FrontSettings) -> Node:
+    # The reactor must be installed before anything imports it.
+    from waywell.platform.adapter import make_adapter  # noqa: PLC0415
+    from waywell.process.front import FrontNode  # noqa: PLC0415
 
-    return run_node(make, lambda: open_output_log(settings.log_level))
+    return FrontNode(settings, make_adapter(settings))
 
 
 if __name__ == '__main__':
--- a/waywell/platform/desk.py
+++ b/waywell/platform/desk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -23,13 +24,7 @@
     is_ready: Callable[[], bool],
 ) -> Mapping[str, DeskHandler]:
     """Return what answers whether this node is ready."""
-
-    def answer(_query: Mapping[str, str]) -> DeskAnswer:
-        if is_ready():
-            return DeskAnswer(HTTPStatus.OK)
-        return DeskAnswer(HTTPStatus.SERVICE_UNAVAILABLE)
-
-    return {READY_PATH: answer}
+    return {READY_PATH: partial(_answer_ready, is_ready)}
 
 
 def make_directory_handlers(
@@ -37,12 +32,26 @@
     keep_seconds: float,
 ) -> Mapping[str, DeskHandler]:
     """Return what answers which addresses clients may use."""
+    answer = partial(_answer_directory, list_addresses, keep_seconds)
+    return {RESOLVE_PATH: answer}
 
-    def answer(query: Mapping[str, str]) -> DeskAnswer:
-        addresses = list_addresses(query.get('zone', ''))
-        if not addresses:
-            return DeskAnswer(HTTPStatus.SERVICE_UNAVAILABLE)
-        body = {'addresses': addresses, 'ttl_s': keep_seconds}
-        return DeskAnswer(HTTPStatus.OK, msgspec.json.encode(body))
 
-    return {RESOLVE_PATH: answer}
+def _answer_ready(
+    is_ready: Callable[[], bool],
+    _query: Mapping[str, str],
+) -> DeskAnswer:
+    if is_ready():
+        return DeskAnswer(HTTPStatus.OK)
+    return DeskAnswer(HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+def _answer_directory(
+    list_addresses: Callable[[str], Sequence[str]],
+    keep_seconds: float,
+    query: Mapping[str, str],
+) -> DeskAnswer:
+    addresses = list_addresses(query.get('zone', ''))
+    if not addresses:
+        return DeskAnswer(HTTPStatus.SERVICE_UNAVAILABLE)
+    body = {'addresses': addresses, 'ttl_s': keep_seconds}
+    return DeskAnswer(HTTPStatus.OK, msgspec.json.encode(body))
--- a/waywell/platform/store.py
+++ b/waywell/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any
@@ -32,8 +33,9 @@
 STALE = MappingProxyType({'serializable': '1'})
 """Query of a read that may be seconds old; it costs a tenth."""
 
-MOST_PAGES = 100
-"""Pages of one list, so that a list that never ends is given up."""
+MOST_OBJECTS = 50_000
+"""Objects of one list, so that a list that never ends is given up; some twenty
+times the target's boxes."""
 
 _WORD_BY_KIND = MappingProxyType(
     {
@@ -126,7 +128,7 @@
         if isinstance(called, Success):
             if called.unwrap().status == HTTPStatus.NOT_FOUND:
                 return Success(None)
-        return called.bind(_take_body).bind(_decode_one(kind))
+        return called.bind(_take_body).bind(partial(_decode_one, kind))
 
     async def fetch_all(
         self,
@@ -137,7 +139,7 @@
         found: list[_Event] = []
         revision = 0
         query = {} if fresh else dict(STALE)
-        for _page in range(MOST_PAGES):
+        while len(found) < MOST_OBJECTS:
             called = await self._calls.call('GET', _make_path(kind, **query))
             decoded = called.bind(_take_body).bind(_decode_page)
             if isinstance(decoded, Failure):
@@ -167,7 +169,7 @@
             meta.pop('revision')
         raw = msgspec.json.encode({'metadata': meta, 'spec': body})
         called = await self._calls.call(method, path, raw)
-        return called.bind(_take_body).bind(_decode_one(kind))
+        return called.bind(_take_body).bind(partial(_decode_one, kind))
 
     async def delete(
         self,
@@ -231,21 +233,16 @@
         return Failure(PlatformFault.UNREADABLE)
 
 
-def _decode_one(
-    kind: Kind,
-) -> Callable[[bytes], Result[Any, PlatformFault]]:
-    def decode(raw: bytes) -> Result[Any, PlatformFault]:
-        try:
-            found = msgspec.json.decode(raw, type=_Object)
-        except msgspec.MsgspecError as error:
-            log_warning('store_answer_unreadable', error=str(error))
-            return Failure(PlatformFault.UNREADABLE)
-        stored = _read_object(kind, found)
-        if stored is None:
-            return Failure(PlatformFault.UNREADABLE)
-        return Success(stored)
-
-    return decode
+def _decode_one(kind: Kind, raw: bytes) -> Result[Any, PlatformFault]:
+    try:
+        found = msgspec.json.decode(raw, type=_Object)
+    except msgspec.MsgspecError as error:
+        log_warning('store_answer_unreadable', error=str(error))
+        return Failure(PlatformFault.UNREADABLE)
+    stored = _read_object(kind, found)
+    if stored is None:
+        return Failure(PlatformFault.UNREADABLE)
+    return Success(stored)
 
 
 def _gather(
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -144,10 +144,6 @@
         await self._close()
         log_event('stopped', node=self.own.node, cut=left)
 
-    def reload(self) -> None:
-        """Log that the settings are read at the next start only."""
-        log_event('reload_ignored', node=self.own.node)
-
     def describe(self) -> NodeFacts:
         """Return what the dispatcher has to know of this node."""
         age = self.gossip.get_platform_age(self.clock.read())
--- a/waywell/process/feed.py
+++ b/waywell/process/feed.py
@@ -203,7 +203,6 @@
         self._remember(fleet, serial)
         base = self._fleets.get(ask.serial) if ask.run == self._life else None
         table = self._outlook.index.table
-        is_newer = ask.wants_routes and table.version > ask.version
         known = base.boxes if base else {}
         answer = FeedAnswer(
             ask=ask.ask,
@@ -219,7 +218,7 @@
                 if known.get(name) != box
             ),
             gone=tuple(known.keys() - fleet.boxes.keys()),
-            routes=table if is_newer else None,
+            routes=table if ask.wants_newer(table.version) else None,
         )
         self._links.send(peer, answer)
 
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -230,11 +230,12 @@
             self.spawn(self._probe(box))
 
     async def _probe(self, box: FleetBox) -> None:
-        for _attempt in range(PROBES):
-            if await self._orders.is_alive(box):
-                self.post(self.Probed(box, is_alive=True))
-                return
-        self.post(self.Probed(box, is_alive=False))
+        is_alive = False
+        questions = 0
+        while not is_alive and questions < PROBES:
+            questions += 1
+            is_alive = await self._orders.is_alive(box)
+        self.post(self.Probed(box, is_alive))
 
     def _note_left(
         self,
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping, Sequence
+from http import HTTPStatus
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -39,11 +40,8 @@
 from waywell.process.route_watch import RouteWatch
 from waywell.request.claim import ClaimState
 from waywell.request.demand import DemandMeter
-from waywell.request.forwarder import (
-    CallerAnswer,
-    Forwarder,
-    ForwarderParts,
-)
+from waywell.request.errand import CallerAnswer, ForwarderParts
+from waywell.request.forwarder import Forwarder
 from waywell.request.placement import Chooser
 from waywell.request.replica_book import ReplicaBook
 from waywell.request.resend_budget import ResendBudget, ResendLimits
@@ -67,12 +65,27 @@
 KEPT_FACTOR = 3.0
 """Times the term of the entry list for which some callers keep it."""
 
+LAST_SECONDS = 2.0
+"""Seconds before the forced end from which on no new request is taken."""
+
 STOP_MARGIN = 0.6
 """Seconds before the forced end at which what still runs is cut."""
 
 DRAIN_LOOK_SECONDS = 0.05
 """Seconds between two looks at the work in flight while stopping."""
 
+Handlers = Mapping[str, DeskHandler]
+"""Handlers of small calls, by path."""
+
+ListAddresses = Callable[[str], Sequence[str]]
+"""Returns the addresses of entry boxes, those of a data hall first."""
+
+ReadyMaker = Callable[[Callable[[], bool]], Handlers]
+"""Makes handlers of what answers whether the node is ready."""
+
+DirectoryMaker = Callable[[ListAddresses, float], Handlers]
+"""Makes handlers of a list of addresses and the seconds it may be kept."""
+
 
 @attrs.frozen
 class FrontAdapter:
@@ -87,13 +100,10 @@
     orders: BoxOrders
     """Orders to boxes."""
 
-    make_ready: Callable[[Callable[[], bool]], Mapping[str, DeskHandler]]
+    make_ready: ReadyMaker
     """Makes the handlers that answer whether the node is ready."""
 
-    make_directory: Callable[
-        [Callable[[str], Sequence[str]], float],
-        Mapping[str, DeskHandler],
-    ]
+    make_directory: DirectoryMaker
     """Makes the handlers that answer which entry boxes there are."""
 
 
@@ -168,7 +178,7 @@
         self.gossip.post(Gossip.Advance(state=NodeState.LEAVING))
         kept = promises.entry_list_kept * KEPT_FACTOR
         ends_at = began_at + promises.stop_within - STOP_MARGIN
-        await asyncio.sleep(min(kept, promises.stop_within - 2.0))
+        await asyncio.sleep(min(kept, promises.stop_within - LAST_SECONDS))
         self._ports.stop_accepting()
         while self.in_flight and self.clock.read() < ends_at:
             await asyncio.sleep(DRAIN_LOOK_SECONDS)
@@ -222,6 +232,7 @@
             'node': self.settings.node.name,
             'ready': self.is_ready(),
             'in_flight': self.in_flight,
+            'serving': self.outlook.count_serving(),
             **{actor.name: actor.dump() for actor in self.actors},
         }
 
@@ -318,13 +329,6 @@
         if group:
             self.forming.post(FormingDuty.Doubted(group))
 
-    def reload(self) -> None:
-        """Note that the settings may have changed.
-
-        All of them hold for the life of the process but the log level.
-        """
-        log_event('reloaded', node=self.settings.node.name)
-
     def _read_demand(self, now: float) -> Mapping[Any, float]:
         nodes = self.members.count_live()
         return {
@@ -338,10 +342,13 @@
         try:
             await self._forwarder.serve(ask, answer)
         finally:
-            self.in_flight -= 1
-            now = self.clock.read()
-            if ask.model:
-                self.demand.note(ask.model, now - began_at, now)
+            self._note_end(ask, began_at)
+
+    def _note_end(self, ask: Ask, began_at: float) -> None:
+        self.in_flight -= 1
+        now = self.clock.read()
+        if ask.model:
+            self.demand.note(ask.model, now - began_at, now)
 
     def _report(self, request: FrontRequest, code: Code, ran: Ran) -> None:
         self.metrics.count_request(code, ran)
@@ -357,11 +364,11 @@
             )
 
     def _answer_metrics(self, _query: Mapping[str, str]) -> DeskAnswer:
-        return DeskAnswer(200, self.metrics.write(), 'text/plain')
+        return DeskAnswer(HTTPStatus.OK, self.metrics.write(), 'text/plain')
 
     def _answer_dump(self, _query: Mapping[str, str]) -> DeskAnswer:
         raw = msgspec.json.encode(self.dump(), enc_hook=str)
-        return DeskAnswer(200, raw)
+        return DeskAnswer(HTTPStatus.OK, raw)
 
     async def _accept_peer(self, stream: Any) -> None:
         if self._is_started:
@@ -395,8 +402,10 @@
             for address in self._random.sample(strangers, count):
                 self.links.dial(address.host, address.port)
             is_settled = is_listed and self.links.list_peers()
-            pause = LOOK_AGAIN_SECONDS if is_settled else JOIN_SECONDS
-            await asyncio.sleep(pause if not strangers else JOIN_SECONDS)
+            is_done = is_settled and not strangers
+            await asyncio.sleep(
+                LOOK_AGAIN_SECONDS if is_done else JOIN_SECONDS
+            )
 
     async def _list_self(self) -> bool:
         """Write this node's address into the platform, once a run."""
--- a/waywell/process/outlook.py
+++ b/waywell/process/outlook.py
@@ -6,11 +6,12 @@
 from typing import TYPE_CHECKING
 
 from waywell.codes import Code, Refusal
+from waywell.ids import ModelName
 from waywell.version.fleet import Fleet, Replica, ReplicaKey
 from waywell.version.routes import RouteIndex, RouteTable
 
 if TYPE_CHECKING:
-    from waywell.ids import ModelName, ServiceName
+    from waywell.ids import ServiceName
     from waywell.process.front_settings import PromiseSettings
 
 KEY_MARGIN = 0.4
@@ -131,6 +132,17 @@
             self._replicas[key] = found
         return found
 
+    def count_serving(self) -> dict[str, int]:
+        """Return how many replicas may get requests, by service and model."""
+        counts = {}
+        for service in self.index.table.services:
+            models = service.engine.models if service.engine else ()
+            names = [model.name for model in models] or [ModelName('')]
+            for name in names:
+                replicas = self.list_replicas(service.name, name)
+                counts[f'{service.name}/{name}'] = len(replicas)
+        return counts
+
     def list_keys(self) -> set[ReplicaKey]:
         """Return the identities of all boxes with their present epochs."""
         return {
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -135,7 +135,6 @@
         self.number = number
         self.started_at = 0.0
         self.has_begun = False
-        self.was_sent = False
         self._inbox = inbox
         self._task: asyncio.Task[None] | None = None
         self._exchange: Exchange | None = None
@@ -173,11 +172,7 @@
         wire: Wire,
         may_send: Callable[[], bool],
     ) -> None:
-        def check() -> bool:
-            self.was_sent = may_send()
-            return self.was_sent
-
-        opened = await open_exchange(outgoing, CONNECT_SECONDS, check)
+        opened = await open_exchange(outgoing, CONNECT_SECONDS, may_send)
         if isinstance(opened, Failure):
             self.tell(self.Fault(self, opened.failure()))
             return
--- /dev/null
+++ b/waywell/request/attempts.py
@@ -0,0 +1,211 @@
+"""The attempts at one request that run side by side."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from waywell.connection.exchange import Outgoing
+from waywell.process.events import log_event
+from waywell.request.ask import Delivery
+from waywell.request.attempt import Attempt, Inbox
+from waywell.request.patience import measure_patience
+
+if TYPE_CHECKING:
+    from waywell.request.errand import Errand, ForwarderParts
+    from waywell.version.fleet import Replica
+
+
+class Attempts:
+    """Starts and drops the attempts at one request.
+
+    Parameters
+    ----------
+    parts
+        What the forwarder works with.
+    errand
+        The request.
+    inbox
+        Where what comes back is put.
+    """
+
+    def __init__(
+        self,
+        parts: ForwarderParts,
+        errand: Errand,
+        inbox: Inbox,
+    ) -> None:
+        """Start none yet."""
+        self.running: list[Attempt] = []
+        self.patience = measure_patience(
+            errand.route, errand.engine, errand.ask
+        )
+        self._parts = parts
+        self._errand = errand
+        self._inbox = inbox
+
+    def start(self) -> bool:
+        """Start an attempt at the best replica left; answer whether so."""
+        errand = self._errand
+        now = self._parts.clock.read()
+        replica = self._choose(now)
+        if replica is None:
+            return False
+        errand.tried |= {replica.key}
+        attempt = Attempt(replica, len(errand.tried), self._inbox)
+        self.running.append(attempt)
+        record = self._parts.book.get(replica.key)
+        if not record.in_flight:
+            # Silence is counted from when it has work.
+            record.heard_at = now
+        self._parts.book.note_start(replica.key, errand.tokens)
+        attempt.start(
+            self._make_outgoing(replica, now),
+            self._parts.wire,
+            lambda: self._may_send(replica),
+            now,
+        )
+        self.log('attempt', attempt, now, load=record.in_flight)
+        return True
+
+    def start_paid(self, now: float) -> bool:
+        """Start a second attempt within the budget; answer whether so."""
+        if not self.has_sends_left() or not self._spend(now):
+            return False
+        return self.start()
+
+    def drop(self, attempt: Attempt) -> None:
+        """Break an attempt off, unless it was dropped before."""
+        if attempt in self.running:
+            self.running.remove(attempt)
+            attempt.stop()
+            self._parts.book.note_end(attempt.replica.key, self._errand.tokens)
+
+    def drop_others(self, attempt: Attempt) -> None:
+        """Break all off but one."""
+        for other in tuple(self.running):
+            if other is not attempt:
+                self.drop(other)
+
+    def drop_all(self) -> None:
+        """Break all off."""
+        for attempt in tuple(self.running):
+            self.drop(attempt)
+
+    def can_hedge(self) -> bool:
+        """Answer whether a second attempt may run beside the first."""
+        return (
+            len(self.running) == 1
+            and self._errand.route.may_repeat
+            and self.has_sends_left()
+        )
+
+    def has_sends_left(self) -> bool:
+        """Answer whether the route allows one more replica."""
+        return self._errand.sends < self._errand.route.most_targets
+
+    def get_hedge_at(self) -> float:
+        """Return when the one attempt has been silent for too long."""
+        attempt = self.running[0]
+        heard_at = self._parts.book.get(attempt.replica.key).heard_at
+        if attempt.has_begun:
+            return heard_at + self.patience.gap
+        return attempt.started_at + self.patience.first
+
+    def hedge(self, now: float) -> None:
+        """Start a second attempt beside a silent one, or wait once more."""
+        attempt = self.running[0]
+        self.note_silence(now)
+        if self.start_paid(now):
+            self.log('hedged', attempt, now)
+            return
+        attempt.started_at = now
+        self._parts.book.get(attempt.replica.key).heard_at = now
+
+    def note_silence(self, now: float) -> None:
+        """Let a replica rest from which nothing at all comes any more."""
+        book = self._parts.book
+        for attempt in self.running:
+            key = attempt.replica.key
+            if book.is_silent(key, self.patience.gap, now):
+                book.note_failure(key, now)
+                self._parts.raise_doubt(attempt.replica)
+                self.log('silent', attempt, now)
+
+    def log(
+        self,
+        event: str,
+        attempt: Attempt,
+        now: float,
+        **pairs: object,
+    ) -> None:
+        """Log what becomes of an attempt."""
+        errand = self._errand
+        outlook = self._parts.outlook
+        log_event(
+            event,
+            request=errand.ask.attempt,
+            route=errand.route.name,
+            attempt=attempt.number,
+            box=attempt.replica.key.box,
+            group=attempt.replica.group,
+            last_event=errand.last_event,
+            routes_age=outlook.get_routes_age(now),
+            boxes_age=outlook.get_boxes_age(now),
+            age=round(now - errand.arrived_at, 3),
+            **pairs,
+        )
+
+    def _choose(self, now: float) -> Replica | None:
+        errand = self._errand
+        return self._parts.chooser.choose(
+            self._parts.outlook.list_replicas(
+                errand.service, errand.ask.model
+            ),
+            errand.tried,
+            self._parts.book,
+            now,
+        )
+
+    def _spend(self, now: float) -> bool:
+        return self._parts.budget.spend(
+            self._errand.service, self._parts.count_nodes(), now
+        )
+
+    def _make_outgoing(self, replica: Replica, now: float) -> Outgoing:
+        errand = self._errand
+        holder = errand.holder
+        priority = errand.route.priority
+        if holder is not None and holder.priority is not None:
+            priority = holder.priority
+        delivery = Delivery(
+            account=None if holder is None else holder.account,
+            seconds=errand.ends_at - now,
+            resume_after=errand.last_event,
+            priority=priority if errand.engine else None,
+        )
+        head = replica.head
+        return Outgoing(
+            head.host,
+            head.port,
+            errand.ask.method,
+            errand.ask.target,
+            self._parts.wire.make_headers(errand.ask, delivery, head),
+            errand.ask.body,
+        )
+
+    def _may_send(self, replica: Replica) -> bool:
+        """Answer, in the turn of the write, whether it still may go out."""
+        errand = self._errand
+        now = self._parts.clock.read()
+        if now >= errand.ends_at:
+            return False
+        outlook = self._parts.outlook
+        if errand.holder is not None:
+            if not outlook.are_keys_fresh(now):
+                return False
+            if outlook.index.find_holder(errand.ask.key) is None:
+                return False
+        if not outlook.may_send_to(replica):
+            return False
+        errand.sends += 1
+        return True
--- /dev/null
+++ b/waywell/request/errand.py
@@ -0,0 +1,131 @@
+"""A request on its way to replicas, and what serves it."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+
+from waywell.connection.wire import Wire
+from waywell.ids import ServiceName
+from waywell.process.clock import Clock
+from waywell.process.outlook import Outlook
+from waywell.request.ask import Ask
+from waywell.request.placement import Chooser
+from waywell.request.replica_book import ReplicaBook
+from waywell.request.resend_budget import ResendBudget
+from waywell.version.fleet import Replica, ReplicaKey
+from waywell.version.routes import Engine, KeyHolder, Route
+
+if TYPE_CHECKING:
+    from waywell.connection.wire import RawHeaders
+
+
+class CallerAnswer(abc.ABC):
+    """The caller's side of a request."""
+
+    @abc.abstractmethod
+    def begin(
+        self,
+        status: int,
+        headers: RawHeaders,
+        length: int | None,
+    ) -> None:
+        """Write the head."""
+
+    @abc.abstractmethod
+    async def write(self, raw: bytes) -> None:
+        """Write a piece of the body; waits while the caller reads slowly."""
+
+    @abc.abstractmethod
+    def finish(self) -> None:
+        """End a whole answer."""
+
+    @abc.abstractmethod
+    def cut(self) -> None:
+        """Break the connection, so that the answer can't look whole."""
+
+
+@attrs.frozen
+class ForwarderParts:
+    """What a forwarder works with."""
+
+    outlook: Outlook
+    """Routes and boxes in force, with how fresh they are."""
+
+    wire: Wire
+    """How requests and answers look."""
+
+    chooser: Chooser
+    """Chooses replicas."""
+
+    book: ReplicaBook
+    """What this node has seen of replicas."""
+
+    budget: ResendBudget
+    """Second sends."""
+
+    clock: Clock
+    """Where the time is read."""
+
+    draw: Callable[[], float]
+    """Returns a number from 0 up to 1."""
+
+    count_nodes: Callable[[], int]
+    """Returns how many entry boxes share the budget."""
+
+    raise_doubt: Callable[[Replica], None]
+    """Tells the other nodes that nothing comes from a replica."""
+
+
+@attrs.define
+class Errand:
+    """A request on its way."""
+
+    ask: Ask
+    """What the caller asks."""
+
+    route: Route
+    """Its route."""
+
+    service: ServiceName
+    """Service that was drawn."""
+
+    holder: KeyHolder | None
+    """Client account."""
+
+    arrived_at: float
+    """When it came, in seconds."""
+
+    ends_at: float
+    """When it is given up, in seconds."""
+
+    engine: Engine | None = None
+    """Engine of the service, where it has one."""
+
+    tried: frozenset[ReplicaKey] = frozenset()
+    """Replicas that it was sent to."""
+
+    sends: int = 0
+    """Attempts of which a byte may have left."""
+
+    rejections: int = 0
+    """Attempts of which a replica said that it ran nothing."""
+
+    last_event: int | None = None
+    """Last event that was passed on."""
+
+    is_begun: bool = False
+    """Whether the head of an answer was passed on."""
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a replica may have run it."""
+        return self.sends > self.rejections
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens to be read and written."""
+        return self.ask.prompt_tokens + self.ask.answer_tokens
--- /dev/null
+++ b/waywell/request/journey.py
@@ -0,0 +1,268 @@
+"""The answer to one request, made of what its attempts bring."""
+
+from __future__ import annotations
+
+import inspect
+from typing import TYPE_CHECKING
+
+from waywell.codes import Code, Ran, Refusal
+from waywell.connection.exchange import SendFault
+from waywell.process.actor import get_handler_name
+from waywell.process.events import log_event
+from waywell.request.attempt import Attempt, Inbox
+from waywell.request.attempts import Attempts
+from waywell.version.routes import RouteKind
+
+if TYPE_CHECKING:
+    from waywell.request.errand import CallerAnswer, Errand, ForwarderParts
+
+COME_BACK_SECONDS = 0.25
+"""Advice to callers while no replica can serve: a group that is patched from
+boxes at hand is back within about a second, most others are there."""
+
+SERVER_ERROR = 500
+"""Lowest HTTP status that speaks against the replica."""
+
+
+class Journey:
+    """Takes in what attempts bring, until the request is answered.
+
+    Parameters
+    ----------
+    parts
+        What the forwarder works with.
+    errand
+        The request.
+    answer
+        The caller's side.
+    """
+
+    def __init__(
+        self,
+        parts: ForwarderParts,
+        errand: Errand,
+        answer: CallerAnswer,
+    ) -> None:
+        """Send nothing yet."""
+        self._parts = parts
+        self._errand = errand
+        self._answer = answer
+        self._inbox = Inbox()
+        self._attempts = Attempts(parts, errand, self._inbox)
+
+    async def run(self) -> None:
+        """Make attempts until one is answered or all is over.
+
+        Raises
+        ------
+        Refusal
+            When no answer was begun.
+        """
+        try:
+            await self._run()
+        except _Answered:
+            return
+        finally:
+            self._attempts.drop_all()
+
+    async def on_piece(self, piece: Attempt.Piece) -> None:
+        """Pass a piece on; the attempt that brings one first goes on alone."""
+        attempt = piece.attempt
+        if attempt not in self._attempts.running or attempt.head is None:
+            return
+        now = self._parts.clock.read()
+        self._parts.book.note_heard(attempt.replica.key, now)
+        if not self._is_next(piece):
+            # Another attempt was ahead of this one, or it skips an event.
+            self._fail(attempt, now, f'event_{piece.event.number}')
+            return
+        self._settle_on(attempt, now)
+        if piece.event.number is not None:
+            self._errand.last_event = piece.event.number
+        self._begin(attempt.head)
+        await self._answer.write(piece.event.raw)
+
+    def on_head(self, head: Attempt.Head) -> None:
+        """Accept an answer's head, or try elsewhere."""
+        attempt = head.attempt
+        now = self._parts.clock.read()
+        if head.mark.attempt != self._errand.ask.attempt:
+            self._fail(attempt, now, 'foreign_answer')
+            return
+        if head.mark.is_rejected or head.mark.is_misdirected:
+            self._take_rejection(head, now)
+            return
+        self._parts.book.note_heard(attempt.replica.key, now)
+        if head.status >= SERVER_ERROR:
+            self._parts.book.note_failure(attempt.replica.key, now)
+            if self._retry(attempt, now, f'status_{head.status}'):
+                return
+        attempt.head = head
+
+    def on_end(self, end: Attempt.End) -> None:
+        """End the answer, or go on elsewhere where it was cut."""
+        attempt = end.attempt
+        if attempt not in self._attempts.running or attempt.head is None:
+            return
+        now = self._parts.clock.read()
+        if not end.is_whole:
+            self._fail(attempt, now, 'cut')
+            return
+        self._attempts.drop_others(attempt)
+        self._begin(attempt.head)
+        self._answer.finish()
+        status = attempt.head.status
+        self._attempts.log('answered', attempt, now, status=status)
+        raise _Answered
+
+    def on_fault(self, fault: Attempt.Fault) -> None:
+        """Go on after an attempt that brought no answer."""
+        attempt = fault.attempt
+        now = self._parts.clock.read()
+        if fault.fault is SendFault.BROKEN:
+            self._fail(attempt, now, fault.fault.value)
+            return
+        if fault.fault is SendFault.NOT_SENT:
+            self._parts.book.note_failure(attempt.replica.key, now)
+        self._attempts.log('not_sent', attempt, now, fault=fault.fault.value)
+        self._attempts.drop(attempt)
+        if self._attempts.running:
+            return
+        self._check_key_again(now)
+        if not self._attempts.start():
+            self._give_up(Code.TARGET_UNREACHABLE)
+
+    async def _run(self) -> None:
+        if not self._attempts.start():
+            raise Refusal(Code.NO_WHOLE_GROUP, retry_after=COME_BACK_SECONDS)
+        while self._attempts.running:
+            await self._step()
+        self._give_up(Code.TARGET_FAILED)
+
+    async def _step(self) -> None:
+        """Take in one message, or what its absence means."""
+        now = self._parts.clock.read()
+        if now >= self._errand.ends_at:
+            self._attempts.note_silence(now)
+            self._give_up(Code.DEADLINE_PASSED)
+        message = await self._inbox.get(self._get_wait(now))
+        if message is None:
+            self._take_silence()
+            return
+        outcome = getattr(self, get_handler_name(message))(message)
+        if inspect.isawaitable(outcome):
+            await outcome
+
+    def _get_wait(self, now: float) -> float:
+        """Return the seconds until silence means something."""
+        wait = self._errand.ends_at - now
+        if self._attempts.can_hedge():
+            wait = min(wait, self._attempts.get_hedge_at() - now)
+        return max(0.0, wait)
+
+    def _take_silence(self) -> None:
+        """Try elsewhere when the one attempt has been silent for too long."""
+        now = self._parts.clock.read()
+        if self._attempts.can_hedge():
+            if now >= self._attempts.get_hedge_at():
+                self._attempts.hedge(now)
+
+    def _take_rejection(self, head: Attempt.Head, now: float) -> None:
+        """Go on after a replica that says that it ran nothing."""
+        attempt = head.attempt
+        self._errand.rejections += 1
+        self._parts.book.note_failure(attempt.replica.key, now)
+        if head.mark.is_misdirected:
+            self._parts.outlook.doubt(attempt.replica)
+        self._attempts.log('rejected', attempt, now, status=head.status)
+        self._attempts.drop(attempt)
+        if not self._attempts.running:
+            if not self._attempts.start_paid(now):
+                self._give_up(Code.NO_WHOLE_GROUP)
+
+    def _is_next(self, piece: Attempt.Piece) -> bool:
+        """Answer whether a piece goes on where the answer stands."""
+        last = self._errand.last_event
+        number = piece.event.number
+        return number is None or last is None or number == last + 1
+
+    def _settle_on(self, attempt: Attempt, now: float) -> None:
+        """Go on with the attempt that brought a piece, and no other."""
+        self._attempts.drop_others(attempt)
+        if attempt.has_begun:
+            return
+        attempt.has_begun = True
+        expected = self._attempts.patience.expected_first
+        if expected > 0 and self._errand.engine is not None:
+            ratio = (now - attempt.started_at) / expected
+            self._parts.book.note_first(attempt.replica.key, ratio)
+
+    def _begin(self, head: Attempt.Head) -> None:
+        if not self._errand.is_begun:
+            self._errand.is_begun = True
+            length = head.length
+            if self._errand.route.kind is RouteKind.STREAM:
+                length = None
+            self._answer.begin(head.status, head.headers, length)
+
+    def _check_key_again(self, now: float) -> None:
+        """Refuse when the reason not to send was the key."""
+        if self._errand.holder is None or self._errand.may_have_run:
+            return
+        self._parts.outlook.check_keys(now)
+        ask = self._errand.ask
+        if self._parts.outlook.index.find_holder(ask.key) is None:
+            raise Refusal(Code.UNKNOWN_KEY)
+
+    def _fail(self, attempt: Attempt, now: float, why: str) -> None:
+        """Drop an attempt that broke; go on elsewhere where that is safe."""
+        self._parts.book.note_failure(attempt.replica.key, now)
+        if self._retry(attempt, now, why):
+            return
+        self._attempts.log('failed', attempt, now, why=why)
+        self._attempts.drop(attempt)
+        if not self._attempts.running:
+            self._give_up(Code.TARGET_FAILED)
+
+    def _retry(self, attempt: Attempt, now: float, why: str) -> bool:
+        """Replace an attempt where the request may run again."""
+        if not self._errand.route.may_repeat:
+            return False
+        if self._errand.is_begun and not self._can_resume():
+            return False
+        is_alone = len(self._attempts.running) == 1
+        if is_alone and not self._attempts.start_paid(now):
+            return False
+        self._attempts.log('retried', attempt, now, why=why)
+        self._attempts.drop(attempt)
+        return True
+
+    def _can_resume(self) -> bool:
+        """Answer whether the rest of a begun answer can come from another."""
+        return (
+            self._errand.route.resumable
+            and self._errand.last_event is not None
+        )
+
+    def _give_up(self, code: Code) -> None:
+        """End a request that has no whole answer."""
+        errand = self._errand
+        now = self._parts.clock.read()
+        log_event(
+            'given_up',
+            request=errand.ask.attempt,
+            code=int(code),
+            sends=errand.sends,
+            begun=errand.is_begun,
+            age=round(now - errand.arrived_at, 3),
+        )
+        if errand.is_begun:
+            self._answer.cut()
+            raise _Answered
+        if errand.may_have_run:
+            raise Refusal(code, Ran.MAY_HAVE_RUN)
+        raise Refusal(code, retry_after=COME_BACK_SECONDS)
+
+
+class _Answered(Exception):  # noqa: N818 - not an error: the way out
+    """The request has its answer, whole or cut."""
--- a/waywell/request/placement.py
+++ b/waywell/request/placement.py
@@ -24,7 +24,8 @@
 """Requests in flight by which each node prefers replicas of its own, so that
 nodes that do not know of each other's requests meet less often."""
 
-HASH_RANGE = 2**32
+HASH_BITS = 32
+HASH_RANGE = 1 << HASH_BITS
 """Values of the hash that sets a node's preference."""
 
 
--- a/waywell/request/stream_events.py
+++ b/waywell/request/stream_events.py
@@ -35,7 +35,8 @@
 
     def feed(self, raw: bytes) -> list[StreamEvent]:
         """Return the events that are whole now."""
-        *whole, self._rest = (self._rest + raw).split(EVENT_END)
+        *whole, rest = (self._rest + raw).split(EVENT_END)
+        self._rest = rest
         return [
             StreamEvent(piece + EVENT_END, _read_number(piece))
             for piece in whole
--- a/waywell/version/forming_memory.py
+++ b/waywell/version/forming_memory.py
@@ -162,8 +162,8 @@
             self.loads.popleft()
         if len(self.loads) >= engine.loads_at_once:
             return False
-        recent = sum(now - begun < 1.0 for begun in self.loads)
-        return recent < max(1.0, engine.loads_per_second * PACE_SHARE)
+        recent = sum(now - begun < 1 for begun in self.loads)
+        return recent < max(1, engine.loads_per_second * PACE_SHARE)
 
     def _forget_orders(self, fleet: Fleet, now: float) -> None:
         for name, (order, sent_at) in tuple(self.pending.items()):
