Share requests in flight among nodes; compare three drawn replicas

Cause: each node went by its own requests alone; at 61 nodes two in three of those at a group are unseen, and random heaps wait for places. Weighed: the least loaded of all, by what others tell (all nodes would choose the same few for a third of a second).

--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 from typing import Any
 
 import pytest
@@ -10,7 +11,7 @@
 from tests.boxes import make_fleet, make_group
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.exchange import SendFault
-from waywell.ids import HallName, ModelName, NodeId, ServiceName
+from waywell.ids import HallName, ModelName, ServiceName
 from waywell.process.clock import Clock
 from waywell.process.front_settings import PromiseSettings
 from waywell.process.outlook import Outlook
@@ -21,6 +22,7 @@
 from waywell.request.placement import Chooser
 from waywell.request.replica_book import ReplicaBook
 from waywell.request.resend_budget import ResendBudget, ResendLimits
+from waywell.request.shared_loads import SharedLoads
 from waywell.request.stream_events import StreamEvent
 from waywell.version.routes import (
     Engine,
@@ -113,7 +115,7 @@
             ForwarderParts(
                 outlook=outlook,
                 wire=_Wire(),
-                chooser=Chooser(NodeId('n'), HallName('port')),
+                chooser=Chooser(HallName('port'), SharedLoads(), Random(1)),
                 book=ReplicaBook(),
                 budget=ResendBudget(ResendLimits(0.2, 90.0, 10.0), 0.0),
                 clock=self.clock,
--- a/waywell/connection/peer.py
+++ b/waywell/connection/peer.py
@@ -115,6 +115,16 @@
     """Epoch of its group."""
 
 
+class BoxLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Requests in flight at a replica."""
+
+    box: BoxId
+    """Box that takes its requests."""
+
+    requests: int
+    """Requests of the nodes that are counted."""
+
+
 class FeedAsk(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """What do you know of routes and boxes, and how old is it?"""
 
@@ -133,6 +143,13 @@
     wants_routes: bool = False
     """Whether the asker can't read a newer version of the routes itself."""
 
+    hall: str = ''
+    """Data hall of the asker."""
+
+    loads: tuple[BoxLoad, ...] = ()
+    """Requests in flight of the asker, or of its hall where it is the reader
+    of one and asks that of another."""
+
     def wants_newer(self, version: int) -> bool:
         """Answer whether the asker needs the routes of a version."""
         return self.wants_routes and version > self.version
@@ -171,6 +188,10 @@
     routes: RouteTable | None = None
     """The routes, where the asker wants them and they are newer."""
 
+    loads: tuple[BoxLoad, ...] = ()
+    """Requests in flight of all nodes that the answerer knows of but those
+    that the asker has told."""
+
 
 Wire = Union[  # noqa: UP007 - evaluated by the decoder
     Hello,
--- a/waywell/process/feed.py
+++ b/waywell/process/feed.py
@@ -10,23 +10,27 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict
+from collections import Counter, OrderedDict, defaultdict
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from waywell.connection.peer import FeedAnswer, FeedAsk
-from waywell.ids import NodeId
+from waywell.connection.peer import BoxLoad, FeedAnswer, FeedAsk
+from waywell.ids import BoxId, HallName, NodeId
 from waywell.process.actor import Actor, Message
 from waywell.process.events import log_event
 from waywell.process.membership import NodeRecord, NodeState, rank_contenders
 from waywell.version.fleet import Fleet
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from waywell.process.clock import Clock
     from waywell.process.gossip import Gossip
     from waywell.process.links import PeerLinks
     from waywell.process.outlook import Outlook
+    from waywell.request.replica_book import ReplicaBook
+    from waywell.request.shared_loads import SharedLoads
 
 ASK_SECONDS = 0.35
 """Between two questions: a box that leaves must be known everywhere well
@@ -88,6 +92,10 @@
         What this node knows.
     clock
         Where the time is read.
+    book
+        This node's requests in flight.
+    loads
+        What other nodes tell of theirs.
     """
 
     class Tick(Message, frozen=True):
@@ -99,8 +107,13 @@
         gossip: Gossip,
         outlook: Outlook,
         clock: Clock,
+        book: ReplicaBook,
+        loads: SharedLoads,
     ) -> None:
         """Know no reader yet."""
+        self._book = book
+        self._loads = loads
+        self._followers: set[NodeId] = set()
         super().__init__('feed')
         self._links = links
         self._gossip = gossip
@@ -140,15 +153,19 @@
     def on_tick(self, _tick: Tick) -> None:
         """Ask the reader, or everyone when what is known grows old."""
         now = self._clock.read()
-        reader = self._choose_reader()
-        self._gossip.keep_stream(reader)
-        if reader is None:
-            return
-        if self.needs_routes(now) or self.needs_boxes(now):
-            for peer in self._links.list_peers():
-                self._ask(peer, now)
+        readers = self._choose_readers()
+        own_reader = readers.pop(self._own.hall)
+        if own_reader.node == self._own.node:
+            # Readers tell each other the loads of their halls.
+            self._gossip.keep_streams(tuple(readers.values()))
+            peers = {reader.node for reader in readers.values()}
         else:
-            self._ask(reader.node, now)
+            self._gossip.keep_streams((own_reader,))
+            peers = {own_reader.node}
+        if self._is_behind(now):
+            peers |= self._links.list_peers()
+        for peer in peers:
+            self._ask(peer, now)
 
     def on_received(self, received: PeerLinks.Received) -> None:
         """Answer a question, or take in an answer."""
@@ -166,21 +183,42 @@
             'serial': self._outlook.fleet_serial,
         }
 
-    def _choose_reader(self) -> NodeRecord | None:
-        """Return the reader of this hall; ``None`` where that is this node."""
-        live = {
-            record.node: record
-            for record in self._gossip.table.list_live()
-            if record.hall == self._own.hall and record.state is NodeState.LIVE
+    def _is_behind(self, now: float) -> bool:
+        """Answer whether what is known here grows old."""
+        routes_age = self._outlook.get_routes_age(now)
+        boxes_age = self._outlook.get_boxes_age(now)
+        return routes_age > ROUTES_FED_SECONDS or boxes_age > BOXES_FED_SECONDS
+
+    def _choose_readers(self) -> dict[HallName, NodeRecord]:
+        """Return the reader of each hall."""
+        halls: dict[HallName, list[NodeRecord]] = defaultdict(list)
+        for record in self._gossip.table.list_live():
+            is_own = record.node == self._own.node
+            if record.state is NodeState.LIVE and not is_own:
+                halls[record.hall].append(record)
+        halls[self._own.hall].append(self._own)
+        readers = {
+            hall: _pick_reader(hall, records)
+            for hall, records in halls.items()
         }
-        live.setdefault(self._own.node, self._own)
-        first = rank_contenders(
-            list(live.values()), f'reader/{self._own.hall}', 1
-        )[0]
-        if first != self._reader:
-            self._reader = first
-            log_event('reader_chosen', reader=first, hall=self._own.hall)
-        return None if first == self._own.node else live[first]
+        self._note_reader(readers[self._own.hall].node)
+        return readers
+
+    def _note_reader(self, reader: NodeId) -> None:
+        if reader != self._reader:
+            self._reader = reader
+            log_event('reader_chosen', reader=reader, hall=self._own.hall)
+
+    def _list_loads(self) -> tuple[BoxLoad, ...]:
+        """Return the requests in flight that this node tells others of.
+
+        A reader tells those of its hall.
+        """
+        loads = Counter(self._book.list_loads())
+        if self.is_reader():
+            others = self._loads.list_nodes() - self._followers
+            loads.update(self._loads.add_up(others))
+        return _encode_loads(loads)
 
     def _ask(self, peer: NodeId, now: float) -> None:
         self._serial += 1
@@ -194,11 +232,14 @@
             base.run,
             base.serial,
             wants_routes=self.behind_version > 0,
+            hall=self._own.hall,
+            loads=self._list_loads(),
         )
         self._links.send(peer, ask)
 
     def _answer(self, peer: NodeId, ask: FeedAsk) -> None:
         now = self._clock.read()
+        self._take_loads(peer, ask, now)
         fleet, serial = self._outlook.fleet, self._outlook.fleet_serial
         self._remember(fleet, serial)
         base = self._fleets.get(ask.serial) if ask.run == self._life else None
@@ -219,9 +260,21 @@
             ),
             gone=tuple(known.keys() - fleet.boxes.keys()),
             routes=table if ask.wants_newer(table.version) else None,
+            loads=self._list_loads_but(peer),
         )
         self._links.send(peer, answer)
 
+    def _take_loads(self, peer: NodeId, ask: FeedAsk, now: float) -> None:
+        if ask.hall == self._own.hall:
+            self._followers.add(peer)
+        self._loads.take(peer, _decode_loads(ask.loads), now)
+
+    def _list_loads_but(self, peer: NodeId) -> tuple[BoxLoad, ...]:
+        """Return all requests in flight but those that a node tells of."""
+        loads = Counter(self._book.list_loads())
+        loads.update(self._loads.add_up((peer,)))
+        return _encode_loads(loads)
+
     def _remember(self, fleet: Fleet, serial: int) -> None:
         if serial not in self._fleets:
             self._fleets[serial] = fleet
@@ -233,6 +286,9 @@
         if asked is None:
             return
         self._take_routes(answer, asked.at)
+        if peer == self._reader:
+            loads = _decode_loads(answer.loads)
+            self._loads.take(peer, loads, self._clock.read())
         if not self.is_reader():
             self._take_boxes(peer, answer, asked)
 
@@ -270,6 +326,11 @@
             self._outlook.take_fleet(fleet, seen_at)
 
 
+def _pick_reader(hall: HallName, records: list[NodeRecord]) -> NodeRecord:
+    by_name = {record.node: record for record in records}
+    return by_name[rank_contenders(records, f'reader/{hall}', 1)[0]]
+
+
 def _apply(base: Fleet, answer: FeedAnswer) -> Fleet:
     """Return the list that an answer tells."""
     boxes = {} if answer.is_whole else dict(base.boxes)
@@ -282,3 +343,13 @@
 def _bound(age: float) -> float:
     """Return an age as a number that every codec can carry."""
     return age if math.isfinite(age) else UNKNOWN_AGE
+
+
+def _encode_loads(loads: Mapping[BoxId, int]) -> tuple[BoxLoad, ...]:
+    return tuple(
+        BoxLoad(box, requests) for box, requests in loads.items() if requests
+    )
+
+
+def _decode_loads(loads: tuple[BoxLoad, ...]) -> dict[BoxId, int]:
+    return {load.box: load.requests for load in loads}
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -267,7 +267,11 @@
         memory = self._memories.get(service)
         if memory is None:
             first = self.lease.state.epoch * EPOCHS_A_TERM + 1
-            memory = FormingMemory(next_epoch=first, first_epoch=first)
+            memory = FormingMemory(
+                next_epoch=first,
+                first_epoch=first,
+                last_models=self._outlook.last_models,
+            )
             self._memories[service] = memory
         return memory
 
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -45,6 +45,7 @@
 from waywell.request.placement import Chooser
 from waywell.request.replica_book import ReplicaBook
 from waywell.request.resend_budget import ResendBudget, ResendLimits
+from waywell.request.shared_loads import SharedLoads
 
 if TYPE_CHECKING:
     from waywell.process.front_settings import FrontSettings
@@ -125,6 +126,7 @@
         self.metrics = Metrics()
         self.outlook = Outlook(settings.promises)
         self.book = ReplicaBook()
+        self.loads = SharedLoads()
         self.demand = DemandMeter()
         self.incarnation = Incarnation(int(self.clock.read_wall() * 1000))
         self.in_flight = 0
@@ -276,7 +278,14 @@
         self.members = MembershipTable(self._make_record(), timing.suspicion)
         self.links = PeerLinks(lambda: self.members.own)
         self.gossip = Gossip(self.members, self.links, self.clock, timing)
-        self.feed = Feed(self.links, self.gossip, self.outlook, self.clock)
+        self.feed = Feed(
+            self.links,
+            self.gossip,
+            self.outlook,
+            self.clock,
+            self.book,
+            self.loads,
+        )
         self.routes = RouteWatch(
             platform, self.outlook, self.clock, self.feed.needs_routes
         )
@@ -311,7 +320,7 @@
             ForwarderParts(
                 outlook=self.outlook,
                 wire=self._adapter.wire,
-                chooser=Chooser(NodeId(node.name), HallName(node.hall)),
+                chooser=Chooser(HallName(node.hall), self.loads, self._random),
                 book=self.book,
                 budget=self.budget,
                 clock=self.clock,
--- a/waywell/process/gossip.py
+++ b/waywell/process/gossip.py
@@ -103,7 +103,7 @@
         self._reached_at = -math.inf
         self._pending: dict[NodeId, tuple[NodeRecord, NodeId | None]] = {}
         self._watchers: list[Callable[[NodeRecord], None]] = []
-        self._kept: NodeRecord | None = None
+        self._kept: tuple[NodeRecord, ...] = ()
         links.subscribe(
             self,
             PeerLinks.Opened,
@@ -116,10 +116,10 @@
         """Call a watcher with each record that changes."""
         self._watchers.append(watcher)
 
-    def keep_stream(self, record: NodeRecord | None) -> None:
-        """Keep a stream to a node that is no neighbour, or to none."""
-        if record != self._kept:
-            self._kept = record
+    def keep_streams(self, records: tuple[NodeRecord, ...]) -> None:
+        """Keep streams to some nodes that need not be neighbours."""
+        if records != self._kept:
+            self._kept = records
             self._dial_neighbours(self._clock.read())
 
     def get_platform_age(self, now: float) -> float:
@@ -247,8 +247,7 @@
 
     def _dial_neighbours(self, now: float) -> None:
         wanted = set()
-        kept = [self._kept] if self._kept else []
-        for record in (*self.table.list_neighbours(), *kept):
+        for record in (*self.table.list_neighbours(), *self._kept):
             address = (record.host, record.peer_port)
             wanted.add(address)
             self._links.dial(*address, record.node)
--- a/waywell/process/outlook.py
+++ b/waywell/process/outlook.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from waywell.codes import Code, Refusal
-from waywell.ids import ModelName
-from waywell.version.fleet import Fleet, Replica, ReplicaKey
+from waywell.ids import BoxId, ModelName
+from waywell.version.fleet import Fleet, Replica, ReplicaKey, note_models
 from waywell.version.routes import RouteIndex, RouteTable
 
 if TYPE_CHECKING:
@@ -39,6 +39,7 @@
         self.index = RouteIndex(RouteTable(0))
         self.fleet = Fleet({})
         self.fleet_serial = 0
+        self.last_models: dict[BoxId, ModelName] = {}
         self._promises = promises
         self._confirmed_at = -math.inf
         self._boxes_at = -math.inf
@@ -71,6 +72,7 @@
         """Put a box list in force that was asked for at a moment."""
         self.fleet = fleet
         self.fleet_serial += 1
+        note_models(self.last_models, fleet)
         self._boxes_at = max(self._boxes_at, asked_at)
         self._replicas.clear()
 
--- a/waywell/request/placement.py
+++ b/waywell/request/placement.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import zlib
+from random import Random
 from typing import TYPE_CHECKING
 
 import attrs
 
-from waywell.ids import HallName, NodeId
+from waywell.ids import HallName
+from waywell.request.shared_loads import SharedLoads
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -20,33 +21,28 @@
 message and the price of the bytes, against a step that one more request slows
 by a few per cent."""
 
-SPREAD_LOAD = 0.3
-"""Requests in flight by which each node prefers replicas of its own, so that
-nodes that do not know of each other's requests meet less often."""
+COMPARED = 3
+"""Replicas that are drawn and compared for a request.  What other nodes tell
+is a third of a second old, half the length of a stream: taking the least
+loaded of all would send every node's requests to the same few."""
 
-HASH_BITS = 32
-HASH_RANGE = 1 << HASH_BITS
-"""Values of the hash that sets a node's preference."""
+OTHERS_WEIGHT = 0.8
+"""Weight of other nodes' requests beside own ones: some have ended since."""
 
 
 @attrs.frozen
 class Chooser:
-    """Chooses for one node.
-
-    Parameters
-    ----------
-    node
-        This entry box.
-    hall
-        Its data hall.
-    """
-
-    node: NodeId
-    """This entry box."""
+    """Chooses for one node."""
 
     hall: HallName
     """Its data hall."""
 
+    loads: SharedLoads
+    """What other nodes tell."""
+
+    random: Random
+    """Draws the replicas that are compared."""
+
     def choose(
         self,
         replicas: Sequence[Replica],
@@ -54,7 +50,7 @@
         book: ReplicaBook,
         now: float,
     ) -> Replica | None:
-        """Return the replica that should answer soonest.
+        """Return a replica that should answer soon.
 
         One that rests is taken only when no other is left.
 
@@ -71,20 +67,20 @@
         """
         left = [one for one in replicas if one.key not in tried]
         awake = [one for one in left if book.get(one.key).rests_until <= now]
+        fit = awake or left
+        drawn = self.random.sample(fit, min(COMPARED, len(fit)))
         return min(
-            awake or left,
+            drawn,
             key=lambda one: self._weigh(one, book),
             default=None,
         )
 
     def _weigh(self, replica: Replica, book: ReplicaBook) -> float:
         record = book.get(replica.key)
-        load = record.in_flight * max(1.0, record.slowness)
+        others = self.loads.get(replica.key.box)
+        load = record.in_flight + OTHERS_WEIGHT * others
+        load *= max(1.0, record.slowness)
         load += max(0.0, record.slowness - 1.0)
         if replica.head.hall != self.hall:
             load += OTHER_HALL_LOAD
-        return load + SPREAD_LOAD * self._prefer(replica)
-
-    def _prefer(self, replica: Replica) -> float:
-        text = f'{self.node}/{replica.key.box}/{replica.key.epoch}'
-        return zlib.crc32(text.encode()) / HASH_RANGE
+        return load
--- a/waywell/request/replica_book.py
+++ b/waywell/request/replica_book.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -9,6 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from waywell.ids import BoxId
     from waywell.version.fleet import ReplicaKey
 
 REST_SECONDS = 1.0
@@ -60,6 +62,14 @@
             self._records[key] = record
         return record
 
+    def list_loads(self) -> dict[BoxId, int]:
+        """Return this node's requests in flight by the box that has them."""
+        loads: Counter[BoxId] = Counter()
+        for key, record in self._records.items():
+            if record.in_flight:
+                loads[key.box] += record.in_flight
+        return loads
+
     def forget_others(self, keys: Iterable[ReplicaKey]) -> None:
         """Drop the idle records of replicas that are gone."""
         present = set(keys)
--- /dev/null
+++ b/waywell/request/shared_loads.py
@@ -0,0 +1,62 @@
+"""Requests in flight at replicas, as other entry boxes tell them."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+import attrs
+
+from waywell.ids import BoxId, NodeId
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+KEPT_SECONDS = 1.2
+"""For which a node's word about its requests counts: about one stream."""
+
+
+@attrs.frozen
+class _Told:
+    loads: Mapping[BoxId, int]
+    at: float
+
+
+class SharedLoads:
+    """Adds up what other nodes tell of their requests in flight."""
+
+    def __init__(self) -> None:
+        """Know of no other node."""
+        self._told: dict[NodeId, _Told] = {}
+        self._others: Counter[BoxId] = Counter()
+
+    def take(
+        self,
+        node: NodeId,
+        loads: Mapping[BoxId, int],
+        now: float,
+    ) -> None:
+        """Take in what a node tells; it replaces what it told before."""
+        self._told[node] = _Told(loads, now)
+        for name, told in tuple(self._told.items()):
+            if now - told.at > KEPT_SECONDS:
+                self._told.pop(name)
+        self._others = self.add_up(())
+
+    def add_up(self, skipped: Iterable[NodeId]) -> Counter[BoxId]:
+        """Return the requests in flight of all other nodes but some."""
+        total: Counter[BoxId] = Counter()
+        left_out = set(skipped)
+        for node, told in self._told.items():
+            if node not in left_out:
+                total.update(told.loads)
+        return total
+
+    def list_nodes(self) -> set[NodeId]:
+        """Return the nodes that told something not long ago."""
+        return set(self._told)
+
+    def get(self, box: BoxId) -> int:
+        """Return the requests of other nodes at a box."""
+        return self._others[box]
--- a/waywell/version/fleet.py
+++ b/waywell/version/fleet.py
@@ -218,6 +218,22 @@
     return ModelName(group.rpartition('.')[0])
 
 
+def note_models(last: dict[BoxId, ModelName], fleet: Fleet) -> None:
+    """Remember which model each box served last.
+
+    Its entry does not tell any more once it has left its group, but it joins
+    a group of the same model at once.  Every node remembers, so that the next
+    holder of the forming duty knows.
+    """
+    for box in fleet.boxes.values():
+        standing = box.standing
+        if standing and standing.state is not MemberState.JOINING:
+            last[box.box] = parse_group(standing.group)
+    for name in tuple(last):
+        if name not in fleet.boxes:
+            last.pop(name)
+
+
 def _serves(group: FleetGroup, size: int) -> bool:
     head = group.head
     if head is None or len(group.members) != size:
--- a/waywell/version/forming_memory.py
+++ b/waywell/version/forming_memory.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
 import attrs
 
 from waywell.ids import BoxId, GroupId, ModelName
-from waywell.version.fleet import FleetBox, MemberState, parse_group
+from waywell.version.fleet import FleetBox, MemberState
 from waywell.version.orders import BoxOrder, Close, Join, Open, Stage
 
 if TYPE_CHECKING:
@@ -109,8 +110,8 @@
     """Boxes that gave no sign of life although they are listed, with when
     they were last asked."""
 
-    last_models: dict[BoxId, ModelName] = attrs.Factory(dict)
-    """Model that each box served last."""
+    last_models: Mapping[BoxId, ModelName] = attrs.Factory(dict)
+    """Model that each box served last, kept by the node."""
 
     staging: dict[BoxId, Staging] = attrs.Factory(dict)
     """Models that boxes load beside all else."""
@@ -121,7 +122,6 @@
         self._forget_orders(fleet, now)
         self._forget_groups(present, now)
         self._forget_staging(fleet, engine, now)
-        self._note_models(fleet)
 
     def note_order(self, box: FleetBox, order: BoxOrder, now: float) -> bool:
         """Remember an order, unless one is open; answer whether so."""
@@ -198,18 +198,6 @@
             if box is None or is_late or staging.model in box.staged:
                 self.staging.pop(name)
 
-    def _note_models(self, fleet: Fleet) -> None:
-        """Remember which model each box served last.
-
-        Its entry does not tell any more once it has left its group, but it
-        joins a group of the same model at once.
-        """
-        for box in fleet.boxes.values():
-            standing = box.standing
-            if standing and standing.state is not MemberState.JOINING:
-                self.last_models[box.box] = parse_group(standing.group)
-        _keep_only(self.last_models, fleet.boxes)
-
 
 def _keep_only(known: dict[Any, Any], present: Container[Any]) -> None:
     for key in tuple(known):
