Reclaim also from groups only some of whose boxes hold the model

Cause: groups formed of an old box and a newcomer were no donors, so the larger model stayed at three groups of 0.9 load.

--- a/waywell/version/reclaim.py
+++ b/waywell/version/reclaim.py
@@ -22,7 +22,7 @@
 """Part of a model's places taken from which on it gets groups of another:
 above it, requests begin to wait for places of their group."""
 
-RECLAIM_RATIO = 1.5
+RECLAIM_RATIO = 1.25
 """How much less the giving model's places must be taken afterwards, so that
 groups do not go back and forth."""
 
@@ -78,19 +78,24 @@
             self.memory.holds(box, self.needy) for box in idle
         )
         donors: list[FleetGroup] = []
-        for group in serving:
+        for group in sorted(serving, key=self._count_given, reverse=True):
             if lacking > 0 and self._can_give(group, len(donors) + 1):
                 donors.append(group)
-                lacking -= len(group.members)
+                lacking -= self._count_given(group)
         return tuple(donors) if lacking <= 0 else ()
 
+    def _count_given(self, group: FleetGroup) -> int:
+        """Return how many boxes of a group can serve the model at once."""
+        return sum(
+            self.memory.holds(box, self.needy) for box in group.members
+        )
+
     def _can_give(self, group: FleetGroup, given: int) -> bool:
         """Answer whether a group is less needed than one of the model."""
         model = self.need.engine.find_model(parse_group(group.group))
         if model is None or model.name == self.needy.name:
             return False
-        members = group.members
-        if not all(self.memory.holds(box, self.needy) for box in members):
+        if not self._count_given(group):
             return False
         left = self.need.get_load(model, given)
         return left * RECLAIM_RATIO < self.need.get_load(self.needy)
