--- a/waywell/version/reclaim.py
+++ b/waywell/version/reclaim.py
@@ -86,9 +86,7 @@
 
     def _count_given(self, group: FleetGroup) -> int:
         """Return how many boxes of a group can serve the model at once."""
-        return sum(
-            self.memory.holds(box, self.needy) for box in group.members
-        )
+        return sum(self.memory.holds(box, self.needy) for box in group.members)
 
     def _can_give(self, group: FleetGroup, given: int) -> bool:
         """Answer whether a group is less needed than one of the model."""
