--- a/waywell/process/doubts.py
+++ b/waywell/process/doubts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import secrets
-from collections import deque
 from typing import TYPE_CHECKING
 
 from waywell.connection.peer import ReplicaDoubt
@@ -21,15 +20,12 @@
     from waywell.version.fleet import Replica
 
 REPEAT_SECONDS = 0.8
-"""Between two words about one replica by one node."""
+"""Between two words about one replica that a node says or passes on."""
 
 RECENT_SECONDS = 0.1
 """A word of another node is not believed when this one has heard something
 so recently."""
 
-MOST_KNOWN = 256
-"""Words that are remembered, so that each is passed on once."""
-
 
 class Doubts(Actor):
     """Spreads doubts along the streams between entry boxes.
@@ -59,39 +55,48 @@
         self._book = book
         self._clock = clock
         self._tell = tell
-        self._known: deque[str] = deque(maxlen=MOST_KNOWN)
         self._raised_at: dict[ReplicaKey, float] = {}
         links.subscribe(self, ReplicaDoubt)
 
     def raise_doubt(self, replica: Replica) -> None:
         """Tell the others that nothing comes from a replica."""
         now = self._clock.read()
-        key = replica.key
-        if now - self._raised_at.get(key, float('-inf')) < REPEAT_SECONDS:
+        if not self._is_news(replica.key, now):
             return
-        self._forget_old(now)
-        self._raised_at[key] = now
         word = ReplicaDoubt(
-            secrets.token_hex(4), replica.group, key.box, key.epoch
+            secrets.token_hex(4),
+            replica.group,
+            replica.key.box,
+            replica.key.epoch,
         )
-        self._known.append(word.doubt)
-        log_event('doubt_raised', group=replica.group, box=key.box)
+        log_event('doubt_raised', group=replica.group, box=replica.key.box)
         self._links.spread(word)
         self._tell(replica.group)
 
     def on_received(self, received: PeerLinks.Received) -> None:
         """Take in another node's doubt and pass it on."""
         word = received.message
-        if word.doubt in self._known:
-            return
-        self._known.append(word.doubt)
-        self._links.spread(word, received.node)
         key = ReplicaKey(word.box, word.epoch)
         now = self._clock.read()
+        if not self._is_news(key, now):
+            return
+        self._links.spread(word, received.node)
         if now - self._book.get(key).heard_at > RECENT_SECONDS:
             self._book.note_failure(key, now)
         self._tell(word.group)
 
+    def _is_news(self, key: ReplicaKey, now: float) -> bool:
+        """Answer whether no word about a replica came a moment ago.
+
+        When a group falls silent, many nodes notice at once; one of their
+        words is passed on, and the others end where they meet it.
+        """
+        self._forget_old(now)
+        if key in self._raised_at:
+            return False
+        self._raised_at[key] = now
+        return True
+
     def _forget_old(self, now: float) -> None:
         for key, raised_at in tuple(self._raised_at.items()):
             if now - raised_at > REPEAT_SECONDS:
--- a/waywell/request/replica_book.py
+++ b/waywell/request/replica_book.py
@@ -20,6 +20,9 @@
 LONGEST_REST = 8.0
 """Longest rest, in seconds; a replica that fails for longer is tried anew."""
 
+MOST_COUNTED = 8
+"""Failures in a row that are counted; the rest is at its longest before."""
+
 SMOOTHING = 0.2
 """Weight of the newest reading in a running mean."""
 
@@ -112,7 +115,7 @@
     def note_failure(self, key: ReplicaKey, now: float) -> None:
         """Let a replica rest that failed, refused or fell silent."""
         record = self.get(key)
-        record.streak += 1
+        record.streak = min(MOST_COUNTED, record.streak + 1)
         rest = min(LONGEST_REST, REST_SECONDS * 2 ** (record.streak - 1))
         record.rests_until = now + rest
 
