--- a/waywell/bench/__main__.py
+++ b/waywell/bench/__main__.py
@@ -6,6 +6,7 @@
     control,
     decisions,
     faults,
+    feed,
     memory,
     repair,
     request,
@@ -24,6 +25,7 @@
     repair.main()
     reserve.main()
     faults.main()
+    feed.main()
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/waywell/bench/feed.py
@@ -0,0 +1,140 @@
+"""What reading for others and forming groups cost, by the number of boxes.
+
+``python -m waywell.bench.feed``; the messages and the plan alone, without
+sockets: sizes in bytes, times as the least of several rounds.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from waywell.bench.figures import write_figures
+from waywell.connection.peer import BoxLoad, FeedAnswer
+from waywell.ids import (
+    BoxId,
+    DomainName,
+    Epoch,
+    HallName,
+    ModelName,
+    ServiceName,
+)
+from waywell.version.fleet import (
+    Fleet,
+    FleetBox,
+    MemberState,
+    Standing,
+    name_group,
+)
+from waywell.version.forming import FormingPlanner, FormingView
+from waywell.version.forming_memory import FormingMemory
+from waywell.version.routes import Engine, EngineModel
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+BOXES = (60, 216, 2400)
+"""Boxes: today's sites, the larger grown one, the target."""
+
+GROUP_BOXES = 4
+"""Boxes of a group."""
+
+DOMAIN_BOXES = 20
+"""Boxes of a fabric domain."""
+
+ROUNDS = 20
+"""Rounds of which the fastest counts."""
+
+MODEL = ModelName('notes-7b')
+"""The one model."""
+
+SERVICE = ServiceName('llm')
+"""The one service."""
+
+
+def make_fleet(count: int) -> Fleet:
+    """Return boxes that all stand in groups that serve."""
+    boxes = {}
+    for number in range(count):
+        rank = number % GROUP_BOXES
+        epoch = Epoch(1 + number // GROUP_BOXES)
+        state = MemberState.READY if rank else MemberState.OPEN
+        box = FleetBox(
+            BoxId(f'i-{number:010x}'),
+            SERVICE,
+            f'10.1.{number // 250}.{number % 250}',
+            8080,
+            HallName('hall-port'),
+            DomainName(f'hall-port-d{number // DOMAIN_BOXES}'),
+            places=9,
+            staged=(MODEL,),
+            standing=Standing(name_group(MODEL, epoch), epoch, rank, state),
+        )
+        boxes[box.box] = box
+    return Fleet(boxes)
+
+
+def make_answer(fleet: Fleet, is_whole: bool) -> FeedAnswer:
+    """Return what a reader answers, with loads of all heads."""
+    heads = [group.members[0] for group in fleet.groups.values()]
+    return FeedAnswer(
+        ask=1,
+        version=7,
+        routes_age=0.5,
+        run=1796215502028,
+        serial=12,
+        boxes_age=0.3,
+        is_whole=is_whole,
+        boxes=tuple(fleet.boxes.values()) if is_whole else (),
+        loads=tuple(BoxLoad(box.box, 3) for box in heads),
+    )
+
+
+def measure(work: Callable[[], object]) -> float:
+    """Return the least processor time of a piece of work, in ms."""
+    times: list[float] = []
+    while len(times) < ROUNDS:
+        began_at = time.process_time()
+        work()
+        times.append(time.process_time() - began_at)
+    return min(times) * 1000
+
+
+def measure_boxes(count: int) -> dict[str, Any]:
+    """Return the figures for a number of boxes."""
+    fleet = make_fleet(count)
+    whole, same = make_answer(fleet, True), make_answer(fleet, False)
+    raw_whole = msgspec.msgpack.encode(whole)
+    raw_same = msgspec.msgpack.encode(same)
+    engine = Engine(9, (EngineModel(MODEL, GROUP_BOXES, load_seconds=16.0),))
+    demand = {MODEL: 9.0}
+    return {
+        'boxes': count,
+        'whole_bytes': len(raw_whole),
+        'same_bytes': len(raw_same),
+        'encode_same_ms': measure(lambda: msgspec.msgpack.encode(same)),
+        'decode_same_ms': measure(
+            lambda: msgspec.msgpack.decode(raw_same, type=FeedAnswer)
+        ),
+        'decode_whole_ms': measure(
+            lambda: msgspec.msgpack.decode(raw_whole, type=FeedAnswer)
+        ),
+        'plan_ms': measure(
+            lambda: FormingPlanner(
+                FormingView(SERVICE, engine, Fleet(fleet.boxes), demand),
+                FormingMemory(),
+                1.0,
+            ).plan()
+        ),
+    }
+
+
+def main() -> None:
+    """Run the benchmark."""
+    write_figures('feed', [measure_boxes(count) for count in BOXES])
+
+
+if __name__ == '__main__':
+    main()
