Take up silent streams earlier, send again late firsts later, prefer near halls

Cause: a first event takes 170 ms of 300 on a sound replica, so the second attempt at 0.6 of the goal fired for many and was late all the same; pauses of 120 ms left too little for reading the prompt once more.

--- a/waywell/request/patience.py
+++ b/waywell/request/patience.py
@@ -16,15 +16,18 @@
 """Part of the goal after which a plain request is sent again: what is left
 covers one more answer in the usual time."""
 
-FIRST_PART = 0.6
-"""Part of the goal after which a stream without an event is sent again."""
+FIRST_PART = 1.0
+"""Part of the goal after which a stream without an event is sent again.  A
+first event takes more than half of the goal on a sound replica, so a second
+attempt can't be in time; earlier ones only load the replicas."""
 
-GAP_PART = 0.6
+GAP_PART = 0.4
 """Part of the longest pause that is in time after which a stream is taken up
-elsewhere; the rest is for reading the prompt once more."""
+elsewhere; the rest is for reading the prompt once more, some 80 ms."""
 
-LEAST_GAP = 0.1
-"""Least silence that says something, in seconds: two passes of an engine."""
+LEAST_GAP = 0.08
+"""Least silence that says something, in seconds: two passes of an engine that
+reads a prompt between them."""
 
 DEFAULT_GOAL = 0.5
 """Goal of a route that names none, in seconds."""
--- a/waywell/request/placement.py
+++ b/waywell/request/placement.py
@@ -21,10 +21,11 @@
 message and the price of the bytes, against a step that one more request slows
 by a few per cent."""
 
-COMPARED = 3
-"""Replicas that are drawn and compared for a request.  What other nodes tell
-is a third of a second old, half the length of a stream: taking the least
-loaded of all would send every node's requests to the same few."""
+COMPARED_NEAR = 3
+"""Replicas of the own data hall that are drawn and compared with one of any
+hall.  What other nodes tell is a third of a second old, half the length of a
+stream: taking the least loaded of all would send every node's requests to the
+same few."""
 
 OTHERS_WEIGHT = 0.8
 """Weight of other nodes' requests beside own ones: some have ended since."""
@@ -68,13 +69,17 @@
         left = [one for one in replicas if one.key not in tried]
         awake = [one for one in left if book.get(one.key).rests_until <= now]
         fit = awake or left
-        drawn = self.random.sample(fit, min(COMPARED, len(fit)))
+        near = [one for one in fit if one.head.hall == self.hall]
+        drawn = self._draw(near, COMPARED_NEAR) + self._draw(fit, 1)
         return min(
             drawn,
             key=lambda one: self._weigh(one, book),
             default=None,
         )
 
+    def _draw(self, replicas: list[Replica], count: int) -> list[Replica]:
+        return self.random.sample(replicas, min(count, len(replicas)))
+
     def _weigh(self, replica: Replica, book: ReplicaBook) -> float:
         record = book.get(replica.key)
         others = self.loads.get(replica.key.box)
