--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -17,8 +17,6 @@
 from waywell.version.forming_memory import FormingMemory
 from waywell.version.orders import (
     Assignment,
-    Join,
-    Leave,
     OrderResult,
     Stage,
 )
@@ -156,15 +154,8 @@
 
     def on_ordered(self, ordered: Ordered) -> None:
         """Note what came of an order."""
-        assignment = ordered.assignment
-        memory = self._get_memory(assignment.box.service)
-        order = assignment.order
-        if ordered.result in {OrderResult.MISFIT, OrderResult.OUTDATED}:
-            memory.pending.pop(assignment.box.box, None)
-            if isinstance(order, Join):
-                memory.forming.pop(order.group, None)
-        if isinstance(order, Leave):
-            self._note_left(assignment.box, order, ordered.result)
+        memory = self._get_memory(ordered.assignment.box.service)
+        memory.note_result(ordered.assignment, ordered.result)
 
     def on_doubted(self, doubted: Doubted) -> None:
         """Ask the members of a doubted group for a sign of life."""
@@ -237,20 +228,6 @@
             is_alive = await self._orders.is_alive(box)
         self.post(self.Probed(box, is_alive))
 
-    def _note_left(
-        self,
-        box: FleetBox,
-        order: Leave,
-        result: OrderResult,
-    ) -> None:
-        """Note that a head has left its group, or is gone."""
-        memory = self._get_memory(box.service)
-        known = memory.heads.get(order.group)
-        was_head = box.standing is not None and box.standing.rank == 0
-        was_head = was_head or (known is not None and known.box == box.box)
-        if was_head and result in {OrderResult.TAKEN, OrderResult.GONE}:
-            memory.settled.add(order.group)
-
     def _may_plan(self, now: float) -> bool:
         """Answer whether the box list is new enough and has settled."""
         count = len(self._outlook.fleet.boxes)
--- a/waywell/version/forming_memory.py
+++ b/waywell/version/forming_memory.py
@@ -10,7 +10,16 @@
 
 from waywell.ids import BoxId, GroupId, ModelName
 from waywell.version.fleet import FleetBox, MemberState
-from waywell.version.orders import BoxOrder, Close, Join, Open, Stage
+from waywell.version.orders import (
+    Assignment,
+    BoxOrder,
+    Close,
+    Join,
+    Leave,
+    Open,
+    OrderResult,
+    Stage,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Container
@@ -130,6 +139,20 @@
         self.pending[box.box] = (order, now)
         return True
 
+    def note_result(
+        self,
+        assignment: Assignment,
+        result: OrderResult,
+    ) -> None:
+        """Take in what came of an order."""
+        box, order = assignment.box, assignment.order
+        if result in {OrderResult.MISFIT, OrderResult.OUTDATED}:
+            self.pending.pop(box.box, None)
+            if isinstance(order, Join):
+                self.forming.pop(order.group, None)
+        if isinstance(order, Leave):
+            self._note_left(box, order, result)
+
     def list_held(self, now: float) -> set[BoxId]:
         """Return the boxes that were ordered into groups just now."""
         return {
@@ -165,6 +188,19 @@
         recent = sum(now - begun < 1 for begun in self.loads)
         return recent < max(1, engine.loads_per_second * PACE_SHARE)
 
+    def _note_left(
+        self,
+        box: FleetBox,
+        order: Leave,
+        result: OrderResult,
+    ) -> None:
+        """Note that a head has left its group, or is gone."""
+        known = self.heads.get(order.group)
+        was_head = box.standing is not None and box.standing.rank == 0
+        was_head = was_head or (known is not None and known.box == box.box)
+        if was_head and result in {OrderResult.TAKEN, OrderResult.GONE}:
+            self.settled.add(order.group)
+
     def _forget_orders(self, fleet: Fleet, now: float) -> None:
         for name, (order, sent_at) in tuple(self.pending.items()):
             box = fleet.boxes.get(name)
