--- a/tests/test_forming_machine.py
+++ b/tests/test_forming_machine.py
@@ -94,6 +94,18 @@
         self.last_models: dict[BoxId, ModelName] = {}
         self.listed = Fleet({})
         self.take_over()
+        for _round in range(3):
+            self.settle(callers=False)
+
+    @rule(callers=st.booleans())
+    def settle(self, callers: bool) -> None:
+        """All goes well for a while: groups are ready, then open."""
+        self.refresh()
+        self.plan(callers)
+        while self.flying:
+            self.carry_out(0, is_answered=True)
+        for number in range(BOXES):
+            self.finish_load(number)
         self.refresh()
 
     @rule()
