Notice when the wait for present nodes is taken out

No case had targets that check fences beside a present node that is behind; the rule for silent nodes hid the wait for the others. The new case fails without it.

--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -57,6 +57,16 @@
     assert is_released(tracker, told, 100)
 
 
+def test_a_fence_does_not_excuse_a_present_node_that_is_behind() -> None:
+    # Its requests would be refused by their targets instead of served.
+    behind = (make('a', 7, NodeState.LIVE), make('b', 6, NodeState.LIVE))
+    tracker = ReleaseTracker(TERM, DRAIN)
+    assert not is_released(tracker, behind, 100, fenced=True)
+    assert not is_released(tracker, behind, 100 + TERM * 9, fenced=True)
+    lost = (make('a', 7, NodeState.LIVE), make('b', 6, NodeState.LOST))
+    assert is_released(tracker, lost, 200 + TERM * 9, fenced=True)
+
+
 def test_waits_for_work_in_flight_up_to_the_bound() -> None:
     tracker = ReleaseTracker(TERM, DRAIN)
     told = (make('a', 7, NodeState.LIVE),)
