--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,20 +8,13 @@
 
 import pytest
 
+from tests.entry_settings import SETTINGS
 from waywell.cli import run_command
 from waywell.standins.harness import OPERATOR_KEY, Bench, hash_text
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-SETTINGS = """
-[node]
-name = "e1"
-hall = "h"
-[platform]
-url = "http://127.0.0.1:1"
-"""
-
 CONFIGURATION = f"""
 [[service]]
 name = "llm"
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,18 +6,11 @@
 
 import pytest
 
+from tests.entry_settings import SETTINGS
 from waywell.codes import Code, Ran, Refusal
 from waywell.process.entry import EntryNode
 from waywell.process.settings import check_settings
 
-SETTINGS = """
-[node]
-name = "e1"
-hall = "h"
-[platform]
-url = "http://127.0.0.1:1"
-"""
-
 
 def test_callers_that_come_early_are_told_so() -> None:
     async def ask() -> None:
