Give the search for other entry boxes a module of its own

process/front.py held the list of entry boxes in the platform and the calls to unknown ones beside the making of all parts. Presence now does that and counts the nodes that share budgets; what it does is the same.

--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -10,24 +10,22 @@
 
 import attrs
 import msgspec
-from returns.result import Failure
 
 from waywell.codes import Code, Ran
 from waywell.connection.box_orders import BoxOrders
 from waywell.connection.desk import DeskAnswer, DeskHandler
 from waywell.connection.front import FrontBackend, FrontRequest
 from waywell.connection.peer import ClaimAnswer, ClaimAsk, PeerService
-from waywell.connection.platform import Kind, Platform
+from waywell.connection.platform import Platform
 from waywell.connection.wire import Wire
 from waywell.ids import GroupId, HallName, Incarnation, NodeId
 from waywell.process.clock import SystemClock
 from waywell.process.doubts import Doubts
-from waywell.process.events import log_event, log_warning
+from waywell.process.events import log_event
 from waywell.process.feed import Feed
 from waywell.process.fleet_watch import FleetWatch
 from waywell.process.forming import FormingDuty
 from waywell.process.front_ports import FrontHandlers, FrontPorts
-from waywell.process.front_settings import Address, parse_address
 from waywell.process.gossip import Gossip, Numbers
 from waywell.process.links import PeerLinks
 from waywell.process.membership import (
@@ -37,6 +35,7 @@
 )
 from waywell.process.metrics import Metrics
 from waywell.process.outlook import Outlook
+from waywell.process.presence import Presence
 from waywell.process.route_watch import RouteWatch
 from waywell.request.claim import ClaimState
 from waywell.request.demand import DemandMeter
@@ -51,15 +50,6 @@
     from waywell.process.front_settings import FrontSettings
     from waywell.request.ask import Ask
 
-JOIN_SECONDS = 1.0
-"""Seconds between two attempts to find other entry boxes."""
-
-JOIN_DIALS = 2
-"""Entry boxes that a new one calls at each attempt."""
-
-LOOK_AGAIN_SECONDS = 5.0
-"""Seconds between two looks for entry boxes that this one does not know."""
-
 TEND_SECONDS = 0.25
 """Seconds between two looks at whether this node is ready."""
 
@@ -133,7 +123,6 @@
         self._adapter = adapter
         self._is_leaving = False
         self._is_started = False
-        self._listed_nodes = 0
         self._random = Random(self.incarnation)
         self._helpers: set[asyncio.Task[None]] = set()
         self._ports = FrontPorts(settings.node, self._make_handlers())
@@ -155,7 +144,7 @@
         for actor in self.actors:
             actor.start()
         self.gossip.repeat(self.settings.timing.beat, Gossip.Tick())
-        for work in (self._join(), self._tend()):
+        for work in (self.presence.run(), self._tend()):
             self._helpers.add(asyncio.get_running_loop().create_task(work))
         log_event(
             'listening',
@@ -188,9 +177,7 @@
         self._ports.hang_up()
         while self._ports.count_callers() and self.clock.read() < ends_at:
             await asyncio.sleep(DRAIN_LOOK_SECONDS)
-        await self._adapter.platform.delete(
-            Kind.PRESENCE, self.members.own.node
-        )
+        await self.presence.withdraw()
         self._ports.close()
         for helper in self._helpers:
             helper.cancel()
@@ -220,14 +207,6 @@
         live.sort(key=lambda record: (record.hall != hall, record.node))
         return [f'{record.host}:{record.caller_port}' for record in live]
 
-    def count_nodes(self) -> int:
-        """Return the entry boxes that share budgets, also unheard ones.
-
-        It is 0 until the platform or another entry box has told.
-        """
-        known = len(self.members.records)
-        return max(self._listed_nodes, known if known > 1 else 0)
-
     def dump(self) -> dict[str, Any]:
         """Return the state as plain values."""
         return {
@@ -278,6 +257,13 @@
         self.members = MembershipTable(self._make_record(), timing.suspicion)
         self.links = PeerLinks(lambda: self.members.own)
         self.gossip = Gossip(self.members, self.links, self.clock, timing)
+        self.presence = Presence(
+            platform,
+            self.members,
+            self.links,
+            self.settings.seeds,
+            self._random,
+        )
         self.feed = Feed(
             self.links,
             self.gossip,
@@ -325,7 +311,7 @@
                 budget=self.budget,
                 clock=self.clock,
                 draw=self._random.random,
-                count_nodes=self.count_nodes,
+                count_nodes=self.presence.count_nodes,
                 raise_doubt=self.doubts.raise_doubt,
             ),
         )
@@ -396,62 +382,6 @@
             self.book.forget_others(self.outlook.list_keys())
             await asyncio.sleep(TEND_SECONDS)
 
-    async def _join(self) -> None:
-        """Be found by others, and go on looking for those not known.
-
-        Nodes that start at one moment may meet in parts that know nothing of
-        each other; the list in the platform shows whom a part lacks.
-        """
-        is_listed = False
-        while True:
-            if not is_listed:
-                is_listed = await self._list_self()
-            strangers = await self._find_strangers()
-            count = min(JOIN_DIALS, len(strangers))
-            for address in self._random.sample(strangers, count):
-                self.links.dial(address.host, address.port)
-            is_settled = is_listed and self.links.list_peers()
-            is_done = is_settled and not strangers
-            await asyncio.sleep(
-                LOOK_AGAIN_SECONDS if is_done else JOIN_SECONDS
-            )
-
-    async def _list_self(self) -> bool:
-        """Write this node's address into the platform, once a run."""
-        own = self.members.own
-        platform = self._adapter.platform
-        read = await platform.fetch(Kind.PRESENCE, own.node)
-        if isinstance(read, Failure):
-            return False
-        stored = read.unwrap()
-        body = {'host': own.host, 'peer_port': own.peer_port}
-        if stored is not None and stored.body == body:
-            return True
-        version = stored.version if stored else 0
-        written = await platform.write(Kind.PRESENCE, own.node, body, version)
-        if isinstance(written, Failure):
-            log_warning('not_listed', fault=written.failure().value)
-            return False
-        return True
-
-    async def _find_strangers(self) -> list[Address]:
-        """Return addresses of entry boxes that are not known to be live."""
-        live = self.members.list_live()
-        known = {Address(record.host, record.peer_port) for record in live}
-        found = {parse_address(seed) for seed in self.settings.seeds}
-        if self.links.list_peers():
-            # Seeds may be old; they only help to find the first peer.
-            found.clear()
-        listed = await self._adapter.platform.fetch_all(Kind.PRESENCE, False)
-        if not isinstance(listed, Failure):
-            objects = listed.unwrap().objects
-            self._listed_nodes = max(self._listed_nodes, len(objects))
-            found.update(
-                Address(stored.body['host'], stored.body['peer_port'])
-                for stored in objects
-            )
-        return sorted(found - known, key=str)
-
 
 def _answer_no_claim(_ask: ClaimAsk) -> ClaimAnswer:
     """Answer that nothing is known: each attempt has an id of its own here."""
--- /dev/null
+++ b/waywell/process/presence.py
@@ -0,0 +1,132 @@
+"""How an entry box is found by others, and finds those it does not know."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from returns.result import Failure
+
+from waywell.connection.platform import Kind
+from waywell.process.events import log_warning
+from waywell.process.front_settings import Address, parse_address
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from waywell.connection.platform import Platform
+    from waywell.process.links import PeerLinks
+    from waywell.process.membership import MembershipTable
+
+JOIN_SECONDS = 1.0
+"""Seconds between two attempts to find other entry boxes."""
+
+JOIN_DIALS = 2
+"""Entry boxes that a new one calls at each attempt."""
+
+LOOK_AGAIN_SECONDS = 5.0
+"""Seconds between two looks for entry boxes that this one does not know."""
+
+
+class Presence:
+    """Lists this node in the platform and calls the others listed there.
+
+    Parameters
+    ----------
+    platform
+        The platform.
+    members
+        Entry boxes that this one knows.
+    links
+        Streams to other entry boxes.
+    seeds
+        Peer addresses, ``IP:PORT``, to find the first entry box by.
+    random
+        Draws the entry boxes that are called.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        members: MembershipTable,
+        links: PeerLinks,
+        seeds: Sequence[str],
+        random: Random,
+    ) -> None:
+        """Know of no other entry box."""
+        self._platform = platform
+        self._members = members
+        self._links = links
+        self._seeds = seeds
+        self._random = random
+        self._listed_nodes = 0
+
+    async def run(self) -> None:
+        """Be found by others, and go on looking for those not known.
+
+        Nodes that start at one moment may meet in parts that know nothing of
+        each other; the list in the platform shows whom a part lacks.
+        """
+        is_listed = False
+        while True:
+            if not is_listed:
+                is_listed = await self._list_self()
+            strangers = await self._find_strangers()
+            count = min(JOIN_DIALS, len(strangers))
+            for address in self._random.sample(strangers, count):
+                self._links.dial(address.host, address.port)
+            is_settled = is_listed and self._links.list_peers()
+            is_done = is_settled and not strangers
+            await asyncio.sleep(
+                LOOK_AGAIN_SECONDS if is_done else JOIN_SECONDS
+            )
+
+    async def withdraw(self) -> None:
+        """Take this node off the platform's list."""
+        await self._platform.delete(Kind.PRESENCE, self._members.own.node)
+
+    def count_nodes(self) -> int:
+        """Return the entry boxes that share budgets, also unheard ones.
+
+        It is 0 until the platform or another entry box has told.
+        """
+        known = len(self._members.records)
+        return max(self._listed_nodes, known if known > 1 else 0)
+
+    async def _list_self(self) -> bool:
+        """Write this node's address into the platform, once a run."""
+        own = self._members.own
+        read = await self._platform.fetch(Kind.PRESENCE, own.node)
+        if isinstance(read, Failure):
+            return False
+        stored = read.unwrap()
+        body = {'host': own.host, 'peer_port': own.peer_port}
+        if stored is not None and stored.body == body:
+            return True
+        version = stored.version if stored else 0
+        written = await self._platform.write(
+            Kind.PRESENCE, own.node, body, version
+        )
+        if isinstance(written, Failure):
+            log_warning('not_listed', fault=written.failure().value)
+            return False
+        return True
+
+    async def _find_strangers(self) -> list[Address]:
+        """Return addresses of entry boxes that are not known to be live."""
+        live = self._members.list_live()
+        known = {Address(record.host, record.peer_port) for record in live}
+        found = {parse_address(seed) for seed in self._seeds}
+        if self._links.list_peers():
+            # Seeds may be old; they only help to find the first peer.
+            found.clear()
+        listed = await self._platform.fetch_all(Kind.PRESENCE, False)
+        if not isinstance(listed, Failure):
+            objects = listed.unwrap().objects
+            self._listed_nodes = max(self._listed_nodes, len(objects))
+            found.update(
+                Address(stored.body['host'], stored.body['peer_port'])
+                for stored in objects
+            )
+        return sorted(found - known, key=str)
