Let the watches of routes and boxes share one loop

Both waited, read anew and logged lost and regained in the same way. The line that the platform is regained now comes before that of the routes in force, as it did for boxes.

--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -35,6 +35,7 @@
 )
 from waywell.process.metrics import Metrics
 from waywell.process.outlook import Outlook
+from waywell.process.platform_watch import WatchParts
 from waywell.process.presence import Presence
 from waywell.process.route_watch import RouteWatch
 from waywell.request.claim import ClaimState
@@ -273,11 +274,9 @@
             self.loads,
         )
         self.routes = RouteWatch(
-            platform, self.outlook, self.clock, self.feed.needs_routes
-        )
-        self.fleet = FleetWatch(
-            platform, self.outlook, self.clock, self._needs_boxes
+            self._make_watch_parts(self.feed.needs_routes)
         )
+        self.fleet = FleetWatch(self._make_watch_parts(self._needs_boxes))
         self.forming = FormingDuty(
             platform,
             self.gossip,
@@ -300,6 +299,14 @@
             self.forming,
         )
 
+    def _make_watch_parts(
+        self,
+        is_needed: Callable[[float], bool],
+    ) -> WatchParts:
+        return WatchParts(
+            self._adapter.platform, self.outlook, self.clock, is_needed
+        )
+
     def _make_forwarder(self) -> Forwarder:
         node = self.settings.node
         return Forwarder(
--- /dev/null
+++ b/waywell/process/platform_watch.py
@@ -0,0 +1,162 @@
+"""A task that keeps what one part of the platform holds the newest here."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+from returns.result import Failure
+
+from waywell.connection.platform import Kind, Platform
+from waywell.process.actor import Actor
+from waywell.process.clock import Clock
+from waywell.process.events import log_event, log_warning
+from waywell.process.outlook import Outlook
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from waywell.connection.platform import Changes, PlatformFault
+
+IDLE_SECONDS = 0.1
+"""Between two looks at whether this node has to read by itself."""
+
+FAILED_WAIT = 0.25
+"""Seconds until a failed call is made again."""
+
+
+@attrs.frozen
+class WatchParts:
+    """What a watch works with."""
+
+    platform: Platform
+    """The platform."""
+
+    outlook: Outlook
+    """Where what was read is put in force."""
+
+    clock: Clock
+    """Where the time is read."""
+
+    is_needed: Callable[[float], bool]
+    """Answers whether no other node reads for this one at a time."""
+
+
+@attrs.frozen
+class WatchScope:
+    """What a watch reads, and how often."""
+
+    part: str
+    """Name of what is read, as the log has it."""
+
+    kind: Kind
+    """Kind of the objects."""
+
+    wait: float
+    """Seconds for which a look waits when nothing changes."""
+
+    pace: float = 0.0
+    """Least seconds between two looks."""
+
+
+class PlatformWatch(Actor, abc.ABC):
+    """Reads objects of one kind, and then what changes, again and again.
+
+    Parameters
+    ----------
+    name
+        Name of the task.
+    scope
+        What is read.
+    parts
+        What it works with.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        scope: WatchScope,
+        parts: WatchParts,
+    ) -> None:
+        """Know nothing yet."""
+        super().__init__(name)
+        self._scope = scope
+        self._parts = parts
+        self._revision = 0
+        self._is_lost = False
+
+    def start(self) -> None:
+        """Begin to read."""
+        super().start()
+        self.spawn(self._watch())
+
+    def dump(self) -> dict[str, object]:
+        """Return the state as plain values."""
+        return {**super().dump(), 'revision': self._revision}
+
+    @abc.abstractmethod
+    def take(self, changes: Changes, asked_at: float, now: float) -> None:
+        """Put what was read in force.
+
+        Parameters
+        ----------
+        changes
+            All objects, or those that changed.
+        asked_at
+            When the question was sent, in seconds.
+        now
+            The present time, in seconds.
+        """
+
+    @abc.abstractmethod
+    def take_fault(self, fault: PlatformFault, now: float) -> None:
+        """Take in that a call failed."""
+
+    def forget_revision(self) -> None:
+        """Read all anew at the next look: changes may have been missed."""
+        self._revision = 0
+
+    async def _watch(self) -> None:
+        while True:
+            asked_at = self._parts.clock.read()
+            if self._parts.is_needed(asked_at):
+                await self._look(asked_at)
+            else:
+                self.forget_revision()
+                await asyncio.sleep(IDLE_SECONDS)
+
+    async def _look(self, asked_at: float) -> None:
+        """Read once, then wait until the next look is due."""
+        answer = await self._read()
+        now = self._parts.clock.read()
+        if isinstance(answer, Failure):
+            fault: PlatformFault = answer.failure()
+            self.take_fault(fault, now)
+            self._note_lost(fault)
+            await asyncio.sleep(FAILED_WAIT)
+            return
+        self._note_reached()
+        self.take(answer.unwrap(), asked_at, now)
+        await asyncio.sleep(max(0.0, asked_at + self._scope.pace - now))
+
+    async def _read(self) -> Result[Changes, PlatformFault]:
+        platform = self._parts.platform
+        kind = self._scope.kind
+        if not self._revision:
+            return await platform.fetch_all(kind)
+        return await platform.watch((kind,), self._revision, self._scope.wait)
+
+    def _note_lost(self, fault: PlatformFault) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            log_warning(
+                'platform_lost', part=self._scope.part, fault=fault.value
+            )
+
+    def _note_reached(self) -> None:
+        if self._is_lost:
+            self._is_lost = False
+            log_event('platform_regained', part=self._scope.part)
