--- a/waywell/cli.py
+++ b/waywell/cli.py
@@ -6,14 +6,17 @@
 import os
 import sys
 from http import HTTPStatus
-from pathlib import Path
 from typing import Any
 
 import fire
 
 from waywell.client import AdminClient, Answer, UnreachableError
 from waywell.codes import Code
-from waywell.version.configuration import check_configuration, read_toml
+from waywell.version.configuration import (
+    check_configuration,
+    read_text,
+    read_toml,
+)
 from waywell.version.faults import FaultsError
 
 EXIT_REFUSED = 1
@@ -165,19 +168,12 @@
     if file == STANDARD_INPUT:
         place, text = 'standard input', sys.stdin.read()
     else:
-        place, text = file, _read_text(file)
+        place, text = file, read_text(file)
     raw = read_toml(text, place)
     check_configuration(raw, place)
     return raw
 
 
-def _read_text(file: str) -> str:
-    try:
-        return Path(file).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise CommandError(EXIT_FAULTS, f'{file}: {error}') from error
-
-
 def _call(admin: str, method: str, path: str, body: Any = None) -> Answer:
     url = admin or os.environ.get(ADMIN_VARIABLE, '')
     if not url:
--- a/waywell/process/front_settings.py
+++ b/waywell/process/front_settings.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-
 import attrs
 
 from waywell.process.settings import TimingSettings
-from waywell.version.configuration import read_toml
+from waywell.version.configuration import read_text, read_toml
 from waywell.version.faults import FaultsError, structure_input
 
 MS = 0.001
@@ -193,11 +191,7 @@
     FaultsError
         With every fault found, or the reason why the file can't be read.
     """
-    try:
-        text = Path(path).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise FaultsError([f'{path}: {error}']) from error
-    return check_front_settings(text, path)
+    return check_front_settings(read_text(path), path)
 
 
 def _find_bad_addresses(settings: FrontSettings) -> list[str]:
--- a/waywell/process/settings.py
+++ b/waywell/process/settings.py
@@ -4,11 +4,10 @@
 
 import ipaddress
 import re
-from pathlib import Path
 
 import attrs
 
-from waywell.version.configuration import read_toml
+from waywell.version.configuration import read_text, read_toml
 from waywell.version.faults import FaultsError, structure_input
 
 _NAME = re.compile(r'[A-Za-z0-9._-]{1,64}')
@@ -168,11 +167,7 @@
     FaultsError
         With every fault found, or the reason why the file can't be read.
     """
-    try:
-        text = Path(path).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise FaultsError([f'{path}: {error}']) from error
-    return check_settings(text, path)
+    return check_settings(read_text(path), path)
 
 
 def _find_bad_node(node: NodeSettings) -> list[str]:
--- a/waywell/version/configuration.py
+++ b/waywell/version/configuration.py
@@ -4,6 +4,7 @@
 
 import tomllib
 from collections import Counter
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from waywell.version.faults import (
@@ -23,6 +24,20 @@
 """Hexadecimal digits of a SHA-256 hash."""
 
 
+def read_text(path: str) -> str:
+    """Read a text file.
+
+    Raises
+    ------
+    FaultsError
+        With the reason why the file can't be read.
+    """
+    try:
+        return Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise FaultsError([f'{path}: {error}']) from error
+
+
 def read_toml(text: str, place: str) -> dict[str, Any]:
     """Read TOML text.
 
