Drop settings that no code reads, and the second form of resend limits

The bounds for leaving boxes, new routes, stalled groups and heartbeats were filled by deploy/front.toml and read nowhere: a reader would think that the daemon follows them. The settings now hold ResendLimits itself, in place of a copy of its three fields.

--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -44,7 +44,7 @@
 from waywell.request.forwarder import Forwarder
 from waywell.request.placement import Chooser
 from waywell.request.replica_book import ReplicaBook
-from waywell.request.resend_budget import ResendBudget, ResendLimits
+from waywell.request.resend_budget import ResendBudget
 from waywell.request.shared_loads import SharedLoads
 
 if TYPE_CHECKING:
@@ -127,14 +127,7 @@
         self._random = Random(self.incarnation)
         self._helpers: set[asyncio.Task[None]] = set()
         self._ports = FrontPorts(settings.node, self._make_handlers())
-        self.budget = ResendBudget(
-            ResendLimits(
-                settings.resends.ratio,
-                settings.resends.slack,
-                settings.resends.window,
-            ),
-            self.clock.read(),
-        )
+        self.budget = ResendBudget(settings.resends, self.clock.read())
 
     async def start(self) -> None:
         """Listen, join the others, begin to serve."""
--- a/waywell/process/front_settings.py
+++ b/waywell/process/front_settings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from waywell.process.settings import TimingSettings
+from waywell.request.resend_budget import ResendLimits
 from waywell.version.configuration import read_text, read_toml
 from waywell.version.faults import FaultsError, structure_input
 
@@ -68,26 +69,11 @@
 
 @attrs.frozen
 class PromiseSettings:
-    """Bounds that the operators were promised.
-
-    The platform fills most of them in milliseconds; the code reads the
-    properties, which are in seconds.
-    """
+    """Bounds that the operators were promised, as far as code reads them."""
 
     keys_refused_within_ms: float = 5000.0
-    """From the word that a key is removed until every node refuses it."""
-
-    boxes_left_within_ms: float = 2000.0
-    """From the word that a box leaves until it gets nothing more."""
-
-    routes_in_force_within_ms: float = 2000.0
-    """From a new version of the routes until all nodes serve by it."""
-
-    group_stalls_for_ms: float = 6000.0
-    """For which a group that lost a member stands still before it breaks."""
-
-    heartbeat_ms: float = 1200.0
-    """Between two entries of a box in the box list."""
+    """From the word that a key is removed until every node refuses it, in the
+    platform's unit."""
 
     stop_within: float = 8.0
     """Seconds from the order to stop until the process is ended by force."""
@@ -100,30 +86,6 @@
         """Return the bound for removed keys, in seconds."""
         return self.keys_refused_within_ms * MS
 
-    @property
-    def boxes_left_within(self) -> float:
-        """Return the bound for leaving boxes, in seconds."""
-        return self.boxes_left_within_ms * MS
-
-    @property
-    def group_stalls_for(self) -> float:
-        """Return how long a group stands still, in seconds."""
-        return self.group_stalls_for_ms * MS
-
-
-@attrs.frozen
-class ResendSettings:
-    """What all entry boxes together may send a second time."""
-
-    ratio: float = 0.1
-    """Second sends for each request."""
-
-    slack: float = 10.0
-    """Second sends beyond the ratio, over the window."""
-
-    window: float = 10.0
-    """Seconds over which they are counted."""
-
 
 @attrs.frozen
 class FrontSettings:
@@ -138,7 +100,7 @@
     promises: PromiseSettings = PromiseSettings()
     """Bounds."""
 
-    resends: ResendSettings = ResendSettings()
+    resends: ResendLimits = ResendLimits()
     """Second sends."""
 
     timing: TimingSettings = TimingSettings()
--- a/waywell/request/resend_budget.py
+++ b/waywell/request/resend_budget.py
@@ -26,7 +26,7 @@
     """Second sends for each request."""
 
     slack: float = 10.0
-    """Second sends beyond the ratio."""
+    """Second sends beyond the ratio, over the window."""
 
     window: float = 10.0
     """Seconds over which both are counted."""
