Drop the counts of tokens that no choice reads

The record of a replica summed up the tokens of its requests; the choice goes by requests in flight. The calls in tests/test_placement.py lose the argument.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -28,10 +28,10 @@
     book = ReplicaBook()
     for loaded, free in ((A, B), (B, A)):
         for _request in range(3):
-            book.note_start(loaded.key, 100)
+            book.note_start(loaded.key)
         assert CHOOSER.choose([A, B], NONE, book, 1.0) is free
         for _request in range(3):
-            book.note_end(loaded.key, 100)
+            book.note_end(loaded.key)
 
 
 def test_one_that_was_tried_is_not_chosen_again() -> None:
@@ -43,7 +43,7 @@
 def test_one_that_fell_silent_rests_and_comes_back_when_heard() -> None:
     book = ReplicaBook()
     book.note_failure(A.key, 1.0)
-    book.note_start(B.key, 100)
+    book.note_start(B.key)
     assert CHOOSER.choose([A, B], NONE, book, 1.1) is B
     book.note_heard(A.key, 1.2)
     assert CHOOSER.choose([A, B], NONE, book, 1.2) is A
@@ -95,7 +95,7 @@
 def test_records_of_replicas_that_are_gone_are_dropped() -> None:
     book = ReplicaBook()
     book.note_failure(A.key, 1.0)
-    book.note_start(B.key, 10)
+    book.note_start(B.key)
     book.forget_others([])
     assert book.get(A.key).rests_until == 0
     assert book.get(B.key).in_flight == 1
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -57,7 +57,7 @@
         if not record.in_flight:
             # Silence is counted from when it has work.
             record.heard_at = now
-        self._parts.book.note_start(replica.key, errand.tokens)
+        self._parts.book.note_start(replica.key)
         attempt.start(
             self._make_outgoing(replica, now),
             self._parts.wire,
@@ -78,7 +78,7 @@
         if attempt in self.running:
             self.running.remove(attempt)
             attempt.stop()
-            self._parts.book.note_end(attempt.replica.key, self._errand.tokens)
+            self._parts.book.note_end(attempt.replica.key)
 
     def drop_others(self, attempt: Attempt) -> None:
         """Break all off but one."""
--- a/waywell/request/errand.py
+++ b/waywell/request/errand.py
@@ -124,8 +124,3 @@
     def may_have_run(self) -> bool:
         """Return whether a replica may have run it."""
         return self.sends > self.rejections
-
-    @property
-    def tokens(self) -> int:
-        """Return the tokens to be read and written."""
-        return self.ask.prompt_tokens + self.ask.answer_tokens
--- a/waywell/request/replica_book.py
+++ b/waywell/request/replica_book.py
@@ -31,9 +31,6 @@
     in_flight: int = 0
     """Requests of this node."""
 
-    tokens: int = 0
-    """Tokens of these requests, to be read and written."""
-
     heard_at: float = 0.0
     """When it last sent something, in seconds."""
 
@@ -48,7 +45,7 @@
 
 
 class ReplicaBook:
-    """Keeps a record a replica."""
+    """Keeps one record for each replica."""
 
     def __init__(self) -> None:
         """Start without records."""
@@ -77,17 +74,13 @@
             if key not in present and not record.in_flight:
                 self._records.pop(key)
 
-    def note_start(self, key: ReplicaKey, tokens: int) -> None:
+    def note_start(self, key: ReplicaKey) -> None:
         """Count a request in."""
-        record = self.get(key)
-        record.in_flight += 1
-        record.tokens += tokens
+        self.get(key).in_flight += 1
 
-    def note_end(self, key: ReplicaKey, tokens: int) -> None:
+    def note_end(self, key: ReplicaKey) -> None:
         """Count a request out."""
-        record = self.get(key)
-        record.in_flight -= 1
-        record.tokens -= tokens
+        self.get(key).in_flight -= 1
 
     def note_heard(self, key: ReplicaKey, now: float) -> None:
         """Note that something came."""
