Let few nodes call one that is lost or unknown

Each of 90 nodes called every node that it held for lost or unknown each second, and each call exchanges all records; the small boxes called so, the seeds first, missed their beats and were lost again. Eight callers are expected now however many know. Ruled out: the reader's streams (the lost nodes were seeds, not readers).

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import msgspec
+import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from waywell.ids import HallName, Incarnation, NodeId
 from waywell.process.membership import (
+    CALLERS,
     MembershipTable,
     NodeRecord,
     NodeState,
+    may_call,
     rank_contenders,
 )
 
@@ -154,3 +157,10 @@
 
 
 TestMembershipMachine = MembershipMachine.TestCase
+
+
+@pytest.mark.parametrize('live', [1, 5, 90, 350])
+def test_a_lost_node_is_called_by_few_however_many_know(live: int) -> None:
+    draws = [(number + 0.5) / live for number in range(live)]
+    callers = sum(may_call(live, draw) for draw in draws)
+    assert callers == min(live, CALLERS)
--- a/waywell/process/gossip.py
+++ b/waywell/process/gossip.py
@@ -17,6 +17,7 @@
     MembershipTable,
     NodeRecord,
     NodeState,
+    may_call,
 )
 
 if TYPE_CHECKING:
@@ -257,7 +258,10 @@
     def _dial_lost(self) -> None:
         lost = self.table.list_lost()
         count = min(MOST_REJOINS, len(lost))
+        live = self.table.count_live()
         for record in self._random.sample(lost, count):
+            if not may_call(live, self._random.random()):
+                continue
             self._links.dial(record.host, record.peer_port, record.node)
 
     def _merge(
--- a/waywell/process/membership.py
+++ b/waywell/process/membership.py
@@ -24,6 +24,9 @@
 RINGS = 3
 """Rings on which a node has a next neighbour."""
 
+CALLERS = 8
+"""Nodes that are expected to call one that is lost or unknown at each look."""
+
 FORGET_SECONDS = 7200.0
 """Seconds after which a lost node is forgotten; longer than regions part."""
 
@@ -292,6 +295,22 @@
     return zlib.crc32(text.encode())
 
 
+def may_call(live: int, draw: float) -> bool:
+    """Answer whether this node is one of the few that call another now.
+
+    All nodes know of a lost or unknown node at one moment; if each called it,
+    the calls alone would keep a small box from answering.
+
+    Parameters
+    ----------
+    live
+        Entry boxes that are live.
+    draw
+        A number from 0 up to 1, drawn anew for each call.
+    """
+    return draw * live < CALLERS
+
+
 def rank_contenders(
     records: Iterable[NodeRecord],
     duty: str,
--- a/waywell/process/presence.py
+++ b/waywell/process/presence.py
@@ -10,6 +10,7 @@
 from waywell.connection.platform import Kind
 from waywell.process.events import log_warning
 from waywell.process.front_settings import Address, parse_address
+from waywell.process.membership import may_call
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -25,6 +26,9 @@
 JOIN_DIALS = 2
 """Entry boxes that a new one calls at each attempt."""
 
+FIRST_LOOKS = 8
+"""Looks in quick order after the start, while all others may start as well."""
+
 LOOK_AGAIN_SECONDS = 5.0
 """Seconds between two looks for entry boxes that this one does not know."""
 
@@ -69,17 +73,15 @@
         each other; the list in the platform shows whom a part lacks.
         """
         is_listed = False
+        looks = 0
         while True:
+            looks += 1
             if not is_listed:
                 is_listed = await self._list_self()
-            strangers = await self._find_strangers()
-            count = min(JOIN_DIALS, len(strangers))
-            for address in self._random.sample(strangers, count):
-                self._links.dial(address.host, address.port)
-            is_settled = is_listed and self._links.list_peers()
-            is_done = is_settled and not strangers
+            self._call(await self._find_strangers())
+            is_settled = is_listed and looks > FIRST_LOOKS
             await asyncio.sleep(
-                LOOK_AGAIN_SECONDS if is_done else JOIN_SECONDS
+                LOOK_AGAIN_SECONDS if is_settled else JOIN_SECONDS
             )
 
     async def withdraw(self) -> None:
@@ -94,6 +96,14 @@
         known = len(self._members.records)
         return max(self._listed_nodes, known if known > 1 else 0)
 
+    def _call(self, strangers: list[Address]) -> None:
+        """Call some of the entry boxes that are not known."""
+        count = min(JOIN_DIALS, len(strangers))
+        live = self._members.count_live() if self._links.list_peers() else 1
+        for address in self._random.sample(strangers, count):
+            if may_call(live, self._random.random()):
+                self._links.dial(address.host, address.port)
+
     async def _list_self(self) -> bool:
         """Write this node's address into the platform, once a run."""
         own = self._members.own
@@ -114,9 +124,15 @@
         return True
 
     async def _find_strangers(self) -> list[Address]:
-        """Return addresses of entry boxes that are not known to be live."""
-        live = self._members.list_live()
-        known = {Address(record.host, record.peer_port) for record in live}
+        """Return addresses of entry boxes that are not known at all.
+
+        Those that are known and lost are called by the task that keeps the
+        membership view.
+        """
+        known = {
+            Address(record.host, record.peer_port)
+            for record in self._members.records
+        }
         found = {parse_address(seed) for seed in self._seeds}
         if self._links.list_peers():
             # Seeds may be old; they only help to find the first peer.
