--- a/waywell/connection/exchange.py
+++ b/waywell/connection/exchange.py
@@ -27,14 +27,13 @@
 from waywell.connection.bodies import BytesBody
 from waywell.connection.deferreds import await_deferred
 from waywell.connection.http_target import HOP_HEADERS
+from waywell.connection.wire import RawHeaders
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from twisted.python.failure import Failure as TwistedFailure
 
-    from waywell.connection.wire import RawHeaders
-
 
 class SendFault(enum.Enum):
     """Why a request brought no answer."""
@@ -64,7 +63,7 @@
     target: str
     """Path and query."""
 
-    headers: tuple[tuple[bytes, bytes], ...]
+    headers: RawHeaders
     """Headers, the host among them."""
 
     body: bytes = b''
--- a/waywell/process/outlook.py
+++ b/waywell/process/outlook.py
@@ -102,8 +102,7 @@
         """
         if not self.has_routes:
             raise Refusal(Code.NODE_STARTING, retry_after=ROUTES_BACK_SECONDS)
-        if not self.are_keys_fresh(now):
-            raise Refusal(Code.ROUTES_STALE, retry_after=ROUTES_BACK_SECONDS)
+        self.check_keys(now)
 
     def check_keys(self, now: float) -> None:
         """Refuse when a key may have been removed unnoticed.
--- a/waywell/request/ask.py
+++ b/waywell/request/ask.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from waywell.connection.wire import RawHeaders
 from waywell.ids import AccountName, ModelName
 
 
@@ -22,7 +23,7 @@
     host: str
     """Host that it asks for."""
 
-    headers: tuple[tuple[bytes, bytes], ...]
+    headers: RawHeaders
     """Headers that go on to the replica."""
 
     body: bytes
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -15,6 +15,7 @@
     SendFault,
     open_exchange,
 )
+from waywell.connection.wire import RawHeaders
 from waywell.request.ask import AnswerMark
 from waywell.request.stream_events import EventCutter, StreamEvent
 
@@ -93,7 +94,7 @@
         status: int
         """HTTP status."""
 
-        headers: tuple[tuple[bytes, bytes], ...]
+        headers: RawHeaders
         """Headers to pass on."""
 
         mark: AnswerMark
@@ -264,7 +265,7 @@
         self._gathered.clear()
 
 
-def is_stream(headers: tuple[tuple[bytes, bytes], ...]) -> bool:
+def _is_stream(headers: RawHeaders) -> bool:
     """Answer whether an answer is a stream of events."""
     return any(
         name.lower() == b'content-type' and text.startswith(STREAM_TYPE)
@@ -277,5 +278,5 @@
     exchange: Exchange,
     inbox: Inbox,
 ) -> _BodyReader:
-    maker = _EventReader if is_stream(exchange.headers) else _PlainReader
+    maker = _EventReader if _is_stream(exchange.headers) else _PlainReader
     return maker(attempt, exchange, inbox)
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -163,9 +163,11 @@
     def _take_silence(self) -> None:
         """Try elsewhere when the one attempt has been silent for too long."""
         now = self._parts.clock.read()
-        if self._attempts.can_hedge():
-            if now >= self._attempts.get_hedge_at():
-                self._attempts.hedge(now)
+        is_due = (
+            self._attempts.can_hedge() and now >= self._attempts.get_hedge_at()
+        )
+        if is_due:
+            self._attempts.hedge(now)
 
     def _take_rejection(self, head: Attempt.Head, now: float) -> None:
         """Go on after a replica that says that it ran nothing."""
