--- a/waywell/platform/adapter.py
+++ b/waywell/platform/adapter.py
@@ -11,7 +11,7 @@
 from waywell.platform.messages import ServerWire
 from waywell.platform.orders import ServerOrders
 from waywell.platform.store import ObjectStore
-from waywell.process.front import FrontAdapter
+from waywell.process.front_adapter import FrontAdapter
 
 if TYPE_CHECKING:
     from waywell.process.front_settings import FrontSettings
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -3,21 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
 from http import HTTPStatus
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-import attrs
 import msgspec
 
 from waywell.codes import Code, Ran
-from waywell.connection.box_orders import BoxOrders
-from waywell.connection.desk import DeskAnswer, DeskHandler
+from waywell.connection.desk import DeskAnswer
 from waywell.connection.front import FrontBackend, FrontRequest
 from waywell.connection.peer import ClaimAnswer, ClaimAsk, PeerService
-from waywell.connection.platform import Platform
-from waywell.connection.wire import Wire
 from waywell.ids import GroupId, HallName, Incarnation, NodeId
 from waywell.process.clock import SystemClock
 from waywell.process.doubts import Doubts
@@ -48,6 +43,9 @@
 from waywell.request.shared_loads import SharedLoads
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from waywell.process.front_adapter import FrontAdapter
     from waywell.process.front_settings import FrontSettings
     from waywell.request.ask import Ask
 
@@ -66,38 +64,6 @@
 DRAIN_LOOK_SECONDS = 0.05
 """Seconds between two looks at the work in flight while stopping."""
 
-Handlers = Mapping[str, DeskHandler]
-"""Handlers of small calls, by path."""
-
-ListAddresses = Callable[[str], Sequence[str]]
-"""Returns the addresses of entry boxes, those of a data hall first."""
-
-ReadyMaker = Callable[[Callable[[], bool]], Handlers]
-"""Makes handlers of what answers whether the node is ready."""
-
-DirectoryMaker = Callable[[ListAddresses, float], Handlers]
-"""Makes handlers of a list of addresses and the seconds it may be kept."""
-
-
-@attrs.frozen
-class FrontAdapter:
-    """What speaks the platform's language for the daemon."""
-
-    platform: Platform
-    """The platform's store."""
-
-    wire: Wire
-    """Requests and answers."""
-
-    orders: BoxOrders
-    """Orders to boxes."""
-
-    make_ready: ReadyMaker
-    """Makes the handlers that answer whether the node is ready."""
-
-    make_directory: DirectoryMaker
-    """Makes the handlers that answer which entry boxes there are."""
-
 
 class FrontNode:
     """One entry box on the platform.
