--- a/tests/front_bench.py
+++ b/tests/front_bench.py
@@ -1,4 +1,4 @@
-"""A front daemon with a store and servers, for tests of processes."""
+"""Front daemons with a store and servers, for tests of processes."""
 
 from __future__ import annotations
 
@@ -16,12 +16,23 @@
     b'id: %d\ndata: t%d\n\n' % (number, number)
     for number in range(1, EVENTS + 1)
 )
+"""A whole stream."""
+
+CALL_SECONDS = 20
+"""For a call to be answered, in seconds; only a hang takes so long."""
 
 
 class Front:
-    """A front daemon with a store and servers."""
+    """Front daemons with a store and servers.
+
+    Parameters
+    ----------
+    folder
+        Folder for settings and logs.
+    """
 
     def __init__(self, folder: Path) -> None:
+        """Start the store."""
         self.folder = folder
         self.store = Store()
         self.servers: dict[str, Server] = {}
@@ -30,6 +41,7 @@
         self._attempts = 0
 
     def add_servers(self) -> None:
+        """Start four engines and two plain servers, and write the routes."""
         for name in ('m1', 'm2', 'm3', 'm4'):
             self.servers[name] = Server(self.store, name, 'llm')
         for name in ('a1', 'a2'):
@@ -37,6 +49,7 @@
         self.store.put('config', 'main', make_manifest())
 
     def start(self, name: str = 'front-1', **promises: float) -> Process:
+        """Start a front daemon, with other promises where they are given."""
         lines = [
             '[node]',
             f'name = "{name}"',
@@ -64,6 +77,7 @@
         return process
 
     def wait_serving(self, process: Process, groups: int = 2) -> None:
+        """Wait until a node is ready and sees so many groups serve."""
         wait_until(lambda: self.is_ready(process), 'readiness')
         wait_until(
             lambda: self.read_serving(process) == groups,
@@ -77,16 +91,14 @@
         return int(found)
 
     def is_ready(self, process: Process) -> bool:
+        """Answer whether a node says that it is ready."""
         status, _body = self.get(process, 'ready_port', '/api/ready')
         return status == 200
 
     def get(self, process: Process, port: str, path: str) -> tuple[int, bytes]:
-        line = http.client.HTTPConnection('127.0.0.1', process.ports[port], 20)
-        line.request('GET', path)
-        answer = line.getresponse()
-        found = answer.status, answer.read()
-        line.close()
-        return found
+        """Return status and body of a call at one of the ports."""
+        body, answer = self._call(process, port, 'GET', path)
+        return answer.status, body
 
     def ask(
         self,
@@ -96,6 +108,7 @@
         key: str = KEY,
         **headers: str,
     ) -> tuple[int, bytes, http.client.HTTPResponse]:
+        """Send a request as a caller; return status, body and head."""
         self._attempts += 1
         sent = {
             'Host': HOST,
@@ -107,18 +120,17 @@
         if model:
             sent['X-Model'] = model
             sent['X-Token-Count'] = '100,30'
-        port = process.ports['caller_port']
-        line = http.client.HTTPConnection('127.0.0.1', port, 20)
-        line.request('POST', path, b'{"a": 1}', sent)
-        answer = line.getresponse()
-        body = answer.read()
-        line.close()
+        body, answer = self._call(
+            process, 'caller_port', 'POST', path, b'{"a": 1}', sent
+        )
         return answer.status, body, answer
 
     def list_runs(self, *names: str) -> list[dict[str, str]]:
+        """Return the headers of the requests that some servers ran."""
         return [run for name in names for run in self.servers[name].runs]
 
     def list_heads(self) -> list[Server]:
+        """Return the heads of the groups that are open."""
         return [
             server
             for server in self.servers.values()
@@ -126,6 +138,7 @@
         ]
 
     def close(self) -> None:
+        """End the daemons, the servers and the store."""
         for process in self.processes:
             if process.is_running():
                 process.kill()
@@ -133,3 +146,21 @@
             server.goes_on.set()
             server.close()
         self.store.close()
+
+    def _call(
+        self,
+        process: Process,
+        port: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[bytes, http.client.HTTPResponse]:
+        line = http.client.HTTPConnection(
+            '127.0.0.1', process.ports[port], CALL_SECONDS
+        )
+        line.request(method, path, body, headers or {})
+        answer = line.getresponse()
+        raw = answer.read()
+        line.close()
+        return raw, answer
--- a/tests/house.py
+++ b/tests/house.py
@@ -11,7 +11,11 @@
 from urllib.parse import parse_qs, urlsplit
 
 HOST = 'shop.example'
+"""Host that the routes are for."""
+
 KEY = 'key-of-shop'
+"""Key of the one client account."""
+
 EVENTS = 6
 """Events of a whole stream."""
 
@@ -61,7 +65,6 @@
     def __init__(self) -> None:
         """Listen."""
         self.is_down = False
-        self.calls = 0
         self.servers: dict[str, Server] = {}
         self.broken: list[str] = []
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
@@ -171,7 +174,6 @@
                 self.answer(*store._write(kind, body, creates))
 
             def _is_cut(self) -> bool:
-                store.calls += 1
                 if store.is_down:
                     self.hang_up()
                 return store.is_down
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -35,6 +35,16 @@
 PAUSES = (0.1, 0.8)
 """Least and most seconds between two faults; faults overlap."""
 
+HEALED_AFTER = (0.2, 2.5)
+"""Least and most seconds until a fault is healed."""
+
+VERSIONS_WITH_KEY = 4
+"""Versions of the routes that surely hold the key: it is removed after some
+changes only, so that it is in use before."""
+
+REST_SECONDS = 0.02
+"""Seconds that a caller waits after a request that failed."""
+
 KINDS = {
     '/notes/1': ('small', WHOLE),
     '/match/1': ('', b'the whole answer'),
@@ -49,7 +59,7 @@
     Parameters
     ----------
     seed
-        Seed of the faults.
+        Seed of the faults; what callers ask is drawn without it.
     folder
         Folder for settings and logs.
     """
@@ -111,7 +121,9 @@
         while time.monotonic() < ends_at:
             heal = self.random.choice(faults)()
             if heal is not None:
-                timer = threading.Timer(self.random.uniform(0.2, 2.5), heal)
+                timer = threading.Timer(
+                    self.random.uniform(*HEALED_AFTER), heal
+                )
                 timer.start()
                 healing.append(timer)
             time.sleep(self.random.uniform(*PAUSES))
@@ -174,7 +186,7 @@
         )
 
     def _remove_key(self) -> None:
-        if self._version > 4:
+        if self._version > VERSIONS_WITH_KEY:
             self._removed_at = min(self._removed_at, time.monotonic())
             self._change_routes()
 
@@ -212,7 +224,7 @@
                 self._call(process, path, attempt, key)
             except (OSError, http.client.HTTPException, RuntimeError):
                 self.ends['cut'] += 1
-                time.sleep(0.02)
+                time.sleep(REST_SECONDS)
 
     def _call(
         self,
@@ -231,7 +243,7 @@
         if answer.getheader('waywell-ran') == 'not_run':
             self._not_run.add(attempt)
         if status != 200:
-            time.sleep(0.02)
+            time.sleep(REST_SECONDS)
 
     def _check(self) -> None:
         """Hold what servers ran against what callers were told."""
