--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -30,7 +30,6 @@
     from waywell.connection.platform import Platform
     from waywell.ids import ModelName, ServiceName
     from waywell.process.clock import Clock
-    from waywell.process.front_settings import FrontSettings
     from waywell.process.gossip import Gossip
     from waywell.process.outlook import Outlook
 
@@ -70,8 +69,8 @@
         Routes and boxes in force.
     orders
         Calls to boxes.
-    settings
-        Periods and bounds.
+    term
+        Term of the lease, in seconds.
     read_demand
         Returns the places that callers take, by model.
     """
@@ -110,13 +109,11 @@
         clock: Clock,
         outlook: Outlook,
         orders: BoxOrders,
-        settings: FrontSettings,
+        term: float,
         read_demand: Callable[[float], Mapping[ModelName, float]],
     ) -> None:
         """Start without the lease."""
-        super().__init__(
-            'forming', platform, gossip, clock, settings.timing.lease
-        )
+        super().__init__('forming', platform, gossip, clock, term)
         self._outlook = outlook
         self._orders = orders
         self._read_demand = read_demand
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -242,7 +242,7 @@
             self.clock,
             self.outlook,
             self._adapter.orders,
-            self.settings,
+            timing.lease,
             self._read_demand,
         )
         self.doubts = Doubts(
