Ignore words of an attempt that was dropped

A head or fault that lay in the queue when its attempt was dropped was still taken in: its replica rested longer, and a further attempt could be started. The new case of tests/test_forwarder.py fails without the check.

--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -78,6 +78,7 @@
 
     def __init__(self, kind: RouteKind = RouteKind.STREAM) -> None:
         self.clock = _FixedClock()
+        self.book = ReplicaBook()
         self.attempts: list[Attempt] = []
         self.answer = _Answer()
         self.refusal: Refusal | None = None
@@ -116,7 +117,7 @@
                 outlook=outlook,
                 wire=_Wire(),
                 chooser=Chooser(HallName('port'), SharedLoads(), Random(1)),
-                book=ReplicaBook(),
+                book=self.book,
                 budget=ResendBudget(ResendLimits(0.2, 90.0, 10.0), 0.0),
                 clock=self.clock,
                 draw=lambda: 0.0,
@@ -258,6 +259,26 @@
     assert stage.answer.end == 'cut'
 
 
+def test_a_word_of_a_dropped_attempt_changes_nothing(stage: Stage) -> None:
+    async def play() -> None:
+        await stage.begin()
+        (first,) = stage.attempts
+        # Both wait in the queue when the first of them drops the attempt.
+        first.tell(Attempt.Fault(first, SendFault.NOT_SENT))
+        first.tell(Attempt.Fault(first, SendFault.BROKEN))
+        await stage.settle()
+        second = stage.attempts[-1]
+        await stage.head(second)
+        await stage.events(second, 1, 2)
+        await stage.end(second)
+
+    asyncio.run(play())
+    assert len(stage.attempts) == 2
+    assert list_numbers(stage.answer.body) == [1, 2]
+    assert stage.answer.end == 'whole'
+    assert stage.book.get(stage.attempts[0].replica.key).streak == 1
+
+
 def test_no_more_replicas_are_tried_than_the_route_allows(
     stage: Stage,
 ) -> None:
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -85,6 +85,8 @@
     def on_head(self, head: Attempt.Head) -> None:
         """Accept an answer's head, or try elsewhere."""
         attempt = head.attempt
+        if attempt not in self._attempts.running:
+            return
         now = self._parts.clock.read()
         if head.mark.attempt != self._errand.ask.attempt:
             self._fail(attempt, now, 'foreign_answer')
@@ -118,6 +120,8 @@
     def on_fault(self, fault: Attempt.Fault) -> None:
         """Go on after an attempt that brought no answer."""
         attempt = fault.attempt
+        if attempt not in self._attempts.running:
+            return
         now = self._parts.clock.read()
         if fault.fault is SendFault.BROKEN:
             self._fail(attempt, now, fault.fault.value)
