Ask at the end of a soak with a key that is in force; keep the seed

Seed 104 waited in vain: no change of routes had come in its run, so the key of the last check was never in force (code 1006, version 1 in its logs).

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -193,6 +193,8 @@
     def _heal(self) -> None:
         """Wait until the system serves as at the start."""
         self.front.store.is_down = False
+        # The first version does not know the key that is asked with.
+        self._change_routes()
         for server in self.front.servers.values():
             server.script.clear()
         for name, process in tuple(self.fronts.items()):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,9 @@
 SECONDS = 6.0
 """Length of the faults; the verdict does not depend on it."""
 
-FAILED_SEEDS: dict[int, str] = {}
+FAILED_SEEDS: dict[int, str] = {
+    104: 'asked at the end with a key that no version of the run held',
+}
 """Seeds that failed once, each with a line on the cause."""
 
 
