Let a run begun by a clock set back count as live again

Cause: a run's incarnation is the calendar's millisecond of its start. Where the time of day stepped back between two starts the later run ranks lower, its record is ignored, and it stays lost at all others and off the entry list. Ruled out: the steady clock as incarnation; it starts anew with the machine. Change: a node that meets the record of its own earlier run, at its own address, goes above it; the home of claims follows. Test: test_run_that_began_by_a_clock_set_back_is_live_at_others, seen to fail before.

--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -35,6 +35,21 @@
         assert read_issued(RequestId(name)) is None
 
 
+def test_home_that_took_another_incarnation_gives_out_its_ids() -> None:
+    table = ClaimTable(HOME, Incarnation(7))
+    table.take_incarnation(Incarnation(9))
+    states = {
+        incarnation: table.claim(
+            make_key(f'{issue_prefix(HOME, Incarnation(incarnation), 1)}x'),
+            HOME,
+            9,
+            1.0,
+        )
+        for incarnation in (7, 9)
+    }
+    assert states == {7: ClaimState.EXPIRED, 9: ClaimState.GRANTED}
+
+
 def test_id_of_the_future_or_the_past_is_not_good() -> None:
     table = ClaimTable(HOME, Incarnation(7))
     for second, now in ((100, 50.0), (0, CLAIM_SECONDS + 1)):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -64,6 +64,26 @@
     assert table.find(NodeId('b')).incarnation == 2
 
 
+def test_run_that_began_by_a_clock_set_back_is_live_at_others() -> None:
+    table = make_table('a')
+    table.merge(make_record('b', 9000), 0)
+    table.suspect(NodeId('b'), 0)
+    table.tick(10)
+    restarted = make_table('b', 5000)
+    answer = restarted.merge(table.find(NodeId('b')), 11)
+    assert answer is not None
+    assert table.merge(answer, 12) == answer
+    assert [record.node for record in table.list_live()] == ['a', 'b']
+    assert restarted.own.incarnation == 9001
+
+
+def test_run_of_another_box_with_the_same_name_is_not_outdone() -> None:
+    other = msgspec.structs.replace(make_record('b', 9000), host='127.0.0.2')
+    table = make_table('b', 5000)
+    assert table.merge(other, 0) is None
+    assert table.own.incarnation == 5000
+
+
 def test_leaving_node_stays_off_the_list_when_suspected() -> None:
     table = make_table('a')
     leaving = msgspec.structs.replace(
--- a/waywell/process/claims.py
+++ b/waywell/process/claims.py
@@ -94,9 +94,11 @@
 
     def note_node(self, record: NodeRecord) -> None:
         """Take in a change of the membership."""
-        if record.state is NodeState.LOST:
+        if record.node == self._members.own_name:
+            self.table.take_incarnation(record.incarnation)
+        elif record.state is NodeState.LOST:
             self.table.lose_holder(record.node, record.incarnation)
-        elif record.node != self._members.own_name:
+        else:
             self.table.lose_holder(record.node, record.incarnation - 1)
 
     async def claim(self, key: ClaimKey) -> ClaimState | None:
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -180,7 +180,7 @@
         )
         prefix = issue_prefix(
             self.own.node,
-            self.incarnation,
+            self.own.incarnation,
             self.clock.read(),
         )
         return {
--- a/waywell/process/membership.py
+++ b/waywell/process/membership.py
@@ -257,9 +257,20 @@
 
     def _answer(self, record: NodeRecord) -> NodeRecord | None:
         own = self.own
-        if record.incarnation != own.incarnation or record.rank <= own.rank:
+        if record.rank <= own.rank:
             return None
-        self._store(msgspec.structs.replace(own, stamp=record.stamp))
+        incarnation = own.incarnation
+        if record.incarnation > incarnation:
+            if record.host != own.host:
+                # Another box with this name, not an earlier run of this one.
+                return None
+            # The earlier run began by a clock that was ahead of today's.
+            incarnation = Incarnation(record.incarnation + 1)
+        self._store(
+            msgspec.structs.replace(
+                own, incarnation=incarnation, stamp=record.stamp
+            ),
+        )
         return self.change_own()
 
     def _store(self, record: NodeRecord) -> None:
--- a/waywell/request/claim.py
+++ b/waywell/request/claim.py
@@ -161,6 +161,16 @@
         )
         return ClaimState.GRANTED
 
+    def take_incarnation(self, incarnation: Incarnation) -> None:
+        """Give out ids of another incarnation; those of before have expired.
+
+        Parameters
+        ----------
+        incarnation
+            The home's, after it met the record of a run with a higher one.
+        """
+        self._incarnation = incarnation
+
     def settle(self, key: ClaimKey, state: ClaimState) -> None:
         """Keep how the run of a claimed request ended."""
         claim = self._claims.get(key)
