Look at the platform as often as the deployment's bounds ask for

A node read routes itself 2.4 s after its reader was cut off, later than the 2 s within which a configuration must be in force there.

--- a/waywell/platform/desk.py
+++ b/waywell/platform/desk.py
@@ -20,6 +20,10 @@
 """Asked by clients, for the addresses to connect to."""
 
 
+MOST_ADDRESSES = 64
+"""Addresses of one answer that clients take notice of."""
+
+
 def make_ready_handlers(
     is_ready: Callable[[], bool],
 ) -> Mapping[str, DeskHandler]:
@@ -53,5 +57,8 @@
     addresses = list_addresses(query.get('zone', ''))
     if not addresses:
         return DeskAnswer(HTTPStatus.SERVICE_UNAVAILABLE)
-    body = {'addresses': addresses, 'ttl_s': keep_seconds}
+    body = {
+        'addresses': addresses[:MOST_ADDRESSES],
+        'ttl_s': keep_seconds,
+    }
     return DeskAnswer(HTTPStatus.OK, msgspec.json.encode(body))
--- a/waywell/process/feed.py
+++ b/waywell/process/feed.py
@@ -29,20 +29,10 @@
     from waywell.process.gossip import Gossip
     from waywell.process.links import PeerLinks
     from waywell.process.outlook import Outlook
+    from waywell.process.paces import Paces
     from waywell.request.replica_book import ReplicaBook
     from waywell.request.shared_loads import SharedLoads
 
-ASK_SECONDS = 0.35
-"""Between two questions: a box that leaves must be known everywhere well
-within two seconds."""
-
-ROUTES_FED_SECONDS = 2.4
-"""Age of routes up to which a node does not read them itself: a reader's watch
-waits 1.2 s, and questions come every third of a second."""
-
-BOXES_FED_SECONDS = 1.4
-"""Age of the box list up to which a node does not read it itself."""
-
 MOST_OPEN = 32
 """Questions without an answer that are remembered."""
 
@@ -96,6 +86,10 @@
         This node's requests in flight.
     loads
         What other nodes tell of theirs.
+    paces
+        How often to ask, and how old an answer may be.
+    reads_from
+        Moment before which this node reads nothing itself, in seconds.
     """
 
     class Tick(Message, frozen=True):
@@ -109,8 +103,12 @@
         clock: Clock,
         book: ReplicaBook,
         loads: SharedLoads,
+        paces: Paces,
+        reads_from: float = 0.0,
     ) -> None:
         """Know no reader yet."""
+        self._paces = paces
+        self._reads_from = reads_from
         self._book = book
         self._loads = loads
         self._followers: set[NodeId] = set()
@@ -132,7 +130,7 @@
     def start(self) -> None:
         """Begin to ask."""
         super().start()
-        self.repeat(ASK_SECONDS, self.Tick())
+        self.repeat(self._paces.ask, self.Tick())
 
     def is_reader(self) -> bool:
         """Answer whether this node reads for its hall."""
@@ -140,15 +138,17 @@
 
     def needs_routes(self, now: float) -> bool:
         """Answer whether this node has to read the routes itself."""
+        if now < self._reads_from:
+            return False
         if self.is_reader() or self.behind_version:
             return True
-        return self._outlook.get_routes_age(now) > ROUTES_FED_SECONDS
+        return self._are_routes_old(now)
 
     def needs_boxes(self, now: float) -> bool:
         """Answer whether this node has to read the box list itself."""
-        if self.is_reader():
-            return True
-        return self._outlook.get_boxes_age(now) > BOXES_FED_SECONDS
+        if now < self._reads_from:
+            return False
+        return self.is_reader() or self._are_boxes_old(now)
 
     def on_tick(self, _tick: Tick) -> None:
         """Ask the reader, or everyone when what is known grows old."""
@@ -162,7 +162,7 @@
         else:
             self._gossip.keep_streams((own_reader,))
             peers = {own_reader.node}
-        if self._is_behind(now):
+        if self._are_routes_old(now) or self._are_boxes_old(now):
             peers |= self._links.list_peers()
         for peer in peers:
             self._ask(peer, now)
@@ -183,11 +183,13 @@
             'serial': self._outlook.fleet_serial,
         }
 
-    def _is_behind(self, now: float) -> bool:
-        """Answer whether what is known here grows old."""
-        routes_age = self._outlook.get_routes_age(now)
-        boxes_age = self._outlook.get_boxes_age(now)
-        return routes_age > ROUTES_FED_SECONDS or boxes_age > BOXES_FED_SECONDS
+    def _are_routes_old(self, now: float) -> bool:
+        """Answer whether the routes were not confirmed for too long."""
+        return self._outlook.get_routes_age(now) > self._paces.route_fed
+
+    def _are_boxes_old(self, now: float) -> bool:
+        """Answer whether the box list was not confirmed for too long."""
+        return self._outlook.get_boxes_age(now) > self._paces.box_fed
 
     def _choose_readers(self) -> dict[HallName, NodeRecord]:
         """Return the reader of each hall."""
--- a/waywell/process/fleet_watch.py
+++ b/waywell/process/fleet_watch.py
@@ -14,14 +14,6 @@
     from waywell.connection.platform import Changes
     from waywell.process.platform_watch import WatchParts
 
-PACE_SECONDS = 0.4
-"""Between two looks: boxes change all the time, and each call has a price;
-a box that leaves must get nothing new within two seconds."""
-
-WATCH_SECONDS = 0.4
-"""For which a look waits when nothing changes: the list must be confirmed as
-often as it is asked for."""
-
 KEEP_SECONDS = 2.2
 """For which boxes that vanished around an outage of the platform are kept:
 they are back within two seconds if they live."""
@@ -34,11 +26,15 @@
     ----------
     parts
         What it works with.
+    pace
+        Seconds between two looks: boxes change all the time, and each call
+        has a price.
     """
 
-    def __init__(self, parts: WatchParts) -> None:
+    def __init__(self, parts: WatchParts, pace: float) -> None:
         """Know nothing yet."""
-        scope = WatchScope('boxes', Kind.BOX, WATCH_SECONDS, PACE_SECONDS)
+        # The list must be confirmed as often as it is asked for.
+        scope = WatchScope('boxes', Kind.BOX, wait=pace, pace=pace)
         super().__init__('fleet', scope, parts)
         self._outlook = parts.outlook
         self._listed: dict[BoxId, FleetBox] = {}
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -30,6 +30,7 @@
 )
 from waywell.process.metrics import Metrics
 from waywell.process.outlook import Outlook
+from waywell.process.paces import make_paces
 from waywell.process.platform_watch import WatchParts
 from waywell.process.presence import Presence
 from waywell.process.route_watch import RouteWatch
@@ -52,6 +53,10 @@
 TEND_SECONDS = 0.25
 """Seconds between two looks at whether this node is ready."""
 
+FIRST_WAIT_SECONDS = 2.0
+"""Seconds for which a node lets the seeds read for it at the first start: two
+attempts to reach one of them."""
+
 KEPT_FACTOR = 3.0
 """Times the term of the entry list for which some callers keep it."""
 
@@ -127,7 +132,7 @@
         log_event('leaving', node=self.settings.node.name)
         self._is_leaving = True
         self.gossip.post(Gossip.Advance(state=NodeState.LEAVING))
-        kept = promises.entry_list_kept * KEPT_FACTOR
+        kept = promises.entry_list_term * KEPT_FACTOR
         ends_at = began_at + promises.stop_within - STOP_MARGIN
         await asyncio.sleep(min(kept, promises.stop_within - LAST_SECONDS))
         self._ports.stop_accepting()
@@ -164,7 +169,16 @@
             for record in self.members.list_live()
             if record.state is NodeState.LIVE and record.configuration
         ]
-        live.sort(key=lambda record: (record.hall != hall, record.node))
+        own = self.members.own.node
+        # Callers may take notice of the first ones only, so each node begins
+        # with those that follow it.
+        live.sort(
+            key=lambda record: (
+                record.hall != hall,
+                record.node <= own,
+                record.node,
+            ),
+        )
         return [f'{record.host}:{record.caller_port}' for record in live]
 
     def dump(self) -> dict[str, Any]:
@@ -189,7 +203,7 @@
             readiness=self._adapter.make_ready(self.is_ready),
             directory=self._adapter.make_directory(
                 self.list_addresses,
-                self.settings.promises.entry_list_kept,
+                self.settings.promises.entry_list_term,
             ),
             metrics={
                 '/metrics': self._answer_metrics,
@@ -215,6 +229,7 @@
     def _make_tasks(self) -> None:
         timing = self.settings.timing
         platform = self._adapter.platform
+        paces = make_paces(self.settings.promises)
         self.members = MembershipTable(self._make_record(), timing.suspicion)
         self.links = PeerLinks(lambda: self.members.own)
         self.gossip = Gossip(self.members, self.links, self.clock, timing)
@@ -232,11 +247,17 @@
             self.clock,
             self.book,
             self.loads,
+            paces,
+            self._choose_first_reading(),
         )
         self.routes = RouteWatch(
-            self._make_watch_parts(self.feed.needs_routes)
+            self._make_watch_parts(self.feed.needs_routes),
+            paces.route_look,
+        )
+        self.fleet = FleetWatch(
+            self._make_watch_parts(self._needs_boxes),
+            paces.box_look,
         )
-        self.fleet = FleetWatch(self._make_watch_parts(self._needs_boxes))
         self.forming = FormingDuty(
             platform,
             self.gossip,
@@ -283,6 +304,18 @@
             ),
         )
 
+    def _choose_first_reading(self) -> float:
+        """Return when this node may first read the platform itself.
+
+        At the very first start all nodes would read all at one moment, long
+        before callers come; the seeds do, and the others wait for them.
+        """
+        now = self.clock.read()
+        node = self.settings.node
+        if node.first_start and node.peers not in self.settings.seeds:
+            return now + FIRST_WAIT_SECONDS
+        return now
+
     def _needs_boxes(self, now: float) -> bool:
         """Answer whether this node has to read the box list itself."""
         return self.forming.is_held() or self.feed.needs_boxes(now)
--- a/waywell/process/front_settings.py
+++ b/waywell/process/front_settings.py
@@ -55,6 +55,10 @@
     metrics_port: int = 0
     """Port for metrics and the state dump; 0 takes a free one."""
 
+    first_start: bool = False
+    """Whether the whole system starts for the first time: callers are seconds
+    away, so this node may wait for others to read for it."""
+
     link_mbps: float = 0.0
     """Bandwidth of its link, in Mbit/s; 0 where it is not known."""
 
@@ -78,12 +82,38 @@
     """From the word that a key is removed until every node refuses it, in the
     platform's unit."""
 
+    leaving_within_ms: float = 2000.0
+    """From the word that a box leaves until no node sends it anything new, in
+    the platform's unit."""
+
+    applied_within_ms: float = 2000.0
+    """From the acknowledgement of a configuration until every node serves by
+    it, in the platform's unit."""
+
     stop_within: float = 8.0
     """Seconds from the order to stop until the process is ended by force."""
 
     entry_list_kept: float = 2.0
     """Seconds for which callers may keep the entry list."""
 
+    entry_list_most: float = 5.0
+    """Most seconds of which the platform's callers take notice there."""
+
+    @property
+    def entry_list_term(self) -> float:
+        """Return for how long callers may keep the entry list, in seconds."""
+        return min(self.entry_list_kept, self.entry_list_most)
+
+    @property
+    def leaving_within(self) -> float:
+        """Return the bound for leaving boxes, in seconds."""
+        return self.leaving_within_ms * MS
+
+    @property
+    def applied_within(self) -> float:
+        """Return the bound for new routes, in seconds."""
+        return self.applied_within_ms * MS
+
     @property
     def keys_refused_within(self) -> float:
         """Return the bound for removed keys, in seconds."""
--- a/waywell/process/route_watch.py
+++ b/waywell/process/route_watch.py
@@ -15,10 +15,6 @@
 ROUTES_NAME = 'main'
 """Name of the one object that holds the routes."""
 
-WATCH_SECONDS = 1.2
-"""For which a watch waits: its answer confirms the version in force, which
-must happen several times within the promised bound; each call has a price."""
-
 
 class RouteWatch(PlatformWatch):
     """Reads the routes and confirms them again and again.
@@ -30,11 +26,13 @@
     ----------
     parts
         What it works with.
+    wait
+        Seconds for which a watch waits when nothing changes.
     """
 
-    def __init__(self, parts: WatchParts) -> None:
+    def __init__(self, parts: WatchParts, wait: float) -> None:
         """Know nothing yet."""
-        scope = WatchScope('routes', Kind.CONFIGURATION, WATCH_SECONDS)
+        scope = WatchScope('routes', Kind.CONFIGURATION, wait)
         super().__init__('routes', scope, parts)
         self._outlook = parts.outlook
         self._is_behind = False
