Form groups anew of fast boxes where slow ones stand in them

Cause: a group runs at the pace of its slowest box; with 40 in 100 boxes slow by 12, one group of four in eight is fast. Change: a question to a doubted group's members now brings their pace; the holder asks the rest of the domain and slow boxes again each second, closes slow groups whose fast boxes make up a whole one, half of a model's at a time, and takes slow boxes only where a model is short of places.

--- a/tests/test_forming_machine.py
+++ b/tests/test_forming_machine.py
@@ -17,6 +17,7 @@
     ModelName,
     ServiceName,
 )
+from waywell.version.box_report import BoxReport, ReportReading
 from waywell.version.fleet import (
     Fleet,
     FleetBox,
@@ -189,6 +190,12 @@
             if assignment.box.box != box.name
         ]
 
+    @rule(choice=st.integers(0, 99), pace=st.sampled_from([1.0, 5.0]))
+    def tell_pace(self, choice: int, pace: float) -> None:
+        """The holder hears how fast a box is."""
+        reading = ReportReading(BoxReport(pace), self.now)
+        self.memory.reports[self._pick(choice).name] = reading
+
     @rule(seconds=st.sampled_from([0.1, 1.0, 3.0, 10.0, 60.0]))
     def pass_time(self, seconds: float) -> None:
         """Time passes."""
--- a/waywell/connection/box_orders.py
+++ b/waywell/connection/box_orders.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from waywell.version.box_report import BoxReport
     from waywell.version.fleet import FleetBox
     from waywell.version.orders import Assignment, OrderResult
 
@@ -18,5 +19,5 @@
         """Give an order to a box and return what came of it."""
 
     @abc.abstractmethod
-    async def is_alive(self, box: FleetBox) -> bool:
-        """Ask a box for a sign of life; answer whether one came."""
+    async def read_report(self, box: FleetBox) -> BoxReport | None:
+        """Ask a box how it is; return ``None`` when no answer came."""
--- a/waywell/platform/orders.py
+++ b/waywell/platform/orders.py
@@ -12,6 +12,8 @@
 from waywell.connection.box_orders import BoxOrders
 from waywell.connection.http_calls import HttpCalls
 from waywell.connection.platform import PlatformFault
+from waywell.process.events import log_warning
+from waywell.version.box_report import USUAL_PACE, BoxReport
 from waywell.version.orders import (
     Assignment,
     BoxOrder,
@@ -76,14 +78,31 @@
         status = called.unwrap().status
         return _RESULT_BY_STATUS.get(status, OrderResult.UNKNOWN)
 
-    async def is_alive(self, box: FleetBox) -> bool:
-        """Ask a server for its report; answer whether one came."""
+    async def read_report(self, box: FleetBox) -> BoxReport | None:
+        """Ask a server for its report."""
         calls = _make_calls(box, PROBE_SECONDS)
         called = await calls.call('GET', REPORT_PATH)
         if isinstance(called, Failure):
-            return False
-        answered: bool = called.unwrap().status == HTTPStatus.OK
-        return answered
+            return None
+        answer = called.unwrap()
+        if answer.status != HTTPStatus.OK:
+            return None
+        return decode_report(box, answer.raw)
+
+
+class _Report(msgspec.Struct):
+    # How slow the server is, not how fast: over 1 its work takes longer.
+    pace: float = USUAL_PACE
+
+
+def decode_report(box: FleetBox, raw: bytes) -> BoxReport:
+    """Return what a report tells; one that is unreadable is a sign of life."""
+    try:
+        found = msgspec.json.decode(raw, type=_Report)
+    except msgspec.MsgspecError as error:
+        log_warning('report_unreadable', box=box.box, error=str(error))
+        return BoxReport()
+    return BoxReport(found.pace)
 
 
 def _make_calls(box: FleetBox, seconds: float) -> HttpCalls:
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -8,6 +8,7 @@
 from waywell.process.actor import Message
 from waywell.process.duty import Duty
 from waywell.process.events import log_event, log_warning
+from waywell.version.box_report import BoxReport, ReportReading
 from waywell.version.fleet import Fleet, FleetBox
 from waywell.version.forming import (
     FormingPlanner,
@@ -45,7 +46,7 @@
 may be lost."""
 
 ASK_AGAIN_SECONDS = 1.0
-"""Between two questions to a lost box that is still listed."""
+"""Between two questions to a box that is listed, and lost or slow."""
 
 SETTLE_SECONDS = 1.5
 """For which the list of a service must have been the same before the first
@@ -88,8 +89,8 @@
         box: FleetBox
         """The box."""
 
-        is_alive: bool
-        """Whether one came."""
+        report: BoxReport | None
+        """What it told; ``None`` where nothing came."""
 
     class Ordered(Message, frozen=True):
         """A box has answered an order, or has not."""
@@ -137,7 +138,7 @@
             return
         for name, engine in self._outlook.index.list_engines():
             memory = self._get_memory(name)
-            self._ask_lost(memory, now)
+            self._ask_troubled(memory, now)
             view = FormingView(
                 name,
                 engine,
@@ -166,14 +167,17 @@
         """Count a box as lost, or as back."""
         name = probed.box.box
         self._asking.discard(name)
-        lost = self._get_memory(probed.box.service).lost
-        if probed.is_alive and name in lost:
-            lost.pop(name)
-            log_event('box_back', box=name)
-        elif not probed.is_alive:
-            if name not in lost:
+        memory = self._get_memory(probed.box.service)
+        now = self.clock.read()
+        if probed.report is None:
+            if name not in memory.lost:
                 log_warning('box_silent', box=name)
-            lost[name] = self.clock.read()
+            memory.lost[name] = now
+            return
+        if name in memory.lost:
+            memory.lost.pop(name)
+            log_event('box_back', box=name)
+        self._note_report(memory, probed.box, probed.report, now)
 
     def dump(self) -> dict[str, object]:
         """Return the duty as plain values."""
@@ -203,14 +207,50 @@
             },
         )
 
-    def _ask_lost(self, memory: FormingMemory, now: float) -> None:
-        """Ask lost boxes again while they are listed."""
+    def _note_report(
+        self,
+        memory: FormingMemory,
+        box: FleetBox,
+        report: BoxReport,
+        now: float,
+    ) -> None:
+        """Keep what a box told; where it is slow, others may be as well."""
+        was_slow = memory.is_slow(box.box)
+        memory.reports[box.box] = ReportReading(report, now)
+        if report.is_slow() != was_slow:
+            event = 'box_slow' if report.is_slow() else 'box_fast'
+            log_event(event, box=box.box, pace=report.pace)
+        if not report.is_slow():
+            return
+        for other in self._outlook.fleet.boxes.values():
+            is_mate = other.domain == box.domain
+            if is_mate and other.service == box.service:
+                self._ask_again(memory, other, now)
+
+    def _ask_troubled(self, memory: FormingMemory, now: float) -> None:
+        """Ask lost and slow boxes again while they are listed."""
         boxes = self._outlook.fleet.boxes
         for name, asked_at in tuple(memory.lost.items()):
             if name not in boxes:
                 memory.lost.pop(name)
             elif now - asked_at > ASK_AGAIN_SECONDS:
                 self._ask(boxes[name])
+        for name in tuple(memory.reports):
+            if name not in boxes:
+                memory.reports.pop(name)
+            elif memory.is_slow(name):
+                self._ask_again(memory, boxes[name], now)
+
+    def _ask_again(
+        self,
+        memory: FormingMemory,
+        box: FleetBox,
+        now: float,
+    ) -> None:
+        """Ask a box how it is, unless it told a moment ago."""
+        reading = memory.reports.get(box.box)
+        if reading is None or now - reading.read_at > ASK_AGAIN_SECONDS:
+            self._ask(box)
 
     def _ask(self, box: FleetBox) -> None:
         if box.box not in self._asking:
@@ -218,12 +258,12 @@
             self.spawn(self._probe(box))
 
     async def _probe(self, box: FleetBox) -> None:
-        is_alive = False
+        report = None
         questions = 0
-        while not is_alive and questions < PROBES:
+        while report is None and questions < PROBES:
             questions += 1
-            is_alive = await self._orders.is_alive(box)
-        self.post(self.Probed(box, is_alive))
+            report = await self._orders.read_report(box)
+        self.post(self.Probed(box, report))
 
     def _may_plan(self, now: float) -> bool:
         """Answer whether the box list is new enough and has settled."""
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -44,8 +44,9 @@
     Open,
     Stage,
 )
-from waywell.version.reclaim import choose_donors
+from waywell.version.reclaim import RECLAIM_LOAD, choose_donors
 from waywell.version.routes import Engine, EngineModel
+from waywell.version.slow_groups import choose_slow_groups
 
 CONVERT_LOAD = 0.45
 """Part of a model's places taken from which on boxes that served another model
@@ -250,6 +251,8 @@
     ) -> list[FleetBox]:
         """Return the boxes that make up a group soonest, or none.
 
+        Slow boxes come last, and only where the model is short of places.
+
         Parameters
         ----------
         boxes
@@ -271,9 +274,19 @@
             self._memory.has_served(box, model) for box in fit
         ):
             return []
-        fit.sort(key=lambda box: (self._memory.estimate(box, model), box.box))
+        fit.sort(
+            key=lambda box: (
+                self._memory.is_slow(box.box),
+                self._memory.estimate(box, model),
+                box.box,
+            ),
+        )
         size = model.boxes_per_group
-        return fit[:size] if len(fit) >= size else []
+        picked = fit[:size] if len(fit) >= size else []
+        is_slow = any(self._memory.is_slow(box.box) for box in picked)
+        if is_slow and self._need.get_load(model) < RECLAIM_LOAD:
+            return []
+        return picked
 
     def _join(self, model: EngineModel, boxes: list[FleetBox]) -> None:
         memory = self._memory
@@ -293,7 +306,7 @@
         idle: Pools,
         verdicts: Mapping[GroupId, Verdict],
     ) -> None:
-        """Close groups of a model with room for one that has too little.
+        """Close groups with slow boxes, or of a model with room for another.
 
         One new group at a time, so that the next look sees what it changed.
         """
@@ -302,11 +315,20 @@
             for group in self._groups
             if verdicts[group.group] is Verdict.SERVING
         ]
-        if any(group.group in self._memory.abandoned for group in serving):
+        slow = choose_slow_groups(
+            self._need, self._memory, idle, self._groups, serving
+        )
+        for slow_group in slow:
+            self._close(slow_group)
+        if any(one.group in self._memory.abandoned for one in serving):
             return
-        for group in choose_donors(self._need, self._memory, idle, serving):
-            self._memory.abandoned[group.group] = self._now
-            self._assign(group.members[0], Close(group.group, group.epoch))
+        for donor in choose_donors(self._need, self._memory, idle, serving):
+            self._close(donor)
+
+    def _close(self, group: FleetGroup) -> None:
+        """Let a group finish its work, so that its boxes may join others."""
+        self._memory.abandoned[group.group] = self._now
+        self._assign(group.members[0], Close(group.group, group.epoch))
 
     def _stage(self, left: Pools) -> None:
         """Load models into idle boxes, so that they can join groups soon.
--- a/waywell/version/forming_memory.py
+++ b/waywell/version/forming_memory.py
@@ -9,6 +9,7 @@
 import attrs
 
 from waywell.ids import BoxId, GroupId, ModelName
+from waywell.version.box_report import ReportReading
 from waywell.version.fleet import FleetBox, MemberState
 from waywell.version.orders import (
     Assignment,
@@ -119,6 +120,9 @@
     """Boxes that gave no sign of life although they are listed, with when
     they were last asked."""
 
+    reports: dict[BoxId, ReportReading] = attrs.Factory(dict)
+    """What boxes told when they were last asked."""
+
     last_models: Mapping[BoxId, ModelName] = attrs.Factory(dict)
     """Model that each box served last, kept by the node."""
 
@@ -166,6 +170,11 @@
         """Answer whether a model is the one that a box served last."""
         return self.last_models.get(box.box) == model.name
 
+    def is_slow(self, name: BoxId) -> bool:
+        """Answer whether a box told that its work takes long."""
+        reading = self.reports.get(name)
+        return reading is not None and reading.report.is_slow()
+
     def holds(self, box: FleetBox, model: EngineModel) -> bool:
         """Answer whether a box can join a group of a model without a load."""
         return self.has_served(box, model) or model.name in box.staged
--- /dev/null
+++ b/waywell/version/slow_groups.py
@@ -0,0 +1,153 @@
+"""Which groups are dissolved because a box of theirs is slow.
+
+A group runs at the pace of its slowest box.  Where the fast boxes of some slow
+groups, with idle ones, make up a whole group, these are closed, and the next
+plan joins the fast boxes with each other.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING
+
+import attrs
+
+from waywell.version.fleet import FleetBox, FleetGroup, parse_group
+from waywell.version.forming_memory import FormingMemory
+from waywell.version.model_need import ModelNeed
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from waywell.ids import DomainName, ModelName
+    from waywell.version.routes import EngineModel
+
+CLOSED_PART = 0.5
+"""Part of a model's groups that may be closed at one time: requests are sent
+to the rest meanwhile."""
+
+
+def choose_slow_groups(
+    need: ModelNeed,
+    memory: FormingMemory,
+    idle: Mapping[DomainName, list[FleetBox]],
+    groups: list[FleetGroup],
+    serving: list[FleetGroup],
+) -> list[FleetGroup]:
+    """Return the slow groups to close now.
+
+    Parameters
+    ----------
+    need
+        What callers ask of the models.
+    memory
+        What the holder remembers of the boxes.
+    idle
+        Boxes in no group, by fabric domain.
+    groups
+        All groups.
+    serving
+        Those that serve.
+    """
+    closing = [one for one in groups if one.group in memory.abandoned]
+    rest = _count_closable(serving, closing)
+    chosen: list[FleetGroup] = []
+    for domain, near in _split_by_domain(serving, closing).items():
+        found = _Regrouping(need, memory, idle.get(domain, []), near).find()
+        wanted = Counter(parse_group(one.group) for one in found)
+        if all(rest[model] >= count for model, count in wanted.items()):
+            rest.subtract(wanted)
+            chosen.extend(found)
+    return chosen
+
+
+def _split_by_domain(
+    serving: list[FleetGroup],
+    closing: list[FleetGroup],
+) -> dict[DomainName, list[FleetGroup]]:
+    """Return the groups of each fabric domain in which none is closing."""
+    busy = {one.domain for one in closing}
+    split: dict[DomainName, list[FleetGroup]] = defaultdict(list)
+    for group in serving:
+        if group.domain not in busy:
+            split[group.domain].append(group)
+    return split
+
+
+def _count_closable(
+    serving: list[FleetGroup],
+    closing: list[FleetGroup],
+) -> Counter[ModelName]:
+    """Return how many groups of each model may be closed now."""
+    served = Counter(parse_group(one.group) for one in serving)
+    closed = Counter(parse_group(one.group) for one in closing)
+    return Counter(
+        {
+            model: math.ceil(count * CLOSED_PART) - closed[model]
+            for model, count in served.items()
+        },
+    )
+
+
+@attrs.frozen
+class _Regrouping:
+    """Looks in one domain for groups whose fast boxes make up a whole one."""
+
+    need: ModelNeed
+    memory: FormingMemory
+    idle: list[FleetBox]
+    serving: list[FleetGroup]
+
+    def find(self) -> tuple[FleetGroup, ...]:
+        """Return the groups to close, none where nothing is won."""
+        slow = [group for group in self.serving if self._is_slow(group)]
+        for model in self.need.rank_models():
+            own = [
+                group
+                for group in slow
+                if parse_group(group.group) == model.name
+            ]
+            others = [group for group in slow if group not in own]
+            found = self._gather(model, own, others)
+            if found:
+                return found
+        return ()
+
+    def _gather(
+        self,
+        model: EngineModel,
+        own: list[FleetGroup],
+        others: list[FleetGroup],
+    ) -> tuple[FleetGroup, ...]:
+        """Return the fewest groups whose fast boxes make up one of a model.
+
+        One of them is a group of the model itself, so that no model gains
+        groups by this.
+        """
+        if not own:
+            return ()
+        lacking = model.boxes_per_group - self._count_fast(self.idle, model)
+        closed: list[FleetGroup] = []
+        own.sort(key=lambda one: -self._count_fast(one.members, model))
+        others.sort(key=lambda one: -self._count_fast(one.members, model))
+        for group in (*own, *others):
+            if lacking <= 0 and closed:
+                break
+            closed.append(group)
+            lacking -= self._count_fast(group.members, model)
+        return tuple(closed) if lacking <= 0 else ()
+
+    def _is_slow(self, group: FleetGroup) -> bool:
+        return any(self.memory.is_slow(box.box) for box in group.members)
+
+    def _count_fast(
+        self,
+        boxes: list[FleetBox] | tuple[FleetBox, ...],
+        model: EngineModel,
+    ) -> int:
+        """Return how many boxes can join a group of a model, and are fast."""
+        return sum(
+            self.memory.holds(box, model) and not self.memory.is_slow(box.box)
+            for box in boxes
+        )
