Load the model that is short into idle boxes, a second one into newcomers

Change: idle boxes load the model of the greatest need where that is short; boxes that serve and hold nothing beside their own model load a second one, within the weight store's pace less two loads kept for idle boxes. Tests: two in test_forming.py.

--- a/tests/test_forming.py
+++ b/tests/test_forming.py
@@ -10,7 +10,11 @@
 from tests.boxes import make_box, make_fleet, make_group
 from waywell.ids import BoxId, GroupId, ModelName, ServiceName
 from waywell.version.fleet import FleetBox, MemberState
-from waywell.version.forming import FormingPlanner, FormingView
+from waywell.version.forming import (
+    LOADS_KEPT,
+    FormingPlanner,
+    FormingView,
+)
 from waywell.version.forming_memory import FormingMemory
 from waywell.version.orders import (
     Assignment,
@@ -271,3 +275,36 @@
         )
         names = {one.box.box for one in pick(orders, Join)}
         assert not names & {'a', 'b'}
+
+
+def test_idle_boxes_load_the_model_that_is_short_of_places() -> None:
+    boxes = [
+        *make_group('small.1', 'a', 'b'),
+        *make_group('big.2', 'w', 'x', 'y', 'z'),
+        *(make_box(name, staged=('small',)) for name in ('i', 'j', 'k')),
+    ]
+    stages = pick(
+        plan(boxes, FormingMemory(), 1.0, {BIG: 27.0, SMALL: 1.0}), Stage
+    )
+    assert {(one.box.box, one.order.model) for one in stages} == {
+        ('i', BIG),
+        ('j', BIG),
+        ('k', BIG),
+    }
+
+
+def test_boxes_that_serve_and_came_empty_load_a_second_model() -> None:
+    boxes = [
+        *make_group('small.1', 'a', 'b'),
+        *make_group('small.2', 'c', 'd'),
+    ]
+    boxes += make_group('big.3', 'w', 'x', 'y', 'z', domain='d1')
+    memory = FormingMemory(
+        last_models={BoxId(name): SMALL for name in 'abcd'}
+        | {BoxId(name): BIG for name in 'wxyz'},
+    )
+    stages = pick(plan(boxes, memory, 1.0, {BIG: 4.0, SMALL: 4.0}), Stage)
+    held = ENGINE.loads_at_once - LOADS_KEPT
+    assert len(stages) == held
+    later = plan(boxes, memory, 2.1, {BIG: 4.0, SMALL: 4.0})
+    assert not pick(later, Stage)
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -53,6 +53,9 @@
 are made into a group of it.  A box keeps the weights of one model only beside
 the one that it serves, so each change loses a choice for later."""
 
+LOADS_KEPT = 2
+"""Loads at one time that are kept for idle boxes: newcomers come in twos."""
+
 Pools = dict[DomainName, list[FleetBox]]
 """Boxes by fabric domain."""
 
@@ -134,7 +137,8 @@
         else:
             self._form(free, takes_loads=False)
             self._reclaim(free, verdicts)
-            self._stage(free)
+            if self._stage(free):
+                self._stage_beside()
         return self._assignments
 
     def _act(self, group: FleetGroup, verdict: Verdict) -> None:
@@ -330,19 +334,62 @@
         self._memory.abandoned[group.group] = self._now
         self._assign(group.members[0], Close(group.group, group.epoch))
 
-    def _stage(self, left: Pools) -> None:
+    def _stage(self, left: Pools) -> bool:
         """Load models into idle boxes, so that they can join groups soon.
 
         A box that served one model and holds the weights of another can
         join a group of either within about a second.
+
+        Returns
+        -------
+        bool
+            Whether every idle box that should load has begun to.
         """
         for idle in left.values():
             model = self._choose_staged(idle)
             for box in self._list_lacking(idle, model):
-                if not self._memory.may_load(self._engine, self._now):
-                    return
-                if self._order_stage(box, model):
-                    self._memory.loads.append(self._now)
+                if not self._load(box, model):
+                    return False
+        return True
+
+    def _stage_beside(self) -> None:
+        """Load a second model into boxes that serve and came empty.
+
+        What idle boxes may need at once is left of the weight store's pace.
+        """
+        at_once = self._engine.loads_at_once - LOADS_KEPT
+        for box in self._list_single():
+            if len(self._memory.loads) >= at_once:
+                return
+            others = self._list_others(box)
+            if others and not self._load(box, others[0]):
+                return
+
+    def _list_single(self) -> list[FleetBox]:
+        """Return boxes whose host holds nothing but what they serve."""
+        served = self._memory.last_models
+        resting = [
+            box
+            for box in self._boxes
+            if box.standing is not None
+            and box.standing.state is not MemberState.JOINING
+            and not box.leaving
+        ]
+        return [
+            box
+            for box in resting
+            if box.box in served
+            and set(box.staged) <= {served[box.box]}
+            and box.box not in self._memory.staging
+        ]
+
+    def _load(self, box: FleetBox, model: EngineModel) -> bool:
+        """Order a load within the weight store's pace; answer whether so."""
+        if not self._memory.may_load(self._engine, self._now):
+            return False
+        if self._order_stage(box, model):
+            self._memory.loads.append(self._now)
+        return True
 
     def _stage_seconds(self) -> None:
         """Load a second model into every box while that costs little.
@@ -354,14 +401,18 @@
             standing = box.standing
             if standing is None or standing.state is MemberState.JOINING:
                 continue
-            others = [
-                model
-                for model in self._need.rank_models()
-                if not self._memory.holds(box, model)
-            ]
+            others = self._list_others(box)
             if others and box.box not in self._memory.staging:
                 self._order_stage(box, others[0])
 
+    def _list_others(self, box: FleetBox) -> list[EngineModel]:
+        """Return the models that a box holds no weights of, by need."""
+        return [
+            model
+            for model in self._need.rank_models()
+            if not self._memory.holds(box, model)
+        ]
+
     def _order_stage(self, box: FleetBox, model: EngineModel) -> bool:
         is_given = self._assign(box, Stage(model.name))
         if is_given:
@@ -373,9 +424,12 @@
         """Return the model whose group the idle boxes of a domain could be.
 
         Too few boxes for any group are spares for the model of the greatest
-        need.
+        need; where that is short of places, all are, as groups of others
+        can be closed to make them up.
         """
         ranked = self._need.rank_models()
+        if self._need.get_load(ranked[0]) >= RECLAIM_LOAD:
+            return ranked[0]
         return next(
             (model for model in ranked if model.boxes_per_group <= len(idle)),
             ranked[0],
