--- a/waywell/process/paces.py
+++ b/waywell/process/paces.py
@@ -33,11 +33,11 @@
 """Part of the bound for leaving boxes after which a node reads the box list
 itself; the rest is for the call and for requests on their way."""
 
-ROUTE_FED_PART = 0.6
+ROUTE_FED_PART = 0.7
 """Part of the bound for new routes after which a node reads them itself: its
 reader may be cut off from the platform while this node is not."""
 
-ROUTE_LOOK_PART = 0.5
+ROUTE_LOOK_PART = 0.4
 """Part of that time for which a reader's watch waits: each answer confirms the
 version in force, and one more question must fit."""
 
