Let the soak spoil the ways to store and servers, and the store itself

The relay delays, resets, cuts and silences one direction; the store's stand-in is slow, loses answers, refuses, and forgets its history. Ways between nodes and from callers have no relay yet.

--- a/tests/front_bench.py
+++ b/tests/front_bench.py
@@ -48,8 +48,16 @@
             self.servers[name] = Server(self.store, name, 'app')
         self.store.put('config', 'main', make_manifest())
 
-    def start(self, name: str = 'front-1', **promises: float) -> Process:
-        """Start a front daemon, with other promises where they are given."""
+    def start(
+        self,
+        name: str = 'front-1',
+        store: str = '',
+        **promises: float,
+    ) -> Process:
+        """Start a front daemon, with other promises where they are given.
+
+        It calls the store at another address where one is given.
+        """
         lines = [
             '[node]',
             f'name = "{name}"',
@@ -59,7 +67,7 @@
                 for port in ('callers', 'readiness', 'directory', 'peers')
             ),
             '[store]',
-            f'address = "{self.store.address}"',
+            f'address = "{store or self.store.address}"',
             '[promises]',
             'entry_list_kept = 0.2',
             *(f'{key} = {text}' for key, text in promises.items()),
--- a/tests/house.py
+++ b/tests/house.py
@@ -60,16 +60,20 @@
 
 
 class Store:
-    """Keeps objects by kind and name; can go silent."""
+    """Keeps objects by kind and name; can go silent and misbehave."""
 
     def __init__(self) -> None:
         """Listen."""
         self.is_down = False
+        self.slow_seconds = 0.0
+        self.loses_answers = False
+        self.refusal = 0
         self.servers: dict[str, Server] = {}
         self.broken: list[str] = []
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
         self._revision = 0
+        self._forgotten = 0
         self._changed = threading.Condition()
         self._server = _serve(self._make_handler())
 
@@ -104,6 +108,13 @@
             self._events.append((self._revision, kind, found, True))
             self._changed.notify_all()
 
+    def forget_history(self) -> None:
+        """Drop the history: watches that go on from it are told so."""
+        with self._changed:
+            self._events.clear()
+            self._forgotten = self._revision
+            self._changed.notify_all()
+
     def _list(self, kind: str) -> dict[str, Any]:
         with self._changed:
             items = [
@@ -113,10 +124,12 @@
             ]
             return {'items': items, 'current_rev': self._revision}
 
-    def _watch(self, kind: str, after: int, seconds: float) -> dict[str, Any]:
+    def _watch(self, kind: str, after: int, seconds: float) -> Any:
         ends_at = time.monotonic() + seconds
         with self._changed:
             while True:
+                if after < self._forgotten:
+                    return None
                 events = [
                     {'removed': removed, 'object': found}
                     for revision, its_kind, found, removed in self._events
@@ -156,7 +169,7 @@
                     seconds = int(query['wait_ms']) / 1000
                     changes = store._watch(kind, int(query['watch']), seconds)
                     if not self._is_cut():
-                        self.answer(200, changes)
+                        self.answer(200 if changes else 410, changes)
                 else:
                     self.answer(200, store._list(kind))
 
@@ -171,12 +184,21 @@
                 if self._is_cut():
                     return
                 kind = urlsplit(self.path).path.split('/')[3]
-                self.answer(*store._write(kind, body, creates))
+                outcome = store._write(kind, body, creates)
+                if store.loses_answers:
+                    self.hang_up()
+                    return
+                self.answer(*outcome)
 
             def _is_cut(self) -> bool:
+                """Answer whether the call gets no answer, or a refusal."""
                 if store.is_down:
                     self.hang_up()
-                return store.is_down
+                    return True
+                time.sleep(store.slow_seconds)
+                if store.refusal:
+                    self.answer(store.refusal, {})
+                return bool(store.refusal)
 
         return Handler
 
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -1,37 +1,81 @@
-"""A small relay that forwards connections and can be cut."""
+"""A small relay that forwards connections and spoils them on request."""
 
 from __future__ import annotations
 
 import contextlib
+import enum
 import socket
+import struct
 import threading
+import time
+
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+"""Makes a close of a socket a reset."""
+
+
+class Way(enum.Enum):
+    """Direction in which a piece goes."""
+
+    THERE = 'there'
+    """From the side that connected."""
+
+    BACK = 'back'
+    """To the side that connected."""
 
 
 class Relay:
     """Listens on a port of its own and forwards to another.
 
-    A cut breaks what stands and refuses what comes, until it is mended.
+    A cut breaks what stands and refuses what comes, until it is mended; a
+    silenced direction holds its bytes without a word.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, target: int = 0) -> None:
+        """Listen; forward to a port, or to a free one that is to be used."""
         self._socket = socket.create_server(('127.0.0.1', 0))
         self.port = self._socket.getsockname()[1]
-        self.target = reserve_port()
+        self.target = target or reserve_port()
         self.is_cut = False
+        self.delay = 0.0
+        self._silenced: set[Way] = set()
+        self._changed = threading.Condition()
         self._open: set[socket.socket] = set()
         threading.Thread(target=self._accept, daemon=True).start()
 
     def cut(self) -> None:
+        """Break all connections and let none stand."""
         self.is_cut = True
         for connection in tuple(self._open):
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
 
+    def reset(self) -> None:
+        """Reset all connections; new ones may stand."""
+        for connection in tuple(self._open):
+            with contextlib.suppress(OSError):
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
+                connection.shutdown(socket.SHUT_RD)
+
+    def silence(self, *ways: Way) -> None:
+        """Hold what goes in some directions."""
+        with self._changed:
+            self._silenced |= set(ways)
+
     def mend(self) -> None:
+        """Forward all again, at once."""
         self.is_cut = False
+        self.delay = 0.0
+        with self._changed:
+            self._silenced.clear()
+            self._changed.notify_all()
 
     def close(self) -> None:
+        """Forward nothing any more."""
         self.cut()
+        self.mend()
+        self.is_cut = True
         self._socket.close()
 
     def _accept(self) -> None:
@@ -50,22 +94,39 @@
                 far.close()
                 continue
             self._open |= {near, far}
-            for pair in ((near, far), (far, near)):
+            for way, pair in (
+                (Way.THERE, (near, far)),
+                (Way.BACK, (far, near)),
+            ):
                 threading.Thread(
                     target=self._forward,
-                    args=pair,
+                    args=(way, *pair),
                     daemon=True,
                 ).start()
 
-    def _forward(self, source: socket.socket, sink: socket.socket) -> None:
+    def _forward(
+        self,
+        way: Way,
+        source: socket.socket,
+        sink: socket.socket,
+    ) -> None:
         with contextlib.suppress(OSError):
             while piece := source.recv(65536):
+                self._hold(way)
                 sink.sendall(piece)
+        self._hold(way)
         for connection in (source, sink):
             self._open.discard(connection)
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
 
+    def _hold(self, way: Way) -> None:
+        """Wait as long as a direction is silenced, and for the delay."""
+        with self._changed:
+            self._changed.wait_for(lambda: way not in self._silenced)
+        if self.delay:
+            time.sleep(self.delay)
+
 
 def reserve_port() -> int:
     """Return a port that is free now."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -21,6 +21,7 @@
 
 from tests.front_bench import WHOLE, Front
 from tests.house import KEY, Server, make_manifest
+from tests.relay import Relay, Way
 from waywell.standins.harness import Process, wait_until
 
 FRONTS = 3
@@ -45,6 +46,12 @@
 REST_SECONDS = 0.02
 """Seconds that a caller waits after a request that failed."""
 
+SLOW_SECONDS = (0.05, 0.6)
+"""Least and most seconds by which a relay or the store delays."""
+
+REFUSALS = (429, 503)
+"""HTTP statuses with which the store turns a call away."""
+
 KINDS = {
     '/notes/1': ('small', WHOLE),
     '/match/1': ('', b'the whole answer'),
@@ -69,10 +76,14 @@
         self.random = random.Random(seed)
         self.front = Front(folder)
         self.front.add_servers()
-        self.fronts = {
-            f'front-{number}': self.front.start(f'front-{number}')
-            for number in range(1, FRONTS + 1)
-        }
+        self._ways_to_servers = [
+            self._lead_through_relay(server)
+            for server in self.front.servers.values()
+        ]
+        names = [f'front-{number}' for number in range(1, FRONTS + 1)]
+        port = int(self.front.store.address.rpartition(':')[2])
+        self._ways_to_store = {name: Relay(port) for name in names}
+        self.fronts = {name: self._start(name) for name in names}
         self.broken: list[str] = []
         self.ends: Counter[str] = Counter()
         self._sent: dict[str, tuple[str, float]] = {}
@@ -103,6 +114,8 @@
             return self.broken + self.front.store.broken
         finally:
             self._is_over.set()
+            for relay in self._list_relays():
+                relay.close()
             self.front.close()
 
     def _play(self, ends_at: float) -> None:
@@ -112,6 +125,9 @@
             self._stop,
             self._hang_up,
             self._silence_store,
+            self._misuse_store,
+            self._spoil_way_to_store,
+            self._spoil_way_to_server,
             self._crash_server,
             self._spoil_answers,
             self._change_routes,
@@ -133,11 +149,25 @@
     def _pick(self) -> tuple[str, Process]:
         return self.random.choice(sorted(self.fronts.items()))
 
+    def _start(self, name: str) -> Process:
+        port = self._ways_to_store[name].port
+        return self.front.start(name, f'127.0.0.1:{port}')
+
     def _restart(self, name: str) -> None:
         if self.fronts[name].is_running():
             self.fronts[name].kill()
         (self.front.folder / f'{name}.log').write_text('')
-        self.fronts[name] = self.front.start(name)
+        self.fronts[name] = self._start(name)
+
+    def _list_relays(self) -> list[Relay]:
+        return [*self._ways_to_servers, *self._ways_to_store.values()]
+
+    def _lead_through_relay(self, server: Server) -> Relay:
+        """Put a relay before a server; its entry tells the relay's port."""
+        relay = Relay(int(server.entry['address'].rpartition(':')[2]))
+        server.entry['address'] = f'127.0.0.1:{relay.port}'
+        server.write_entry()
+        return relay
 
     def _kill(self) -> Any:
         name, process = self._pick()
@@ -161,6 +191,43 @@
         self.front.store.is_down = True
         return lambda: setattr(self.front.store, 'is_down', False)
 
+    def _misuse_store(self) -> Any:
+        """Let the store be slow, lose answers, refuse, or forget."""
+        store = self.front.store
+        kind = self.random.choice(('slow', 'loses', 'refuses', 'forgets'))
+        if kind == 'slow':
+            store.slow_seconds = self.random.uniform(*SLOW_SECONDS)
+            return lambda: setattr(store, 'slow_seconds', 0.0)
+        if kind == 'loses':
+            store.loses_answers = True
+            return lambda: setattr(store, 'loses_answers', False)
+        if kind == 'refuses':
+            store.refusal = self.random.choice(REFUSALS)
+            return lambda: setattr(store, 'refusal', 0)
+        store.forget_history()
+        return None
+
+    def _spoil_way_to_store(self) -> Any:
+        names = sorted(self._ways_to_store)
+        return self._spoil(self._ways_to_store[self.random.choice(names)])
+
+    def _spoil_way_to_server(self) -> Any:
+        return self._spoil(self.random.choice(self._ways_to_servers))
+
+    def _spoil(self, relay: Relay) -> Any:
+        """Cut, silence one way, reset or delay what goes over a relay."""
+        kind = self.random.choice(('cut', 'there', 'back', 'reset', 'delay'))
+        if kind == 'reset':
+            relay.reset()
+            return None
+        if kind == 'cut':
+            relay.cut()
+        elif kind == 'delay':
+            relay.delay = self.random.uniform(*SLOW_SECONDS)
+        else:
+            relay.silence(Way(kind))
+        return relay.mend
+
     def _crash_server(self) -> None:
         names = sorted(self.front.servers)
         name = self.random.choice(names)
@@ -170,7 +237,9 @@
         old.crash()
         self._servers += 1
         new = f'{name[:2]}-{self._servers}'
-        self.front.servers[new] = Server(self.front.store, new, service)
+        server = Server(self.front.store, new, service)
+        self.front.servers[new] = server
+        self._ways_to_servers.append(self._lead_through_relay(server))
 
     def _spoil_answers(self) -> None:
         acts = ('reject', 'reset', 'fail', 'cut-3', 'foreign')
@@ -193,6 +262,8 @@
     def _heal(self) -> None:
         """Wait until the system serves as at the start."""
         self.front.store.is_down = False
+        for relay in self._list_relays():
+            relay.mend()
         # The first version does not know the key that is asked with.
         self._change_routes()
         for server in self.front.servers.values():
