Count refused loads as none; gauge demand by all nodes' requests in flight

The same holder thought that 1 place of that model was taken: it guessed from its own requests, times the nodes. Change: a refused load is given back, its box asked again after 2 s; loads that have ended free their place; demand is the mean of what all nodes tell to be in flight. Tests: test_forming.py, test_demand.py.

--- a/tests/test_forming.py
+++ b/tests/test_forming.py
@@ -22,6 +22,7 @@
     Join,
     Leave,
     Open,
+    OrderResult,
     Stage,
 )
 from waywell.version.routes import Engine, EngineModel
@@ -308,3 +309,22 @@
     assert len(stages) == held
     later = plan(boxes, memory, 2.1, {BIG: 4.0, SMALL: 4.0})
     assert not pick(later, Stage)
+
+
+def test_a_load_that_a_box_refuses_does_not_count_against_the_pace() -> None:
+    # The box loads already, for an earlier holder.
+    boxes = [make_box(f'i{number}') for number in range(9)]
+    boxes += make_group('small.1', 'a', 'b', domain='d1')
+    boxes += make_group('big.2', 'w', 'x', 'y', 'z', domain='d1')
+    memory = FormingMemory()
+    demand = {BIG: 4.0, SMALL: 4.0}
+    first = pick(plan(boxes, memory, 1.0, demand), Stage)
+    assert first
+    for one in first:
+        memory.note_result(one, OrderResult.MISFIT, 1.1)
+    others = pick(plan(boxes, memory, 1.2, demand), Stage)
+    asked = {one.box.box for one in first}
+    assert others
+    assert not asked & {one.box.box for one in others}
+    again = pick(plan(boxes, memory, 4.0, demand), Stage)
+    assert asked & {one.box.box for one in again}
--- a/tests/test_forming_machine.py
+++ b/tests/test_forming_machine.py
@@ -151,7 +151,7 @@
         if box.is_alive:
             result = self._take(box, assignment.order)
         if is_answered:
-            memory.note_result(assignment, result)
+            memory.note_result(assignment, result, self.now)
 
     @rule(choice=st.integers(0, 99))
     def finish_load(self, choice: int) -> None:
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -153,7 +153,9 @@
     def on_ordered(self, ordered: Ordered) -> None:
         """Note what came of an order."""
         memory = self._get_memory(ordered.assignment.box.service)
-        memory.note_result(ordered.assignment, ordered.result)
+        memory.note_result(
+            ordered.assignment, ordered.result, self.clock.read()
+        )
 
     def on_doubted(self, doubted: Doubted) -> None:
         """Ask the members of a doubted group for a sign of life."""
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -35,7 +35,7 @@
 from waywell.process.presence import Presence
 from waywell.process.route_watch import RouteWatch
 from waywell.request.claim import ClaimState
-from waywell.request.demand import DemandMeter
+from waywell.request.demand import DemandGauge, count_by_model
 from waywell.request.errand import CallerAnswer, ForwarderParts
 from waywell.request.forwarder import Forwarder
 from waywell.request.placement import Chooser
@@ -89,7 +89,7 @@
         self.outlook = Outlook(settings.promises)
         self.book = ReplicaBook()
         self.loads = SharedLoads()
-        self.demand = DemandMeter()
+        self.demand = DemandGauge()
         self.incarnation = Incarnation(int(self.clock.read_wall() * 1000))
         self.in_flight = 0
         self._adapter = adapter
@@ -325,25 +325,17 @@
             self.forming.post(FormingDuty.Doubted(group))
 
     def _read_demand(self, now: float) -> Mapping[Any, float]:
-        nodes = self.members.count_live()
-        return {
-            model: places * nodes
-            for model, places in self.demand.read(now).items()
-        }
+        loads = self.loads.add_up(())
+        loads.update(self.book.list_loads())
+        in_flight = count_by_model(loads, self.outlook.fleet)
+        return self.demand.observe(in_flight, now)
 
     async def _serve(self, ask: Ask, answer: CallerAnswer) -> None:
         self.in_flight += 1
-        began_at = self.clock.read()
         try:
             await self._forwarder.serve(ask, answer)
         finally:
-            self._note_end(ask, began_at)
-
-    def _note_end(self, ask: Ask, began_at: float) -> None:
-        self.in_flight -= 1
-        now = self.clock.read()
-        if ask.model:
-            self.demand.note(ask.model, now - began_at, now)
+            self.in_flight -= 1
 
     def _report(self, request: FrontRequest, code: Code, ran: Ran) -> None:
         self.metrics.count_request(code, ran)
--- a/waywell/request/demand.py
+++ b/waywell/request/demand.py
@@ -1,49 +1,70 @@
-"""How much work callers ask of each model, as one node sees it."""
+"""How much work callers ask of each model."""
 
 from __future__ import annotations
 
 import math
-from collections import defaultdict
+from collections import Counter
 from typing import TYPE_CHECKING
 
+from waywell.version.fleet import parse_group
+
 if TYPE_CHECKING:
-    from waywell.ids import ModelName
+    from collections.abc import Mapping
+
+    from waywell.ids import BoxId, ModelName
+    from waywell.version.fleet import Fleet
 
-MEMORY_SECONDS = 8.0
-"""Time in which the weight of what was seen falls to about a third."""
+MEMORY_SECONDS = 3.0
+"""Time in which the weight of what was seen falls to about a third: a few
+streams, and well under the time in which a model is loaded."""
 
-LEAST_AGE = 2.0
-"""Seconds that count as seen at least, so that a first request is no flood."""
 
+class DemandGauge:
+    """Keeps a running mean of the requests in flight, by model.
 
-class DemandMeter:
-    """Keeps a running mean of the places that requests take."""
+    Any node can work it out from what all nodes tell of their requests, so a
+    node that takes up the forming duty knows it at once.
+    """
 
     def __init__(self) -> None:
-        """Start without requests."""
-        self._work: dict[ModelName, float] = defaultdict(float)
-        self._at = 0.0
-        self._first_at = 0.0
-
-    def note(self, model: ModelName, seconds: float, now: float) -> None:
-        """Count a request that took a place for some seconds."""
-        self._fade(now)
-        if not self._work:
-            self._first_at = now
-        self._work[model] += seconds / MEMORY_SECONDS
-
-    def read(self, now: float) -> dict[ModelName, float]:
-        """Return the places that are taken at a time, by model.
-
-        What came before the first request is not counted as idle time.
+        """Start without a look."""
+        self._means: dict[ModelName, float] = {}
+        self._looked_at: float | None = None
+
+    def observe(
+        self,
+        in_flight: Mapping[ModelName, int],
+        now: float,
+    ) -> Mapping[ModelName, float]:
+        """Take in the requests in flight and return their mean.
+
+        Parameters
+        ----------
+        in_flight
+            Requests of all nodes, by model.
+        now
+            The present time, in seconds.
         """
-        self._fade(now)
-        age = max(LEAST_AGE, now - self._first_at)
-        seen = 1.0 - math.exp(-age / MEMORY_SECONDS)
-        return {model: work / seen for model, work in self._work.items()}
-
-    def _fade(self, now: float) -> None:
-        factor = math.exp((self._at - now) / MEMORY_SECONDS)
-        self._at = now
-        for model in self._work:
-            self._work[model] *= factor
+        kept = 0.0
+        if self._looked_at is not None:
+            kept = math.exp((self._looked_at - now) / MEMORY_SECONDS)
+        self._looked_at = now
+        self._means = {
+            model: kept * self._means.get(model, 0.0)
+            + (1.0 - kept) * in_flight.get(model, 0)
+            for model in self._means.keys() | in_flight.keys()
+        }
+        return self._means
+
+
+def count_by_model(
+    loads: Mapping[BoxId, int],
+    fleet: Fleet,
+) -> Counter[ModelName]:
+    """Return the requests in flight by the model of the box's group."""
+    counts: Counter[ModelName] = Counter()
+    for name, requests in loads.items():
+        box = fleet.boxes.get(name)
+        if box is not None and box.standing is not None:
+            counts[parse_group(box.standing.group)] += requests
+    return counts
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -380,7 +380,7 @@
             for box in resting
             if box.box in served
             and set(box.staged) <= {served[box.box]}
-            and box.box not in self._memory.staging
+            and self._memory.may_ask_to_load(box, self._now)
         ]
 
     def _load(self, box: FleetBox, model: EngineModel) -> bool:
@@ -388,7 +388,7 @@
         if not self._memory.may_load(self._engine, self._now):
             return False
         if self._order_stage(box, model):
-            self._memory.loads.append(self._now)
+            self._memory.loads[box.box] = self._now
         return True
 
     def _stage_seconds(self) -> None:
@@ -443,7 +443,11 @@
         """Return the idle boxes that are to load a model now."""
         staging = self._memory.staging
         empty = [box for box in idle if not self._memory.holds(box, model)]
-        lacking = [box for box in empty if box.box not in staging]
+        lacking = [
+            box
+            for box in empty
+            if self._memory.may_ask_to_load(box, self._now)
+        ]
         coming = sum(
             box.box in staging and staging[box.box].model == model.name
             for box in empty
--- a/waywell/version/forming_memory.py
+++ b/waywell/version/forming_memory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+import math
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
@@ -45,6 +45,10 @@
 REJOIN_SECONDS = 0.2
 """To join with the model that the box served last."""
 
+REFUSED_SECONDS = 2.0
+"""For which a box that refused to load is not asked again; a load takes some
+12 seconds or more."""
+
 PACE_SHARE = 0.9
 """Part of the weight store's pace that is used; the rest covers loads that a
 former holder began."""
@@ -113,8 +117,11 @@
     """Whether this holder saw the very first start: then loads keep no pace
     until callers come."""
 
-    loads: deque[float] = attrs.Factory(deque)
-    """When loads were begun, in seconds."""
+    loads: dict[BoxId, float] = attrs.Factory(dict)
+    """Boxes that load weights, with when that was ordered, in seconds."""
+
+    refused_at: dict[BoxId, float] = attrs.Factory(dict)
+    """When a box last refused to load; it loads for an earlier holder."""
 
     lost: dict[BoxId, float] = attrs.Factory(dict)
     """Boxes that gave no sign of life although they are listed, with when
@@ -135,6 +142,7 @@
         self._forget_orders(fleet, now)
         self._forget_groups(present, now)
         self._forget_staging(fleet, engine, now)
+        self._forget_loads(fleet, engine, now)
 
     def note_order(self, box: FleetBox, order: BoxOrder, now: float) -> bool:
         """Remember an order, unless one is open; answer whether so."""
@@ -147,6 +155,7 @@
         self,
         assignment: Assignment,
         result: OrderResult,
+        now: float,
     ) -> None:
         """Take in what came of an order."""
         box, order = assignment.box, assignment.order
@@ -156,6 +165,8 @@
                 self.forming.pop(order.group, None)
         if isinstance(order, Leave):
             self._note_left(box, order, result)
+        if isinstance(order, Stage) and result is not OrderResult.UNKNOWN:
+            self._note_load(box, result, now)
 
     def list_held(self, now: float) -> set[BoxId]:
         """Return the boxes that were ordered into groups just now."""
@@ -189,14 +200,29 @@
 
     def may_load(self, engine: Engine, now: float) -> bool:
         """Answer whether the weight store's pace allows one more load."""
-        longest = max(model.load_seconds for model in engine.models)
-        while self.loads and now - self.loads[0] > longest:
-            self.loads.popleft()
         if len(self.loads) >= engine.loads_at_once:
             return False
-        recent = sum(now - begun < 1 for begun in self.loads)
+        recent = sum(now - begun < 1 for begun in self.loads.values())
         return recent < max(1, engine.loads_per_second * PACE_SHARE)
 
+    def may_ask_to_load(self, box: FleetBox, now: float) -> bool:
+        """Answer whether a box neither loads nor refused a moment ago."""
+        refused_at = self.refused_at.get(box.box, -math.inf)
+        is_asked = box.box in self.staging or box.box in self.pending
+        return not is_asked and now - refused_at > REFUSED_SECONDS
+
+    def _note_load(
+        self,
+        box: FleetBox,
+        result: OrderResult,
+        now: float,
+    ) -> None:
+        """Give back the load of a box that did not take the order."""
+        if result is not OrderResult.TAKEN:
+            self.loads.pop(box.box, None)
+            self.staging.pop(box.box, None)
+            self.refused_at[box.box] = now
+
     def _note_left(
         self,
         box: FleetBox,
@@ -229,6 +255,20 @@
         self.settled &= present
         self.opened &= present
 
+    def _forget_loads(
+        self,
+        fleet: Fleet,
+        engine: Engine,
+        now: float,
+    ) -> None:
+        """Forget the loads that are over, by then or at the latest."""
+        longest = max(model.load_seconds for model in engine.models)
+        for name, begun_at in tuple(self.loads.items()):
+            is_over = name not in self.staging and name not in self.pending
+            if is_over or now - begun_at > longest:
+                self.loads.pop(name)
+        _keep_only(self.refused_at, fleet.boxes)
+
     def _forget_staging(
         self,
         fleet: Fleet,
