--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -48,11 +48,16 @@
 from waywell.version.routes import Engine, EngineModel
 from waywell.version.slow_groups import choose_slow_groups
 
-CONVERT_LOAD = 0.45
+CONVERT_LOAD = 0.6
 """Part of a model's places taken from which on boxes that served another model
 are made into a group of it.  A box keeps the weights of one model only beside
 the one that it serves, so each change loses a choice for later."""
 
+STAGE_LOAD = 0.4
+"""Part of its places taken from which on the model of the greatest need is
+loaded into idle boxes however few they are: a load takes as long as half a
+dozen boxes need to fail."""
+
 LOADS_KEPT = 2
 """Loads at one time that are kept for idle boxes: newcomers come in twos."""
 
@@ -424,11 +429,11 @@
         """Return the model whose group the idle boxes of a domain could be.
 
         Too few boxes for any group are spares for the model of the greatest
-        need; where that is short of places, all are, as groups of others
+        need; where that has little room left, all are, as groups of others
         can be closed to make them up.
         """
         ranked = self._need.rank_models()
-        if self._need.get_load(ranked[0]) >= RECLAIM_LOAD:
+        if self._need.get_load(ranked[0]) >= STAGE_LOAD:
             return ranked[0]
         return next(
             (model for model in ranked if model.boxes_per_group <= len(idle)),
