Finish log lines that were written in part; tell how many were lost

Cause: a pipe with room for half a line took the half, and the next line began in the middle of it; the count of lost lines was kept and shown nowhere. Test: test_events.py.

--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,88 @@
+"""Log lines are whole, bounded, and never waited for."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Iterator
+
+import pytest
+
+from waywell.process.events import LineBudget, PipeSink, quote_text
+
+LINE = 'event=x text=' + 'a' * 900 + '\n'
+
+
+@pytest.fixture
+def ends() -> Iterator[tuple[int, int]]:
+    """Give both ends of a pipe."""
+    made = os.pipe()
+    yield made
+    for end in made:
+        os.close(end)
+
+
+def _read_all(end: int) -> str:
+    os.set_blocking(end, False)
+    read = b''
+    try:
+        while piece := os.read(end, 65536):
+            read += piece
+    except BlockingIOError:
+        pass
+    return read.decode()
+
+
+def test_a_reader_that_is_slow_is_told_how_much_it_missed(
+    ends: tuple[int, int],
+) -> None:
+    reader, writer = ends
+    sink = PipeSink(writer)
+    while not sink.lost:
+        sink(LINE)
+    sink(LINE)
+    assert sink.lost == 2
+    read = _read_all(reader)
+    sink('event=next\n')
+    lines = (read + _read_all(reader)).splitlines()
+    assert lines[-2:] == ['event=lines_lost lines=2', 'event=next']
+    # The line that the pipe had room for in part only is whole as well.
+    assert set(lines[:-2]) == {LINE.rstrip()}
+    assert sink.lost == 0
+
+
+def test_nothing_is_written_between_the_parts_of_a_line(
+    ends: tuple[int, int],
+) -> None:
+    reader, writer = ends
+    sink = PipeSink(writer)
+    long_line = 'event=y text=' + 'b' * 200_000 + '\n'
+    sink(long_line)
+    read = _read_all(reader)
+    sink(LINE)
+    while len(read) < len(long_line):
+        read += _read_all(reader)
+        sink('event=z\n')
+    read += _read_all(reader)
+    assert read.startswith(long_line)
+    assert all(
+        line.startswith(('event=y', 'event=z', 'event=lines_lost'))
+        for line in read.splitlines()
+    )
+
+
+def test_an_event_has_so_many_lines_in_a_second() -> None:
+    budget = LineBudget(2)
+    assert [budget.allow('a', 1.1) for _ in range(4)] == [
+        True,
+        True,
+        False,
+        False,
+    ]
+    assert budget.take_left_out(1.9) == {}
+    assert budget.take_left_out(2.0) == {'a': 2}
+    assert budget.allow('a', 2.0)
+
+
+def test_a_value_can_not_look_like_another_pair() -> None:
+    assert quote_text('a b="c"\nd') == r'"a b=\"c\"\nd"'
+    assert quote_text('plain/word') == 'plain/word'
--- a/waywell/process/events.py
+++ b/waywell/process/events.py
@@ -94,14 +94,37 @@
         """Make the descriptor non-blocking."""
         self.lost = 0
         self._descriptor = descriptor
+        self._rest = b''
         os.set_blocking(descriptor, False)
 
     def __call__(self, line: str) -> None:
-        """Write a line whole, or count it as lost."""
+        """Write a line whole, or count it as lost.
+
+        How many were lost is told before the next line that is written.
+        """
+        self._rest = self._rest[self._write(self._rest) :]
+        if self._rest:
+            self.lost += 1
+            return
+        raw = line.encode()
+        if self.lost:
+            pairs = {'event': 'lines_lost', 'lines': self.lost}
+            raw = f'{format_pairs(pairs)}\n'.encode() + raw
+        written = self._write(raw)
+        if written:
+            self.lost = 0
+            self._rest = raw[written:]
+        else:
+            self.lost += 1
+
+    def _write(self, raw: bytes) -> int:
+        """Write as much as the reader takes now; return how much."""
+        if not raw:
+            return 0
         try:
-            os.write(self._descriptor, line.encode())
+            return os.write(self._descriptor, raw)
         except BlockingIOError:
-            self.lost += 1
+            return 0
 
 
 _budget = LineBudget(LINES_A_SECOND)
