--- a/tests/test_forming.py
+++ b/tests/test_forming.py
@@ -10,11 +10,7 @@
 from tests.boxes import make_box, make_fleet, make_group
 from waywell.ids import BoxId, GroupId, ModelName, ServiceName
 from waywell.version.fleet import FleetBox, MemberState
-from waywell.version.forming import (
-    LOADS_KEPT,
-    FormingPlanner,
-    FormingView,
-)
+from waywell.version.forming import FormingPlanner, FormingView
 from waywell.version.forming_memory import FormingMemory
 from waywell.version.orders import (
     Assignment,
@@ -26,6 +22,7 @@
     Stage,
 )
 from waywell.version.routes import Engine, EngineModel
+from waywell.version.staging import LOADS_KEPT
 
 LLM = ServiceName('llm')
 BIG, SMALL = ModelName('big'), ModelName('small')
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -24,14 +24,12 @@
     Fleet,
     FleetBox,
     FleetGroup,
-    MemberState,
     name_group,
     parse_group,
 )
 from waywell.version.forming_memory import (
     FormingGroup,
     FormingMemory,
-    Staging,
 )
 from waywell.version.group_verdicts import GroupJudge, Verdict
 from waywell.version.model_need import ModelNeed
@@ -42,28 +40,17 @@
     Join,
     Leave,
     Open,
-    Stage,
 )
 from waywell.version.reclaim import RECLAIM_LOAD, choose_donors
 from waywell.version.routes import Engine, EngineModel
 from waywell.version.slow_groups import choose_slow_groups
+from waywell.version.staging import Pools, StagingPlanner
 
 CONVERT_LOAD = 0.6
 """Part of a model's places taken from which on boxes that served another model
 are made into a group of it.  A box keeps the weights of one model only beside
 the one that it serves, so each change loses a choice for later."""
 
-STAGE_LOAD = 0.4
-"""Part of its places taken from which on the model of the greatest need is
-loaded into idle boxes however few they are: a load takes as long as half a
-dozen boxes need to fail."""
-
-LOADS_KEPT = 2
-"""Loads at one time that are kept for idle boxes: newcomers come in twos."""
-
-Pools = dict[DomainName, list[FleetBox]]
-"""Boxes by fabric domain."""
-
 
 @attrs.frozen
 class FormingView:
@@ -136,14 +123,16 @@
         if not any(box.staged or box.standing for box in self._boxes):
             # Nothing was ever loaded, so no request has come yet.
             self._memory.began_empty = True
+        staging = StagingPlanner(
+            self._need, self._memory, self._boxes, self._assign, self._now
+        )
         if self._memory.began_empty and not self._need.has_callers():
             self._form(free, takes_loads=True)
-            self._stage_seconds()
+            staging.load_seconds()
         else:
             self._form(free, takes_loads=False)
             self._reclaim(free, verdicts)
-            if self._stage(free):
-                self._stage_beside()
+            staging.load_within_pace(free)
         return self._assignments
 
     def _act(self, group: FleetGroup, verdict: Verdict) -> None:
@@ -339,130 +328,6 @@
         self._memory.abandoned[group.group] = self._now
         self._assign(group.members[0], Close(group.group, group.epoch))
 
-    def _stage(self, left: Pools) -> bool:
-        """Load models into idle boxes, so that they can join groups soon.
-
-        A box that served one model and holds the weights of another can
-        join a group of either within about a second.
-
-        Returns
-        -------
-        bool
-            Whether every idle box that should load has begun to.
-        """
-        for idle in left.values():
-            model = self._choose_staged(idle)
-            for box in self._list_lacking(idle, model):
-                if not self._load(box, model):
-                    return False
-        return True
-
-    def _stage_beside(self) -> None:
-        """Load a second model into boxes that serve and came empty.
-
-        What idle boxes may need at once is left of the weight store's pace.
-        """
-        at_once = self._engine.loads_at_once - LOADS_KEPT
-        for box in self._list_single():
-            if len(self._memory.loads) >= at_once:
-                return
-            others = self._list_others(box)
-            if others and not self._load(box, others[0]):
-                return
-
-    def _list_single(self) -> list[FleetBox]:
-        """Return boxes whose host holds nothing but what they serve."""
-        served = self._memory.last_models
-        resting = [
-            box
-            for box in self._boxes
-            if box.standing is not None
-            and box.standing.state is not MemberState.JOINING
-            and not box.leaving
-        ]
-        return [
-            box
-            for box in resting
-            if box.box in served
-            and set(box.staged) <= {served[box.box]}
-            and self._memory.may_ask_to_load(box, self._now)
-        ]
-
-    def _load(self, box: FleetBox, model: EngineModel) -> bool:
-        """Order a load within the weight store's pace; answer whether so."""
-        if not self._memory.may_load(self._engine, self._now):
-            return False
-        if self._order_stage(box, model):
-            self._memory.loads[box.box] = self._now
-        return True
-
-    def _stage_seconds(self) -> None:
-        """Load a second model into every box while that costs little.
-
-        A box that serves one model can then join groups of another within
-        seconds for the rest of its life.  These loads are not counted.
-        """
-        for box in self._boxes:
-            standing = box.standing
-            if standing is None or standing.state is MemberState.JOINING:
-                continue
-            others = self._list_others(box)
-            if others and box.box not in self._memory.staging:
-                self._order_stage(box, others[0])
-
-    def _list_others(self, box: FleetBox) -> list[EngineModel]:
-        """Return the models that a box holds no weights of, by need."""
-        return [
-            model
-            for model in self._need.rank_models()
-            if not self._memory.holds(box, model)
-        ]
-
-    def _order_stage(self, box: FleetBox, model: EngineModel) -> bool:
-        is_given = self._assign(box, Stage(model.name))
-        if is_given:
-            staging = Staging(model.name, self._now)
-            self._memory.staging[box.box] = staging
-        return is_given
-
-    def _choose_staged(self, idle: list[FleetBox]) -> EngineModel:
-        """Return the model whose group the idle boxes of a domain could be.
-
-        Too few boxes for any group are spares for the model of the greatest
-        need; where that has little room left, all are, as groups of others
-        can be closed to make them up.
-        """
-        ranked = self._need.rank_models()
-        if self._need.get_load(ranked[0]) >= STAGE_LOAD:
-            return ranked[0]
-        return next(
-            (model for model in ranked if model.boxes_per_group <= len(idle)),
-            ranked[0],
-        )
-
-    def _list_lacking(
-        self,
-        idle: list[FleetBox],
-        model: EngineModel,
-    ) -> list[FleetBox]:
-        """Return the idle boxes that are to load a model now."""
-        staging = self._memory.staging
-        empty = [box for box in idle if not self._memory.holds(box, model)]
-        lacking = [
-            box
-            for box in empty
-            if self._memory.may_ask_to_load(box, self._now)
-        ]
-        coming = sum(
-            box.box in staging and staging[box.box].model == model.name
-            for box in empty
-        )
-        size = model.boxes_per_group
-        surplus = len(idle) % size if len(idle) >= size else 0
-        wanted = len(idle) - surplus
-        having = len(idle) - len(empty) + coming
-        return lacking[: max(0, wanted - having)]
-
 
 def _summarise(
     verdicts: Mapping[GroupId, Verdict],
