Answer status, groups, boxes, configuration and routes on a front daemon

The paths are those of the administration port, so the command line asks both; a new command tells where a request may go and why. Tests: two in test_front.py.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -11,7 +11,8 @@
 import pytest
 
 from tests.front_bench import WHOLE, Front
-from tests.house import make_manifest
+from tests.house import HOST, KEY, make_manifest
+from waywell.cli import EXIT_REFUSED, run_command
 from waywell.standins.harness import wait_until
 
 if TYPE_CHECKING:
@@ -269,3 +270,41 @@
     status, raw = front.get(process, 'metrics_port', '/metrics')
     assert status == 200
     assert b'waywell_requests' in raw
+
+
+def test_operators_see_what_a_node_knows_and_no_key(
+    served: tuple[Front, Process],
+) -> None:
+    front, process = served
+    shown = {}
+    for what in ('status', 'configuration', 'groups', 'boxes', 'dump'):
+        status, raw = front.get(process, 'metrics_port', f'/v1/{what}')
+        assert status == 200
+        assert KEY.encode() not in raw
+        shown[what] = json.loads(raw)
+    assert shown['status']['ready'] is True
+    assert shown['status']['boxes'] == len(shown['boxes']) == 6
+    assert shown['configuration']['accounts'] == ['shop']
+    assert len(shown['groups']) == 2
+    members = [one['members'] for one in shown['groups']]
+    assert {len(one) for one in members} == {2}
+
+
+def test_the_command_line_asks_a_front_daemon_where_requests_go(
+    served: tuple[Front, Process],
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    _front, process = served
+    port = process.ports['metrics_port']
+    admin = f'--admin=http://127.0.0.1:{port}'
+    words = ['route', f'--host={HOST}', '--model=small', admin]
+    assert run_command([*words, '--path=/notes/1']) == 0
+    shown = json.loads(capsys.readouterr().out)
+    assert shown['route']['name'] == 'notes'
+    assert len(shown['services'][0]['replicas']) == 2
+    assert run_command([*words, '--path=/else/']) == 0
+    assert json.loads(capsys.readouterr().out)['route'] is None
+    assert run_command(['status', admin]) == 0
+    assert json.loads(capsys.readouterr().out)['ready'] is True
+    order = ['relabel', '--select=a:b', '--labels=a:c', admin]
+    assert run_command(order) == EXIT_REFUSED
--- a/waywell/cli.py
+++ b/waywell/cli.py
@@ -7,6 +7,7 @@
 import sys
 from http import HTTPStatus
 from typing import Any
+from urllib.parse import urlencode
 
 import fire
 
@@ -145,6 +146,20 @@
         }
         return _show(_call(admin, 'POST', '/v1/boxes/labels', order))
 
+    def route(
+        self,
+        host: str,
+        path: str,
+        model: str = '',
+        admin: str = '',
+    ) -> str:
+        """Show where a front daemon may send a request, and why.
+
+        For a front daemon, ``--admin`` names its metrics port.
+        """
+        query = urlencode({'host': host, 'path': path, 'model': model})
+        return _show(_call(admin, 'GET', f'/v1/route?{query}'))
+
     def status(self, admin: str = '') -> str:
         """Show groups, downtime, stranded accelerators and versions."""
         return _show(_call(admin, 'GET', '/v1/status'))
@@ -183,6 +198,10 @@
     answer = client.call(method, path, body)
     if answer.status == HTTPStatus.OK:
         return answer
+    if not answer.body:
+        # A front daemon takes no orders: operators write to the platform.
+        text = f'{method} {path}: {answer.status}, no such call there'
+        raise CommandError(EXIT_REFUSED, text)
     refusal = answer.read_json()
     unknown = refusal['code'] == Code.OUTCOME_UNKNOWN
     raise CommandError(
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -3,14 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from http import HTTPStatus
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from waywell.codes import Code, Ran
-from waywell.connection.desk import DeskAnswer
 from waywell.connection.front import FrontBackend, FrontRequest
 from waywell.connection.peer import ClaimAnswer, ClaimAsk, PeerService
 from waywell.ids import GroupId, HallName, Incarnation, NodeId
@@ -20,6 +16,7 @@
 from waywell.process.feed import Feed
 from waywell.process.fleet_watch import FleetWatch
 from waywell.process.forming import FormingDuty
+from waywell.process.front_operations import FrontOperations
 from waywell.process.front_ports import FrontHandlers, FrontPorts
 from waywell.process.gossip import Gossip, Numbers
 from waywell.process.links import PeerLinks
@@ -205,10 +202,7 @@
                 self.list_addresses,
                 self.settings.promises.entry_list_term,
             ),
-            metrics={
-                '/metrics': self._answer_metrics,
-                '/dump': self._answer_dump,
-            },
+            metrics=FrontOperations(self).list_handlers(),
             peer=PeerService(self._accept_peer, _answer_no_claim),
         )
 
@@ -350,13 +344,6 @@
                 routes_age=self.outlook.get_routes_age(self.clock.read()),
             )
 
-    def _answer_metrics(self, _query: Mapping[str, str]) -> DeskAnswer:
-        return DeskAnswer(HTTPStatus.OK, self.metrics.write(), 'text/plain')
-
-    def _answer_dump(self, _query: Mapping[str, str]) -> DeskAnswer:
-        raw = msgspec.json.encode(self.dump(), enc_hook=str)
-        return DeskAnswer(HTTPStatus.OK, raw)
-
     async def _accept_peer(self, stream: Any) -> None:
         if self._is_started:
             await self.links.accept(stream)
