--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+from opentelemetry.metrics import NoOpMeter
 
 from tests.boxes import make_fleet, make_group
 from waywell.codes import Code, Ran, Refusal
@@ -15,6 +16,7 @@
 from waywell.process.clock import Clock
 from waywell.process.front_settings import PromiseSettings
 from waywell.process.outlook import Outlook
+from waywell.process.request_metrics import RequestMetrics
 from waywell.request.ask import AnswerMark, Ask
 from waywell.request.attempt import Attempt
 from waywell.request.errand import CallerAnswer, ForwarderParts
@@ -123,6 +125,7 @@
                 draw=lambda: 0.0,
                 count_nodes=lambda: 1,
                 raise_doubt=lambda _replica: None,
+                metrics=RequestMetrics(NoOpMeter('test')),
             ),
         )
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from prometheus_client.parser import text_string_to_metric_families
 
 from tests.front_bench import WHOLE, Front
 from tests.house import HOST, KEY, make_manifest
@@ -308,3 +309,34 @@
     assert json.loads(capsys.readouterr().out)['ready'] is True
     order = ['relabel', '--select=a:b', '--labels=a:c', admin]
     assert run_command(order) == EXIT_REFUSED
+
+
+def test_latencies_and_what_a_node_knows_are_shown_as_metrics(
+    served: tuple[Front, Process],
+) -> None:
+    front, process = served
+    for path, model in (('/notes/1', 'small'), ('/stock/1', '')):
+        assert front.ask(process, path, model=model)[0] == 200
+    _status, raw = front.get(process, 'metrics_port', '/metrics')
+    shown = {
+        (sample.name, *_list_labels(sample.labels)): sample.value
+        for family in text_string_to_metric_families(raw.decode())
+        for sample in family.samples
+    }
+    expected = {
+        ('waywell_first_piece_seconds_count', 'service=llm'): 1,
+        ('waywell_answer_seconds_count', 'service=app'): 1,
+        ('waywell_attempts_total', 'event=answered', 'service=llm'): 1,
+        ('waywell_serving_replicas', 'model=llm/small'): 2,
+        ('waywell_duties', 'duty=forming'): 1,
+        ('waywell_nodes', 'state=live'): 1,
+    }
+    assert {name: shown.get(name) for name in expected} == expected
+
+
+def _list_labels(labels: dict[str, str]) -> list[str]:
+    return sorted(
+        f'{name}={text}'
+        for name, text in labels.items()
+        if not name.startswith('otel_')
+    )
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -16,6 +16,7 @@
 from waywell.process.feed import Feed
 from waywell.process.fleet_watch import FleetWatch
 from waywell.process.forming import FormingDuty
+from waywell.process.front_gauges import FrontGauges
 from waywell.process.front_operations import FrontOperations
 from waywell.process.front_ports import FrontHandlers, FrontPorts
 from waywell.process.gossip import Gossip, Numbers
@@ -30,6 +31,7 @@
 from waywell.process.paces import make_paces
 from waywell.process.platform_watch import WatchParts
 from waywell.process.presence import Presence
+from waywell.process.request_metrics import RequestMetrics
 from waywell.process.route_watch import RouteWatch
 from waywell.request.claim import ClaimState
 from waywell.request.demand import DemandGauge, count_by_model
@@ -102,6 +104,7 @@
         await self._ports.open()
         self._make_tasks()
         self._forwarder = self._make_forwarder()
+        FrontGauges(self).show()
         self._is_started = True
         for actor in self.actors:
             actor.start()
@@ -295,6 +298,7 @@
                 draw=self._random.random,
                 count_nodes=self.presence.count_nodes,
                 raise_doubt=self.doubts.raise_doubt,
+                metrics=RequestMetrics(self.metrics.meter),
             ),
         )
 
--- /dev/null
+++ b/waywell/process/front_gauges.py
@@ -0,0 +1,81 @@
+"""Gauges of a front daemon, read at each scrape."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from waywell.process.front import FrontNode
+
+
+class FrontGauges:
+    """Shows what a node knows and does.
+
+    Parameters
+    ----------
+    node
+        The node.
+    """
+
+    def __init__(self, node: FrontNode) -> None:
+        """Keep the node; its parts are read at each scrape."""
+        self._node = node
+
+    def show(self) -> None:
+        """Add the gauges to the node's metrics."""
+        show = self._node.metrics.show
+        show(
+            'waywell_serving_replicas',
+            'Replicas that may get requests, by service and model.',
+            'model',
+            self._count_serving,
+        )
+        show(
+            'waywell_knowledge_age_seconds',
+            'For how long what is known was not confirmed.',
+            'part',
+            self._read_ages,
+        )
+        show(
+            'waywell_nodes',
+            'Entry boxes that this one knows, by state.',
+            'state',
+            self._count_nodes,
+        )
+        show(
+            'waywell_duties',
+            'Whether this node holds a duty now: 1 or 0.',
+            'duty',
+            self._read_duties,
+        )
+        show(
+            'waywell_requests_in_flight',
+            'Requests of callers that are not answered yet.',
+            'node',
+            self._count_in_flight,
+        )
+
+    def _count_serving(self) -> Mapping[str, float]:
+        return self._node.outlook.count_serving()
+
+    def _read_ages(self) -> Mapping[str, float]:
+        outlook = self._node.outlook
+        now = self._node.clock.read()
+        return {
+            'routes': outlook.get_routes_age(now),
+            'boxes': outlook.get_boxes_age(now),
+        }
+
+    def _count_nodes(self) -> Mapping[str, float]:
+        return self._node.members.count_states()
+
+    def _read_duties(self) -> Mapping[str, float]:
+        return {
+            'forming': float(self._node.forming.is_held()),
+            'reader': float(self._node.feed.is_reader()),
+        }
+
+    def _count_in_flight(self) -> Mapping[str, float]:
+        return {self._node.settings.node.name: self._node.in_flight}
--- a/waywell/process/metrics.py
+++ b/waywell/process/metrics.py
@@ -22,8 +22,8 @@
     def __init__(self) -> None:
         """Open a meter of this process."""
         provider = MeterProvider([PrometheusMetricReader()])
-        self._meter = provider.get_meter('waywell')
-        self._requests = self._meter.create_counter(
+        self.meter = provider.get_meter('waywell')
+        self._requests = self.meter.create_counter(
             'waywell_requests',
             description='Requests by result code and by whether they ran.',
         )
@@ -52,7 +52,7 @@
         read
             Returns the values by the attribute's text.
         """
-        self._meter.create_observable_gauge(
+        self.meter.create_observable_gauge(
             name,
             [partial(_observe, attribute, read)],
             description=description,
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -141,6 +141,7 @@
         """Log what becomes of an attempt."""
         errand = self._errand
         outlook = self._parts.outlook
+        self._parts.metrics.count_attempt(event, errand.service)
         log_event(
             event,
             request=errand.ask.attempt,
--- a/waywell/request/errand.py
+++ b/waywell/request/errand.py
@@ -12,6 +12,7 @@
 from waywell.ids import ServiceName
 from waywell.process.clock import Clock
 from waywell.process.outlook import Outlook
+from waywell.process.request_metrics import RequestMetrics
 from waywell.request.ask import Ask
 from waywell.request.placement import Chooser
 from waywell.request.replica_book import ReplicaBook
@@ -79,6 +80,9 @@
     raise_doubt: Callable[[Replica], None]
     """Tells the other nodes that nothing comes from a replica."""
 
+    metrics: RequestMetrics
+    """Counts and times."""
+
 
 @attrs.define
 class Errand:
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -115,6 +115,7 @@
         self._answer.finish()
         status = attempt.head.status
         self._attempts.log('answered', attempt, now, status=status)
+        self._parts.metrics.time_answer(self._errand.service, self._get_age())
         raise _Answered
 
     def on_fault(self, fault: Attempt.Fault) -> None:
@@ -206,11 +207,18 @@
     def _begin(self, head: Attempt.Head) -> None:
         if not self._errand.is_begun:
             self._errand.is_begun = True
+            self._parts.metrics.time_first(
+                self._errand.service, self._get_age()
+            )
             length = head.length
             if self._errand.route.kind is RouteKind.STREAM:
                 length = None
             self._answer.begin(head.status, head.headers, length)
 
+    def _get_age(self) -> float:
+        """Return the seconds since the request arrived."""
+        return self._parts.clock.read() - self._errand.arrived_at
+
     def _check_key_again(self, now: float) -> None:
         """Refuse when the reason not to send was the key."""
         if self._errand.holder is None or self._errand.may_have_run:
