--- a/tests/test_doubts.py
+++ b/tests/test_doubts.py
@@ -35,6 +35,9 @@
     def spread(self, _word: object, skip: NodeId | None = None) -> None:
         self.spread_to.append(skip)
 
+    def pass_on(self, _word: object, source: NodeId) -> None:
+        self.spread_to.append(source)
+
 
 class Bench:
     """A task with links that only count."""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -26,6 +26,15 @@
     return link
 
 
+def test_what_came_from_a_peer_goes_on_to_dialled_ones_only() -> None:
+    links = PeerLinks(describe)
+    dialled = [make_link(links, name, heard_at=9) for name in 'bc']
+    accepted = make_link(links, 'd', heard_at=2)
+    links.pass_on(BEAT, NodeId('b'))
+    assert [link.outgoing.qsize() for link in dialled] == [0, 1]
+    assert accepted.outgoing.qsize() == 0
+
+
 def test_stream_that_was_heard_last_is_used() -> None:
     links = PeerLinks(describe)
     dead = [make_link(links, 'b', heard_at=at) for at in (1, 2, 3)]
--- a/waywell/process/doubts.py
+++ b/waywell/process/doubts.py
@@ -80,7 +80,7 @@
         now = self._clock.read()
         if not self._is_news(key, now):
             return
-        self._links.spread(word, received.node)
+        self._links.pass_on(word, received.node)
         if now - self._book.get(key).heard_at > RECENT_SECONDS:
             self._book.note_failure(key, now)
         self._tell(word.group)
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -353,15 +353,20 @@
             await self.links.accept(stream)
 
     async def _tend(self) -> None:
-        """Tell the others whether this node serves, and drop old records."""
-        told = 0
+        """Tell the others whether this node serves, and drop old records.
+
+        They need not know by which version: each that they were told would
+        send this node's record along every stream.
+        """
+        was_ready = False
         while True:
-            version = self.outlook.index.table.version
-            number = version if self.is_ready() else 0
-            if number != told:
-                told = number
-                self.gossip.post(Gossip.Advance(numbers=Numbers(number, 0)))
-                log_event('readiness', ready=bool(number), routes=version)
+            is_ready = self.is_ready()
+            if is_ready != was_ready:
+                was_ready = is_ready
+                numbers = Numbers(int(is_ready), 0)
+                self.gossip.post(Gossip.Advance(numbers=numbers))
+                version = self.outlook.index.table.version
+                log_event('readiness', ready=is_ready, routes=version)
             self.book.forget_others(self.outlook.list_keys())
             await asyncio.sleep(TEND_SECONDS)
 
--- a/waywell/process/links.py
+++ b/waywell/process/links.py
@@ -116,6 +116,17 @@
             if peer != skip:
                 self._put(link, message)
 
+    def pass_on(self, message: Wire, source: NodeId) -> None:
+        """Send a message that came from a peer along the rings.
+
+        Each node dials the next one on each ring, so what everyone passes on
+        to those that it dialled reaches all, each a few times.
+        """
+        dialled = self.list_dialled() - {source}
+        for peer, link in self._find_best().items():
+            if peer in dialled:
+                self._put(link, message)
+
     def dial(self, host: str, port: int, node: NodeId | None = None) -> None:
         """Open a stream to an address, unless there is one."""
         address = (host, port)
