--- a/waywell/cli.py
+++ b/waywell/cli.py
@@ -6,6 +6,7 @@
 import os
 import sys
 from http import HTTPStatus
+from pathlib import Path
 from typing import Any
 from urllib.parse import urlencode
 
@@ -164,6 +165,23 @@
         """Show groups, downtime, stranded accelerators and versions."""
         return _show(_call(admin, 'GET', '/v1/status'))
 
+    def report(
+        self, journal: str = 'journal', out: str = 'report.html'
+    ) -> str:
+        """Draw a page of charts from a journal of played days.
+
+        Needs the optional extra ``waywell[report]``.
+        """
+        # Only this command needs the plotting library.
+        from waywell.report.entries import read_journal  # noqa: PLC0415
+        from waywell.report.page import make_page  # noqa: PLC0415
+
+        entries = read_journal(Path(journal))
+        if not entries:
+            raise CommandError(EXIT_FAULTS, f'{journal}: no entries there')
+        Path(out).write_text(make_page(entries), encoding='utf-8')
+        return f'{out}: {len(entries)} runs'
+
     def dump(self, admin: str = '') -> str:
         """Show the state of an entry daemon."""
         return _show(_call(admin, 'GET', '/v1/dump'))
--- /dev/null
+++ b/waywell/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports drawn from the journal of played days."""
