--- /dev/null
+++ b/tests/test_shared_loads.py
@@ -0,0 +1,44 @@
+"""What other entry boxes tell of their requests in flight."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from waywell.ids import BoxId, NodeId
+from waywell.request.shared_loads import KEPT_SECONDS, SharedLoads
+
+NODES = st.sampled_from([NodeId(name) for name in 'abcd'])
+LOADS = st.dictionaries(
+    st.sampled_from([BoxId(name) for name in 'xyz']), st.integers(1, 9)
+)
+STEPS = st.lists(st.tuples(NODES, LOADS, st.sampled_from([0.1, 0.9, 2.0])))
+
+
+@given(STEPS, NODES)
+def test_the_total_is_the_sum_of_what_is_fresh(
+    steps: list[tuple[NodeId, dict[BoxId, int], float]],
+    skipped: NodeId,
+) -> None:
+    shared = SharedLoads()
+    told: dict[NodeId, tuple[dict[BoxId, int], float]] = {}
+    now = 0.0
+    for node, loads, pause in steps:
+        now += pause
+        shared.take(node, loads, now)
+        told[node] = (loads, now)
+        fresh = {
+            name: kept
+            for name, (kept, at) in told.items()
+            if now - at <= KEPT_SECONDS
+        }
+        total: Counter[BoxId] = Counter()
+        others: Counter[BoxId] = Counter()
+        for name, kept in fresh.items():
+            total.update(kept)
+            others.update(kept if name != skipped else {})
+        assert shared.list_nodes() == set(fresh)
+        assert {box: shared.get(box) for box in total} == dict(total)
+        assert +shared.add_up((skipped,)) == others
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -323,7 +323,7 @@
             self.forming.post(FormingDuty.Doubted(group))
 
     def _read_demand(self, now: float) -> Mapping[Any, float]:
-        loads = self.loads.add_up(())
+        loads = self.loads.add_up()
         loads.update(self.book.list_loads())
         in_flight = count_by_model(loads, self.outlook.fleet)
         return self.demand.observe(in_flight, now)
--- a/waywell/request/shared_loads.py
+++ b/waywell/request/shared_loads.py
@@ -29,7 +29,7 @@
     def __init__(self) -> None:
         """Know of no other node."""
         self._told: dict[NodeId, _Told] = {}
-        self._others: Counter[BoxId] = Counter()
+        self._total: Counter[BoxId] = Counter()
 
     def take(
         self,
@@ -38,19 +38,20 @@
         now: float,
     ) -> None:
         """Take in what a node tells; it replaces what it told before."""
-        self._told[node] = _Told(loads, now)
+        self._forget(node)
         for name, told in tuple(self._told.items()):
             if now - told.at > KEPT_SECONDS:
-                self._told.pop(name)
-        self._others = self.add_up(())
+                self._forget(name)
+        self._told[node] = _Told(loads, now)
+        self._total.update(loads)
 
-    def add_up(self, skipped: Iterable[NodeId]) -> Counter[BoxId]:
+    def add_up(self, skipped: Iterable[NodeId] = ()) -> Counter[BoxId]:
         """Return the requests in flight of all other nodes but some."""
-        total: Counter[BoxId] = Counter()
-        left_out = set(skipped)
-        for node, told in self._told.items():
-            if node not in left_out:
-                total.update(told.loads)
+        total = self._total.copy()
+        for node in skipped:
+            told = self._told.get(node)
+            if told is not None:
+                total.subtract(told.loads)
         return total
 
     def list_nodes(self) -> set[NodeId]:
@@ -59,4 +60,14 @@
 
     def get(self, box: BoxId) -> int:
         """Return the requests of other nodes at a box."""
-        return self._others[box]
+        return self._total[box]
+
+    def _forget(self, node: NodeId) -> None:
+        """Take back what a node told."""
+        told = self._told.pop(node, None)
+        if told is None:
+            return
+        for box, requests in told.loads.items():
+            self._total[box] -= requests
+            if not self._total[box]:
+                self._total.pop(box)
