--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -4,9 +4,20 @@
 
 import msgspec
 
+from tests.boxes import make_box
 from tests.test_membership import make_record
-from waywell.ids import HallName
-from waywell.process.feed import pick_reader
+from waywell.connection.peer import FeedAnswer, FeedAsk
+from waywell.ids import HallName, NodeId
+from waywell.process.clock import Clock
+from waywell.process.feed import Feed, pick_reader
+from waywell.process.front_settings import PromiseSettings
+from waywell.process.links import PeerLinks
+from waywell.process.membership import MembershipTable, NodeRecord
+from waywell.process.outlook import Outlook
+from waywell.process.paces import make_paces
+from waywell.request.replica_book import ReplicaBook
+from waywell.request.shared_loads import SharedLoads
+from waywell.version.routes import RouteTable
 
 HALL = HallName('h')
 
@@ -22,3 +33,168 @@
         wide = msgspec.structs.replace(record, link_mbps=200)
         others = records[:place] + records[place + 1 :]
         assert pick_reader(HALL, [*others, wide]) == wide
+
+
+class _Clock(Clock):
+    now = 100.0
+
+    def read(self) -> float:
+        return self.now
+
+    def read_wall(self) -> float:
+        return self.now
+
+
+class _Links:
+    def __init__(self) -> None:
+        self.sent: list[tuple[NodeId, object]] = []
+
+    def subscribe(self, *_words: object) -> None:
+        """Take no subscriber."""
+
+    def list_peers(self) -> set[NodeId]:
+        return {NodeId('b'), NodeId('c')}
+
+    def send(self, node: NodeId, message: object) -> None:
+        self.sent.append((node, message))
+
+
+class _Gossip:
+    def __init__(self, own: NodeRecord, *others: NodeRecord) -> None:
+        self.table = MembershipTable(own, 2.0)
+        for record in others:
+            self.table.merge(record, 0.0)
+
+    def keep_streams(self, _records: tuple[NodeRecord, ...]) -> None:
+        """Keep no stream."""
+
+
+class Bench:
+    """A node whose hall is read by node b."""
+
+    def __init__(self, reads_from: float = 0.0) -> None:
+        self.clock = _Clock()
+        self.links = _Links()
+        self.outlook = Outlook(PromiseSettings())
+        reader = msgspec.structs.replace(make_record('b'), link_mbps=100)
+        self.feed = Feed(
+            self.links,
+            _Gossip(make_record('a'), reader),
+            self.outlook,
+            self.clock,
+            ReplicaBook(),
+            SharedLoads(),
+            make_paces(PromiseSettings()),
+            reads_from,
+        )
+
+    def ask(self) -> FeedAsk:
+        self.links.sent.clear()
+        self.feed.on_tick(Feed.Tick())
+        asks = [ask for node, ask in self.links.sent if node == 'b']
+        assert len(asks) == 1
+        return asks[0]
+
+    def answer(self, ask: FeedAsk, **changes: object) -> None:
+        answer = FeedAnswer(
+            ask=ask.ask,
+            version=7,
+            routes_age=0.5,
+            run=1,
+            serial=3,
+            boxes_age=0.4,
+            is_whole=True,
+        )
+        answer = msgspec.structs.replace(answer, **changes)
+        self.feed.on_received(PeerLinks.Received(NodeId('b'), answer))
+
+    def get_ages(self) -> tuple[float, float]:
+        now = self.clock.now
+        return (
+            self.outlook.get_routes_age(now),
+            self.outlook.get_boxes_age(now),
+        )
+
+
+def test_ages_count_from_the_question_however_long_its_answer_took() -> None:
+    bench = Bench()
+    bench.outlook.take_routes(RouteTable(7))
+    ask = bench.ask()
+    # The answer lies in a buffer, or this process stands still.
+    bench.clock.now += 3.0
+    bench.answer(ask, boxes=(make_box('x'),))
+    assert bench.get_ages() == (3.5, 3.4)
+
+
+def test_an_answer_about_another_version_confirms_nothing() -> None:
+    bench = Bench()
+    bench.outlook.take_routes(RouteTable(6))
+    bench.outlook.confirm_routes(98.0)
+    bench.answer(bench.ask())
+    assert bench.get_ages()[0] == 2.0
+    assert bench.feed.behind_version == 7
+    assert bench.feed.needs_routes(bench.clock.now)
+    assert bench.ask().wants_routes
+    bench.answer(bench.ask(), routes=RouteTable(7))
+    assert bench.outlook.index.table.version == 7
+    assert bench.feed.behind_version == 0
+
+
+def test_an_older_box_list_never_replaces_a_newer_one() -> None:
+    bench = Bench()
+    late = bench.ask()
+    bench.clock.now += 1.0
+    bench.answer(bench.ask(), boxes=(make_box('new'),))
+    bench.answer(late, boxes=(make_box('old'),))
+    assert set(bench.outlook.fleet.boxes) == {'new'}
+
+
+def test_changes_are_applied_to_the_list_that_was_asked_with() -> None:
+    bench = Bench()
+    bench.answer(bench.ask(), boxes=(make_box('x'), make_box('y')))
+    bench.clock.now += 0.3
+    bench.answer(
+        bench.ask(),
+        serial=4,
+        is_whole=False,
+        boxes=(make_box('z'),),
+        gone=('x',),
+    )
+    assert set(bench.outlook.fleet.boxes) == {'y', 'z'}
+    # The answerer was restarted: its changes are to a list never seen here.
+    bench.clock.now += 0.3
+    bench.answer(bench.ask(), run=2, is_whole=False, gone=('y',))
+    assert set(bench.outlook.fleet.boxes) == {'y', 'z'}
+
+
+def test_a_question_is_answered_once_only() -> None:
+    bench = Bench()
+    bench.outlook.take_routes(RouteTable(7))
+    ask = bench.ask()
+    bench.answer(ask)
+    bench.clock.now += 2.0
+    bench.answer(ask, routes_age=0.0)
+    assert bench.get_ages()[0] == 2.5
+
+
+def test_a_node_reads_by_itself_when_its_reader_tells_old_news() -> None:
+    bench = Bench()
+    bench.outlook.take_routes(RouteTable(7))
+    bench.answer(bench.ask(), boxes=(make_box('x'),))
+    now = bench.clock.now
+    assert not bench.feed.needs_routes(now)
+    assert not bench.feed.needs_boxes(now)
+    bench.clock.now = now = now + 1.5
+    assert bench.feed.needs_routes(now)
+    assert bench.feed.needs_boxes(now)
+    bench.links.sent.clear()
+    bench.feed.on_tick(Feed.Tick())
+    assert {node for node, _ask in bench.links.sent} == {'b', 'c'}
+
+
+def test_at_the_first_start_a_node_lets_others_read_for_a_while() -> None:
+    bench = Bench(reads_from=102.0)
+    assert not bench.feed.needs_boxes(101.9)
+    assert not bench.feed.needs_routes(101.9)
+    assert bench.feed.needs_boxes(102.0)
+    assert bench.feed.needs_routes(102.0)
--- a/tests/test_forming.py
+++ b/tests/test_forming.py
@@ -325,3 +325,18 @@
     assert not asked & {one.box.box for one in others}
     again = pick(plan(boxes, memory, 4.0, demand), Stage)
     assert asked & {one.box.box for one in again}
+
+
+def test_loads_keep_the_pace_of_the_weight_store() -> None:
+    engine = msgspec.structs.replace(
+        ENGINE, loads_per_second=2.0, loads_at_once=20
+    )
+    boxes = [make_box(f'i{number}') for number in range(8)]
+    boxes += make_group('small.1', 'a', 'b', domain='d1')
+    memory = FormingMemory()
+    begun = []
+    for now in (1.0, 1.5, 2.1):
+        view = FormingView(LLM, engine, make_fleet(*boxes), CALLERS)
+        orders = FormingPlanner(view, memory, now).plan()
+        begun.append(len(pick(orders, Stage)))
+    assert begun == [2, 0, 2]
--- a/tests/test_slow_groups.py
+++ b/tests/test_slow_groups.py
@@ -117,6 +117,11 @@
         *make_group('small.2', 'c', 'd'),
         make_box('spare', staged=('small',)),
     ]
+    for number in range(3, 7):
+        names = (f'e{number}', f'f{number}')
+        boxes += make_group(f'small.{number}', *names, domain='d1')
     memory = make_memory('b', 'd')
     memory.abandoned[boxes[0].standing.group] = 0.5
     assert closed(boxes, memory) == set()
+    # Once the first is gone, the next may follow.
+    assert closed(boxes[2:], make_memory('b', 'd')) == {'small.2'}
