Give orders to close and to load again when they were lost

Cause, by reading: a group that was ordered to close and never heard it stayed in the memory as closing for the whole term of the holder, and no group was reclaimed or formed anew meanwhile; a load whose order got no answer kept its box from another order for three times a load. Ruled out: giving back the place of a load that may have begun at once; forty lost orders in four seconds would then begin more loads than the weight store's pace.

--- a/tests/test_forming.py
+++ b/tests/test_forming.py
@@ -308,8 +308,15 @@
     assert not pick(later, Stage)
 
 
-def test_a_load_that_a_box_refuses_does_not_count_against_the_pace() -> None:
-    # The box loads already, for an earlier holder.
+@pytest.mark.parametrize(
+    # It loads already, for an earlier holder; or the order may be lost.
+    ('result', 'is_free_at_once'),
+    [(OrderResult.MISFIT, True), (OrderResult.UNKNOWN, False)],
+)
+def test_a_load_that_a_box_did_not_take_is_given_back(
+    result: OrderResult,
+    is_free_at_once: bool,
+) -> None:
     boxes = [make_box(f'i{number}') for number in range(9)]
     boxes += make_group('small.1', 'a', 'b', domain='d1')
     boxes += make_group('big.2', 'w', 'x', 'y', 'z', domain='d1')
@@ -318,15 +325,30 @@
     first = pick(plan(boxes, memory, 1.0, demand), Stage)
     assert first
     for one in first:
-        memory.note_result(one, OrderResult.MISFIT, 1.1)
-    others = pick(plan(boxes, memory, 1.2, demand), Stage)
+        memory.note_result(one, result, 1.1)
     asked = {one.box.box for one in first}
-    assert others
+    others = pick(plan(boxes, memory, 1.2, demand), Stage)
+    assert bool(others) is is_free_at_once
     assert not asked & {one.box.box for one in others}
-    again = pick(plan(boxes, memory, 4.0, demand), Stage)
+    again = pick(plan(boxes, memory, 7.0, demand), Stage)
     assert asked & {one.box.box for one in again}
 
 
+def test_a_load_that_may_have_begun_counts_for_the_pace() -> None:
+    boxes = [make_box(f'i{number:02}') for number in range(20)]
+    boxes += make_group('small.1', 'a', 'b', domain='d1')
+    boxes += make_group('big.2', 'w', 'x', 'y', 'z', domain='d1')
+    memory = FormingMemory()
+    begun = 0
+    for tick in range(40):
+        now = 1.0 + tick * 0.1
+        orders = plan(boxes, memory, now, {BIG: 4.0, SMALL: 4.0})
+        for one in pick(orders, Stage):
+            begun += 1
+            memory.note_result(one, OrderResult.UNKNOWN, now)
+    assert begun <= ENGINE.loads_at_once
+
+
 def test_loads_keep_the_pace_of_the_weight_store() -> None:
     engine = msgspec.structs.replace(
         ENGINE, loads_per_second=2.0, loads_at_once=20
--- a/tests/test_slow_groups.py
+++ b/tests/test_slow_groups.py
@@ -9,7 +9,7 @@
 from waywell.ids import BoxId
 from waywell.version.box_report import BoxReport, ReportReading
 from waywell.version.fleet import FleetBox, MemberState
-from waywell.version.forming_memory import FormingMemory
+from waywell.version.forming_memory import PENDING_SECONDS, FormingMemory
 from waywell.version.orders import Close, Join
 
 QUIET = {BIG: 2.0, SMALL: 4.0}
@@ -125,3 +125,16 @@
     assert closed(boxes, memory) == set()
     # Once the first is gone, the next may follow.
     assert closed(boxes[2:], make_memory('b', 'd')) == {'small.2'}
+
+
+def test_an_order_to_close_that_was_lost_is_given_again() -> None:
+    boxes = [
+        *make_group('small.1', 'a', 'b'),
+        *make_group('small.2', 'c', 'd'),
+        make_box('spare', staged=('small',)),
+    ]
+    memory = make_memory('b')
+    assert closed(boxes, memory, 1.0) == {'small.1'}
+    assert closed(boxes, memory, 1.2) == set()
+    # The head still says that it is open.
+    assert closed(boxes, memory, 1.1 + PENDING_SECONDS) == {'small.1'}
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -145,13 +145,18 @@
         if verdict is Verdict.READY:
             self._assign(head, Open(group.group, group.epoch))
             self._memory.opened.add(group.group)
-        elif verdict is Verdict.CLOSE:
+        elif verdict is Verdict.CLOSE or self._is_to_close(group, verdict):
             self._assign(head, Close(group.group, group.epoch))
         elif verdict is Verdict.BREAK:
             self._assign(head, Leave(group.group, group.epoch))
         if verdict in {Verdict.SERVING, Verdict.READY, Verdict.UNDER_WAY}:
             self._need.groups[parse_group(group.group)] += 1
 
+    def _is_to_close(self, group: FleetGroup, verdict: Verdict) -> bool:
+        """Answer whether a group goes on although it was ordered to close."""
+        is_abandoned = group.group in self._memory.abandoned
+        return verdict is Verdict.SERVING and is_abandoned
+
     def _dissolve(self, group: FleetGroup) -> None:
         """Let the members leave a group whose head is lost.
 
--- a/waywell/version/forming_memory.py
+++ b/waywell/version/forming_memory.py
@@ -46,8 +46,11 @@
 """To join with the model that the box served last."""
 
 REFUSED_SECONDS = 2.0
-"""For which a box that refused to load is not asked again; a load takes some
-12 seconds or more."""
+"""For which a box that did not take an order to load is not asked again; a
+load takes some 12 seconds or more."""
+
+PACE_WINDOW_SECONDS = 5.0
+"""Over which the weight store's pace is judged: a load counts that long."""
 
 PACE_SHARE = 0.9
 """Part of the weight store's pace that is used; the rest covers loads that a
@@ -121,7 +124,8 @@
     """Boxes that load weights, with when that was ordered, in seconds."""
 
     refused_at: dict[BoxId, float] = attrs.Factory(dict)
-    """When a box last refused to load; it loads for an earlier holder."""
+    """When a box last did not take an order to load: it loads for an earlier
+    holder, or gave no answer."""
 
     lost: dict[BoxId, float] = attrs.Factory(dict)
     """Boxes that gave no sign of life although they are listed, with when
@@ -165,8 +169,8 @@
                 self.forming.pop(order.group, None)
         if isinstance(order, Leave):
             self._note_left(box, order, result)
-        if isinstance(order, Stage) and result is not OrderResult.UNKNOWN:
-            self._note_load(box, result, now)
+        if isinstance(order, Stage) and result is not OrderResult.TAKEN:
+            self._give_back_load(box, result, now)
 
     def list_held(self, now: float) -> set[BoxId]:
         """Return the boxes that were ordered into groups just now."""
@@ -211,17 +215,22 @@
         is_asked = box.box in self.staging or box.box in self.pending
         return not is_asked and now - refused_at > REFUSED_SECONDS
 
-    def _note_load(
+    def _give_back_load(
         self,
         box: FleetBox,
         result: OrderResult,
         now: float,
     ) -> None:
-        """Give back the load of a box that did not take the order."""
-        if result is not OrderResult.TAKEN:
+        """Forget a load that a box refused, or may not have begun.
+
+        Asking again is safe: a box that loads the model refuses.  A load that
+        may have begun counts for the weight store's pace all the same.
+        """
+        self.pending.pop(box.box, None)
+        self.staging.pop(box.box, None)
+        self.refused_at[box.box] = now
+        if result is not OrderResult.UNKNOWN:
             self.loads.pop(box.box, None)
-            self.staging.pop(box.box, None)
-            self.refused_at[box.box] = now
 
     def _note_left(
         self,
@@ -264,8 +273,9 @@
         """Forget the loads that are over, by then or at the latest."""
         longest = max(model.load_seconds for model in engine.models)
         for name, begun_at in tuple(self.loads.items()):
-            is_over = name not in self.staging and name not in self.pending
-            if is_over or now - begun_at > longest:
+            is_known = name in self.staging or name in self.pending
+            counted = longest if is_known else PACE_WINDOW_SECONDS
+            if now - begun_at > counted:
                 self.loads.pop(name)
         _keep_only(self.refused_at, fleet.boxes)
 
