--- a/tests/test_slow_groups.py
+++ b/tests/test_slow_groups.py
@@ -10,7 +10,7 @@
 from waywell.version.box_report import BoxReport, ReportReading
 from waywell.version.fleet import FleetBox, MemberState
 from waywell.version.forming_memory import PENDING_SECONDS, FormingMemory
-from waywell.version.orders import Close, Join
+from waywell.version.orders import Close, Join, OrderReason
 
 QUIET = {BIG: 2.0, SMALL: 4.0}
 """Places taken where one group of each model is enough."""
@@ -55,6 +55,8 @@
         make_box('spare', staged=('small',)),
     ]
     assert closed(boxes, make_memory('b')) == {'small.1'}
+    orders = pick(plan(boxes, make_memory('b'), 1.0, CALLERS), Close)
+    assert [one.reason for one in orders] == [OrderReason.SLOW_BOX]
 
 
 def test_boxes_of_other_domains_do_not_help() -> None:
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -327,6 +327,7 @@
             order=type(order).__name__.lower(),
             box=assignment.box.box,
             group=order.model if isinstance(order, Stage) else order.group,
+            why=assignment.reason.value,
             result=result.value,
         )
         self.post(self.Ordered(assignment, result))
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -40,6 +40,7 @@
     Join,
     Leave,
     Open,
+    OrderReason,
 )
 from waywell.version.reclaim import RECLAIM_LOAD, choose_donors
 from waywell.version.routes import Engine, EngineModel
@@ -143,12 +144,18 @@
         if head is None:
             return
         if verdict is Verdict.READY:
-            self._assign(head, Open(group.group, group.epoch))
+            order = Open(group.group, group.epoch)
+            self._assign(head, order, OrderReason.READY)
             self._memory.opened.add(group.group)
-        elif verdict is Verdict.CLOSE or self._is_to_close(group, verdict):
-            self._assign(head, Close(group.group, group.epoch))
+        elif verdict is Verdict.CLOSE:
+            close = Close(group.group, group.epoch)
+            self._assign(head, close, OrderReason.UNWANTED)
+        elif self._is_to_close(group, verdict):
+            close = Close(group.group, group.epoch)
+            self._assign(head, close, OrderReason.NOT_HEARD)
         elif verdict is Verdict.BREAK:
-            self._assign(head, Leave(group.group, group.epoch))
+            leave = Leave(group.group, group.epoch)
+            self._assign(head, leave, OrderReason.MEMBER_LOST)
         if verdict in {Verdict.SERVING, Verdict.READY, Verdict.UNDER_WAY}:
             self._need.groups[parse_group(group.group)] += 1
 
@@ -166,9 +173,9 @@
         leave = Leave(group.group, group.epoch)
         head = self._memory.heads.get(group.group)
         if head is not None:
-            self._assign(head, leave)
+            self._assign(head, leave, OrderReason.MEMBER_LOST)
         for member in group.members:
-            self._assign(member, leave)
+            self._assign(member, leave, OrderReason.MEMBER_LOST)
 
     def _count_forming(self) -> None:
         """Count the groups that no box shows yet."""
@@ -177,11 +184,16 @@
             if name not in present:
                 self._need.groups[parse_group(name)] += 1
 
-    def _assign(self, box: FleetBox, order: BoxOrder) -> bool:
+    def _assign(
+        self,
+        box: FleetBox,
+        order: BoxOrder,
+        reason: OrderReason,
+    ) -> bool:
         """Give an order, unless one is open; answer whether it is given."""
         if not self._memory.note_order(box, order, self._now):
             return False
-        self._assignments.append(Assignment(box, order))
+        self._assignments.append(Assignment(box, order, reason))
         return True
 
     def _list_free(self, verdicts: Mapping[GroupId, Verdict]) -> Pools:
@@ -302,7 +314,8 @@
         for box in boxes:
             if box.standing is not None:
                 memory.abandoned[box.standing.group] = self._now
-            self._assign(box, Join(group, epoch, model.name, members))
+            join = Join(group, epoch, model.name, members)
+            self._assign(box, join, OrderReason.NEEDED)
 
     def _reclaim(
         self,
@@ -322,16 +335,17 @@
             self._need, self._memory, idle, self._groups, serving
         )
         for slow_group in slow:
-            self._close(slow_group)
+            self._close(slow_group, OrderReason.SLOW_BOX)
         if any(one.group in self._memory.abandoned for one in serving):
             return
         for donor in choose_donors(self._need, self._memory, idle, serving):
-            self._close(donor)
+            self._close(donor, OrderReason.OTHER_IS_SHORT)
 
-    def _close(self, group: FleetGroup) -> None:
+    def _close(self, group: FleetGroup, reason: OrderReason) -> None:
         """Let a group finish its work, so that its boxes may join others."""
         self._memory.abandoned[group.group] = self._now
-        self._assign(group.members[0], Close(group.group, group.epoch))
+        close = Close(group.group, group.epoch)
+        self._assign(group.members[0], close, reason)
 
 
 def _summarise(
--- a/waywell/version/orders.py
+++ b/waywell/version/orders.py
@@ -87,6 +87,34 @@
     """No answer: it may have been taken, or may still be, seconds later."""
 
 
+class OrderReason(enum.Enum):
+    """Why an order is given, for logs."""
+
+    NEEDED = 'needed'
+    """A model has more work for its places than others."""
+
+    READY = 'ready'
+    """Every member has told that it is ready."""
+
+    UNWANTED = 'unwanted'
+    """A member leaves, or nobody asks for the model any more."""
+
+    MEMBER_LOST = 'member_lost'
+    """A member is lost, or the group can't be opened safely."""
+
+    SLOW_BOX = 'slow_box'
+    """A member is slow, and fast boxes make up a whole group."""
+
+    OTHER_IS_SHORT = 'other_is_short'
+    """Another model is short of places."""
+
+    NOT_HEARD = 'not_heard'
+    """The order was given before and shows no effect."""
+
+    SPARE = 'spare'
+    """The box is to hold weights that it may need."""
+
+
 class Assignment(msgspec.Struct, frozen=True):
     """An order and the box that it is for."""
 
@@ -95,3 +123,6 @@
 
     order: BoxOrder
     """The order."""
+
+    reason: OrderReason = OrderReason.NEEDED
+    """Why it is given."""
--- a/waywell/version/staging.py
+++ b/waywell/version/staging.py
@@ -12,7 +12,7 @@
 from waywell.ids import DomainName
 from waywell.version.fleet import FleetBox, MemberState
 from waywell.version.forming_memory import FormingMemory, Staging
-from waywell.version.orders import BoxOrder, Stage
+from waywell.version.orders import BoxOrder, OrderReason, Stage
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -54,7 +54,7 @@
         need: ModelNeed,
         memory: FormingMemory,
         boxes: list[FleetBox],
-        assign: Callable[[FleetBox, BoxOrder], bool],
+        assign: Callable[[FleetBox, BoxOrder, OrderReason], bool],
         now: float,
     ) -> None:
         """Plan nothing yet."""
@@ -155,7 +155,7 @@
         ]
 
     def _order(self, box: FleetBox, model: EngineModel) -> bool:
-        is_given = self._assign(box, Stage(model.name))
+        is_given = self._assign(box, Stage(model.name), OrderReason.SPARE)
         if is_given:
             staging = Staging(model.name, self._now)
             self._memory.staging[box.box] = staging
