--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test check format bench clean
+SEEDS ?= 50
+FIRST ?= 1
+
+.PHONY: setup demo test check format bench soak clean
 
 setup: $(STAMP)
 
@@ -32,5 +35,8 @@
 bench: setup
 	$(PYTHON) -m waywell.bench
 
+soak: setup
+	$(PYTHON) -m tests.soak --seeds=$(SEEDS) --first=$(FIRST)
+
 clean:
 	rm -rf $(VENV)
