--- /dev/null
+++ b/tests/test_bodies.py
@@ -0,0 +1,70 @@
+"""Bodies of answers that are given up."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+
+from waywell.connection.bodies import read_whole
+
+
+class _Transport:
+    is_closed = False
+
+    def loseConnection(self) -> None:  # noqa: N802
+        self.is_closed = True
+
+
+class _Response:
+    """An answer whose body comes as the test says."""
+
+    def __init__(self) -> None:
+        self.transport = _Transport()
+        self.body: Any = None
+
+    def deliverBody(self, body: Any) -> None:  # noqa: N802
+        self.body = body
+        body.makeConnection(self.transport)
+
+
+def test_a_body_is_returned_whole() -> None:
+    async def play() -> bytes:
+        response = _Response()
+        reading = asyncio.ensure_future(read_whole(response, 20.0))
+        await asyncio.sleep(0)
+        response.body.dataReceived(b'a')
+        response.body.dataReceived(b'b')
+        response.body.connectionLost(Failure(ResponseDone()))
+        return await reading
+
+    assert asyncio.run(play()) == b'ab'
+
+
+def test_a_body_that_breaks_off_is_an_error() -> None:
+    async def play() -> None:
+        response = _Response()
+        reading = asyncio.ensure_future(read_whole(response, 20.0))
+        await asyncio.sleep(0)
+        response.body.dataReceived(b'a')
+        response.body.connectionLost(Failure(ConnectionLost()))
+        await reading
+
+    with pytest.raises(ConnectionLost):
+        asyncio.run(play())
+
+
+def test_a_body_that_ends_after_it_was_given_up_fails_nothing() -> None:
+    async def play() -> _Response:
+        response = _Response()
+        with pytest.raises(TimeoutError):
+            await read_whole(response, 0.0)
+        response.body.dataReceived(b'late')
+        response.body.connectionLost(Failure(ResponseDone()))
+        return response
+
+    assert asyncio.run(play()).transport.is_closed
--- a/waywell/connection/http_calls.py
+++ b/waywell/connection/http_calls.py
@@ -8,10 +8,10 @@
 from returns.result import Failure, Result, Success
 from twisted.internet import reactor
 from twisted.internet.error import ConnectError, ConnectionRefusedError
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
-from waywell.connection.bodies import BytesBody
+from waywell.connection.bodies import BytesBody, read_whole
 from waywell.connection.deferreds import await_deferred
 from waywell.connection.platform import PlatformFault
 
@@ -110,5 +110,4 @@
             ),
             limit,
         )
-        raw: bytes = await await_deferred(readBody(response), limit)
-        return CallAnswer(response.code, raw)
+        return CallAnswer(response.code, await read_whole(response, limit))
--- a/waywell/connection/http_target.py
+++ b/waywell/connection/http_target.py
@@ -24,7 +24,7 @@
 from twisted.web.iweb import IAgentEndpointFactory, IResponse
 from zope.interface import implementer
 
-from waywell.connection.bodies import BytesBody
+from waywell.connection.bodies import BytesBody, read_whole
 from waywell.connection.deferreds import await_deferred
 from waywell.connection.target import (
     EPOCH_HEADER,
@@ -260,7 +260,7 @@
             agent.request(method, url, None, body),
             seconds,
         )
-        raw: bytes = await await_deferred(readBody(response), seconds)
+        raw = await read_whole(response, seconds)
         return _SmallAnswer(response.code, raw)
 
     def _make_endpoint(
