Leave the weight store's places to idle boxes

Change: boxes that serve load the model of the greatest need only, where it has little room, and while fewer than two loads run; the domain with most idle boxes loads first.

--- a/waywell/version/staging.py
+++ b/waywell/version/staging.py
@@ -25,8 +25,10 @@
 loaded into idle boxes however few they are: a load takes as long as half a
 dozen boxes need to fail."""
 
-LOADS_KEPT = 2
-"""Loads at one time that are kept for idle boxes: newcomers come in twos."""
+LOADS_BESIDE = 2
+"""Loads that run at the most when one begins in a box that serves: a load
+takes its place at the weight store for 12 to 16 s, and idle boxes wait for
+places."""
 
 Pools = dict[DomainName, list[FleetBox]]
 """Boxes by fabric domain."""
@@ -100,7 +102,8 @@
         bool
             Whether every idle box that should load has begun to.
         """
-        for idle in left.values():
+        # Where most boxes are idle a group is whole soonest.
+        for idle in sorted(left.values(), key=len, reverse=True):
             model = self._choose_model(idle)
             for box in self._list_lacking(idle, model):
                 if not self._load(box, model):
@@ -108,17 +111,18 @@
         return True
 
     def _load_beside(self) -> None:
-        """Load a second model into boxes that serve and came empty.
+        """Load the model that has little room into boxes that serve another.
 
-        What idle boxes may need at once is left of the weight store's pace.
+        Only those whose host holds nothing beside what they serve.
         """
-        at_once = self._need.engine.loads_at_once - LOADS_KEPT
+        model = self._need.rank_models()[0]
+        if self._need.get_load(model) < STAGE_LOAD:
+            return
         for box in self._list_single():
-            if len(self._memory.loads) >= at_once:
-                return
-            others = self._list_others(box)
-            if others and not self._load(box, others[0]):
+            if len(self._memory.loads) >= LOADS_BESIDE:
                 return
+            if not self._memory.holds(box, model):
+                self._load(box, model)
 
     def _list_single(self) -> list[FleetBox]:
         """Return boxes whose host holds nothing but what they serve."""
