--- a/tests/test_doubts.py
+++ b/tests/test_doubts.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from tests.boxes import make_box
+from tests.held_clock import HeldClock
 from waywell.connection.peer import ReplicaDoubt
 from waywell.ids import Epoch, GroupId, NodeId
-from waywell.process.clock import Clock
 from waywell.process.doubts import REPEAT_SECONDS, Doubts
 from waywell.process.links import PeerLinks
 from waywell.request.replica_book import LONGEST_REST, ReplicaBook
@@ -15,16 +15,6 @@
 REPLICA = Replica(ReplicaKey(BOX.box, Epoch(7)), BOX, group=GroupId('g.7'))
 
 
-class _Clock(Clock):
-    now = 100.0
-
-    def read(self) -> float:
-        return self.now
-
-    def read_wall(self) -> float:
-        return self.now
-
-
 class _Links:
     def __init__(self) -> None:
         self.spread_to: list[NodeId | None] = []
@@ -43,7 +33,7 @@
     """A task with links that only count."""
 
     def __init__(self) -> None:
-        self.clock = _Clock()
+        self.clock = HeldClock()
         self.links = _Links()
         self.book = ReplicaBook()
         self.told: list[GroupId] = []
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -5,10 +5,10 @@
 import msgspec
 
 from tests.boxes import make_box
+from tests.held_clock import HeldClock
 from tests.test_membership import make_record
 from waywell.connection.peer import FeedAnswer, FeedAsk
 from waywell.ids import HallName, NodeId
-from waywell.process.clock import Clock
 from waywell.process.feed import Feed, pick_reader
 from waywell.process.front_settings import PromiseSettings
 from waywell.process.links import PeerLinks
@@ -35,16 +35,6 @@
         assert pick_reader(HALL, [*others, wide]) == wide
 
 
-class _Clock(Clock):
-    now = 100.0
-
-    def read(self) -> float:
-        return self.now
-
-    def read_wall(self) -> float:
-        return self.now
-
-
 class _Links:
     def __init__(self) -> None:
         self.sent: list[tuple[NodeId, object]] = []
@@ -73,7 +63,7 @@
     """A node whose hall is read by node b."""
 
     def __init__(self, reads_from: float = 0.0) -> None:
-        self.clock = _Clock()
+        self.clock = HeldClock()
         self.links = _Links()
         self.outlook = Outlook(PromiseSettings())
         reader = msgspec.structs.replace(make_record('b'), link_mbps=100)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -10,10 +10,10 @@
 from opentelemetry.metrics import NoOpMeter
 
 from tests.boxes import make_fleet, make_group
+from tests.held_clock import HeldClock
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.exchange import SendFault
 from waywell.ids import HallName, ModelName, ServiceName
-from waywell.process.clock import Clock
 from waywell.process.front_settings import PromiseSettings
 from waywell.process.outlook import Outlook
 from waywell.process.request_metrics import RequestMetrics
@@ -40,16 +40,6 @@
 STREAM_HEADERS = ((b'content-type', b'text/event-stream'),)
 
 
-class _FixedClock(Clock):
-    now = 100.0
-
-    def read(self) -> float:
-        return self.now
-
-    def read_wall(self) -> float:
-        return self.now
-
-
 class _Answer(CallerAnswer):
     def __init__(self) -> None:
         self.body = b''
@@ -79,7 +69,7 @@
     """A forwarder whose attempts are driven by hand."""
 
     def __init__(self, kind: RouteKind = RouteKind.STREAM) -> None:
-        self.clock = _FixedClock()
+        self.clock = HeldClock()
         self.book = ReplicaBook()
         self.attempts: list[Attempt] = []
         self.answer = _Answer()
