--- a/waywell/version/fleet.py
+++ b/waywell/version/fleet.py
@@ -9,6 +9,7 @@
 import enum
 from collections import defaultdict
 from functools import cached_property
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -22,6 +23,9 @@
     ServiceName,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 
 class MemberState(enum.Enum):
     """State of a box within its group."""
@@ -218,6 +222,16 @@
     return ModelName(group.rpartition('.')[0])
 
 
+def divide_by_domain(
+    groups: Iterable[FleetGroup],
+) -> dict[DomainName, list[FleetGroup]]:
+    """Return the groups of each fabric domain, in their order."""
+    divided: dict[DomainName, list[FleetGroup]] = defaultdict(list)
+    for group in groups:
+        divided[group.domain].append(group)
+    return divided
+
+
 def note_models(last: dict[BoxId, ModelName], fleet: Fleet) -> None:
     """Remember which model each box served last.
 
--- a/waywell/version/reclaim.py
+++ b/waywell/version/reclaim.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import attrs
 
-from waywell.version.fleet import parse_group
+from waywell.version.fleet import divide_by_domain, parse_group
 from waywell.version.forming_memory import FormingMemory
 from waywell.version.model_need import ModelNeed
 from waywell.version.routes import EngineModel
@@ -49,13 +48,10 @@
     needy = need.rank_models()[0]
     if need.get_load(needy) < RECLAIM_LOAD:
         return ()
-    by_domain: dict[DomainName, list[FleetGroup]] = defaultdict(list)
-    for group in serving:
-        by_domain[group.domain].append(group)
     search = _DonorSearch(need, memory, needy)
     found = [
         search.find(idle.get(domain, []), groups)
-        for domain, groups in by_domain.items()
+        for domain, groups in divide_by_domain(serving).items()
     ]
     return min((donors for donors in found if donors), key=len, default=())
 
--- a/waywell/version/slow_groups.py
+++ b/waywell/version/slow_groups.py
@@ -7,12 +7,17 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
 
-from waywell.version.fleet import FleetBox, FleetGroup, parse_group
+from waywell.version.fleet import (
+    FleetBox,
+    FleetGroup,
+    divide_by_domain,
+    parse_group,
+)
 from waywell.version.forming_memory import FormingMemory
 from waywell.version.model_need import ModelNeed
 
@@ -52,7 +57,7 @@
     closing = [one for one in groups if one.group in memory.abandoned]
     rest = _count_closable(serving, closing)
     chosen: list[FleetGroup] = []
-    for domain, near in _split_by_domain(serving, closing).items():
+    for domain, near in _divide_settled(serving, closing).items():
         found = _Regrouping(need, memory, idle.get(domain, []), near).find()
         wanted = Counter(parse_group(one.group) for one in found)
         if all(rest[model] >= count for model, count in wanted.items()):
@@ -61,17 +66,15 @@
     return chosen
 
 
-def _split_by_domain(
+def _divide_settled(
     serving: list[FleetGroup],
     closing: list[FleetGroup],
 ) -> dict[DomainName, list[FleetGroup]]:
     """Return the groups of each fabric domain in which none is closing."""
     busy = {one.domain for one in closing}
-    split: dict[DomainName, list[FleetGroup]] = defaultdict(list)
-    for group in serving:
-        if group.domain not in busy:
-            split[group.domain].append(group)
-    return split
+    return divide_by_domain(
+        group for group in serving if group.domain not in busy
+    )
 
 
 def _count_closable(
