--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -33,6 +33,7 @@
 )
 from waywell.version.group_verdicts import GroupJudge, Verdict
 from waywell.version.model_need import ModelNeed
+from waywell.version.new_groups import GroupPicker
 from waywell.version.orders import (
     Assignment,
     BoxOrder,
@@ -42,16 +43,11 @@
     Open,
     OrderReason,
 )
-from waywell.version.reclaim import RECLAIM_LOAD, choose_donors
+from waywell.version.reclaim import choose_donors
 from waywell.version.routes import Engine, EngineModel
 from waywell.version.slow_groups import choose_slow_groups
 from waywell.version.staging import Pools, StagingPlanner
 
-CONVERT_LOAD = 0.6
-"""Part of a model's places taken from which on boxes that served another model
-are made into a group of it.  A box keeps the weights of one model only beside
-the one that it serves, so each change loses a choice for later."""
-
 
 @attrs.frozen
 class FormingView:
@@ -213,95 +209,14 @@
 
     def _form(self, free: Pools, takes_loads: bool) -> None:
         """Form groups, that of the greatest need first."""
-        best = self._find_best(free, takes_loads)
+        picker = GroupPicker(self._need, self._memory, takes_loads)
+        best = picker.find_best(free)
         while best is not None:
             model, boxes = best
             self._join(model, boxes)
             for box in boxes:
                 free[box.domain].remove(box)
-            best = self._find_best(free, takes_loads)
-
-    def _find_best(
-        self,
-        free: Pools,
-        takes_loads: bool,
-    ) -> tuple[EngineModel, list[FleetBox]] | None:
-        """Return the model of the greatest need whose group can be made."""
-        for model in self._need.rank_models():
-            converts = self._need.get_load(model) > CONVERT_LOAD
-            ready = [
-                picked
-                for boxes in free.values()
-                if (
-                    picked := self._pick_fastest(
-                        boxes, model, takes_loads, converts
-                    )
-                )
-            ]
-            if ready:
-                return model, self._pick_domain(ready, free, model)
-        return None
-
-    def _pick_domain(
-        self,
-        ready: list[list[FleetBox]],
-        free: Pools,
-        model: EngineModel,
-    ) -> list[FleetBox]:
-        """Return the boxes that are ready soonest, where most are free."""
-        return min(
-            ready,
-            key=lambda boxes: (
-                max(self._memory.estimate(box, model) for box in boxes),
-                -len(free[boxes[0].domain]),
-            ),
-        )
-
-    def _pick_fastest(
-        self,
-        boxes: list[FleetBox],
-        model: EngineModel,
-        takes_loads: bool,
-        converts: bool,
-    ) -> list[FleetBox]:
-        """Return the boxes that make up a group soonest, or none.
-
-        Slow boxes come last, and only where the model is short of places.
-
-        Parameters
-        ----------
-        boxes
-            Boxes of one domain that may join.
-        model
-            Model of the group.
-        takes_loads
-            Whether they may load its weights.
-        converts
-            Whether a group may be made up of boxes none of which served it
-            last; they lose the model that they did serve.
-        """
-        fit = [
-            box
-            for box in boxes
-            if takes_loads or self._memory.holds(box, model)
-        ]
-        if not converts and not any(
-            self._memory.has_served(box, model) for box in fit
-        ):
-            return []
-        fit.sort(
-            key=lambda box: (
-                self._memory.is_slow(box.box),
-                self._memory.estimate(box, model),
-                box.box,
-            ),
-        )
-        size = model.boxes_per_group
-        picked = fit[:size] if len(fit) >= size else []
-        is_slow = any(self._memory.is_slow(box.box) for box in picked)
-        if is_slow and self._need.get_load(model) < RECLAIM_LOAD:
-            return []
-        return picked
+            best = picker.find_best(free)
 
     def _join(self, model: EngineModel, boxes: list[FleetBox]) -> None:
         memory = self._memory
