--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -110,28 +110,34 @@
     def plan(self) -> list[Assignment]:
         """Return the orders to give now."""
         self._memory.update(self._fleet, self._engine, self._now)
-        judge = GroupJudge(self._fleet, self._engine, self._memory, self._now)
-        verdicts = {group.group: judge.judge(group) for group in self._groups}
+        verdicts = self._judge_groups()
         for group in self._groups:
             self._act(group, verdicts[group.group])
         self._count_forming()
         free = self._list_free(verdicts)
         self.summary = _summarise(verdicts, free)
-        if not any(box.staged or box.standing for box in self._boxes):
-            # Nothing was ever loaded, so no request has come yet.
-            self._memory.began_empty = True
+        self._note_first_start()
         staging = StagingPlanner(
             self._need, self._memory, self._boxes, self._assign, self._now
         )
         if self._memory.began_empty and not self._need.has_callers():
             self._form(free, takes_loads=True)
-            staging.load_seconds()
+            staging.load_second_models()
         else:
             self._form(free, takes_loads=False)
             self._reclaim(free, verdicts)
             staging.load_within_pace(free)
         return self._assignments
 
+    def _judge_groups(self) -> dict[GroupId, Verdict]:
+        judge = GroupJudge(self._fleet, self._engine, self._memory, self._now)
+        return {group.group: judge.judge(group) for group in self._groups}
+
+    def _note_first_start(self) -> None:
+        """Note when nothing was ever loaded: no request has come yet."""
+        if not any(box.staged or box.standing for box in self._boxes):
+            self._memory.began_empty = True
+
     def _act(self, group: FleetGroup, verdict: Verdict) -> None:
         """Give the orders that a verdict asks for."""
         if verdict is Verdict.HEADLESS:
@@ -146,7 +152,7 @@
         elif verdict is Verdict.CLOSE:
             close = Close(group.group, group.epoch)
             self._assign(head, close, OrderReason.UNWANTED)
-        elif self._is_to_close(group, verdict):
+        elif self._has_ignored_close(group, verdict):
             close = Close(group.group, group.epoch)
             self._assign(head, close, OrderReason.NOT_HEARD)
         elif verdict is Verdict.BREAK:
@@ -155,8 +161,8 @@
         if verdict in {Verdict.SERVING, Verdict.READY, Verdict.UNDER_WAY}:
             self._need.groups[parse_group(group.group)] += 1
 
-    def _is_to_close(self, group: FleetGroup, verdict: Verdict) -> bool:
-        """Answer whether a group goes on although it was ordered to close."""
+    def _has_ignored_close(self, group: FleetGroup, verdict: Verdict) -> bool:
+        """Answer whether a group serves although it was ordered to close."""
         is_abandoned = group.group in self._memory.abandoned
         return verdict is Verdict.SERVING and is_abandoned
 
@@ -234,7 +240,7 @@
 
     def _reclaim(
         self,
-        idle: Pools,
+        free: Pools,
         verdicts: Mapping[GroupId, Verdict],
     ) -> None:
         """Close groups with slow boxes, or of a model with room for another.
@@ -247,13 +253,13 @@
             if verdicts[group.group] is Verdict.SERVING
         ]
         slow = choose_slow_groups(
-            self._need, self._memory, idle, self._groups, serving
+            self._need, self._memory, free, self._groups, serving
         )
         for slow_group in slow:
             self._close(slow_group, OrderReason.SLOW_BOX)
         if any(one.group in self._memory.abandoned for one in serving):
             return
-        for donor in choose_donors(self._need, self._memory, idle, serving):
+        for donor in choose_donors(self._need, self._memory, free, serving):
             self._close(donor, OrderReason.OTHER_IS_SHORT)
 
     def _close(self, group: FleetGroup, reason: OrderReason) -> None:
--- a/waywell/version/staging.py
+++ b/waywell/version/staging.py
@@ -64,7 +64,7 @@
         self._assign = assign
         self._now = now
 
-    def load_seconds(self) -> None:
+    def load_second_models(self) -> None:
         """Load a second model into every box while that costs little.
 
         A box that serves one model can then join groups of another within
@@ -89,7 +89,7 @@
         if self._load_idle(idle):
             self._load_beside()
 
-    def _load_idle(self, left: Pools) -> bool:
+    def _load_idle(self, pools: Pools) -> bool:
         """Load models into idle boxes, so that they can join groups soon.
 
         A box that served one model and holds the weights of another can
@@ -100,7 +100,7 @@
         bool
             Whether every idle box that should load has begun to.
         """
-        for idle in left.values():
+        for idle in pools.values():
             model = self._choose_model(idle)
             for box in self._list_lacking(idle, model):
                 if not self._load(box, model):
@@ -139,7 +139,7 @@
         ]
 
     def _load(self, box: FleetBox, model: EngineModel) -> bool:
-        """Order a load within the weight store's pace; answer whether so."""
+        """Order a load; answer whether the weight store's pace allowed it."""
         if not self._memory.may_load(self._need.engine, self._now):
             return False
         if self._order(box, model):
@@ -155,6 +155,7 @@
         ]
 
     def _order(self, box: FleetBox, model: EngineModel) -> bool:
+        """Order a load whatever the pace; answer whether it is given."""
         is_given = self._assign(box, Stage(model.name), OrderReason.SPARE)
         if is_given:
             staging = Staging(model.name, self._now)
