--- a/waywell/platform/orders.py
+++ b/waywell/platform/orders.py
@@ -91,8 +91,10 @@
 
 
 class _Report(msgspec.Struct):
-    # How slow the server is, not how fast: over 1 its work takes longer.
+    """What is read of a server's report."""
+
     pace: float = USUAL_PACE
+    """How slow the server is, not how fast: over 1 its work takes longer."""
 
 
 def decode_report(box: FleetBox, raw: bytes) -> BoxReport:
--- a/waywell/report/charts.py
+++ b/waywell/report/charts.py
@@ -27,7 +27,7 @@
 """Resolution of a chart."""
 
 MOST_PRICES = 6
-"""Prices that a bar shows; the rest is small."""
+"""Prices that a chart shows; the others are small and left out."""
 
 SHARE_BAR = 0.75
 """Part of a bar's room that is filled."""
@@ -47,7 +47,10 @@
     """One play of a day."""
 
     at: datetime
+    """When its run began."""
+
     day: JournalDay
+    """How it went."""
 
 
 def draw_worth(site: str, entries: Iterable[JournalEntry]) -> bytes:
@@ -81,7 +84,7 @@
 
 
 def draw_losses(title: str, days: Sequence[JournalDay]) -> bytes:
-    """Draw for each day what was served and where worth went."""
+    """Draw for each day what was served, and the worth left after prices."""
     figure, axes = _open_chart(title)
     names = [day.name for day in days]
     axes.bar(
@@ -104,7 +107,7 @@
 
 
 def draw_prices(title: str, days: Sequence[JournalDay]) -> bytes:
-    """Draw for each day what was paid for, the largest prices apart."""
+    """Draw for each day the largest prices paid, on top of each other."""
     figure, axes = _open_chart(title)
     names = [day.name for day in days]
     bottoms = [0.0 for _ in days]
@@ -183,6 +186,7 @@
 
 
 def _rank_prices(days: Sequence[JournalDay]) -> list[str]:
+    """Return what took most worth over all days, the largest first."""
     totals: dict[str, float] = defaultdict(float)
     for day in days:
         for what, _amount, paid in day.prices:
@@ -192,6 +196,7 @@
 
 
 def _sum_price(day: JournalDay, name: str) -> float:
+    """Return the worth that was paid for one thing on a day."""
     return sum(
         paid or 0.0 for what, _amount, paid in day.prices if what == name
     )
