--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -128,20 +128,9 @@
         list.
         """
         promises = self.settings.promises
-        began_at = self.clock.read()
-        log_event('leaving', node=self.settings.node.name)
-        self._is_leaving = True
-        self.gossip.post(Gossip.Advance(state=NodeState.LEAVING))
-        kept = promises.entry_list_term * KEPT_FACTOR
-        ends_at = began_at + promises.stop_within - STOP_MARGIN
-        await asyncio.sleep(min(kept, promises.stop_within - LAST_SECONDS))
-        self._ports.stop_accepting()
-        while self.in_flight and self.clock.read() < ends_at:
-            await asyncio.sleep(DRAIN_LOOK_SECONDS)
-        cut = self.in_flight
-        self._ports.hang_up()
-        while self._ports.count_callers() and self.clock.read() < ends_at:
-            await asyncio.sleep(DRAIN_LOOK_SECONDS)
+        ends_at = self.clock.read() + promises.stop_within - STOP_MARGIN
+        await self._leave()
+        cut = await self._drain(ends_at)
         await self.presence.withdraw()
         self._ports.close()
         for helper in self._helpers:
@@ -328,6 +317,26 @@
         in_flight = count_by_model(loads, self.outlook.fleet)
         return self.demand.observe(in_flight, now)
 
+    async def _leave(self) -> None:
+        """Leave the entry list; wait until callers no longer keep it."""
+        promises = self.settings.promises
+        log_event('leaving', node=self.settings.node.name)
+        self._is_leaving = True
+        self.gossip.post(Gossip.Advance(state=NodeState.LEAVING))
+        kept = promises.entry_list_term * KEPT_FACTOR
+        await asyncio.sleep(min(kept, promises.stop_within - LAST_SECONDS))
+
+    async def _drain(self, ends_at: float) -> int:
+        """Finish the work in flight; return how many requests are cut."""
+        self._ports.stop_accepting()
+        while self.in_flight and self.clock.read() < ends_at:
+            await asyncio.sleep(DRAIN_LOOK_SECONDS)
+        cut = self.in_flight
+        self._ports.hang_up()
+        while self._ports.count_callers() and self.clock.read() < ends_at:
+            await asyncio.sleep(DRAIN_LOOK_SECONDS)
+        return cut
+
     async def _serve(self, ask: Ask, answer: CallerAnswer) -> None:
         self.in_flight += 1
         try:
