--- a/waywell/process/feed.py
+++ b/waywell/process/feed.py
@@ -107,22 +107,22 @@
         reads_from: float = 0.0,
     ) -> None:
         """Know no reader yet."""
-        self._paces = paces
-        self._reads_from = reads_from
-        self._book = book
-        self._loads = loads
-        self._followers: set[NodeId] = set()
         super().__init__('feed')
         self._links = links
         self._gossip = gossip
         self._outlook = outlook
         self._clock = clock
+        self._book = book
+        self._loads = loads
+        self._paces = paces
+        self._reads_from = reads_from
         self._own = gossip.table.own
-        self._life = self._own.incarnation
+        self._incarnation = self._own.incarnation
         self._serial = 0
         self._asked: OrderedDict[int, _Asked] = OrderedDict()
         self._fleets: OrderedDict[int, Fleet] = OrderedDict()
         self._followed = _Followed()
+        self._followers: set[NodeId] = set()
         self._reader: NodeId | None = None
         self.behind_version = 0
         links.subscribe(self, FeedAsk, FeedAnswer)
@@ -241,17 +241,25 @@
     def _answer(self, peer: NodeId, ask: FeedAsk) -> None:
         now = self._clock.read()
         self._take_loads(peer, ask, now)
-        fleet, serial = self._outlook.fleet, self._outlook.fleet_serial
-        self._remember(fleet, serial)
-        base = self._fleets.get(ask.serial) if ask.run == self._life else None
-        table = self._outlook.index.table
+        self._remember(self._outlook.fleet, self._outlook.fleet_serial)
+        self._links.send(peer, self._make_answer(peer, ask, now))
+
+    def _make_answer(
+        self,
+        peer: NodeId,
+        ask: FeedAsk,
+        now: float,
+    ) -> FeedAnswer:
+        """Return what is known here, as changes where the peer can follow."""
+        fleet, table = self._outlook.fleet, self._outlook.index.table
+        base = self._find_base(ask)
         known = base.boxes if base else {}
-        answer = FeedAnswer(
+        return FeedAnswer(
             ask=ask.ask,
             version=table.version,
             routes_age=_bound(self._outlook.get_routes_age(now)),
-            run=self._life,
-            serial=serial,
+            run=self._incarnation,
+            serial=self._outlook.fleet_serial,
             boxes_age=_bound(self._outlook.get_boxes_age(now)),
             is_whole=base is None,
             boxes=tuple(
@@ -263,7 +271,12 @@
             routes=table if ask.wants_newer(table.version) else None,
             loads=self._list_loads_but(peer),
         )
-        self._links.send(peer, answer)
+
+    def _find_base(self, ask: FeedAsk) -> Fleet | None:
+        """Return the box list that the asking node holds, if it is kept."""
+        if ask.run != self._incarnation:
+            return None
+        return self._fleets.get(ask.serial)
 
     def _take_loads(self, peer: NodeId, ask: FeedAsk, now: float) -> None:
         if ask.hall == self._own.hall:
