--- a/waywell/version/slow_groups.py
+++ b/waywell/version/slow_groups.py
@@ -131,15 +131,24 @@
             return ()
         lacking = model.boxes_per_group - self._count_fast(self.idle, model)
         closed: list[FleetGroup] = []
-        own.sort(key=lambda one: -self._count_fast(one.members, model))
-        others.sort(key=lambda one: -self._count_fast(one.members, model))
-        for group in (*own, *others):
+        for group in (*self._rank(own, model), *self._rank(others, model)):
             if lacking <= 0 and closed:
                 break
             closed.append(group)
             lacking -= self._count_fast(group.members, model)
         return tuple(closed) if lacking <= 0 else ()
 
+    def _rank(
+        self,
+        groups: list[FleetGroup],
+        model: EngineModel,
+    ) -> list[FleetGroup]:
+        """Return groups, that with the most fast boxes for a model first."""
+        return sorted(
+            groups,
+            key=lambda one: -self._count_fast(one.members, model),
+        )
+
     def _is_slow(self, group: FleetGroup) -> bool:
         return any(self.memory.is_slow(box.box) for box in group.members)
 
