--- a/tests/soak.py
+++ b/tests/soak.py
@@ -66,7 +66,8 @@
     Parameters
     ----------
     seed
-        Seed of the faults; what callers ask is drawn without it.
+        Seed of the faults.  What callers ask is drawn without it: their
+        threads take turns by chance, so no seed would repeat a run exactly.
     folder
         Folder for settings and logs.
     """
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -76,9 +76,9 @@
     capsys: pytest.CaptureFixture[str],
 ) -> None:
     out = tmp_path / 'report.html'
-    empty = ['report', f'--journal={tmp_path}', f'--out={out}']
-    assert run_command(empty) == EXIT_FAULTS
+    words = ['report', f'--journal={tmp_path}', f'--out={out}']
+    assert run_command(words) == EXIT_FAULTS
     _write(tmp_path, 1)
-    assert run_command(empty) == 0
+    assert run_command(words) == 0
     assert '1 runs' in capsys.readouterr().out
     assert '<h2>shop</h2>' in out.read_text()
