--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import attrs
 import msgspec
 from returns.result import Failure
 
@@ -192,18 +193,18 @@
         exchange.deliver(_make_reader(self, exchange, self._inbox))
 
 
+@attrs.define(eq=False, repr=False, slots=False)
 class _BodyReader(BodySink):
     """Tells the pieces of a body."""
 
-    def __init__(
-        self,
-        attempt: Attempt,
-        exchange: Exchange,
-        inbox: Inbox,
-    ) -> None:
-        self._attempt = attempt
-        self._exchange = exchange
-        self._inbox = inbox
+    _attempt: Attempt
+    """Whose answer it is."""
+
+    _exchange: Exchange
+    """Where the body is read."""
+
+    _inbox: Inbox
+    """Where what comes is put."""
 
     def was_reset(self) -> bool:
         return self._exchange.was_reset
@@ -216,17 +217,12 @@
         self._inbox.pause_if_full(self)
 
 
+@attrs.define(eq=False, repr=False, slots=False)
 class _EventReader(_BodyReader):
     """Tells whole events only: a replica may break off within one."""
 
-    def __init__(
-        self,
-        attempt: Attempt,
-        exchange: Exchange,
-        inbox: Inbox,
-    ) -> None:
-        super().__init__(attempt, exchange, inbox)
-        self._cutter = EventCutter()
+    _cutter: EventCutter = attrs.field(factory=EventCutter, init=False)
+    """Where the events are cut from the bytes."""
 
     def on_bytes(self, raw: bytes) -> None:
         for event in self._cutter.feed(raw):
@@ -238,17 +234,12 @@
         super().on_end(is_whole)
 
 
+@attrs.define(eq=False, repr=False, slots=False)
 class _PlainReader(_BodyReader):
     """Gathers a body of moderate size and tells it whole."""
 
-    def __init__(
-        self,
-        attempt: Attempt,
-        exchange: Exchange,
-        inbox: Inbox,
-    ) -> None:
-        super().__init__(attempt, exchange, inbox)
-        self._gathered = bytearray()
+    _gathered: bytearray = attrs.field(factory=bytearray, init=False)
+    """What was not told yet."""
 
     def on_bytes(self, raw: bytes) -> None:
         self._gathered += raw
