--- a/waywell/version/fleet.py
+++ b/waywell/version/fleet.py
@@ -122,6 +122,10 @@
     """Name of its group; empty for a plain service."""
 
 
+Pools = dict[DomainName, list[FleetBox]]
+"""Boxes by fabric domain."""
+
+
 class FleetGroup(msgspec.Struct, frozen=True):
     """A group as its present members tell it."""
 
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -24,6 +24,7 @@
     Fleet,
     FleetBox,
     FleetGroup,
+    Pools,
     name_group,
     parse_group,
 )
@@ -46,7 +47,7 @@
 from waywell.version.reclaim import choose_donors
 from waywell.version.routes import Engine, EngineModel
 from waywell.version.slow_groups import choose_slow_groups
-from waywell.version.staging import Pools, StagingPlanner
+from waywell.version.staging import StagingPlanner
 
 
 @attrs.frozen
--- a/waywell/version/new_groups.py
+++ b/waywell/version/new_groups.py
@@ -11,9 +11,8 @@
 from waywell.version.reclaim import RECLAIM_LOAD
 
 if TYPE_CHECKING:
-    from waywell.version.fleet import FleetBox
+    from waywell.version.fleet import FleetBox, Pools
     from waywell.version.routes import EngineModel
-    from waywell.version.staging import Pools
 
 CONVERT_LOAD = 0.6
 """Part of a model's places taken from which on boxes that served another model
--- a/waywell/version/reclaim.py
+++ b/waywell/version/reclaim.py
@@ -12,10 +12,7 @@
 from waywell.version.routes import EngineModel
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
-    from waywell.ids import DomainName
-    from waywell.version.fleet import FleetBox, FleetGroup
+    from waywell.version.fleet import FleetBox, FleetGroup, Pools
 
 RECLAIM_LOAD = 0.6
 """Part of a model's places taken from which on it gets groups of another:
@@ -29,7 +26,7 @@
 def choose_donors(
     need: ModelNeed,
     memory: FormingMemory,
-    idle: Mapping[DomainName, list[FleetBox]],
+    idle: Pools,
     serving: list[FleetGroup],
 ) -> tuple[FleetGroup, ...]:
     """Return the fewest groups to close so that a needy model gets one more.
--- a/waywell/version/slow_groups.py
+++ b/waywell/version/slow_groups.py
@@ -15,6 +15,7 @@
 from waywell.version.fleet import (
     FleetBox,
     FleetGroup,
+    Pools,
     divide_by_domain,
     parse_group,
 )
@@ -22,8 +23,6 @@
 from waywell.version.model_need import ModelNeed
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from waywell.ids import DomainName, ModelName
     from waywell.version.routes import EngineModel
 
@@ -35,7 +34,7 @@
 def choose_slow_groups(
     need: ModelNeed,
     memory: FormingMemory,
-    idle: Mapping[DomainName, list[FleetBox]],
+    idle: Pools,
     groups: list[FleetGroup],
     serving: list[FleetGroup],
 ) -> list[FleetGroup]:
--- a/waywell/version/staging.py
+++ b/waywell/version/staging.py
@@ -9,8 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from waywell.ids import DomainName
-from waywell.version.fleet import FleetBox, MemberState
+from waywell.version.fleet import FleetBox, MemberState, Pools
 from waywell.version.forming_memory import FormingMemory, Staging
 from waywell.version.orders import BoxOrder, OrderReason, Stage
 
@@ -28,9 +27,6 @@
 LOADS_KEPT = 2
 """Loads at one time that are kept for idle boxes: newcomers come in twos."""
 
-Pools = dict[DomainName, list[FleetBox]]
-"""Boxes by fabric domain."""
-
 
 class StagingPlanner:
     """Plans loads for one service.
