--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -24,6 +24,7 @@
     Fleet,
     FleetBox,
     FleetGroup,
+    Pools,
     name_group,
     parse_group,
 )
@@ -33,6 +34,7 @@
 )
 from waywell.version.group_verdicts import GroupJudge, Verdict
 from waywell.version.model_need import ModelNeed
+from waywell.version.new_groups import GroupPicker
 from waywell.version.orders import (
     Assignment,
     BoxOrder,
@@ -42,15 +44,10 @@
     Open,
     OrderReason,
 )
-from waywell.version.reclaim import RECLAIM_LOAD, choose_donors
+from waywell.version.reclaim import choose_donors
 from waywell.version.routes import Engine, EngineModel
 from waywell.version.slow_groups import choose_slow_groups
-from waywell.version.staging import Pools, StagingPlanner
-
-CONVERT_LOAD = 0.6
-"""Part of a model's places taken from which on boxes that served another model
-are made into a group of it.  A box keeps the weights of one model only beside
-the one that it serves, so each change loses a choice for later."""
+from waywell.version.staging import StagingPlanner
 
 
 @attrs.frozen
@@ -114,28 +111,34 @@
     def plan(self) -> list[Assignment]:
         """Return the orders to give now."""
         self._memory.update(self._fleet, self._engine, self._now)
-        judge = GroupJudge(self._fleet, self._engine, self._memory, self._now)
-        verdicts = {group.group: judge.judge(group) for group in self._groups}
+        verdicts = self._judge_groups()
         for group in self._groups:
             self._act(group, verdicts[group.group])
         self._count_forming()
         free = self._list_free(verdicts)
         self.summary = _summarise(verdicts, free)
-        if not any(box.staged or box.standing for box in self._boxes):
-            # Nothing was ever loaded, so no request has come yet.
-            self._memory.began_empty = True
+        self._note_first_start()
         staging = StagingPlanner(
             self._need, self._memory, self._boxes, self._assign, self._now
         )
         if self._memory.began_empty and not self._need.has_callers():
             self._form(free, takes_loads=True)
-            staging.load_seconds()
+            staging.load_second_models()
         else:
             self._form(free, takes_loads=False)
             self._reclaim(free, verdicts)
             staging.load_within_pace(free)
         return self._assignments
 
+    def _judge_groups(self) -> dict[GroupId, Verdict]:
+        judge = GroupJudge(self._fleet, self._engine, self._memory, self._now)
+        return {group.group: judge.judge(group) for group in self._groups}
+
+    def _note_first_start(self) -> None:
+        """Note when nothing was ever loaded: no request has come yet."""
+        if not any(box.staged or box.standing for box in self._boxes):
+            self._memory.began_empty = True
+
     def _act(self, group: FleetGroup, verdict: Verdict) -> None:
         """Give the orders that a verdict asks for."""
         if verdict is Verdict.HEADLESS:
@@ -150,7 +153,7 @@
         elif verdict is Verdict.CLOSE:
             close = Close(group.group, group.epoch)
             self._assign(head, close, OrderReason.UNWANTED)
-        elif self._is_to_close(group, verdict):
+        elif self._has_ignored_close(group, verdict):
             close = Close(group.group, group.epoch)
             self._assign(head, close, OrderReason.NOT_HEARD)
         elif verdict is Verdict.BREAK:
@@ -159,8 +162,8 @@
         if verdict in {Verdict.SERVING, Verdict.READY, Verdict.UNDER_WAY}:
             self._need.groups[parse_group(group.group)] += 1
 
-    def _is_to_close(self, group: FleetGroup, verdict: Verdict) -> bool:
-        """Answer whether a group goes on although it was ordered to close."""
+    def _has_ignored_close(self, group: FleetGroup, verdict: Verdict) -> bool:
+        """Answer whether a group serves although it was ordered to close."""
         is_abandoned = group.group in self._memory.abandoned
         return verdict is Verdict.SERVING and is_abandoned
 
@@ -213,95 +216,14 @@
 
     def _form(self, free: Pools, takes_loads: bool) -> None:
         """Form groups, that of the greatest need first."""
-        best = self._find_best(free, takes_loads)
+        picker = GroupPicker(self._need, self._memory, takes_loads)
+        best = picker.find_best(free)
         while best is not None:
             model, boxes = best
             self._join(model, boxes)
             for box in boxes:
                 free[box.domain].remove(box)
-            best = self._find_best(free, takes_loads)
-
-    def _find_best(
-        self,
-        free: Pools,
-        takes_loads: bool,
-    ) -> tuple[EngineModel, list[FleetBox]] | None:
-        """Return the model of the greatest need whose group can be made."""
-        for model in self._need.rank_models():
-            converts = self._need.get_load(model) > CONVERT_LOAD
-            ready = [
-                picked
-                for boxes in free.values()
-                if (
-                    picked := self._pick_fastest(
-                        boxes, model, takes_loads, converts
-                    )
-                )
-            ]
-            if ready:
-                return model, self._pick_domain(ready, free, model)
-        return None
-
-    def _pick_domain(
-        self,
-        ready: list[list[FleetBox]],
-        free: Pools,
-        model: EngineModel,
-    ) -> list[FleetBox]:
-        """Return the boxes that are ready soonest, where most are free."""
-        return min(
-            ready,
-            key=lambda boxes: (
-                max(self._memory.estimate(box, model) for box in boxes),
-                -len(free[boxes[0].domain]),
-            ),
-        )
-
-    def _pick_fastest(
-        self,
-        boxes: list[FleetBox],
-        model: EngineModel,
-        takes_loads: bool,
-        converts: bool,
-    ) -> list[FleetBox]:
-        """Return the boxes that make up a group soonest, or none.
-
-        Slow boxes come last, and only where the model is short of places.
-
-        Parameters
-        ----------
-        boxes
-            Boxes of one domain that may join.
-        model
-            Model of the group.
-        takes_loads
-            Whether they may load its weights.
-        converts
-            Whether a group may be made up of boxes none of which served it
-            last; they lose the model that they did serve.
-        """
-        fit = [
-            box
-            for box in boxes
-            if takes_loads or self._memory.holds(box, model)
-        ]
-        if not converts and not any(
-            self._memory.has_served(box, model) for box in fit
-        ):
-            return []
-        fit.sort(
-            key=lambda box: (
-                self._memory.is_slow(box.box),
-                self._memory.estimate(box, model),
-                box.box,
-            ),
-        )
-        size = model.boxes_per_group
-        picked = fit[:size] if len(fit) >= size else []
-        is_slow = any(self._memory.is_slow(box.box) for box in picked)
-        if is_slow and self._need.get_load(model) < RECLAIM_LOAD:
-            return []
-        return picked
+            best = picker.find_best(free)
 
     def _join(self, model: EngineModel, boxes: list[FleetBox]) -> None:
         memory = self._memory
@@ -319,7 +241,7 @@
 
     def _reclaim(
         self,
-        idle: Pools,
+        free: Pools,
         verdicts: Mapping[GroupId, Verdict],
     ) -> None:
         """Close groups with slow boxes, or of a model with room for another.
@@ -332,13 +254,13 @@
             if verdicts[group.group] is Verdict.SERVING
         ]
         slow = choose_slow_groups(
-            self._need, self._memory, idle, self._groups, serving
+            self._need, self._memory, free, self._groups, serving
         )
         for slow_group in slow:
             self._close(slow_group, OrderReason.SLOW_BOX)
         if any(one.group in self._memory.abandoned for one in serving):
             return
-        for donor in choose_donors(self._need, self._memory, idle, serving):
+        for donor in choose_donors(self._need, self._memory, free, serving):
             self._close(donor, OrderReason.OTHER_IS_SHORT)
 
     def _close(self, group: FleetGroup, reason: OrderReason) -> None:
--- a/waywell/version/reclaim.py
+++ b/waywell/version/reclaim.py
@@ -2,21 +2,17 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import attrs
 
-from waywell.version.fleet import parse_group
+from waywell.version.fleet import divide_by_domain, parse_group
 from waywell.version.forming_memory import FormingMemory
 from waywell.version.model_need import ModelNeed
 from waywell.version.routes import EngineModel
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
-    from waywell.ids import DomainName
-    from waywell.version.fleet import FleetBox, FleetGroup
+    from waywell.version.fleet import FleetBox, FleetGroup, Pools
 
 RECLAIM_LOAD = 0.6
 """Part of a model's places taken from which on it gets groups of another:
@@ -30,7 +26,7 @@
 def choose_donors(
     need: ModelNeed,
     memory: FormingMemory,
-    idle: Mapping[DomainName, list[FleetBox]],
+    idle: Pools,
     serving: list[FleetGroup],
 ) -> tuple[FleetGroup, ...]:
     """Return the fewest groups to close so that a needy model gets one more.
@@ -49,13 +45,10 @@
     needy = need.rank_models()[0]
     if need.get_load(needy) < RECLAIM_LOAD:
         return ()
-    by_domain: dict[DomainName, list[FleetGroup]] = defaultdict(list)
-    for group in serving:
-        by_domain[group.domain].append(group)
     search = _DonorSearch(need, memory, needy)
     found = [
         search.find(idle.get(domain, []), groups)
-        for domain, groups in by_domain.items()
+        for domain, groups in divide_by_domain(serving).items()
     ]
     return min((donors for donors in found if donors), key=len, default=())
 
--- a/waywell/version/slow_groups.py
+++ b/waywell/version/slow_groups.py
@@ -7,18 +7,22 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
 
-from waywell.version.fleet import FleetBox, FleetGroup, parse_group
+from waywell.version.fleet import (
+    FleetBox,
+    FleetGroup,
+    Pools,
+    divide_by_domain,
+    parse_group,
+)
 from waywell.version.forming_memory import FormingMemory
 from waywell.version.model_need import ModelNeed
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from waywell.ids import DomainName, ModelName
     from waywell.version.routes import EngineModel
 
@@ -30,7 +34,7 @@
 def choose_slow_groups(
     need: ModelNeed,
     memory: FormingMemory,
-    idle: Mapping[DomainName, list[FleetBox]],
+    idle: Pools,
     groups: list[FleetGroup],
     serving: list[FleetGroup],
 ) -> list[FleetGroup]:
@@ -52,7 +56,7 @@
     closing = [one for one in groups if one.group in memory.abandoned]
     rest = _count_closable(serving, closing)
     chosen: list[FleetGroup] = []
-    for domain, near in _split_by_domain(serving, closing).items():
+    for domain, near in _divide_settled(serving, closing).items():
         found = _Regrouping(need, memory, idle.get(domain, []), near).find()
         wanted = Counter(parse_group(one.group) for one in found)
         if all(rest[model] >= count for model, count in wanted.items()):
@@ -61,17 +65,15 @@
     return chosen
 
 
-def _split_by_domain(
+def _divide_settled(
     serving: list[FleetGroup],
     closing: list[FleetGroup],
 ) -> dict[DomainName, list[FleetGroup]]:
     """Return the groups of each fabric domain in which none is closing."""
     busy = {one.domain for one in closing}
-    split: dict[DomainName, list[FleetGroup]] = defaultdict(list)
-    for group in serving:
-        if group.domain not in busy:
-            split[group.domain].append(group)
-    return split
+    return divide_by_domain(
+        group for group in serving if group.domain not in busy
+    )
 
 
 def _count_closable(
@@ -128,15 +130,24 @@
             return ()
         lacking = model.boxes_per_group - self._count_fast(self.idle, model)
         closed: list[FleetGroup] = []
-        own.sort(key=lambda one: -self._count_fast(one.members, model))
-        others.sort(key=lambda one: -self._count_fast(one.members, model))
-        for group in (*own, *others):
+        for group in (*self._rank(own, model), *self._rank(others, model)):
             if lacking <= 0 and closed:
                 break
             closed.append(group)
             lacking -= self._count_fast(group.members, model)
         return tuple(closed) if lacking <= 0 else ()
 
+    def _rank(
+        self,
+        groups: list[FleetGroup],
+        model: EngineModel,
+    ) -> list[FleetGroup]:
+        """Return groups, that with the most fast boxes for a model first."""
+        return sorted(
+            groups,
+            key=lambda one: -self._count_fast(one.members, model),
+        )
+
     def _is_slow(self, group: FleetGroup) -> bool:
         return any(self.memory.is_slow(box.box) for box in group.members)
 
--- a/waywell/version/staging.py
+++ b/waywell/version/staging.py
@@ -9,8 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from waywell.ids import DomainName
-from waywell.version.fleet import FleetBox, MemberState
+from waywell.version.fleet import FleetBox, MemberState, Pools
 from waywell.version.forming_memory import FormingMemory, Staging
 from waywell.version.orders import BoxOrder, OrderReason, Stage
 
@@ -30,9 +29,6 @@
 takes its place at the weight store for 12 to 16 s, and idle boxes wait for
 places."""
 
-Pools = dict[DomainName, list[FleetBox]]
-"""Boxes by fabric domain."""
-
 
 class StagingPlanner:
     """Plans loads for one service.
@@ -66,7 +62,7 @@
         self._assign = assign
         self._now = now
 
-    def load_seconds(self) -> None:
+    def load_second_models(self) -> None:
         """Load a second model into every box while that costs little.
 
         A box that serves one model can then join groups of another within
@@ -91,7 +87,7 @@
         if self._load_idle(idle):
             self._load_beside()
 
-    def _load_idle(self, left: Pools) -> bool:
+    def _load_idle(self, pools: Pools) -> bool:
         """Load models into idle boxes, so that they can join groups soon.
 
         A box that served one model and holds the weights of another can
@@ -103,7 +99,7 @@
             Whether every idle box that should load has begun to.
         """
         # Where most boxes are idle a group is whole soonest.
-        for idle in sorted(left.values(), key=len, reverse=True):
+        for idle in sorted(pools.values(), key=len, reverse=True):
             model = self._choose_model(idle)
             for box in self._list_lacking(idle, model):
                 if not self._load(box, model):
@@ -143,7 +139,7 @@
         ]
 
     def _load(self, box: FleetBox, model: EngineModel) -> bool:
-        """Order a load within the weight store's pace; answer whether so."""
+        """Order a load; answer whether the weight store's pace allowed it."""
         if not self._memory.may_load(self._need.engine, self._now):
             return False
         if self._order(box, model):
@@ -159,6 +155,7 @@
         ]
 
     def _order(self, box: FleetBox, model: EngineModel) -> bool:
+        """Order a load whatever the pace; answer whether it is given."""
         is_given = self._assign(box, Stage(model.name), OrderReason.SPARE)
         if is_given:
             staging = Staging(model.name, self._now)
