--- a/tests/house.py
+++ b/tests/house.py
@@ -115,6 +115,13 @@
             self._forgotten = self._revision
             self._changed.notify_all()
 
+    def list_names(self, kind: str) -> set[str]:
+        """Return the names of the objects of a kind."""
+        with self._changed:
+            return {
+                name for its_kind, name in self._objects if its_kind == kind
+            }
+
     def _list(self, kind: str) -> dict[str, Any]:
         with self._changed:
             items = [
@@ -179,6 +186,17 @@
             def do_POST(self) -> None:
                 self._write(creates=True)
 
+            def do_DELETE(self) -> None:
+                if self._is_cut():
+                    return
+                _api, _objects, kind, name = (
+                    urlsplit(self.path).path.strip('/').split('/')
+                )
+                is_there = name in store.list_names(kind)
+                if is_there:
+                    store.remove(kind, name)
+                self.answer(200 if is_there else 404, {})
+
             def _write(self, creates: bool) -> None:
                 body = json.loads(self.read_body())
                 if self._is_cut():
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -340,3 +340,14 @@
         for name, text in labels.items()
         if not name.startswith('otel_')
     )
+
+
+def test_a_node_that_stops_takes_itself_off_the_platforms_list(
+    served: tuple[Front, Process],
+) -> None:
+    front, process = served
+    kind = 'waywell-entries'
+    wait_until(lambda: front.store.list_names(kind), 'the presence object')
+    process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not process.is_running(), 'the end of the process')
+    assert front.store.list_names(kind) == set()
