Search each domain for the change of groups that gains most, and load all that boxes lack

Change: per domain, closings of up to two groups and all counts of new ones are weighed by what callers lose by waiting, over the time of a load; boxes are kept for what was decided on; loads that complete a group come first, then spares, then second models.

--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -16,22 +16,19 @@
 from collections import Counter, defaultdict
 from collections.abc import Mapping
 from types import MappingProxyType
+from typing import TYPE_CHECKING
 
 import attrs
 
-from waywell.ids import DomainName, Epoch, GroupId, ModelName, ServiceName
+from waywell.ids import DomainName, GroupId, ModelName, ServiceName
 from waywell.version.fleet import (
     Fleet,
     FleetBox,
     FleetGroup,
     Pools,
-    name_group,
     parse_group,
 )
-from waywell.version.forming_memory import (
-    FormingGroup,
-    FormingMemory,
-)
+from waywell.version.group_changes import GroupChanges
 from waywell.version.group_verdicts import GroupJudge, Verdict
 from waywell.version.model_need import ModelNeed
 from waywell.version.new_groups import GroupPicker
@@ -39,16 +36,18 @@
     Assignment,
     BoxOrder,
     Close,
-    Join,
     Leave,
     Open,
     OrderReason,
 )
-from waywell.version.reclaim import choose_donors
-from waywell.version.routes import Engine, EngineModel
+from waywell.version.regroup_planner import RegroupPlanner
+from waywell.version.routes import Engine
 from waywell.version.slow_groups import choose_slow_groups
 from waywell.version.staging import StagingPlanner
 
+if TYPE_CHECKING:
+    from waywell.version.forming_memory import FormingMemory
+
 
 @attrs.frozen
 class FormingView:
@@ -107,14 +106,19 @@
         self._need = ModelNeed(view.engine, view.demand, len(self._boxes))
         self._fleet = view.fleet
         self._assignments: list[Assignment] = []
+        self._changes = GroupChanges(
+            self._need, self._memory, self._assign, now
+        )
 
     def plan(self) -> list[Assignment]:
         """Return the orders to give now."""
         self._memory.update(self._fleet, self._engine, self._now)
+        if self._memory.planned_since is None and self._need.has_callers():
+            self._memory.planned_since = self._now
         verdicts = self._judge_groups()
-        for group in self._groups:
-            self._act(group, verdicts[group.group])
-        self._count_forming()
+        for judged in self._groups:
+            self._act(judged, verdicts[judged.group])
+        self._count_groups(verdicts)
         free = self._list_free(verdicts)
         self.summary = _summarise(verdicts, free)
         self._note_first_start()
@@ -122,14 +126,41 @@
             self._need, self._memory, self._boxes, self._assign, self._now
         )
         if self._memory.began_empty and not self._need.has_callers():
-            self._form(free, takes_loads=True)
+            self._form(free)
             staging.load_second_models()
         else:
-            self._form(free, takes_loads=False)
-            self._reclaim(free, verdicts)
+            serving = [
+                group
+                for group in self._groups
+                if verdicts[group.group] is Verdict.SERVING
+            ]
+            self._close_slow(free, serving)
+            closing = self._list_closing(verdicts)
+            RegroupPlanner(
+                self._need, self._memory, self._changes, self._fleet, self._now
+            ).plan(free, serving, closing)
             staging.load_within_pace(free)
         return self._assignments
 
+    def _close_slow(self, free: Pools, serving: list[FleetGroup]) -> None:
+        """Close groups with slow boxes whose fast ones make up whole ones."""
+        for slow in choose_slow_groups(
+            self._need, self._memory, free, self._groups, serving
+        ):
+            self._changes.close(slow, OrderReason.SLOW_BOX)
+
+    def _list_closing(
+        self,
+        verdicts: Mapping[GroupId, Verdict],
+    ) -> list[FleetGroup]:
+        """Return the groups that were ordered to close, until they have."""
+        return [
+            group
+            for group in self._groups
+            if group.group in self._memory.abandoned
+            and verdicts[group.group] is not Verdict.FREE
+        ]
+
     def _judge_groups(self) -> dict[GroupId, Verdict]:
         judge = GroupJudge(self._fleet, self._engine, self._memory, self._now)
         return {group.group: judge.judge(group) for group in self._groups}
@@ -159,8 +190,6 @@
         elif verdict is Verdict.BREAK:
             leave = Leave(group.group, group.epoch)
             self._assign(head, leave, OrderReason.MEMBER_LOST)
-        if verdict in {Verdict.SERVING, Verdict.READY, Verdict.UNDER_WAY}:
-            self._need.groups[parse_group(group.group)] += 1
 
     def _has_ignored_close(self, group: FleetGroup, verdict: Verdict) -> bool:
         """Answer whether a group serves although it was ordered to close."""
@@ -180,8 +209,12 @@
         for member in group.members:
             self._assign(member, leave, OrderReason.MEMBER_LOST)
 
-    def _count_forming(self) -> None:
-        """Count the groups that no box shows yet."""
+    def _count_groups(self, verdicts: Mapping[GroupId, Verdict]) -> None:
+        """Count the groups that serve or will, also those not shown yet."""
+        kept = {Verdict.SERVING, Verdict.READY, Verdict.UNDER_WAY}
+        for judged, verdict in verdicts.items():
+            if verdict in kept and judged not in self._memory.abandoned:
+                self._need.groups[parse_group(judged)] += 1
         present = {group.group for group in self._groups}
         for name in self._memory.forming:
             if name not in present:
@@ -214,61 +247,17 @@
                 free[box.domain].append(box)
         return free
 
-    def _form(self, free: Pools, takes_loads: bool) -> None:
-        """Form groups, that of the greatest need first."""
-        picker = GroupPicker(self._need, self._memory, takes_loads)
+    def _form(self, free: Pools) -> None:
+        """Form groups before callers come, that of the greatest need first."""
+        picker = GroupPicker(self._need, self._memory)
         best = picker.find_best(free)
         while best is not None:
             model, boxes = best
-            self._join(model, boxes)
+            self._changes.join(model, boxes)
             for box in boxes:
                 free[box.domain].remove(box)
             best = picker.find_best(free)
 
-    def _join(self, model: EngineModel, boxes: list[FleetBox]) -> None:
-        memory = self._memory
-        epoch = Epoch(memory.next_epoch)
-        memory.next_epoch += 1
-        group = name_group(model.name, epoch)
-        members = tuple(box.box for box in boxes)
-        memory.forming[group] = FormingGroup(members, self._now)
-        self._need.groups[model.name] += 1
-        for box in boxes:
-            if box.standing is not None:
-                memory.abandoned[box.standing.group] = self._now
-            join = Join(group, epoch, model.name, members)
-            self._assign(box, join, OrderReason.NEEDED)
-
-    def _reclaim(
-        self,
-        free: Pools,
-        verdicts: Mapping[GroupId, Verdict],
-    ) -> None:
-        """Close groups with slow boxes, or of a model with room for another.
-
-        One new group at a time, so that the next look sees what it changed.
-        """
-        serving = [
-            group
-            for group in self._groups
-            if verdicts[group.group] is Verdict.SERVING
-        ]
-        slow = choose_slow_groups(
-            self._need, self._memory, free, self._groups, serving
-        )
-        for slow_group in slow:
-            self._close(slow_group, OrderReason.SLOW_BOX)
-        if any(one.group in self._memory.abandoned for one in serving):
-            return
-        for donor in choose_donors(self._need, self._memory, free, serving):
-            self._close(donor, OrderReason.OTHER_IS_SHORT)
-
-    def _close(self, group: FleetGroup, reason: OrderReason) -> None:
-        """Let a group finish its work, so that its boxes may join others."""
-        self._memory.abandoned[group.group] = self._now
-        close = Close(group.group, group.epoch)
-        self._assign(group.members[0], close, reason)
-
 
 def _summarise(
     verdicts: Mapping[GroupId, Verdict],
--- a/waywell/version/forming_memory.py
+++ b/waywell/version/forming_memory.py
@@ -21,12 +21,13 @@
     OrderResult,
     Stage,
 )
+from waywell.version.routes import EngineModel
 
 if TYPE_CHECKING:
     from collections.abc import Container
 
     from waywell.version.fleet import Fleet
-    from waywell.version.routes import Engine, EngineModel
+    from waywell.version.routes import Engine
 
 PENDING_SECONDS = 2.5
 """For which an order that was sent is waited for in the box list: two
@@ -72,6 +73,20 @@
         return now - self.begun_at <= GATHER_SECONDS
 
 
+@attrs.frozen
+class IntendedGroup:
+    """A group whose members are still to leave others."""
+
+    model: EngineModel
+    """Its model."""
+
+    members: tuple[BoxId, ...]
+    """Its members, the head first."""
+
+    since: float
+    """When it was decided on, in seconds."""
+
+
 @attrs.frozen
 class Staging:
     """A model that a box loads beside all else."""
@@ -120,6 +135,12 @@
     """Whether this holder saw the very first start: then loads keep no pace
     until callers come."""
 
+    intended: list[IntendedGroup] = attrs.Factory(list)
+    """Groups for which others were closed."""
+
+    planned_since: float | None = None
+    """When this holder made its first plan, in seconds."""
+
     loads: dict[BoxId, float] = attrs.Factory(dict)
     """Boxes that load weights, with when that was ordered, in seconds."""
 
@@ -185,6 +206,14 @@
         """Answer whether a model is the one that a box served last."""
         return self.last_models.get(box.box) == model.name
 
+    def has_room(self, box: FleetBox) -> bool:
+        """Answer whether a load pushes out nothing that a box may need.
+
+        Its host keeps the last model that was loaded; what it served last is
+        held besides.
+        """
+        return set(box.staged) <= {self.last_models.get(box.box)}
+
     def is_slow(self, name: BoxId) -> bool:
         """Answer whether a box told that its work takes long."""
         reading = self.reports.get(name)
--- a/waywell/version/model_need.py
+++ b/waywell/version/model_need.py
@@ -15,6 +15,21 @@
 if TYPE_CHECKING:
     from waywell.version.routes import EngineModel
 
+EASY_LOAD = 0.3
+"""Part of a model's places taken up to which its requests hardly wait for each
+other."""
+
+EASY_COST = 0.01
+"""Cost of a taken place below that, so that idle boxes are put to use where
+it costs nothing."""
+
+NO_GROUP = 0.05
+"""Groups that a model without any is reckoned to have: its requests are
+refused, which is worse than any wait."""
+
+LEAST_WORK = 1.0
+"""Places reckoned for a model that nobody asks for just now."""
+
 LEAST_DEMAND = 5.0
 """Places taken by callers from which on the models' demand is measured and
 not guessed from the operators' shares of the boxes."""
@@ -59,6 +74,39 @@
             return math.inf
         return self._get_work(model) / (groups * self.engine.places)
 
+    def has_shortage(self) -> bool:
+        """Answer whether requests of some model wait for each other."""
+        return any(
+            self.get_load(model) > EASY_LOAD for model in self.engine.models
+        )
+
+    def get_cost(self, change: Mapping[ModelName, int]) -> float:
+        """Return what callers lose a second by waiting, in places.
+
+        It rises with the square of the part of the places that is taken, as
+        requests wait for each other ever more, and with the requests that
+        wait.
+
+        Parameters
+        ----------
+        change
+            Groups that each model has more, or less.
+        """
+        return sum(
+            self._get_model_cost(model, change.get(model.name, 0))
+            for model in self.engine.models
+        )
+
+    def get_gain(self, model: EngineModel) -> float:
+        """Return what callers gain by one more group, in places a second."""
+        return self._get_model_cost(model, 0) - self._get_model_cost(model, 1)
+
+    def _get_model_cost(self, model: EngineModel, change: int) -> float:
+        groups = max(NO_GROUP, self.groups[model.name] + change)
+        work = max(LEAST_WORK, self._get_work(model))
+        load = work / (groups * self.engine.places)
+        return work * (max(0.0, load - EASY_LOAD) ** 2 + EASY_COST * load)
+
     def _get_work(self, model: EngineModel) -> float:
         """Return the places that callers take; a guess before they come."""
         if self.has_callers():
--- /dev/null
+++ b/waywell/version/regroup_planner.py
@@ -0,0 +1,143 @@
+"""Changes of groups that are begun in one plan and finished in later ones.
+
+A group whose boxes are still in others is decided on first: those are closed,
+its idle boxes are kept, and it is formed when the last box is free.  So the
+next plan does not form again what this one took apart.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from waywell.version.fleet import Fleet, FleetGroup, Pools, parse_group
+from waywell.version.forming_memory import FormingMemory, IntendedGroup
+from waywell.version.group_changes import GroupChanges
+from waywell.version.model_need import ModelNeed
+from waywell.version.orders import OrderReason
+from waywell.version.regrouping import NewGroup, Regrouping, RegroupSearch
+
+INTENDED_SECONDS = 8.0
+"""For which boxes are kept for a group whose members are to leave others: the
+longest streams end within it."""
+
+LOOK_SECONDS = 3.0
+"""From a holder's first look at callers until it closes groups by what they
+ask: after a stop of all nodes the first requests tell little."""
+
+MOST_CHANGES = 4
+"""Changes of groups that one plan begins; the next one follows at once."""
+
+
+@attrs.frozen
+class RegroupPlanner:
+    """Plans the changes of groups for one service."""
+
+    need: ModelNeed
+    """What callers ask of the models."""
+
+    memory: FormingMemory
+    """What the holder remembers; changed by the plan."""
+
+    changes: GroupChanges
+    """Gives the orders."""
+
+    fleet: Fleet
+    """The boxes of the service that give signs of life."""
+
+    now: float
+    """The present time, in seconds."""
+
+    def plan(
+        self,
+        free: Pools,
+        serving: list[FleetGroup],
+        closing: list[FleetGroup],
+    ) -> None:
+        """Go on with what was begun, and make the changes that gain most.
+
+        Parameters
+        ----------
+        free
+            Boxes that may join a group, by fabric domain; those that are
+            taken or kept for a group are removed.
+        serving
+            Groups that serve.
+        closing
+            Groups that were ordered to close.
+        """
+        self._form_intended(free)
+        best = self._find_best(free, serving, closing)
+        begun = 0
+        while best is not None and begun < MOST_CHANGES:
+            begun += 1
+            self._begin(best, free)
+            closing = [*closing, *best.closed]
+            best = self._find_best(free, serving, closing)
+
+    def _find_best(
+        self,
+        free: Pools,
+        serving: list[FleetGroup],
+        closing: list[FleetGroup],
+    ) -> Regrouping | None:
+        """Return the change that gains most now."""
+        abandoned = self.memory.abandoned
+        rest = [one for one in serving if one.group not in abandoned]
+        search = RegroupSearch(
+            self.need,
+            self.memory,
+            tuple(rest),
+            tuple(closing),
+            may_close=self._knows_demand(),
+        )
+        return search.find_best(free)
+
+    def _form_intended(self, free: Pools) -> None:
+        """Form the groups for which others were closed, as far as they can."""
+        names = {box.box: box for boxes in free.values() for box in boxes}
+        waiting: list[IntendedGroup] = []
+        for intended in self.memory.intended:
+            if not self._is_possible(intended):
+                continue
+            boxes = [names[one] for one in intended.members if one in names]
+            for kept in boxes:
+                free[kept.domain].remove(kept)
+            if len(boxes) == len(intended.members):
+                self.changes.join(intended.model, boxes)
+            else:
+                waiting.append(intended)
+                self.need.groups[intended.model.name] += 1
+        self.memory.intended = waiting
+
+    def _is_possible(self, intended: IntendedGroup) -> bool:
+        """Answer whether an intended group can still be formed soon."""
+        if self.now - intended.since > INTENDED_SECONDS:
+            return False
+        boxes = [self.fleet.boxes.get(name) for name in intended.members]
+        return all(box is not None and not box.leaving for box in boxes)
+
+    def _begin(self, change: Regrouping, free: Pools) -> None:
+        """Close the groups of a change, and form those that can be."""
+        for closed in change.closed:
+            self.changes.close(closed, OrderReason.OTHER_IS_SHORT)
+            self.need.groups[parse_group(closed.group)] -= 1
+        for formed in change.formed:
+            self._begin_group(formed, free)
+
+    def _begin_group(self, formed: NewGroup, free: Pools) -> None:
+        """Form a group at once, or keep its idle boxes for it."""
+        idle = [box for box in formed.boxes if box in free[box.domain]]
+        for kept in idle:
+            free[kept.domain].remove(kept)
+        if len(idle) == len(formed.boxes):
+            self.changes.join(formed.model, idle)
+            return
+        members = tuple(box.box for box in formed.boxes)
+        intended = IntendedGroup(formed.model, members, self.now)
+        self.memory.intended.append(intended)
+        self.need.groups[formed.model.name] += 1
+
+    def _knows_demand(self) -> bool:
+        """Answer whether callers were looked at for long enough."""
+        since = self.memory.planned_since
+        return since is not None and self.now - since >= LOOK_SECONDS
--- /dev/null
+++ b/waywell/version/regrouping.py
@@ -0,0 +1,272 @@
+"""Which groups of a fabric domain are closed and formed, weighed as a whole.
+
+A single step looks poor where the whole pays: to close one group for the box
+that three idle ones lack costs places at first.  So each domain is searched
+for the change of groups, closings and all, that gains most over the time in
+which it is likely to last.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from itertools import combinations, product
+from typing import TYPE_CHECKING
+
+import attrs
+
+from waywell.ids import ModelName
+from waywell.version.fleet import (
+    FleetBox,
+    FleetGroup,
+    Pools,
+    divide_by_domain,
+    parse_group,
+)
+from waywell.version.forming_memory import FormingMemory
+from waywell.version.model_need import ModelNeed
+from waywell.version.routes import EngineModel
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+MOST_CLOSED = 2
+"""Groups that one change closes at the most: what is gained by more does not
+make up for the places that are missing meanwhile."""
+
+CLOSING_SECONDS = 1.5
+"""From the order to close a group until its boxes can join another: its
+streams end, and the box list shows it."""
+
+LEAST_HORIZON = 10.0
+"""Seconds over which a change is weighed at the least, where loads are short
+or unsaid."""
+
+CONVERSION_COST = 0.15
+"""Cost a second of a box that leaves the model it served last, as a part of
+one place: it holds one model only until it has loaded the other again."""
+
+SLOW_BOX_LOAD = 0.6
+"""Part of a model's places taken from which on slow boxes are put to use."""
+
+CLOSABLE_PART = 0.5
+"""Part of a model's groups that may be closed at one time, but one at least:
+the rest takes their requests meanwhile."""
+
+
+@attrs.frozen
+class NewGroup:
+    """A group that is to be formed."""
+
+    model: EngineModel
+    """Its model."""
+
+    boxes: tuple[FleetBox, ...]
+    """Its members, the head first."""
+
+
+@attrs.frozen
+class Regrouping:
+    """A change of the groups of one domain."""
+
+    closed: tuple[FleetGroup, ...]
+    """Groups to close first."""
+
+    formed: tuple[NewGroup, ...]
+    """Groups to form of their boxes and idle ones."""
+
+    gain: float
+    """What callers gain by it, in place-seconds."""
+
+
+@attrs.frozen
+class RegroupSearch:
+    """Looks for the change of groups that gains most."""
+
+    need: ModelNeed
+    """What callers ask of the models."""
+
+    memory: FormingMemory
+    """What the holder remembers of the boxes."""
+
+    serving: tuple[FleetGroup, ...]
+    """Groups that serve."""
+
+    closing: tuple[FleetGroup, ...] = ()
+    """Groups that were ordered to close."""
+
+    may_close: bool = True
+    """Whether groups may be closed for others."""
+
+    def find_best(self, idle: Pools) -> Regrouping | None:
+        """Return the change that gains most, if any gains something.
+
+        Parameters
+        ----------
+        idle
+            Boxes that may join a group, by fabric domain.
+        """
+        near = divide_by_domain(self.serving)
+        found = (
+            change
+            for domain in sorted(set(idle) | set(near))
+            for change in self._list_changes(
+                idle.get(domain, []), near.get(domain, [])
+            )
+        )
+        best = max(found, key=lambda change: change.gain, default=None)
+        return best if best is not None and best.gain > 0 else None
+
+    def _list_changes(
+        self,
+        idle: list[FleetBox],
+        serving: list[FleetGroup],
+    ) -> Iterator[Regrouping]:
+        """Return the changes that can be made in one domain."""
+        if not idle and not self.need.has_shortage():
+            return
+        for closed in self._list_closings(serving):
+            pool = [*idle, *(box for one in closed for box in one.members)]
+            for counts in self._list_counts(len(pool)):
+                formed = self._pick_groups(pool, counts)
+                if formed and _differ(closed, formed):
+                    yield self._weigh(closed, formed)
+
+    def _list_closings(
+        self,
+        serving: list[FleetGroup],
+    ) -> Iterator[tuple[FleetGroup, ...]]:
+        """Return the sets of groups that may be closed together."""
+        rest = self._count_closable()
+        most = MOST_CLOSED if self.may_close else 0
+        for count in range(most + 1):
+            for closed in combinations(serving, count):
+                wanted = Counter(parse_group(one.group) for one in closed)
+                if wanted <= rest:
+                    yield closed
+
+    def _count_closable(self) -> Counter[ModelName]:
+        """Return how many groups of each model may be closed now."""
+        closed = Counter(parse_group(one.group) for one in self.closing)
+        served = Counter(parse_group(one.group) for one in self.serving)
+        return Counter(
+            {
+                model: max(1, int(count * CLOSABLE_PART)) - closed[model]
+                for model, count in served.items()
+            },
+        )
+
+    def _list_counts(self, boxes: int) -> Iterator[tuple[int, ...]]:
+        """Return how many groups of each model so many boxes could be."""
+        models = self.need.engine.models
+        ranges = [range(boxes // one.boxes_per_group + 1) for one in models]
+        for counts in product(*ranges):
+            taken = sum(
+                count * model.boxes_per_group
+                for count, model in zip(counts, models, strict=True)
+            )
+            if 0 < taken <= boxes:
+                yield counts
+
+    def _pick_groups(
+        self,
+        pool: list[FleetBox],
+        counts: tuple[int, ...],
+    ) -> tuple[NewGroup, ...]:
+        """Return groups in some number, or none where weights are lacking."""
+        left = list(pool)
+        groups: list[NewGroup] = []
+        wanted = zip(self.need.engine.models, counts, strict=True)
+        for model, count in sorted(
+            wanted, key=lambda pair: -pair[0].boxes_per_group
+        ):
+            fit = self._rank_boxes(left, model)
+            size = model.boxes_per_group
+            if len(fit) < count * size:
+                return ()
+            for first in range(0, count * size, size):
+                boxes = fit[first : first + size]
+                groups.append(NewGroup(model, tuple(boxes)))
+                left = [box for box in left if box not in boxes]
+        return tuple(groups)
+
+    def _rank_boxes(
+        self,
+        pool: list[FleetBox],
+        model: EngineModel,
+    ) -> list[FleetBox]:
+        """Return the boxes that can join a group, that ready soonest first.
+
+        Slow ones come last, and only where the model is short of places.
+        """
+        takes_slow = self.need.get_load(model) > SLOW_BOX_LOAD
+        fit = [
+            box
+            for box in pool
+            if self.memory.holds(box, model)
+            and (takes_slow or not self.memory.is_slow(box.box))
+        ]
+        return sorted(
+            fit,
+            key=lambda box: (
+                self.memory.is_slow(box.box),
+                self.memory.estimate(box, model),
+                box.box,
+            ),
+        )
+
+    def _weigh(
+        self,
+        closed: tuple[FleetGroup, ...],
+        formed: tuple[NewGroup, ...],
+    ) -> Regrouping:
+        """Return a change with what it gains."""
+        less = Counter[ModelName]()
+        less.subtract(parse_group(one.group) for one in closed)
+        change = Counter(one.model.name for one in formed)
+        change.update(less)
+        before = self.need.get_cost({})
+        won = before - self.need.get_cost(change)
+        won -= CONVERSION_COST * self._count_converted(formed)
+        missed = self.need.get_cost(less) - before
+        waited = self._estimate_wait(closed, formed)
+        lasting = max(0.0, self._get_horizon() - waited)
+        return Regrouping(closed, formed, won * lasting - missed * waited)
+
+    def _estimate_wait(
+        self,
+        closed: tuple[FleetGroup, ...],
+        formed: tuple[NewGroup, ...],
+    ) -> float:
+        """Return the seconds until all new groups serve."""
+        joined = max(
+            self.memory.estimate(box, group.model)
+            for group in formed
+            for box in group.boxes
+        )
+        closing = CLOSING_SECONDS if closed else 0.0
+        return closing + joined + self.need.engine.form_seconds
+
+    def _get_horizon(self) -> float:
+        """Return for how long a change is likely to last, in seconds.
+
+        A box that is lost is made up for by a load at the latest.
+        """
+        models = self.need.engine.models
+        return max(LEAST_HORIZON, *(model.load_seconds for model in models))
+
+    def _count_converted(self, formed: tuple[NewGroup, ...]) -> int:
+        return sum(
+            not self.memory.has_served(box, group.model)
+            for group in formed
+            for box in group.boxes
+        )
+
+
+def _differ(
+    closed: tuple[FleetGroup, ...],
+    formed: tuple[NewGroup, ...],
+) -> bool:
+    """Answer whether a change forms other groups than it closes."""
+    before = Counter(parse_group(one.group) for one in closed)
+    return before != Counter(one.model.name for one in formed)
--- a/waywell/version/staging.py
+++ b/waywell/version/staging.py
@@ -19,15 +19,13 @@
     from waywell.version.model_need import ModelNeed
     from waywell.version.routes import EngineModel
 
-STAGE_LOAD = 0.4
-"""Part of its places taken from which on the model of the greatest need is
-loaded into idle boxes however few they are: a load takes as long as half a
-dozen boxes need to fail."""
+REPLACE_RATIO = 2.0
+"""How much more a box must be worth to the model that it is to load than to
+the one that this pushes out of its host, so that loads don't undo another."""
 
-LOADS_BESIDE = 2
-"""Loads that run at the most when one begins in a box that serves: a load
-takes its place at the weight store for 12 to 16 s, and idle boxes wait for
-places."""
+BESIDE_PART = 0.5
+"""Part of the weight store's places that boxes which serve may take: a load
+takes its place for 12 to 16 s, and idle boxes wait for places."""
 
 
 class StagingPlanner:
@@ -77,65 +75,134 @@
                 self._order(box, others[0])
 
     def load_within_pace(self, idle: Pools) -> None:
-        """Load models into idle boxes first, then into boxes that serve.
+        """Load models that boxes lack, those that callers gain most by first.
+
+        Idle boxes come before those that serve: what makes up a whole group,
+        then spares of the model in need, so that a group that loses a box is
+        patched with one at hand.
 
         Parameters
         ----------
         idle
             Boxes in no group, by fabric domain.
         """
-        if self._load_idle(idle):
+        while wanted := self._find_wanted(idle):
+            model, boxes = wanted
+            for box in boxes:
+                if not self._load(box, model):
+                    return
+            self._need.groups[model.name] += 1
+        if self._load_spares(idle):
             self._load_beside()
 
-    def _load_idle(self, pools: Pools) -> bool:
-        """Load models into idle boxes, so that they can join groups soon.
+    def _find_wanted(
+        self,
+        idle: Pools,
+    ) -> tuple[EngineModel, list[FleetBox]] | None:
+        """Return the group that gains most a load, with the boxes to load."""
+        found = [
+            (model, boxes)
+            for domain in sorted(idle)
+            for model in self._need.engine.models
+            if (boxes := self._list_missing(idle[domain], model))
+        ]
+        return max(
+            found,
+            key=lambda one: self._need.get_gain(one[0]) / len(one[1]),
+            default=None,
+        )
 
-        A box that served one model and holds the weights of another can
-        join a group of either within about a second.
+    def _list_missing(
+        self,
+        idle: list[FleetBox],
+        model: EngineModel,
+    ) -> list[FleetBox]:
+        """Return the idle boxes of a domain whose loads complete a group.
+
+        None where it is complete already, or too few boxes are idle.
+        """
+        size = model.boxes_per_group
+        lacking = self._list_lacking(idle, model)
+        missing = size - self._count_holders(idle, model) % size
+        if missing > len(lacking):
+            return []
+        return lacking[:missing]
+
+    def _count_holders(
+        self,
+        idle: list[FleetBox],
+        model: EngineModel,
+    ) -> int:
+        """Return how many boxes hold a model or load it."""
+        staging = self._memory.staging
+        return sum(
+            self._memory.holds(box, model)
+            or (box.box in staging and staging[box.box].model == model.name)
+            for box in idle
+        )
+
+    def _list_lacking(
+        self,
+        boxes: list[FleetBox],
+        model: EngineModel,
+    ) -> list[FleetBox]:
+        """Return the boxes that lack a model and may be asked to load it."""
+        return [
+            box
+            for box in boxes
+            if not self._memory.holds(box, model)
+            and self._memory.may_ask_to_load(box, self._now)
+        ]
+
+    def _load_spares(self, pools: Pools) -> bool:
+        """Load what idle boxes lack, the model in need first.
 
         Returns
         -------
         bool
-            Whether every idle box that should load has begun to.
+            Whether every idle box that lacks a model has begun to load.
         """
-        # Where most boxes are idle a group is whole soonest.
-        for idle in sorted(pools.values(), key=len, reverse=True):
-            model = self._choose_model(idle)
-            for box in self._list_lacking(idle, model):
-                if not self._load(box, model):
-                    return False
-        return True
+        idle = [box for domain in sorted(pools) for box in pools[domain]]
+        return all(
+            self._load(box, model)
+            for model in self._need.rank_models()
+            for box in self._list_lacking(idle, model)
+            if self._may_push_out(box, model)
+        )
 
-    def _load_beside(self) -> None:
-        """Load the model that has little room into boxes that serve another.
+    def _may_push_out(self, box: FleetBox, model: EngineModel) -> bool:
+        """Answer whether a box gains by what it loads more than it loses."""
+        if self._memory.has_room(box):
+            return True
+        worths = [
+            self._get_worth(held)
+            for held in self._need.engine.models
+            if held.name in box.staged
+        ]
+        return self._get_worth(model) > REPLACE_RATIO * max(worths, default=0)
 
-        Only those whose host holds nothing beside what they serve.
-        """
-        model = self._need.rank_models()[0]
-        if self._need.get_load(model) < STAGE_LOAD:
-            return
-        for box in self._list_single():
-            if len(self._memory.loads) >= LOADS_BESIDE:
-                return
-            if not self._memory.holds(box, model):
+    def _get_worth(self, model: EngineModel) -> float:
+        """Return what callers gain by one more box of a model."""
+        return self._need.get_gain(model) / model.boxes_per_group
+
+    def _load_beside(self) -> None:
+        """Load a second model into boxes that serve and hold only one."""
+        most = BESIDE_PART * self._need.engine.loads_at_once
+        single = self._list_single()
+        for model in self._need.rank_models():
+            for box in self._list_lacking(single, model):
+                if len(self._memory.loads) >= most:
+                    return
                 self._load(box, model)
 
     def _list_single(self) -> list[FleetBox]:
         """Return boxes whose host holds nothing but what they serve."""
-        served = self._memory.last_models
-        resting = [
-            box
-            for box in self._boxes
-            if box.standing is not None
-            and box.standing.state is not MemberState.JOINING
-            and not box.leaving
-        ]
         return [
             box
-            for box in resting
-            if box.box in served
-            and set(box.staged) <= {served[box.box]}
-            and self._memory.may_ask_to_load(box, self._now)
+            for box in self._boxes
+            if _is_settled(box)
+            and box.box in self._memory.last_models
+            and self._memory.has_room(box)
         ]
 
     def _load(self, box: FleetBox, model: EngineModel) -> bool:
@@ -162,40 +229,10 @@
             self._memory.staging[box.box] = staging
         return is_given
 
-    def _choose_model(self, idle: list[FleetBox]) -> EngineModel:
-        """Return the model whose group the idle boxes of a domain could be.
-
-        Too few boxes for any group are spares for the model of the greatest
-        need; where that has little room left, all are, as groups of others
-        can be closed to make them up.
-        """
-        ranked = self._need.rank_models()
-        if self._need.get_load(ranked[0]) >= STAGE_LOAD:
-            return ranked[0]
-        return next(
-            (model for model in ranked if model.boxes_per_group <= len(idle)),
-            ranked[0],
-        )
 
-    def _list_lacking(
-        self,
-        idle: list[FleetBox],
-        model: EngineModel,
-    ) -> list[FleetBox]:
-        """Return the idle boxes that are to load a model now."""
-        staging = self._memory.staging
-        empty = [box for box in idle if not self._memory.holds(box, model)]
-        lacking = [
-            box
-            for box in empty
-            if self._memory.may_ask_to_load(box, self._now)
-        ]
-        coming = sum(
-            box.box in staging and staging[box.box].model == model.name
-            for box in empty
-        )
-        size = model.boxes_per_group
-        surplus = len(idle) % size if len(idle) >= size else 0
-        wanted = len(idle) - surplus
-        having = len(idle) - len(empty) + coming
-        return lacking[: max(0, wanted - having)]
+def _is_settled(box: FleetBox) -> bool:
+    """Answer whether a box has loaded its group's model, and stays."""
+    standing = box.standing
+    if standing is None or box.leaving:
+        return False
+    return standing.state is not MemberState.JOINING
