--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -50,7 +50,12 @@
     from waywell.request.ask import Ask
 
 TEND_SECONDS = 0.25
-"""Seconds between two looks at whether this node is ready."""
+"""Seconds between two looks at whether this node is still ready."""
+
+START_TEND_SECONDS = 0.02
+"""Seconds between two looks at whether this node has become ready: until the
+others know it, callers are not told of it; with all nodes restarted at once
+there is nobody else to tell of."""
 
 FIRST_WAIT_SECONDS = 2.0
 """Seconds for which a node lets the seeds read for it at the first start: two
@@ -377,7 +382,9 @@
                 version = self.outlook.index.table.version
                 log_event('readiness', ready=is_ready, routes=version)
             self.book.forget_others(self.outlook.list_keys())
-            await asyncio.sleep(TEND_SECONDS)
+            await asyncio.sleep(
+                TEND_SECONDS if is_ready else START_TEND_SECONDS
+            )
 
 
 def _answer_no_claim(_ask: ClaimAsk) -> ClaimAnswer:
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -175,14 +175,11 @@
     def _make_outgoing(self, replica: Replica, now: float) -> Outgoing:
         errand = self._errand
         holder = errand.holder
-        priority = errand.route.priority
-        if holder is not None and holder.priority is not None:
-            priority = holder.priority
         delivery = Delivery(
             account=None if holder is None else holder.account,
             seconds=errand.ends_at - now,
             resume_after=errand.last_event,
-            priority=priority if errand.engine else None,
+            priority=errand.priority if errand.engine else None,
         )
         head = replica.head
         return Outgoing(
--- a/waywell/request/errand.py
+++ b/waywell/request/errand.py
@@ -24,6 +24,10 @@
     from waywell.connection.wire import RawHeaders
 
 
+LAST_RANK = 9
+"""Rank of the least urgent requests."""
+
+
 class CallerAnswer(abc.ABC):
     """The caller's side of a request."""
 
@@ -109,6 +113,9 @@
     engine: Engine | None = None
     """Engine of the service, where it has one."""
 
+    waited: float = 0.0
+    """For how long its caller waited before, in seconds."""
+
     tried: frozenset[ReplicaKey] = frozenset()
     """Replicas that it was sent to."""
 
@@ -128,3 +135,19 @@
     def may_have_run(self) -> bool:
         """Return whether a replica may have run it."""
         return self.sends > self.rejections
+
+    @property
+    def priority(self) -> int:
+        """Return its rank among the requests of a replica, 0 first.
+
+        One that has missed its goal goes behind those that can be in time:
+        after a stop of all nodes, callers that come back would make each
+        request late that arrives while they are served.
+        """
+        rank = self.route.priority
+        if self.holder is not None and self.holder.priority is not None:
+            rank = self.holder.priority
+        goal = self.route.goal
+        if goal and self.waited > goal:
+            return min(LAST_RANK, rank + 1)
+        return rank
