Ask no reader of another hall for boxes that the own one has read

Ruled out: which hall a request goes to (no change with five times the weight of the way), which addresses callers get (no change). Change: a reader that reaches the platform asks for ages only; one that is cut off takes the boxes of others, which it never did.

--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from tests.boxes import make_box
+from tests.boxes import make_box, make_fleet
 from tests.held_clock import HeldClock
 from tests.test_membership import make_record
 from waywell.connection.peer import FeedAnswer, FeedAsk
@@ -188,3 +188,51 @@
     assert not bench.feed.needs_routes(101.9)
     assert bench.feed.needs_boxes(102.0)
     assert bench.feed.needs_routes(102.0)
+
+
+def make_reader() -> Bench:
+    """Return a node that reads for its hall, beside one of another hall."""
+    bench = Bench()
+    far = msgspec.structs.replace(make_record('b'), hall=HallName('far'))
+    bench.feed = Feed(
+        bench.links,
+        _Gossip(make_record('a'), far),
+        bench.outlook,
+        bench.clock,
+        ReplicaBook(),
+        SharedLoads(),
+        make_paces(PromiseSettings()),
+    )
+    return bench
+
+
+def test_a_reader_that_reaches_the_platform_asks_for_no_boxes() -> None:
+    bench = make_reader()
+    bench.outlook.take_fleet(make_fleet(make_box('x')), bench.clock.now)
+    bench.outlook.confirm_routes(bench.clock.now)
+    ask = bench.ask()
+    assert not ask.wants_boxes
+    bench.answer(ask, boxes=(make_box('y'),), boxes_age=0.0)
+    assert set(bench.outlook.fleet.boxes) == {'x'}
+
+
+def test_a_reader_that_is_cut_off_takes_the_boxes_of_others() -> None:
+    bench = make_reader()
+    bench.outlook.take_fleet(make_fleet(make_box('x')), bench.clock.now)
+    bench.clock.now += 1.5
+    ask = bench.ask()
+    assert ask.wants_boxes
+    bench.answer(ask, boxes=(make_box('y'),))
+    assert set(bench.outlook.fleet.boxes) == {'y'}
+
+
+def test_boxes_and_loads_are_told_only_to_those_who_want_them() -> None:
+    bench = make_reader()
+    bench.outlook.take_fleet(make_fleet(make_box('x')), bench.clock.now)
+    ask = FeedAsk(1, 0, 0, 0, hall='far', wants_boxes=False)
+    bench.feed.on_received(PeerLinks.Received(NodeId('b'), ask))
+    asked = msgspec.structs.replace(ask, wants_boxes=True)
+    bench.feed.on_received(PeerLinks.Received(NodeId('b'), asked))
+    lean, full = (message for _node, message in bench.links.sent)
+    assert (lean.boxes, lean.gone, lean.is_whole) == ((), (), False)
+    assert [box.box for box in full.boxes] == ['x']
--- a/waywell/connection/peer.py
+++ b/waywell/connection/peer.py
@@ -150,6 +150,11 @@
     """Requests in flight of the asker, or of its hall where it is the reader
     of one and asks that of another."""
 
+    wants_boxes: bool = True
+    """Whether the asker needs box list and loads; a reader that reaches the
+    platform has its own, and whole lists were half of all bytes between
+    halls."""
+
     def wants_newer(self, version: int) -> bool:
         """Answer whether the asker needs the routes of a version."""
         return self.wants_routes and version > self.version
--- a/waywell/process/feed.py
+++ b/waywell/process/feed.py
@@ -68,6 +68,9 @@
     base: _Followed
     """What its answer may tell changes from."""
 
+    wants_boxes: bool = True
+    """Whether the answer should tell boxes."""
+
 
 class Feed(Actor):
     """Asks the reader of this hall, and answers others.
@@ -224,7 +227,9 @@
     def _ask(self, peer: NodeId, now: float) -> None:
         self._serial += 1
         base = self._followed if self._followed.node == peer else _Followed()
-        self._asked[self._serial] = _Asked(now, base)
+        # A reader that is cut off from the platform lives on what others know.
+        wants_boxes = not self.is_reader() or self._are_boxes_old(now)
+        self._asked[self._serial] = _Asked(now, base, wants_boxes)
         while len(self._asked) > MOST_OPEN:
             self._asked.popitem(last=False)
         ask = FeedAsk(
@@ -235,6 +240,7 @@
             wants_routes=self.behind_version > 0,
             hall=self._own.hall,
             loads=self._list_loads(),
+            wants_boxes=wants_boxes,
         )
         self._links.send(peer, ask)
 
@@ -251,16 +257,33 @@
         now: float,
     ) -> FeedAnswer:
         """Return what is known here, as changes where the peer can follow."""
-        fleet, table = self._outlook.fleet, self._outlook.index.table
-        base = self._find_base(ask)
-        known = base.boxes if base else {}
-        return FeedAnswer(
+        table = self._outlook.index.table
+        answer = FeedAnswer(
             ask=ask.ask,
             version=table.version,
             routes_age=_bound(self._outlook.get_routes_age(now)),
             run=self._incarnation,
             serial=self._outlook.fleet_serial,
             boxes_age=_bound(self._outlook.get_boxes_age(now)),
+            is_whole=False,
+            routes=table if ask.wants_newer(table.version) else None,
+        )
+        if ask.wants_boxes:
+            return self._add_boxes(answer, peer, ask)
+        return answer
+
+    def _add_boxes(
+        self,
+        answer: FeedAnswer,
+        peer: NodeId,
+        ask: FeedAsk,
+    ) -> FeedAnswer:
+        """Return an answer that tells boxes and their loads as well."""
+        fleet = self._outlook.fleet
+        base = self._find_base(ask)
+        known = base.boxes if base else {}
+        return msgspec.structs.replace(
+            answer,
             is_whole=base is None,
             boxes=tuple(
                 box
@@ -268,7 +291,6 @@
                 if known.get(name) != box
             ),
             gone=tuple(known.keys() - fleet.boxes.keys()),
-            routes=table if ask.wants_newer(table.version) else None,
             loads=self._list_loads_but(peer),
         )
 
@@ -303,7 +325,7 @@
         if peer == self._reader:
             loads = _decode_loads(answer.loads)
             self._loads.take(peer, loads, self._clock.read())
-        if not self.is_reader():
+        if asked.wants_boxes:
             self._take_boxes(peer, answer, asked)
 
     def _take_routes(self, answer: FeedAnswer, asked_at: float) -> None:
