Let what counts as a stream's silence follow the pauses of sound replicas

Change: the threshold follows a running estimate of the 0.998 part of the pauses seen, by model, between 0.4 and 0.75 of the longest pause that is in time.

--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -37,7 +37,10 @@
         """Start none yet."""
         self.running: list[Attempt] = []
         self.patience = measure_patience(
-            errand.route, errand.engine, errand.ask
+            errand.route,
+            errand.engine,
+            errand.ask,
+            parts.pauses.get(errand.ask.model),
         )
         self._parts = parts
         self._errand = errand
--- a/waywell/request/errand.py
+++ b/waywell/request/errand.py
@@ -14,6 +14,7 @@
 from waywell.process.outlook import Outlook
 from waywell.process.request_metrics import RequestMetrics
 from waywell.request.ask import Ask
+from waywell.request.pauses import PauseGauge
 from waywell.request.placement import Chooser
 from waywell.request.replica_book import ReplicaBook
 from waywell.request.resend_budget import ResendBudget
@@ -87,6 +88,9 @@
     metrics: RequestMetrics
     """Counts and times."""
 
+    pauses: PauseGauge = attrs.Factory(PauseGauge)
+    """Pauses between events that are usual."""
+
 
 @attrs.define
 class Errand:
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -71,6 +71,7 @@
         if attempt not in self._attempts.running or attempt.head is None:
             return
         now = self._parts.clock.read()
+        self._note_pause(attempt, now)
         self._parts.book.note_heard(attempt.replica.key, now)
         if not self._is_next(piece):
             # Another attempt was ahead of this one, or it skips an event.
@@ -193,6 +194,12 @@
         number = piece.event.number
         return number is None or last is None or number == last + 1
 
+    def _note_pause(self, attempt: Attempt, now: float) -> None:
+        """Note for how long a replica was silent that has work."""
+        if attempt.has_begun:
+            heard_at = self._parts.book.get(attempt.replica.key).heard_at
+            self._parts.pauses.note(attempt.replica.model, now - heard_at)
+
     def _settle_on(self, attempt: Attempt, now: float) -> None:
         """Go on with the attempt that brought a piece, and no other."""
         self._attempts.drop_others(attempt)
--- a/waywell/request/patience.py
+++ b/waywell/request/patience.py
@@ -21,9 +21,13 @@
 first event takes more than half of the goal on a sound replica, so a second
 attempt can't be in time; earlier ones only load the replicas."""
 
-GAP_PART = 0.4
+LEAST_GAP_PART = 0.4
 """Part of the longest pause that is in time after which a stream is taken up
-elsewhere; the rest is for reading the prompt once more, some 80 ms."""
+elsewhere at the soonest; the rest is for reading the prompt once more."""
+
+MOST_GAP_PART = 0.75
+"""Part after which it is taken up at the latest, however long the pauses of
+sound replicas are."""
 
 LEAST_GAP = 0.08
 """Least silence that says something, in seconds: two passes of an engine that
@@ -51,12 +55,29 @@
     route: Route,
     engine: Engine | None,
     ask: Ask,
+    usual_pause: float = 0.0,
 ) -> Patience:
-    """Return the silences that an attempt is granted."""
+    """Return the silences that an attempt is granted.
+
+    Parameters
+    ----------
+    route
+        The route of the request.
+    engine
+        Engine of its service, where it has one.
+    ask
+        The request.
+    usual_pause
+        Longest usual pause of a sound replica, in seconds: one that is
+        shorter is no silence, and to take the stream up elsewhere only makes
+        another replica read its prompt.
+    """
     goal = route.goal or DEFAULT_GOAL
     if route.kind is not RouteKind.STREAM:
         return Patience(goal * PLAIN_PART, goal * PLAIN_PART, 0.0)
-    gap = max(LEAST_GAP, (route.gap_goal or goal) * GAP_PART)
+    longest = route.gap_goal or goal
+    gap = max(LEAST_GAP, longest * LEAST_GAP_PART, usual_pause)
+    gap = max(LEAST_GAP, min(gap, longest * MOST_GAP_PART))
     return Patience(goal * FIRST_PART, gap, _expect_first(engine, ask))
 
 
--- /dev/null
+++ b/waywell/request/pauses.py
@@ -0,0 +1,49 @@
+"""How long sound replicas are silent between two events, as observed.
+
+A replica reads the prompts of new requests between the tokens of running ones,
+so its pauses grow with the prompts that come.  What counts as silence follows
+the pauses that are usual just now.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from waywell.ids import ModelName
+
+USUAL_PART = 0.998
+"""Part of the pauses that are shorter than the estimate: a stream of some 30
+events is then taken for silent without cause once in about 20 times."""
+
+STEP = 0.05
+"""Part by which a longer pause raises the estimate; shorter ones lower it by
+so much less that it stays at that part of the pauses."""
+
+FIRST_GUESS = 0.08
+"""Estimate before any pause was seen, in seconds: two passes of an engine that
+reads a prompt between them."""
+
+LEAST = 0.01
+"""Lowest estimate, in seconds, so that it can rise again soon."""
+
+
+class PauseGauge:
+    """Estimates the longest usual pause between events, by model."""
+
+    def __init__(self) -> None:
+        """Start without a pause seen."""
+        self._estimates: dict[ModelName, float] = {}
+
+    def get(self, model: ModelName) -> float:
+        """Return the longest usual pause of a model's replicas, in seconds."""
+        return self._estimates.get(model, FIRST_GUESS)
+
+    def note(self, model: ModelName, pause: float) -> None:
+        """Take in a pause that ended with an event, in seconds."""
+        estimate = self.get(model)
+        if pause > estimate:
+            estimate *= 1 + STEP
+        else:
+            estimate *= 1 - STEP * (1 - USUAL_PART) / USUAL_PART
+        self._estimates[model] = max(LEAST, estimate)
