Give orders with the number of the holder's term; begin a later one when outdated

Cause: an order that a paused holder sends after its lease has gone was kept out by group epochs only, which closing, leaving and loading don't carry upwards; where the platform checks fencing tokens, orders went without one. Change: each order carries the lease's epoch; a refusal as outdated ends trust in the lease, so that it is taken with the next epoch, once in ten seconds at most. Test: test_front, boxes that have seen a later term; the stand-in checks tokens.

--- a/tests/house.py
+++ b/tests/house.py
@@ -231,6 +231,7 @@
         self.orders: list[dict[str, Any]] = []
         self.script: deque[str] = deque()
         self.members: list[str] = []
+        self.fence = 0
         self.goes_on = threading.Event()
         self.goes_on.set()
         self._store = store
@@ -287,6 +288,10 @@
 
     def _take_order(self, order: dict[str, Any]) -> int:
         self.orders.append(order)
+        fence = order['fence_token']
+        if fence < self.fence:
+            return 412
+        self.fence = fence
         group = self.get_group()
         operation = order['operation']
         broken = self._find_broken(order)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -256,6 +256,21 @@
     )
 
 
+def test_a_holder_whose_orders_are_outdated_begins_a_later_term(
+    front: Front,
+) -> None:
+    front.add_servers()
+    for server in front.store.servers.values():
+        server.fence = 2
+    process = front.start()
+    front.wait_serving(process)
+    orders = front.servers['m1'].orders
+    tokens = [order['fence_token'] for order in orders]
+    assert tokens[0] == 1
+    assert tokens[-1] == 2
+    assert not front.store.broken
+
+
 def test_an_id_is_followed_through_the_log(
     served: tuple[Front, Process],
 ) -> None:
--- a/waywell/connection/box_orders.py
+++ b/waywell/connection/box_orders.py
@@ -15,8 +15,17 @@
     """Gives orders and asks boxes; another protocol is another subclass."""
 
     @abc.abstractmethod
-    async def give(self, assignment: Assignment) -> OrderResult:
-        """Give an order to a box and return what came of it."""
+    async def give(self, assignment: Assignment, fence: int) -> OrderResult:
+        """Give an order to a box and return what came of it.
+
+        Parameters
+        ----------
+        assignment
+            The order and its box.
+        fence
+            Number of the holder's term of work; a box that checks it refuses
+            orders of terms before the latest that it has seen.
+        """
 
     @abc.abstractmethod
     async def read_report(self, box: FleetBox) -> BoxReport | None:
--- a/waywell/platform/orders.py
+++ b/waywell/platform/orders.py
@@ -67,10 +67,10 @@
 class ServerOrders(BoxOrders):
     """Gives orders over HTTP."""
 
-    async def give(self, assignment: Assignment) -> OrderResult:
+    async def give(self, assignment: Assignment, fence: int) -> OrderResult:
         """Give an order to a box and return what came of it."""
         calls = _make_calls(assignment.box, ORDER_SECONDS)
-        raw = msgspec.json.encode(encode_order(assignment))
+        raw = msgspec.json.encode(encode_order(assignment, fence))
         called = await calls.call('POST', ORDER_PATH, raw)
         if isinstance(called, Failure):
             gone = called.failure() is PlatformFault.NOT_LISTENING
@@ -116,11 +116,15 @@
     )
 
 
-def encode_order(assignment: Assignment) -> dict[str, Any]:
-    """Return the body that carries an order."""
+def encode_order(assignment: Assignment, fence: int) -> dict[str, Any]:
+    """Return the body that carries an order.
+
+    Servers that check no fence ignore its field.
+    """
     order: BoxOrder = assignment.order
     body: dict[str, Any] = msgspec.to_builtins(order)
     body['operation'] = _WORD_BY_ORDER[type(order)]
+    body['fence_token'] = fence
     if isinstance(order, Close):
         body['strategy'] = 'wait'
     return body
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -48,6 +48,10 @@
 ASK_AGAIN_SECONDS = 1.0
 """Between two questions to a box that is listed, and lost or slow."""
 
+OUTDATED_SECONDS = 10.0
+"""Between two terms that are given up because a box has seen a later one: each
+new term forgets what the holder has learned."""
+
 SETTLE_SECONDS = 1.5
 """For which the list of a service must have been the same before the first
 groups are formed, so that whole domains are there."""
@@ -124,6 +128,7 @@
         self._asking: set[BoxId] = set()
         self._box_count = 0
         self._counted_at = 0.0
+        self._outdated_at = float('-inf')
 
     def start(self) -> None:
         """Begin to look at the lease, and to plan when it is held."""
@@ -157,10 +162,11 @@
         """Note what came of an order of this term of work."""
         if not self._is_of_this_term(ordered.epoch):
             return
+        now = self.clock.read()
         memory = self._get_memory(ordered.assignment.box.service)
-        memory.note_result(
-            ordered.assignment, ordered.result, self.clock.read()
-        )
+        memory.note_result(ordered.assignment, ordered.result, now)
+        if ordered.result is OrderResult.OUTDATED:
+            self._begin_later_term(now)
 
     def on_doubted(self, doubted: Doubted) -> None:
         """Ask the members of a doubted group for a sign of life."""
@@ -325,10 +331,20 @@
         """Answer whether a plan was made in the present term of work."""
         return self.is_held() and epoch == self.epoch
 
+    def _begin_later_term(self, now: float) -> None:
+        """Take the lease anew: a box has had orders of a later term.
+
+        Epochs of the next term are higher, so its orders count again.
+        """
+        if now - self._outdated_at > OUTDATED_SECONDS:
+            self._outdated_at = now
+            log_warning('term_outdated', duty=self.name, epoch=self.epoch)
+            self.lease.state.distrust()
+
     async def _give(self, assignment: Assignment, epoch: int) -> None:
         if not self._is_of_this_term(epoch):
             return
-        result = await self._orders.give(assignment)
+        result = await self._orders.give(assignment, epoch)
         order = assignment.order
         log = log_event if result is OrderResult.TAKEN else log_warning
         log(
--- a/waywell/process/lease.py
+++ b/waywell/process/lease.py
@@ -112,6 +112,10 @@
             self._term_epoch = record.epoch
             self._held_from = sent_at
 
+    def distrust(self) -> None:
+        """Give the present term up, as a later one is known of."""
+        self._held_from = float('-inf')
+
     def is_held(self, now: float) -> bool:
         """Answer whether this node holds the lease at ``now``."""
         return self._is_mine() and now < self._held_from + self._trusted
