Count only groups that serve now for what callers miss while others are closed

Change: the places missing meanwhile are reckoned from the groups that serve now. Test: test_forming, fails before.

--- a/tests/test_forming.py
+++ b/tests/test_forming.py
@@ -455,3 +455,26 @@
         orders = FormingPlanner(view, memory, now).plan()
         begun.append(len(pick(orders, Stage)))
     assert begun == [2, 0, 2]
+
+
+def test_no_serving_group_is_closed_for_one_while_others_only_form() -> None:
+    """A group that forms may lose a box before it serves."""
+    boxes = [
+        msgspec.structs.replace(box, staged=(BIG,))
+        for place in range(4)
+        for box in make_group(f'small.{place + 1}', f'h{place}', f'm{place}')
+    ]
+    joining = MemberState.JOINING
+    for place in range(4, 12):
+        boxes += make_group(
+            f'small.{place + 1}',
+            f'h{place}',
+            f'm{place}',
+            head_state=joining,
+            member_state=joining,
+            domain='d2',
+        )
+    boxes += make_group('big.99', 'w', 'x', 'y', 'z', domain='d1')
+    demand = {BIG: 9.0, SMALL: 30.0}
+    memory = know_demand(boxes, demand)
+    assert not pick(plan(boxes, memory, 5.0, demand), Close)
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -211,10 +211,14 @@
 
     def _count_groups(self, verdicts: Mapping[GroupId, Verdict]) -> None:
         """Count the groups that serve or will, also those not shown yet."""
-        kept = {Verdict.SERVING, Verdict.READY, Verdict.UNDER_WAY}
+        coming = {Verdict.READY, Verdict.UNDER_WAY}
         for judged, verdict in verdicts.items():
-            if verdict in kept and judged not in self._memory.abandoned:
+            is_kept = judged not in self._memory.abandoned
+            if is_kept and verdict is Verdict.SERVING:
+                self._need.serving[parse_group(judged)] += 1
+            if is_kept and verdict in coming:
                 self._need.groups[parse_group(judged)] += 1
+        self._need.groups.update(self._need.serving)
         present = {group.group for group in self._groups}
         for name in self._memory.forming:
             if name not in present:
--- a/waywell/version/model_need.py
+++ b/waywell/version/model_need.py
@@ -51,6 +51,9 @@
     groups: Counter[ModelName] = attrs.Factory(Counter)
     """Groups of each model that serve or will."""
 
+    serving: Counter[ModelName] = attrs.Factory(Counter)
+    """Groups of each model that serve now."""
+
     def has_callers(self) -> bool:
         """Answer whether enough requests came to go by them."""
         return sum(self.demand.values()) >= LEAST_DEMAND
@@ -93,18 +96,40 @@
             Groups that each model has more, or less.
         """
         return sum(
-            self._get_model_cost(model, change.get(model.name, 0))
+            self._get_model_cost(
+                model, self.groups[model.name] + change.get(model.name, 0)
+            )
+            for model in self.engine.models
+        )
+
+    def get_missed(self, closed: Mapping[ModelName, int]) -> float:
+        """Return what callers lose a second while some groups don't serve.
+
+        Only groups that serve now count for it: those that form may be
+        seconds away, or lose a box before.
+
+        Parameters
+        ----------
+        closed
+            Groups that each model has less.
+        """
+        return sum(
+            self._get_model_cost(model, self.serving[model.name] - count)
+            - self._get_model_cost(model, self.serving[model.name])
             for model in self.engine.models
+            if (count := closed.get(model.name, 0))
         )
 
     def get_gain(self, model: EngineModel) -> float:
         """Return what callers gain by one more group, in places a second."""
-        return self._get_model_cost(model, 0) - self._get_model_cost(model, 1)
+        groups = self.groups[model.name]
+        before = self._get_model_cost(model, groups)
+        return before - self._get_model_cost(model, groups + 1)
 
-    def _get_model_cost(self, model: EngineModel, change: int) -> float:
-        groups = max(NO_GROUP, self.groups[model.name] + change)
+    def _get_model_cost(self, model: EngineModel, groups: int) -> float:
+        """Return what callers of a model lose a second with some groups."""
         work = max(LEAST_WORK, self._get_work(model))
-        load = work / (groups * self.engine.places)
+        load = work / (max(NO_GROUP, groups) * self.engine.places)
         return work * (max(0.0, load - EASY_LOAD) ** 2 + EASY_COST * load)
 
     def _get_work(self, model: EngineModel) -> float:
--- a/waywell/version/regroup_planner.py
+++ b/waywell/version/regroup_planner.py
@@ -121,6 +121,7 @@
         for closed in change.closed:
             self.changes.close(closed, OrderReason.OTHER_IS_SHORT)
             self.need.groups[parse_group(closed.group)] -= 1
+            self.need.serving[parse_group(closed.group)] -= 1
         for formed in change.formed:
             self._begin_group(formed, free)
 
--- a/waywell/version/regrouping.py
+++ b/waywell/version/regrouping.py
@@ -14,7 +14,6 @@
 
 import attrs
 
-from waywell.ids import ModelName
 from waywell.version.fleet import (
     FleetBox,
     FleetGroup,
@@ -29,6 +28,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from waywell.ids import ModelName
+
 
 MOST_CLOSED = 2
 """Groups that one change closes at the most: what is gained by more does not
@@ -221,14 +222,12 @@
         formed: tuple[NewGroup, ...],
     ) -> Regrouping:
         """Return a change with what it gains."""
-        less = Counter[ModelName]()
-        less.subtract(parse_group(one.group) for one in closed)
+        less = Counter(parse_group(one.group) for one in closed)
         change = Counter(one.model.name for one in formed)
-        change.update(less)
-        before = self.need.get_cost({})
-        won = before - self.need.get_cost(change)
+        change.subtract(less)
+        won = self.need.get_cost({}) - self.need.get_cost(change)
         won -= CONVERSION_COST * self._count_converted(formed)
-        missed = self.need.get_cost(less) - before
+        missed = self.need.get_missed(less)
         waited = self._estimate_wait(closed, formed)
         lasting = max(0.0, self._get_horizon() - waited)
         return Regrouping(closed, formed, won * lasting - missed * waited)
