--- a/waywell/request/errand.py
+++ b/waywell/request/errand.py
@@ -25,10 +25,6 @@
     from waywell.connection.wire import RawHeaders
 
 
-LAST_RANK = 9
-"""Rank of the least urgent requests."""
-
-
 class CallerAnswer(abc.ABC):
     """The caller's side of a request."""
 
@@ -117,9 +113,6 @@
     engine: Engine | None = None
     """Engine of the service, where it has one."""
 
-    waited: float = 0.0
-    """For how long its caller waited before, in seconds."""
-
     tried: frozenset[ReplicaKey] = frozenset()
     """Replicas that it was sent to."""
 
@@ -142,16 +135,7 @@
 
     @property
     def priority(self) -> int:
-        """Return its rank among the requests of a replica, 0 first.
-
-        One that has missed its goal goes behind those that can be in time:
-        after a stop of all nodes, callers that come back would make each
-        request late that arrives while they are served.
-        """
-        rank = self.route.priority
+        """Return its rank among the requests of a replica, 0 first."""
         if self.holder is not None and self.holder.priority is not None:
-            rank = self.holder.priority
-        goal = self.route.goal
-        if goal and self.waited > goal:
-            return min(LAST_RANK, rank + 1)
-        return rank
+            return self.holder.priority
+        return self.route.priority
--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -7,7 +7,6 @@
 from waywell.codes import Code, Refusal
 from waywell.request.errand import CallerAnswer, Errand, ForwarderParts
 from waywell.request.journey import COME_BACK_SECONDS, Journey
-from waywell.request.time_limits import TimeLimits
 
 if TYPE_CHECKING:
     from waywell.request.ask import Ask
@@ -26,7 +25,6 @@
     def __init__(self, parts: ForwarderParts) -> None:
         """Keep the parts."""
         self._parts = parts
-        self._limits = TimeLimits()
 
     async def serve(self, ask: Ask, answer: CallerAnswer) -> None:
         """Serve a request to its end.
@@ -54,10 +52,8 @@
         if service is None:
             raise Refusal(Code.NO_WHOLE_GROUP, retry_after=COME_BACK_SECONDS)
         seconds = route.timeout
-        waited = 0.0
         if ask.seconds is not None:
             seconds = min(seconds, ask.seconds)
-            waited = self._limits.note(route.name, ask.seconds)
         return Errand(
             ask,
             route,
@@ -67,7 +63,6 @@
             ends_at=now + seconds,
             engine=service.engine,
             last_event=ask.resume_after,
-            waited=waited,
         )
 
     def _find_holder(
