Search domains once a plan, and only when boxes or groups have changed

Change: the best change of each domain is found once and weighed again before it is begun; of sets of groups that are alike one is weighed; where no box is idle, only models unlike in load are looked at; without any change of boxes or groups the next search comes after 0.6 s.

--- a/tests/test_forming.py
+++ b/tests/test_forming.py
@@ -22,6 +22,7 @@
     OrderResult,
     Stage,
 )
+from waywell.version.regroup_planner import SEARCH_SECONDS
 from waywell.version.routes import Engine, EngineModel
 from waywell.version.staging import BESIDE_PART
 
@@ -465,3 +466,22 @@
     demand = {BIG: 9.0, SMALL: 30.0}
     memory = know_demand(boxes, demand)
     assert not pick(plan(boxes, memory, 5.0, demand), Close)
+
+
+def test_the_same_boxes_are_searched_again_after_a_while_only() -> None:
+    boxes = make_small_groups(4)
+    boxes += make_group('big.9', 'w', 'x', 'y', 'z', domain='d1')
+    calm = {BIG: 2.0, SMALL: 8.0}
+    memory = know_demand(boxes, calm)
+    assert not pick(plan(boxes, memory, 5.0, calm), Close)
+    short = {BIG: 9.0, SMALL: 2.0}
+    assert not pick(plan(boxes, memory, 5.1, short), Close)
+    assert pick(plan(boxes, memory, 5.01 + SEARCH_SECONDS, short), Close)
+
+
+def test_groups_stay_where_no_box_is_idle_and_models_are_as_full() -> None:
+    boxes = make_small_groups(4)
+    boxes += make_group('big.9', 'w', 'x', 'y', 'z', domain='d1')
+    full = {BIG: 9.0, SMALL: 36.0}
+    memory = know_demand(boxes, full)
+    assert not pick(plan(boxes, memory, 5.0, full), Close)
--- a/waywell/version/forming_memory.py
+++ b/waywell/version/forming_memory.py
@@ -87,6 +87,20 @@
     """When it was decided on, in seconds."""
 
 
+@attrs.frozen
+class SearchMark:
+    """When the domains were searched for changes, and for which boxes."""
+
+    at: float
+    """When, in seconds."""
+
+    idle: frozenset[BoxId]
+    """Boxes that might join a group."""
+
+    serving: frozenset[GroupId]
+    """Groups that served."""
+
+
 @attrs.frozen
 class Staging:
     """A model that a box loads beside all else."""
@@ -138,6 +152,9 @@
     intended: list[IntendedGroup] = attrs.Factory(list)
     """Groups for which others were closed."""
 
+    searched: SearchMark | None = None
+    """For what the domains were last searched."""
+
     planned_since: float | None = None
     """When this holder made its first plan, in seconds."""
 
--- a/waywell/version/model_need.py
+++ b/waywell/version/model_need.py
@@ -19,6 +19,11 @@
 """Part of a model's places taken up to which its requests hardly wait for each
 other."""
 
+BALANCED_RATIO = 1.25
+"""How much more of one model's places may be taken than of another's before
+groups are closed in domains without an idle box: less than one group moves in
+a model of four."""
+
 EASY_COST = 0.01
 """Cost of a taken place below that, so that idle boxes are put to use where
 it costs nothing."""
@@ -77,11 +82,14 @@
             return math.inf
         return self._get_work(model) / (groups * self.engine.places)
 
-    def has_shortage(self) -> bool:
-        """Answer whether requests of some model wait for each other."""
-        return any(
-            self.get_load(model) > EASY_LOAD for model in self.engine.models
-        )
+    def is_unbalanced(self) -> bool:
+        """Answer whether one model is short while another has more room.
+
+        Where no box is idle, a change only takes places from one model for
+        another, which pays in no other case.
+        """
+        loads = [self.get_load(model) for model in self.engine.models]
+        return max(loads) > max(EASY_LOAD, BALANCED_RATIO * min(loads))
 
     def get_cost(self, change: Mapping[ModelName, int]) -> float:
         """Return what callers lose a second by waiting, in places.
--- a/waywell/version/regroup_planner.py
+++ b/waywell/version/regroup_planner.py
@@ -10,7 +10,11 @@
 import attrs
 
 from waywell.version.fleet import Fleet, FleetGroup, Pools, parse_group
-from waywell.version.forming_memory import FormingMemory, IntendedGroup
+from waywell.version.forming_memory import (
+    FormingMemory,
+    IntendedGroup,
+    SearchMark,
+)
 from waywell.version.group_changes import GroupChanges
 from waywell.version.model_need import ModelNeed
 from waywell.version.orders import OrderReason
@@ -24,6 +28,10 @@
 """From a holder's first look at callers until it closes groups by what they
 ask: after a stop of all nodes the first requests tell little."""
 
+SEARCH_SECONDS = 0.6
+"""Between two searches while no box and no group has changed: the mean of the
+requests moves little within it."""
+
 MOST_CHANGES = 4
 """Changes of groups that one plan begins; the next one follows at once."""
 
@@ -55,6 +63,8 @@
     ) -> None:
         """Go on with what was begun, and make the changes that gain most.
 
+        One a domain; each is weighed again by what was begun before it.
+
         Parameters
         ----------
         free
@@ -66,31 +76,51 @@
             Groups that were ordered to close.
         """
         self._form_intended(free)
-        best = self._find_best(free, serving, closing)
+        if not self._is_search_due(free, serving):
+            return
         begun = 0
-        while best is not None and begun < MOST_CHANGES:
-            begun += 1
-            self._begin(best, free)
-            closing = [*closing, *best.closed]
-            best = self._find_best(free, serving, closing)
-
-    def _find_best(
+        for ranked in self._make_search(serving, closing).list_best(free):
+            change: Regrouping | None = ranked
+            if begun:
+                # What was begun before may have met the need.
+                search = self._make_search(serving, closing)
+                change = search.find_in(ranked.domain, free)
+            if change is not None and begun < MOST_CHANGES:
+                begun += 1
+                self._begin(change, free)
+                closing = [*closing, *change.closed]
+
+    def _is_search_due(
         self,
         free: Pools,
         serving: list[FleetGroup],
+    ) -> bool:
+        """Answer whether boxes have changed, or work may have, since."""
+        idle = frozenset(box.box for boxes in free.values() for box in boxes)
+        serves = frozenset(group.group for group in serving)
+        mark = SearchMark(self.now, idle, serves)
+        last = self.memory.searched
+        if last is not None and self.now - last.at < SEARCH_SECONDS:
+            if (last.idle, last.serving) == (idle, serves):
+                return False
+        self.memory.searched = mark
+        return True
+
+    def _make_search(
+        self,
+        serving: list[FleetGroup],
         closing: list[FleetGroup],
-    ) -> Regrouping | None:
-        """Return the change that gains most now."""
+    ) -> RegroupSearch:
+        """Return a search by what the plan has begun so far."""
         abandoned = self.memory.abandoned
         rest = [one for one in serving if one.group not in abandoned]
-        search = RegroupSearch(
+        return RegroupSearch(
             self.need,
             self.memory,
             tuple(rest),
             tuple(closing),
             may_close=self._knows_demand(),
         )
-        return search.find_best(free)
 
     def _form_intended(self, free: Pools) -> None:
         """Form the groups for which others were closed, as far as they can."""
--- a/waywell/version/regrouping.py
+++ b/waywell/version/regrouping.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+from waywell.ids import ModelName
 from waywell.version.fleet import (
     FleetBox,
     FleetGroup,
@@ -30,7 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from waywell.ids import ModelName
+    from waywell.ids import DomainName
 
 
 MOST_CLOSED = 2
@@ -57,6 +58,13 @@
 the rest takes their requests meanwhile."""
 
 
+BoxKind = tuple[float, ...]
+"""Whether a box is slow, and the seconds until it could serve each model."""
+
+GroupKind = tuple[ModelName, tuple[BoxKind, ...]]
+"""What matters of a group: its model, and its boxes."""
+
+
 @attrs.frozen
 class NewGroup:
     """A group that is to be formed."""
@@ -81,6 +89,24 @@
     gain: float
     """What callers gain by it, in place-seconds."""
 
+    @property
+    def domain(self) -> DomainName:
+        """Return the fabric domain that it changes."""
+        head = self.formed[0].boxes[0]
+        return head.domain
+
+
+def _count_closable(search: RegroupSearch) -> Counter[ModelName]:
+    """Return how many groups of each model may be closed now."""
+    closed = Counter(parse_group(one.group) for one in search.closing)
+    served = Counter(parse_group(one.group) for one in search.serving)
+    return Counter(
+        {
+            model: max(1, int(count * CLOSABLE_PART)) - closed[model]
+            for model, count in served.items()
+        },
+    )
+
 
 @attrs.frozen
 class RegroupSearch:
@@ -101,8 +127,15 @@
     may_close: bool = True
     """Whether groups may be closed for others."""
 
-    def find_best(self, idle: Pools) -> Regrouping | None:
-        """Return the change that gains most, if any gains something.
+    closable: Counter[ModelName] = attrs.field(
+        init=False, default=attrs.Factory(_count_closable, takes_self=True)
+    )
+    """How many groups of each model may be closed now."""
+
+    def list_best(self, idle: Pools) -> list[Regrouping]:
+        """Return the best change of each domain, that gains most first.
+
+        Domains where no change gains anything are left out.
 
         Parameters
         ----------
@@ -110,14 +143,31 @@
             Boxes that may join a group, by fabric domain.
         """
         near = divide_by_domain(self.serving)
-        found = (
-            change
+        best = [
+            self._find_best(idle.get(domain, []), near.get(domain, []))
             for domain in sorted(set(idle) | set(near))
-            for change in self._list_changes(
-                idle.get(domain, []), near.get(domain, [])
-            )
+        ]
+        found = [change for change in best if change is not None]
+        return sorted(found, key=lambda change: -change.gain)
+
+    def find_in(self, domain: DomainName, idle: Pools) -> Regrouping | None:
+        """Return the best change of one domain, if any gains something."""
+        near = divide_by_domain(self.serving)
+        return self._find_best(idle.get(domain, []), near.get(domain, []))
+
+    def _find_best(
+        self,
+        idle: list[FleetBox],
+        serving: list[FleetGroup],
+    ) -> Regrouping | None:
+        """Return the change of one domain that gains most, if any gains."""
+        if not idle and not self.need.is_unbalanced():
+            return None
+        best = max(
+            self._list_changes(idle, serving),
+            key=lambda change: change.gain,
+            default=None,
         )
-        best = max(found, key=lambda change: change.gain, default=None)
         return best if best is not None and best.gain > 0 else None
 
     def _list_changes(
@@ -126,8 +176,6 @@
         serving: list[FleetGroup],
     ) -> Iterator[Regrouping]:
         """Return the changes that can be made in one domain."""
-        if not idle and not self.need.has_shortage():
-            return
         for closed in self._list_closings(serving):
             pool = [*idle, *(box for one in closed for box in one.members)]
             for counts in self._list_counts(len(pool)):
@@ -139,25 +187,35 @@
         self,
         serving: list[FleetGroup],
     ) -> Iterator[tuple[FleetGroup, ...]]:
-        """Return the sets of groups that may be closed together."""
-        rest = self._count_closable()
+        """Return the sets of groups that may be closed together.
+
+        Of sets that are alike in models and weights, one is enough.
+        """
+        kinds = {one.group: self._describe(one) for one in serving}
         most = MOST_CLOSED if self.may_close else 0
+        seen = set()
         for count in range(most + 1):
             for closed in combinations(serving, count):
-                wanted = Counter(parse_group(one.group) for one in closed)
-                if wanted <= rest:
+                kind = tuple(sorted(kinds[one.group] for one in closed))
+                if kind in seen:
+                    continue
+                seen.add(kind)
+                if Counter(model for model, _boxes in kind) <= self.closable:
                     yield closed
 
-    def _count_closable(self) -> Counter[ModelName]:
-        """Return how many groups of each model may be closed now."""
-        closed = Counter(parse_group(one.group) for one in self.closing)
-        served = Counter(parse_group(one.group) for one in self.serving)
-        return Counter(
-            {
-                model: max(1, int(count * CLOSABLE_PART)) - closed[model]
-                for model, count in served.items()
-            },
+    def _describe(self, group: FleetGroup) -> GroupKind:
+        """Return what matters of a group: its model, and what boxes hold."""
+        boxes = sorted(
+            (
+                float(self.memory.is_slow(box.box)),
+                *(
+                    self.memory.estimate(box, model)
+                    for model in self.need.engine.models
+                ),
+            )
+            for box in group.members
         )
+        return parse_group(group.group), tuple(boxes)
 
     def _list_counts(self, boxes: int) -> Iterator[tuple[int, ...]]:
         """Return how many groups of each model so many boxes could be."""
