Look at no further domain once a plan has begun its changes

Only the work of a plan: the rest of the domains were searched in vain. The same changes are begun; tests of forming and its machine stay as they are.

--- a/waywell/version/regroup_planner.py
+++ b/waywell/version/regroup_planner.py
@@ -80,12 +80,14 @@
             return
         begun = 0
         for ranked in self._make_search(serving, closing).list_best(free):
+            if begun >= MOST_CHANGES:
+                return
             change: Regrouping | None = ranked
             if begun:
                 # What was begun before may have met the need.
                 search = self._make_search(serving, closing)
                 change = search.find_in(ranked.domain, free)
-            if change is not None and begun < MOST_CHANGES:
+            if change is not None:
                 begun += 1
                 self._begin(change, free)
                 closing = [*closing, *change.closed]
