Never pass a failure on as the rest of a begun stream

Cause: a stream broke after two events and was taken up at a second replica, which answered 500; no third send was allowed, so its head was accepted and its body written as the rest, and the answer ended as whole. Change: a head of another status than the one that was passed on fails the attempt; with none left the answer is cut. Test: test_forwarder, fails before; both seeds are kept.

--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -252,6 +252,26 @@
     assert stage.answer.end == 'cut'
 
 
+def test_a_failure_is_never_passed_on_as_the_rest_of_a_begun_answer(
+    stage: Stage,
+) -> None:
+    async def play() -> None:
+        await stage.begin()
+        (first,) = stage.attempts
+        await stage.head(first)
+        await stage.events(first, 1, 2)
+        await stage.end(first, is_whole=False)
+        second = stage.attempts[1]
+        # No third replica is allowed, so the failure is the last word.
+        await stage.head(second, status=500)
+        second.tell(Attempt.Piece(second, StreamEvent(b'{}', None)))
+        await stage.end(second)
+
+    asyncio.run(play())
+    assert stage.answer.body == b'id: 1\n\nid: 2\n\n'
+    assert stage.answer.end == 'cut'
+
+
 def test_a_word_of_a_dropped_attempt_changes_nothing(stage: Stage) -> None:
     async def play() -> None:
         await stage.begin()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,8 @@
 
 FAILED_SEEDS: dict[int, str] = {
     104: 'asked at the end with a key that no version of the run held',
+    408: 'a failure of the second replica ended a begun stream as if whole',
+    411: 'a failure of the second replica ended a begun stream as if whole',
 }
 """Seeds that failed once, each with a line on the cause."""
 
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -49,6 +49,7 @@
         self._answer = answer
         self._inbox = Inbox()
         self._attempts = Attempts(parts, errand, self._inbox)
+        self._begun_status = 0
 
     async def run(self) -> None:
         """Make attempts until one is answered or all is over.
@@ -95,6 +96,10 @@
         if head.mark.is_rejected or head.mark.is_misdirected:
             self._take_rejection(head, now)
             return
+        if self._errand.is_begun and head.status != self._begun_status:
+            # Its body is no rest of the answer that the caller has begun.
+            self._fail(attempt, now, f'status_{head.status}')
+            return
         self._parts.book.note_heard(attempt.replica.key, now)
         if head.status >= SERVER_ERROR:
             self._parts.book.note_failure(attempt.replica.key, now)
@@ -214,6 +219,7 @@
     def _begin(self, head: Attempt.Head) -> None:
         if not self._errand.is_begun:
             self._errand.is_begun = True
+            self._begun_status = head.status
             self._parts.metrics.time_first(
                 self._errand.service, self._get_age()
             )
