Take no refused connection for a box that is gone

Change: only another box at the address says that one is gone; else each member leaves by itself first, as it does where nothing answers.

--- a/waywell/platform/orders.py
+++ b/waywell/platform/orders.py
@@ -11,7 +11,6 @@
 
 from waywell.connection.box_orders import BoxOrders
 from waywell.connection.http_calls import HttpCalls
-from waywell.connection.platform import PlatformFault
 from waywell.process.events import log_warning
 from waywell.version.box_report import USUAL_PACE, BoxReport
 from waywell.version.orders import (
@@ -73,8 +72,9 @@
         raw = msgspec.json.encode(encode_order(assignment, fence))
         called = await calls.call('POST', ORDER_PATH, raw)
         if isinstance(called, Failure):
-            gone = called.failure() is PlatformFault.NOT_LISTENING
-            return OrderResult.GONE if gone else OrderResult.UNKNOWN
+            # Not even a refused connection says that the server is gone: a
+            # cut may refuse those of this node while callers' requests run.
+            return OrderResult.UNKNOWN
         status = called.unwrap().status
         return _RESULT_BY_STATUS.get(status, OrderResult.UNKNOWN)
 
--- a/waywell/version/orders.py
+++ b/waywell/version/orders.py
@@ -81,7 +81,7 @@
     """The box has seen a higher epoch."""
 
     GONE = 'gone'
-    """No such box is there any more: nothing listens, or another answers."""
+    """No such box is there any more: another one answers at its address."""
 
     UNKNOWN = 'unknown'
     """No answer: it may have been taken, or may still be, seconds later."""
