Keep boxes that vanish until 2.2 s after the platform's return, not longer

Change: the time runs from the first answer after the outage; a history that is gone is no outage. Test: test_fleet_watch, two, fail before.

--- a/tests/test_fleet_watch.py
+++ b/tests/test_fleet_watch.py
@@ -57,3 +57,18 @@
 def test_nothing_is_kept_while_the_platform_is_well() -> None:
     bench = Bench(make_box('a'), make_box('b'))
     assert bench.list(5.5, make_box('a')) == {'a'}
+
+
+def test_one_that_vanishes_after_the_return_is_kept_no_longer() -> None:
+    """It may have left in good order; the others can't be told apart."""
+    bench = Bench(make_box('a'), make_box('b'))
+    bench.watch.take_fault(PlatformFault.UNANSWERED, 5.0)
+    bench.list(5.5, make_box('a'), make_box('b'))
+    assert bench.list(7.5, make_box('a')) == {'a', 'b'}
+    assert bench.list(5.6 + KEEP_SECONDS, make_box('a')) == {'a'}
+
+
+def test_a_history_that_is_gone_is_no_outage() -> None:
+    bench = Bench(make_box('a'), make_box('b'))
+    bench.watch.take_fault(PlatformFault.HISTORY_GONE, 5.0)
+    assert bench.list(5.1, make_box('a')) == {'a'}
--- a/waywell/process/fleet_watch.py
+++ b/waywell/process/fleet_watch.py
@@ -15,8 +15,8 @@
     from waywell.process.platform_watch import WatchParts
 
 KEEP_SECONDS = 2.2
-"""For which boxes that vanished around an outage of the platform are kept:
-they are back within two seconds if they live."""
+"""After its return, for which boxes that vanished around an outage of the
+platform are kept: they are back within two seconds if they live."""
 
 
 class FleetWatch(PlatformWatch):
@@ -39,7 +39,8 @@
         self._outlook = parts.outlook
         self._listed: dict[BoxId, FleetBox] = {}
         self._kept: dict[BoxId, float] = {}
-        self._failed_at = float('-inf')
+        self._is_away = False
+        self._returned_at = float('-inf')
 
     def dump(self) -> dict[str, object]:
         """Return the state as plain values."""
@@ -53,6 +54,9 @@
 
     def take(self, changes: Changes, asked_at: float, now: float) -> None:
         """Put what changed in force, if it matters."""
+        if self._is_away:
+            self._is_away = False
+            self._returned_at = now
         listed = {} if changes.complete else dict(self._listed)
         for stored in changes.objects:
             name = BoxId(stored.name)
@@ -75,7 +79,8 @@
 
     def take_fault(self, fault: PlatformFault, now: float) -> None:
         """Note when boxes may have vanished; read anew unless refused."""
-        self._failed_at = now
+        if fault is not PlatformFault.HISTORY_GONE:
+            self._is_away = True
         if fault is not PlatformFault.REFUSED:
             self.forget_revision()
 
@@ -85,12 +90,13 @@
         now: float,
     ) -> None:
         """Keep boxes for a while that vanished around an outage."""
-        if now - self._failed_at > KEEP_SECONDS:
+        until = self._returned_at + KEEP_SECONDS
+        if now > until:
             return
         known = self._outlook.fleet.boxes
         for name in self._listed.keys() - listed.keys():
             if name in known and not known[name].leaving:
-                self._kept[name] = now + KEEP_SECONDS
+                self._kept[name] = until
 
     def _drop_kept(self, listed: dict[BoxId, FleetBox], now: float) -> None:
         """Give up kept boxes that are back, or that stay away."""
