Count closable groups in one place; weigh the present state once a search

The count of groups that may be closed stood twice, in regrouping.py and in slow_groups.py, with a constant each. Beside it: the cost of the present state was reckoned anew for each change of groups, groups were picked with a copy of the rest for each of them, and a parameter of get_load had lost its only caller.

--- a/waywell/version/forming_memory.py
+++ b/waywell/version/forming_memory.py
@@ -156,7 +156,7 @@
     """For what the domains were last searched."""
 
     planned_since: float | None = None
-    """When this holder made its first plan, in seconds."""
+    """When this holder first planned with callers there, in seconds."""
 
     loads: dict[BoxId, float] = attrs.Factory(dict)
     """Boxes that load weights, with when that was ordered, in seconds."""
--- a/waywell/version/model_need.py
+++ b/waywell/version/model_need.py
@@ -67,17 +67,9 @@
         """Return the models, that with the most work a place first."""
         return sorted(self.engine.models, key=self._rank)
 
-    def get_load(self, model: EngineModel, given: int = 0) -> float:
-        """Return the part of a model's places that is taken.
-
-        Parameters
-        ----------
-        model
-            The model.
-        given
-            Groups that it would have less.
-        """
-        groups = self.groups[model.name] - given
+    def get_load(self, model: EngineModel) -> float:
+        """Return the part of a model's places that is taken."""
+        groups = self.groups[model.name]
         if groups <= 0:
             return math.inf
         return self._get_work(model) / (groups * self.engine.places)
--- a/waywell/version/regrouping.py
+++ b/waywell/version/regrouping.py
@@ -17,6 +17,7 @@
 import attrs
 
 from waywell.ids import ModelName
+from waywell.version.closable import count_closable
 from waywell.version.fleet import (
     FleetBox,
     FleetGroup,
@@ -53,11 +54,6 @@
 SLOW_BOX_LOAD = 0.6
 """Part of a model's places taken from which on slow boxes are put to use."""
 
-CLOSABLE_PART = 0.5
-"""Part of a model's groups that may be closed at one time, but one at least:
-the rest takes their requests meanwhile."""
-
-
 BoxKind = tuple[float, ...]
 """Whether a box is slow, and the seconds until it could serve each model."""
 
@@ -98,14 +94,12 @@
 
 def _count_closable(search: RegroupSearch) -> Counter[ModelName]:
     """Return how many groups of each model may be closed now."""
-    closed = Counter(parse_group(one.group) for one in search.closing)
-    served = Counter(parse_group(one.group) for one in search.serving)
-    return Counter(
-        {
-            model: max(1, int(count * CLOSABLE_PART)) - closed[model]
-            for model, count in served.items()
-        },
-    )
+    return count_closable(search.serving, search.closing)
+
+
+def _get_present_cost(search: RegroupSearch) -> float:
+    """Return what callers lose a second while nothing is changed."""
+    return search.need.get_cost({})
 
 
 @attrs.frozen
@@ -132,6 +126,11 @@
     )
     """How many groups of each model may be closed now."""
 
+    present_cost: float = attrs.field(
+        init=False, default=attrs.Factory(_get_present_cost, takes_self=True)
+    )
+    """What callers lose a second while nothing is changed."""
+
     def list_best(self, idle: Pools) -> list[Regrouping]:
         """Return the best change of each domain, that gains most first.
 
@@ -243,12 +242,14 @@
         ):
             fit = self._rank_boxes(left, model)
             size = model.boxes_per_group
-            if len(fit) < count * size:
+            taken = fit[: count * size]
+            if len(taken) < count * size:
                 return ()
-            for first in range(0, count * size, size):
-                boxes = fit[first : first + size]
-                groups.append(NewGroup(model, tuple(boxes)))
-                left = [box for box in left if box not in boxes]
+            groups += [
+                NewGroup(model, tuple(taken[first : first + size]))
+                for first in range(0, len(taken), size)
+            ]
+            left = [box for box in left if box not in taken]
         return tuple(groups)
 
     def _rank_boxes(
@@ -285,7 +286,7 @@
         less = Counter(parse_group(one.group) for one in closed)
         change = Counter(one.model.name for one in formed)
         change.subtract(less)
-        won = self.need.get_cost({}) - self.need.get_cost(change)
+        won = self.present_cost - self.need.get_cost(change)
         won -= CONVERSION_COST * self._count_converted(formed)
         missed = self.need.get_missed(less)
         waited = self._estimate_wait(closed, formed)
--- a/waywell/version/slow_groups.py
+++ b/waywell/version/slow_groups.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from waywell.version.closable import count_closable
 from waywell.version.fleet import (
     FleetBox,
     FleetGroup,
@@ -23,13 +24,9 @@
 from waywell.version.model_need import ModelNeed
 
 if TYPE_CHECKING:
-    from waywell.ids import DomainName, ModelName
+    from waywell.ids import DomainName
     from waywell.version.routes import EngineModel
 
-CLOSED_PART = 0.5
-"""Part of a model's groups that may be closed at one time, but one at least:
-requests are sent to the rest meanwhile."""
-
 
 def choose_slow_groups(
     need: ModelNeed,
@@ -54,7 +51,7 @@
         Those that serve.
     """
     closing = [one for one in groups if one.group in memory.abandoned]
-    rest = _count_closable(serving, closing)
+    rest = count_closable(serving, closing)
     chosen: list[FleetGroup] = []
     for domain, near in _divide_settled(serving, closing).items():
         found = _Regrouping(need, memory, idle.get(domain, []), near).find()
@@ -76,21 +73,6 @@
     )
 
 
-def _count_closable(
-    serving: list[FleetGroup],
-    closing: list[FleetGroup],
-) -> Counter[ModelName]:
-    """Return how many groups of each model may be closed now."""
-    served = Counter(parse_group(one.group) for one in serving)
-    closed = Counter(parse_group(one.group) for one in closing)
-    return Counter(
-        {
-            model: max(1, int(count * CLOSED_PART)) - closed[model]
-            for model, count in served.items()
-        },
-    )
-
-
 @attrs.frozen
 class _Regrouping:
     """Looks in one domain for groups whose fast boxes make up a whole one."""
