--- /dev/null
+++ b/tests/holder.py
@@ -0,0 +1,224 @@
+"""A holder of the forming duty before simulated replicas.
+
+The duty is the product's; its orders go through the adapter's words.  An order
+may be left unanswered and carried out at any later time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from tests.held_clock import HeldClock
+from tests.test_membership import make_record
+from waywell.connection.box_orders import BoxOrders
+from waywell.ids import BoxId, GroupId, ModelName
+from waywell.platform.orders import (
+    decode_report,
+    decode_result,
+    encode_order,
+)
+from waywell.platform.servers import decode_server
+from waywell.process.actor import get_handler_name
+from waywell.process.forming import FormingDuty
+from waywell.process.membership import MembershipTable
+from waywell.version.fleet import Fleet, FleetBox, note_models
+from waywell.version.orders import Assignment, OrderResult
+
+if TYPE_CHECKING:
+    from tests.replicas import SimHouse, SimReplica
+    from waywell.version.box_report import BoxReport
+    from waywell.version.routes import Engine
+
+TURNS = 12
+"""Turns of the event loop after which all tasks wait for something."""
+
+
+@attrs.define(eq=False)
+class FlyingOrder:
+    """An order that was sent."""
+
+    box: BoxId
+    replica: SimReplica
+    body: dict[str, Any]
+    answer: asyncio.Future[OrderResult]
+
+    def time_out(self) -> None:
+        """Let the holder wait for its answer no longer."""
+        if not self.answer.done():
+            self.answer.set_result(OrderResult.UNKNOWN)
+
+    def carry_out(self) -> None:
+        """Let its replica take it, if it lives, and answer if asked still."""
+        result = OrderResult.UNKNOWN
+        if self.replica.is_alive:
+            result = decode_result(self.replica.take(self.body))
+        if not self.answer.done():
+            self.answer.set_result(result)
+
+
+class SimOrders(BoxOrders):
+    """Sends orders to replicas and keeps them until they are carried out."""
+
+    def __init__(self, house: SimHouse) -> None:
+        self.house = house
+        self.flying: list[FlyingOrder] = []
+        self.changes_behind = 0
+
+    async def give(self, assignment: Assignment, fence: int) -> OrderResult:
+        name = assignment.box.box
+        replica = self.house.replicas[name]
+        answer = asyncio.get_running_loop().create_future()
+        body = encode_order(assignment, fence)
+        self.flying.append(FlyingOrder(name, replica, body, answer))
+        return await answer
+
+    async def read_report(self, box: FleetBox) -> BoxReport | None:
+        replica = self.house.replicas[box.box]
+        if not replica.is_alive or not replica.is_reachable:
+            return None
+        return decode_report(box, replica.report(self.changes_behind))
+
+
+class _Gossip:
+    def __init__(self) -> None:
+        self.table = MembershipTable(make_record('a'), 2.0)
+
+    def post(self, _message: object) -> None:
+        """Take no word."""
+
+
+class _HeldDuty(FormingDuty):
+    """Holds a term without a lease."""
+
+    held_term = 0
+
+    def is_held(self) -> bool:
+        return self.held_term > 0
+
+    @property
+    def epoch(self) -> int:
+        return self.held_term
+
+    def handle_waiting(self) -> bool:
+        """Handle the messages that wait; answer whether there were any."""
+        count = self._inbox.qsize()
+        for _message in range(count):
+            message = self._inbox.get_nowait()
+            getattr(self, get_handler_name(message))(message)
+        return count > 0
+
+
+class Holder:
+    """One node at a time holds the duty; its list may be old."""
+
+    def __init__(self, house: SimHouse, engine: Engine) -> None:
+        self.house = house
+        self.clock = HeldClock()
+        self.orders = SimOrders(house)
+        self.demand: dict[ModelName, float] = {}
+        self.loop = asyncio.new_event_loop()
+        self._entries: dict[str, FleetBox] = {}
+        self.last_models: dict[BoxId, ModelName] = {}
+        engines = [('llm', engine)]
+        self._outlook = SimpleNamespace(
+            index=SimpleNamespace(list_engines=lambda: engines),
+            fleet=Fleet({}),
+            last_models=self.last_models,
+            get_boxes_age=lambda _now: 0.0,
+        )
+        self._term = 0
+        self.duty = self._make_duty()
+
+    def close(self) -> None:
+        """End what still runs."""
+        self.loop.run_until_complete(self.duty.stop())
+        self.loop.close()
+
+    def take_over(self) -> None:
+        """Let another node hold the duty; it knows the list only."""
+        self.duty.held_term = 0
+        self.duty = self._make_duty()
+
+    def refresh(self) -> None:
+        """Let the list that the holder sees be true."""
+        self._entries = {}
+        for name in self.house.replicas:
+            self.refresh_one(name)
+
+    def refresh_one(self, name: str) -> None:
+        """Let the entry of one replica be true; others may be old."""
+        replica = self.house.replicas[name]
+        if replica.is_listed:
+            entry = replica.make_entry()
+            self._entries[name] = decode_server(name, entry)
+        else:
+            self._entries.pop(name, None)
+        self._outlook.fleet = Fleet(dict(self._entries))
+        note_models(self.last_models, self._outlook.fleet)
+
+    def find_entry(self, name: str) -> FleetBox | None:
+        """Return a box as the holder's list shows it."""
+        return self._entries.get(name)
+
+    def plan(self) -> None:
+        """Let the holder plan and send its orders."""
+        self.duty.post(FormingDuty.PlanTick())
+        self.run_tasks()
+
+    def doubt(self, group: str) -> None:
+        """Tell the holder that a node hears nothing of a group."""
+        self.duty.post(FormingDuty.Doubted(GroupId(group)))
+        self.run_tasks()
+
+    def carry_out(self, flying: FlyingOrder) -> None:
+        """Let an order reach its replica now."""
+        self.orders.flying.remove(flying)
+        flying.carry_out()
+        self.run_tasks()
+
+    def carry_out_all(self) -> None:
+        """Let all orders reach their replicas, in the order of sending."""
+        while self.orders.flying:
+            self.carry_out(self.orders.flying[0])
+
+    def time_out(self, flying: FlyingOrder) -> None:
+        """Let an order wait on; the holder gets no answer."""
+        flying.time_out()
+        self.run_tasks()
+
+    def find_flying(self, box: str, operation: str) -> list[FlyingOrder]:
+        """Return the orders of a kind that are on their way to a box."""
+        return [
+            one
+            for one in self.orders.flying
+            if one.box == box and one.body['operation'] == operation
+        ]
+
+    def run_tasks(self) -> None:
+        """Run what can run until all waits for boxes."""
+        self.loop.run_until_complete(self._run_turns())
+
+    async def _run_turns(self) -> None:
+        is_busy = True
+        while is_busy:
+            for _turn in range(TURNS):
+                await asyncio.sleep(0)
+            is_busy = self.duty.handle_waiting()
+
+    def _make_duty(self) -> _HeldDuty:
+        self._term += 1
+        duty = _HeldDuty(
+            None,
+            _Gossip(),
+            self.clock,
+            self._outlook,
+            self.orders,
+            2.0,
+            lambda _now: self.demand,
+        )
+        duty.held_term = self._term
+        return duty
--- /dev/null
+++ b/tests/replicas.py
@@ -0,0 +1,214 @@
+"""Model replicas that take orders as the platform's page tells, unconnected.
+
+They speak the protocol's words, so that what they do with an order depends on
+nothing but what is sent.
+"""
+
+from __future__ import annotations
+
+import json
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+
+DOMAIN = 'd0'
+"""Fabric domain of all replicas."""
+
+
+@attrs.frozen
+class Membership:
+    """A replica's place in a group, as it stands."""
+
+    group: str
+    epoch: int
+    members: tuple[str, ...]
+    rank: int
+    state: str
+
+    def encode(self) -> dict[str, Any]:
+        """Return what reports and entries tell of it."""
+        return {
+            'name': self.group,
+            'epoch': self.epoch,
+            'rank': self.rank,
+            'state': self.state,
+        }
+
+
+@attrs.define(eq=False)
+class SimReplica:
+    """One life of a replica.
+
+    Parameters
+    ----------
+    name
+        Its id.
+    house
+        All replicas, which share what the rules say of groups.
+    """
+
+    name: str
+    house: SimHouse
+    is_alive: bool = True
+    is_listed: bool = True
+    is_reachable: bool = True
+    orders_begun: int = 0
+    highest: int = 0
+    staged: tuple[str, ...] = ()
+    membership: Membership | None = None
+    told: list[dict[str, Any]] = attrs.Factory(list)
+    """Reports from the oldest on; the last one tells how it is now."""
+
+    def __attrs_post_init__(self) -> None:
+        """Tell the first report."""
+        self.note_change()
+
+    def take(self, order: dict[str, Any]) -> int:
+        """Carry out an order; return the status of the answer."""
+        expected = order.get('expect_rev')
+        if expected is not None and expected != self.orders_begun:
+            return HTTPStatus.CONFLICT
+        operation = order['operation']
+        if operation == 'stage':
+            return self._take_stage(order)
+        if operation == 'join':
+            return self._take_join(order)
+        own = self.membership
+        if own is None or (own.group, own.epoch) != _name_group(order):
+            return HTTPStatus.CONFLICT
+        if operation == 'leave':
+            self.membership = None
+        elif operation == 'open':
+            return self._take_open(own)
+        else:
+            self.set_state('ready')
+        return self._begin()
+
+    def set_state(self, state: str) -> None:
+        """Change how it stands in its group."""
+        assert self.membership is not None
+        self.membership = attrs.evolve(self.membership, state=state)
+        if state == 'ready':
+            self.house.note_ready(self)
+        self.note_change()
+
+    def finish_load(self) -> None:
+        """Be ready, where it joins a group."""
+        if self.membership is not None and self.membership.state == 'joining':
+            self.set_state('ready')
+
+    def stands_in(self, other: Membership) -> bool:
+        """Answer whether it lives, as a member of the same group."""
+        own = self.membership
+        if not self.is_alive or own is None:
+            return False
+        return (own.group, own.epoch) == (other.group, other.epoch)
+
+    def note_change(self) -> None:
+        """Tell how it is now."""
+        own = self.membership
+        self.told.append(
+            {
+                'seq_no': self.orders_begun,
+                'group': None if own is None else own.encode(),
+                'pace': 1.0,
+            },
+        )
+
+    def report(self, changes_behind: int = 0) -> bytes:
+        """Return a report, perhaps one from before the last changes."""
+        latest = len(self.told) - 1
+        return json.dumps(self.told[max(0, latest - changes_behind)]).encode()
+
+    def make_entry(self) -> dict[str, Any]:
+        """Return its entry in the list as it is now."""
+        own = self.membership
+        return {
+            'service': 'llm',
+            'address': '10.0.0.1:8000',
+            'zone': 'port',
+            'slots': 9,
+            'state': 'ready',
+            'domain': DOMAIN,
+            'staged': list(self.staged),
+            'group': None if own is None else own.encode(),
+        }
+
+    def _begin(self) -> int:
+        self.orders_begun += 1
+        self.note_change()
+        return HTTPStatus.ACCEPTED
+
+    def _take_stage(self, order: dict[str, Any]) -> int:
+        self.staged = (order['model'],)
+        return self._begin()
+
+    def _take_join(self, order: dict[str, Any]) -> int:
+        own = self.membership
+        members = tuple(order['members'])
+        if order['epoch'] < self.highest:
+            return HTTPStatus.PRECONDITION_FAILED
+        if own is not None and (own.group, own.epoch) == _name_group(order):
+            same = own.members == members
+            return HTTPStatus.OK if same else HTTPStatus.PRECONDITION_FAILED
+        self.house.check_join(self, order)
+        self.highest = order['epoch']
+        self.staged = (order['model'],)
+        rank = members.index(self.name)
+        group, epoch = _name_group(order)
+        self.membership = Membership(group, epoch, members, rank, 'joining')
+        return self._begin()
+
+    def _take_open(self, own: Membership) -> int:
+        if own.state != 'ready':
+            return HTTPStatus.CONFLICT
+        self.house.check_open(own)
+        self.set_state('open')
+        return self._begin()
+
+
+@attrs.define(eq=False)
+class SimHouse:
+    """All replicas, with the rules that hold for their groups."""
+
+    replicas: dict[str, SimReplica] = attrs.Factory(dict)
+    was_ready: set[tuple[str, str, int]] = attrs.Factory(set)
+    broken: list[str] = attrs.Factory(list)
+    """Rules that were broken, in words."""
+
+    def add(self, name: str, staged: tuple[str, ...] = ()) -> SimReplica:
+        """Start a replica; each life has an id of its own."""
+        self.replicas[name] = SimReplica(name, self, staged=staged)
+        return self.replicas[name]
+
+    def note_ready(self, replica: SimReplica) -> None:
+        """Remember that a member was ready in its group."""
+        own = replica.membership
+        assert own is not None
+        self.was_ready.add((replica.name, own.group, own.epoch))
+
+    def check_join(self, joining: SimReplica, order: dict[str, Any]) -> None:
+        """Note a join that comes while the replica's group serves."""
+        own = joining.membership
+        if own is None:
+            return
+        for head in self.replicas.values():
+            other = head.membership
+            if not head.is_alive or other is None or other.rank:
+                continue
+            if other.group == own.group and other.state == 'open':
+                self.broken.append(
+                    f'{joining.name} joins {order["group"]} while'
+                    f' {own.group} is open',
+                )
+
+    def check_open(self, own: Membership) -> None:
+        """Note a group that opens before all its members were ready."""
+        for member in own.members:
+            if (member, own.group, own.epoch) not in self.was_ready:
+                self.broken.append(f'{own.group} opens before {member}')
+
+
+def _name_group(order: dict[str, Any]) -> tuple[str, int]:
+    return order['group'], order['epoch']
--- /dev/null
+++ b/tests/test_late_joins.py
@@ -0,0 +1,111 @@
+"""A box that was ordered elsewhere stays in a group that serves.
+
+Symptom: a replica took a join of another group while the group in which it
+stood, and which it had not left, served.
+
+Sequence: one holder, one term.  A join to box ``b`` got no answer.  2.5 s later
+the holder took the box for free, as the list still showed its former group, and
+ordered it into a second group, again without an answer.  The first join was
+then carried out: its group showed ready in all members, and was opened.  The
+second join was carried out 11 s after it was sent.
+
+Cause: an order says nothing of the state in which it may be taken, so what the
+holder believed of the box when it planned need not hold when the box acts.
+
+Log lines that settled it, of a played day with the same outcome; no line tells
+that ``b`` left the first group::
+
+    15.39  order=join box=b group=gole.2000005 result=unknown
+    17.95  order=join box=b group=fixa.2000008 result=unknown
+    17.95  order=open box=a group=gole.2000005 why=ready result=taken
+    29.30  b was joined to fixa.2000008 while gole.2000005 was open
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.holder import Holder
+from tests.replicas import SimHouse
+from waywell.ids import ModelName
+from waywell.version.forming_memory import PENDING_SECONDS
+from waywell.version.routes import Engine, EngineModel
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+SMALL = ModelName('small')
+ENGINE = Engine(
+    9,
+    (EngineModel(SMALL, 2, load_seconds=12.0, warm_seconds=1.1),),
+    loads_per_second=5.0,
+    loads_at_once=7,
+)
+
+
+@pytest.fixture
+def holder() -> Iterator[Holder]:
+    """Return a holder whose callers ask for more than there is."""
+    started = Holder(SimHouse(), ENGINE)
+    started.demand = {SMALL: 50.0}
+    yield started
+    started.close()
+
+
+def _join_elsewhere(holder: Holder) -> None:
+    """Let the second join of ``b`` be under way while its group opens."""
+    house = holder.house
+    for name in 'ab':
+        house.add(name, ('small',))
+    # The former group of b is broken: its other member is gone.
+    house.replicas['b'].take(
+        {
+            'operation': 'join',
+            'group': 'small.1',
+            'epoch': 1,
+            'model': 'small',
+            'members': ['b', 'x'],
+        },
+    )
+    house.replicas['b'].set_state('broken')
+    holder.refresh()
+    holder.clock.now += 2.0
+    holder.plan()
+    holder.carry_out(*holder.find_flying('a', 'join'))
+    (first,) = holder.find_flying('b', 'join')
+    holder.time_out(first)
+    house.replicas['a'].set_state('ready')
+    house.add('c', ('small',))
+    holder.clock.now += PENDING_SECONDS + 0.1
+    holder.refresh()
+    holder.plan()
+    holder.carry_out(*holder.find_flying('c', 'join'))
+    (_first, second) = holder.find_flying('b', 'join')
+    assert second.body['members'] != first.body['members']
+    holder.time_out(second)
+    holder.carry_out(first)
+    house.replicas['b'].set_state('ready')
+    holder.clock.now += PENDING_SECONDS + 0.1
+    holder.refresh()
+    holder.plan()
+
+
+def test_a_join_planned_for_an_earlier_state_is_not_taken(
+    holder: Holder,
+) -> None:
+    _join_elsewhere(holder)
+    for opening in (
+        *holder.find_flying('a', 'open'),
+        *holder.find_flying('b', 'open'),
+    ):
+        holder.carry_out(opening)
+    states = {
+        one.membership.state
+        for one in holder.house.replicas.values()
+        if one.membership
+    }
+    assert 'open' in states
+    holder.carry_out_all()
+    assert not holder.house.broken
--- a/waywell/platform/orders.py
+++ b/waywell/platform/orders.py
@@ -75,8 +75,7 @@
             # Not even a refused connection says that the server is gone: a
             # cut may refuse those of this node while callers' requests run.
             return OrderResult.UNKNOWN
-        status = called.unwrap().status
-        return _RESULT_BY_STATUS.get(status, OrderResult.UNKNOWN)
+        return decode_result(called.unwrap().status)
 
     async def read_report(self, box: FleetBox) -> BoxReport | None:
         """Ask a server for its report."""
@@ -90,6 +89,11 @@
         return decode_report(box, answer.raw)
 
 
+def decode_result(status: int) -> OrderResult:
+    """Return what the status of an answer to an order tells."""
+    return _RESULT_BY_STATUS.get(status, OrderResult.UNKNOWN)
+
+
 class _Report(msgspec.Struct):
     """What is read of a server's report."""
 
