Test that an order to open outlives the entries of its group; it does not

Cause, by reading and by the test: the holder keeps the set of groups that it ordered to open only as long as the list shows them; entries lapse with the store and come back older than the opening, and the boxes then count as free.

--- a/tests/holder.py
+++ b/tests/holder.py
@@ -157,8 +157,18 @@
             self._entries[name] = decode_server(name, entry)
         else:
             self._entries.pop(name, None)
-        self._outlook.fleet = Fleet(dict(self._entries))
-        note_models(self.last_models, self._outlook.fleet)
+        self._show_entries()
+
+    def hide(self, *names: str) -> list[FleetBox]:
+        """Take entries off the list; return them as they were."""
+        hidden = [self._entries.pop(name) for name in names]
+        self._show_entries()
+        return hidden
+
+    def show_again(self, *entries: FleetBox) -> None:
+        """Put entries back on the list as they were."""
+        self._entries.update({entry.box: entry for entry in entries})
+        self._show_entries()
 
     def find_entry(self, name: str) -> FleetBox | None:
         """Return a box as the holder's list shows it."""
@@ -209,6 +219,10 @@
                 await asyncio.sleep(0)
             is_busy = self.duty.handle_waiting()
 
+    def _show_entries(self) -> None:
+        self._outlook.fleet = Fleet(dict(self._entries))
+        note_models(self.last_models, self._outlook.fleet)
+
     def _make_duty(self) -> _HeldDuty:
         self._term += 1
         duty = _HeldDuty(
--- a/tests/test_late_joins.py
+++ b/tests/test_late_joins.py
@@ -30,7 +30,8 @@
 from tests.holder import Holder
 from tests.replicas import SimHouse
 from waywell.ids import ModelName
-from waywell.version.forming_memory import PENDING_SECONDS
+from waywell.process.forming import SETTLE_SECONDS
+from waywell.version.forming_memory import GATHER_SECONDS, PENDING_SECONDS
 from waywell.version.routes import Engine, EngineModel
 
 if TYPE_CHECKING:
@@ -43,6 +44,13 @@
     loads_per_second=5.0,
     loads_at_once=7,
 )
+TRIPLE = ModelName('triple')
+TRIPLE_ENGINE = Engine(
+    9,
+    (EngineModel(TRIPLE, 3, load_seconds=16.0, warm_seconds=1.6),),
+    loads_per_second=5.0,
+    loads_at_once=7,
+)
 
 
 @pytest.fixture
@@ -109,3 +117,47 @@
     assert 'open' in states
     holder.carry_out_all()
     assert not holder.house.broken
+
+
+def test_a_group_that_was_off_the_list_may_still_have_been_opened() -> None:
+    """What was ordered to open is not forgotten with its entries.
+
+    Sequence: the three boxes of a group are off the list for one plan, just
+    after the order to open it was carried out; then two are back, with entries
+    from before.  Cause: the holder forgot the order as the group was not
+    listed, and took its boxes for free.  Found by reading.
+    """
+    holder = Holder(SimHouse(), TRIPLE_ENGINE)
+    holder.demand = {TRIPLE: 50.0}
+    house = holder.house
+    for name in 'abc':
+        house.add(name, ('triple',))
+    holder.refresh()
+    holder.plan()
+    holder.clock.now += SETTLE_SECONDS
+    holder.plan()
+    holder.carry_out_all()
+    for name in 'abc':
+        house.replicas[name].finish_load()
+    holder.refresh()
+    holder.clock.now += PENDING_SECONDS + 0.1
+    holder.plan()
+    holder.carry_out_all()
+    head = next(
+        one for one in house.replicas.values() if not one.membership.rank
+    )
+    assert head.membership.state == 'open'
+    holder.clock.now += GATHER_SECONDS
+    for name in 'de':
+        house.add(name, ('triple',))
+        holder.refresh_one(name)
+    before = holder.hide(*'abc')
+    holder.plan()
+    holder.clock.now += SETTLE_SECONDS
+    holder.plan()
+    lost = next(name for name in 'abc' if name != head.name)
+    holder.show_again(*(entry for entry in before if entry.box != lost))
+    holder.plan()
+    holder.carry_out_all()
+    holder.close()
+    assert not house.broken
