Let a join hold only for the state that its box told; open only what is known to be whole

Cause: an order says nothing of the state in which it may be taken. A box whose join got no answer was taken for free by its entry 2.5 s (or 4 s) later and joined elsewhere; the first join took effect, its group was opened, and the second join, carried out late, took the box out of it. Beside it: an order to open was forgotten with the entries of its group, and what was ordered elsewhere was forgotten 15 s after.

Change: before a group is formed, each of its boxes is asked; the join carries the number of orders that the box told it had begun, and the box refuses it in any later state. None is sent where a box is silent, serves, or stands elsewhere than its entry says. A group is opened only while the holder knows that it formed it and ordered its members nothing else; boxes of a group are used at once only while it knows that it never ordered it to open. What is forgotten costs an order to leave, in place of a promise. The times for which orders are waited for decide about speed only.

Tests: four of test_forming set the memory up as a holder that formed their groups, since an epoch alone no longer makes a group the holder's own; their assertions stand, that of boxes ordered elsewhere now also 18 s and 198 s later.

--- a/tests/house.py
+++ b/tests/house.py
@@ -232,6 +232,7 @@
         self.script: deque[str] = deque()
         self.members: list[str] = []
         self.fence = 0
+        self.orders_begun = 0
         self.goes_on = threading.Event()
         self.goes_on.set()
         self._store = store
@@ -294,6 +295,11 @@
         self.fence = fence
         group = self.get_group()
         operation = order['operation']
+        expected = order.get('expect_rev')
+        if operation == 'join' and expected is None:
+            self._store.broken.append(f'{self.name}: a join for any state')
+        if expected is not None and expected != self.orders_begun:
+            return 409
         broken = self._find_broken(order)
         if broken:
             self._store.broken.append(broken)
@@ -313,15 +319,23 @@
         else:
             word = {'open': 'open', 'close': 'ready'}.get(operation)
             group = {**group, 'state': word} if word else {}
+        self.orders_begun += 1
         self.entry['group'] = group or None
         self.write_entry()
         return 200
 
+    def make_report(self) -> dict[str, Any]:
+        """Return how it is now."""
+        return {
+            'seq_no': self.orders_begun,
+            'group': self.get_group() or None,
+        }
+
     def _make_handler(server) -> type[_Handler]:  # noqa: N805
         class Handler(_Handler):
             def do_GET(self) -> None:
                 if self.path == '/api/report':
-                    self.answer(200, {})
+                    self.answer(200, server.make_report())
                 else:
                     self._run()
 
--- a/tests/test_forming.py
+++ b/tests/test_forming.py
@@ -70,6 +70,14 @@
     return memory
 
 
+def make_own(*groups: str) -> FormingMemory:
+    """Return the memory of a holder that formed some groups."""
+    memory = FormingMemory()
+    for group in groups:
+        memory.note_joins(GroupId(group), [])
+    return memory
+
+
 def pick(assignments: list[Assignment], kind: type) -> list[Assignment]:
     return [one for one in assignments if isinstance(one.order, kind)]
 
@@ -122,7 +130,7 @@
 
 def test_a_ready_group_of_another_holder_is_left_by_its_head_first() -> None:
     # The other holder's order to open it may still be on its way.
-    memory = FormingMemory(next_epoch=2_000_001, first_epoch=2_000_001)
+    memory = FormingMemory(next_epoch=2_000_001)
     boxes = make_group('small.1000007', 'a', 'b', head_state=MemberState.READY)
     orders = plan(boxes, memory, 1.0)
     assert [one.box.box for one in pick(orders, Leave)] == ['a']
@@ -136,7 +144,7 @@
 def test_a_group_that_may_have_opened_is_not_taken_apart_as_if_closed() -> (
     None
 ):
-    memory = FormingMemory()
+    memory = make_own('small.7')
     boxes = make_group('small.7', 'a', 'b', head_state=MemberState.READY)
     assert pick(plan(boxes, memory, 1.0), Open)
     # The list does not show yet that it opened; now a member is lost.
@@ -148,7 +156,7 @@
 
 
 def test_an_open_group_of_another_holder_is_left_as_it_is() -> None:
-    memory = FormingMemory(next_epoch=2_000_001, first_epoch=2_000_001)
+    memory = FormingMemory(next_epoch=2_000_001)
     boxes = make_group('small.1000007', 'a', 'b')
     assert not plan(boxes, memory, 1.0)
 
@@ -196,8 +204,19 @@
     assert orders[0].box.box == 'a'
 
 
+def test_members_of_a_group_that_never_opened_need_no_lost_head() -> None:
+    memory = make_own('small.7')
+    _head, member = make_group(
+        'small.7', 'a', 'b', head_state=MemberState.READY
+    )
+    spare = make_box('c', staged=('small',))
+    orders = plan([member, spare], memory, 10.0)
+    assert {one.box.box for one in pick(orders, Join)} == {'b', 'c'}
+    assert not pick(orders, Leave)
+
+
 def test_an_open_order_is_not_given_twice() -> None:
-    memory = FormingMemory()
+    memory = make_own('small.7')
     boxes = make_group('small.7', 'a', 'b', head_state=MemberState.READY)
     assert pick(plan(boxes, memory, 1.0), Open)
     assert not pick(plan(boxes, memory, 1.2), Open)
@@ -206,11 +225,37 @@
 def test_a_group_whose_members_were_ordered_elsewhere_is_never_opened() -> (
     None
 ):
-    memory = FormingMemory()
-    memory.abandoned[GroupId('small.7')] = 1.0
     boxes = make_group('small.7', 'a', 'b', head_state=MemberState.READY)
+    assert pick(plan(boxes, make_own('small.7'), 2.0), Open)
+    memory = make_own('small.7')
+    memory.note_joins(GroupId('small.8'), [boxes[1]])
+    for now in (2.0, 20.0, 200.0):
+        assert not pick(plan(boxes, memory, now), Open)
+        memory.pending.clear()
+
+
+@pytest.mark.parametrize('order', [Leave, Close])
+def test_a_group_is_never_opened_after_its_end_was_ordered(
+    order: type,
+) -> None:
+    memory = make_own('small.7')
+    boxes = make_group('small.7', 'a', 'b', head_state=MemberState.READY)
+    standing = boxes[1].standing
+    ending = order(standing.group, standing.epoch)
+    assert memory.note_order(boxes[1], ending, 1.0)
+    memory.pending.clear()
+    assert not pick(plan(boxes, memory, 20.0), Open)
+
+
+def test_a_group_that_the_holder_has_forgotten_is_left_by_its_head_first() -> (
+    None
+):
+    memory = make_own('small.7')
+    boxes = make_group('small.7', 'a', 'b', head_state=MemberState.READY)
+    plan([make_box('c')], memory, 1.0)
     orders = plan(boxes, memory, 2.0)
-    assert not pick(orders, Open)
+    assert [one.box.box for one in pick(orders, Leave)] == ['a']
+    assert len(orders) == 1
 
 
 def test_epochs_rise_with_each_group() -> None:
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -7,6 +7,7 @@
 from tests.boxes import make_box
 from waywell.platform.orders import decode_report
 from waywell.version.box_report import SLOW_PACE
+from waywell.version.fleet import MemberState
 
 
 def test_a_report_tells_how_slow_a_box_is() -> None:
@@ -16,6 +17,33 @@
     assert decode_report(box, b'{"pace":%r}' % SLOW_PACE).is_slow()
 
 
+def test_a_report_tells_the_state_of_a_box_and_its_number() -> None:
+    raw = (
+        b'{"seq_no":4,"group":{"name":"small.7","epoch":7,"rank":1,'
+        b'"state":"ready"}}'
+    )
+    report = decode_report(make_box('a'), raw)
+    assert report.orders_begun == 4
+    assert report.standing is not None
+    assert report.standing.group == 'small.7'
+    assert report.standing.epoch == 7
+    assert report.standing.state is MemberState.READY
+
+
+def test_a_report_tells_of_a_box_in_no_group() -> None:
+    for raw in (
+        b'{"seq_no":2}',
+        b'{"seq_no":2,"group":{"name":"","epoch":0}}',
+    ):
+        report = decode_report(make_box('a'), raw)
+        assert (report.orders_begun, report.standing) == (2, None)
+
+
+def test_what_is_unreadable_fits_a_box_that_was_never_ordered_only() -> None:
+    raw = b'{"seq_no":4,"group":{"name":"g","epoch":7,"state":"new word"}}'
+    assert decode_report(make_box('a'), raw).orders_begun == 0
+
+
 @pytest.mark.parametrize('raw', [b'', b'{}', b'{"pace":"x"}', b'[1]'])
 def test_an_unreadable_report_is_still_a_sign_of_life(raw: bytes) -> None:
     assert not decode_report(make_box('a'), raw).is_slow()
--- a/tests/test_server_orders.py
+++ b/tests/test_server_orders.py
@@ -11,9 +11,10 @@
 from tests.boxes import make_group
 from waywell.connection.http_calls import CallAnswer
 from waywell.connection.platform import PlatformFault
+from waywell.ids import Epoch, ModelName
 from waywell.platform import orders as server_orders
 from waywell.platform.orders import ServerOrders, encode_order
-from waywell.version.orders import Assignment, Leave, OrderResult
+from waywell.version.orders import Assignment, Join, Leave, OrderResult
 
 if TYPE_CHECKING:
     from waywell.version.fleet import FleetBox
@@ -69,5 +70,14 @@
     assert give(monkeypatch, answer) is result
 
 
+def test_a_join_carries_the_number_of_the_state_that_it_is_for() -> None:
+    members = (HEAD.box,)
+    join = Join(HEAD.standing.group, Epoch(8), ModelName('notes'), members, 5)
+    body = encode_order(Assignment(HEAD, join), 3)
+    assert body['expect_rev'] == 5
+    assert 'orders_begun' not in body
+    assert 'expect_rev' not in encode_order(LEAVE, 3)
+
+
 def test_an_order_carries_the_number_of_its_term() -> None:
     assert encode_order(LEAVE, 3)['fence_token'] == 3
--- a/waywell/platform/orders.py
+++ b/waywell/platform/orders.py
@@ -11,6 +11,7 @@
 
 from waywell.connection.box_orders import BoxOrders
 from waywell.connection.http_calls import HttpCalls
+from waywell.platform.servers import Group, decode_group
 from waywell.process.events import log_warning
 from waywell.version.box_report import USUAL_PACE, BoxReport
 from waywell.version.orders import (
@@ -97,6 +98,10 @@
 class _Report(msgspec.Struct):
     """What is read of a server's report."""
 
+    # Counts orders here, while in the list of servers it counts entries.
+    seq_no: int = 0
+    group: Group | None = None
+
     pace: float = USUAL_PACE
     """How slow the server is, not how fast: over 1 its work takes longer."""
 
@@ -104,11 +109,16 @@
 def decode_report(box: FleetBox, raw: bytes) -> BoxReport:
     """Return what a report tells; one that is unreadable is a sign of life."""
     try:
-        found = msgspec.json.decode(raw, type=_Report)
-    except msgspec.MsgspecError as error:
+        return _decode_readable(raw)
+    except ValueError as error:
         log_warning('report_unreadable', box=box.box, error=str(error))
         return BoxReport()
-    return BoxReport(found.pace)
+
+
+def _decode_readable(raw: bytes) -> BoxReport:
+    found = msgspec.json.decode(raw, type=_Report)
+    standing = None if found.group is None else decode_group(found.group)
+    return BoxReport(found.pace, found.seq_no, standing)
 
 
 def _make_calls(box: FleetBox, seconds: float) -> HttpCalls:
@@ -131,4 +141,6 @@
     body['fence_token'] = fence
     if isinstance(order, Close):
         body['strategy'] = 'wait'
+    if isinstance(order, Join):
+        body['expect_rev'] = body.pop('orders_begun')
     return body
--- a/waywell/platform/servers.py
+++ b/waywell/platform/servers.py
@@ -33,7 +33,9 @@
     name: str
 
 
-class _Group(msgspec.Struct):
+class Group(msgspec.Struct):
+    """A server's place in a group, as entries and reports tell it."""
+
     name: str
     epoch: int
     rank: int = 0
@@ -52,7 +54,7 @@
     state: str = 'ready'
     staged: list[Any] = []
     domain: str = ''
-    group: _Group | None = None
+    group: Group | None = None
 
 
 def decode_server(name: str, spec: Any) -> FleetBox:
@@ -75,7 +77,7 @@
         places=server.slots,
         leaving=server.state != 'ready',
         staged=tuple(_decode_staged(staged) for staged in server.staged),
-        standing=None if server.group is None else _decode_group(server.group),
+        standing=None if server.group is None else decode_group(server.group),
     )
 
 
@@ -86,7 +88,14 @@
     return ModelName(msgspec.convert(staged, _Model).name)
 
 
-def _decode_group(group: _Group) -> Standing | None:
+def decode_group(group: Group) -> Standing | None:
+    """Return a place in a group; ``None`` for that in no group.
+
+    Raises
+    ------
+    ValueError
+        When its state is unknown.
+    """
     if not group.name:
         return None
     if group.state not in _STATE_BY_WORD:
--- a/waywell/process/actor.py
+++ b/waywell/process/actor.py
@@ -56,7 +56,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+    def spawn(self, work: Coroutine[Any, Any, object]) -> asyncio.Task[Any]:
         """Run a coroutine as a task that ends with the actor."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from waywell.ids import BoxId, GroupId
+from waywell.ids import BoxId, GroupId, ServiceName
 from waywell.process.actor import Message
 from waywell.process.duty import Duty
 from waywell.process.events import log_event, log_warning
@@ -16,8 +18,10 @@
     FormingView,
 )
 from waywell.version.forming_memory import FormingMemory
+from waywell.version.joining import check_joins
 from waywell.version.orders import (
     Assignment,
+    Join,
     OrderResult,
     Stage,
 )
@@ -27,7 +31,7 @@
 
     from waywell.connection.box_orders import BoxOrders
     from waywell.connection.platform import Platform
-    from waywell.ids import ModelName, ServiceName
+    from waywell.ids import ModelName
     from waywell.process.clock import Clock
     from waywell.process.gossip import Gossip
     from waywell.process.outlook import Outlook
@@ -108,6 +112,21 @@
         epoch: int
         """Epoch of the lease under which it was planned."""
 
+    class NotFormed(Message, frozen=True):
+        """No join of a new group was sent, as a box does not fit."""
+
+        service: ServiceName
+        """Service of its boxes."""
+
+        group: GroupId
+        """The group."""
+
+        unfit: tuple[BoxId, ...]
+        """The boxes that do not fit."""
+
+        epoch: int
+        """Epoch of the lease under which it was planned."""
+
     def __init__(
         self,
         platform: Platform,
@@ -154,8 +173,7 @@
                 self._read_demand(now),
             )
             planner = FormingPlanner(view, memory, now)
-            for assignment in planner.plan():
-                self.spawn(self._give(assignment, self.epoch))
+            self._send(planner.plan())
             self._note_summary(name, planner.summary, view)
 
     def on_ordered(self, ordered: Ordered) -> None:
@@ -168,6 +186,19 @@
         if ordered.result is OrderResult.OUTDATED:
             self._begin_later_term(now)
 
+    def on_not_formed(self, not_formed: NotFormed) -> None:
+        """Give up a group of this term of work whose boxes do not fit."""
+        if not self._is_of_this_term(not_formed.epoch):
+            return
+        log_warning(
+            'group_not_formed',
+            group=not_formed.group,
+            unfit=','.join(not_formed.unfit),
+        )
+        self._get_memory(not_formed.service).note_not_formed(
+            not_formed.group, not_formed.unfit, self.clock.read()
+        )
+
     def on_doubted(self, doubted: Doubted) -> None:
         """Ask the members of a doubted group for a sign of life."""
         group = self._outlook.fleet.groups.get(doubted.group)
@@ -270,13 +301,15 @@
             self._asking.add(box.box)
             self.spawn(self._probe(box))
 
-    async def _probe(self, box: FleetBox) -> None:
+    async def _probe(self, box: FleetBox) -> BoxReport | None:
+        """Ask a box for a sign of life; note and return what it told."""
         report = None
         questions = 0
         while report is None and questions < PROBES:
             questions += 1
             report = await self._orders.read_report(box)
         self.post(self.Probed(box, report))
+        return report
 
     def _may_plan(self, now: float) -> bool:
         """Answer whether the box list is new enough and has settled."""
@@ -293,10 +326,8 @@
     def _get_memory(self, service: ServiceName) -> FormingMemory:
         memory = self._memories.get(service)
         if memory is None:
-            first = self.epoch * EPOCHS_A_TERM + 1
             memory = FormingMemory(
-                next_epoch=first,
-                first_epoch=first,
+                next_epoch=self.epoch * EPOCHS_A_TERM + 1,
                 last_models=self._outlook.last_models,
             )
             self._memories[service] = memory
@@ -341,18 +372,61 @@
             log_warning('term_outdated', duty=self.name, epoch=self.epoch)
             self.lease.state.distrust()
 
+    def _send(self, assignments: list[Assignment]) -> None:
+        """Give the orders of a plan; boxes are asked before they join."""
+        joins: dict[GroupId, list[Assignment]] = defaultdict(list)
+        for assignment in assignments:
+            if isinstance(assignment.order, Join):
+                joins[assignment.order.group].append(assignment)
+            else:
+                self.spawn(self._give(assignment, self.epoch))
+        for group, members in joins.items():
+            self.spawn(self._form(group, tuple(members), self.epoch))
+
+    async def _form(
+        self,
+        group: GroupId,
+        joins: tuple[Assignment, ...],
+        epoch: int,
+    ) -> None:
+        """Ask the boxes of a new group; give the joins if all of them fit."""
+        told = await asyncio.gather(*(self._probe(join.box) for join in joins))
+        reports = {
+            join.box.box: report
+            for join, report in zip(joins, told, strict=True)
+            if report is not None
+        }
+        check = check_joins(joins, reports)
+        if check.unfit:
+            service = joins[0].box.service
+            self.post(self.NotFormed(service, group, check.unfit, epoch))
+            return
+        await asyncio.gather(
+            *(self._give(join, epoch) for join in check.joins)
+        )
+
     async def _give(self, assignment: Assignment, epoch: int) -> None:
         if not self._is_of_this_term(epoch):
             return
         result = await self._orders.give(assignment, epoch)
-        order = assignment.order
         log = log_event if result is OrderResult.TAKEN else log_warning
-        log(
-            'order',
-            order=type(order).__name__.lower(),
-            box=assignment.box.box,
-            group=order.model if isinstance(order, Stage) else order.group,
-            why=assignment.reason.value,
-            result=result.value,
-        )
+        log('order', **_describe(assignment), result=result.value)
         self.post(self.Ordered(assignment, result, epoch))
+
+
+def _describe(assignment: Assignment) -> dict[str, object]:
+    """Return what a log line tells of an order.
+
+    ``shown`` is the box's place in a group when the order was planned, and
+    ``begun`` the number of the state for which a join holds.
+    """
+    order, standing = assignment.order, assignment.box.standing
+    shown = f'{standing.group}.{standing.state.value}' if standing else 'none'
+    return {
+        'order': type(order).__name__.lower(),
+        'box': assignment.box.box,
+        'group': order.model if isinstance(order, Stage) else order.group,
+        'why': assignment.reason.value,
+        'shown': shown,
+        'begun': order.orders_begun if isinstance(order, Join) else '',
+    }
--- a/waywell/version/box_report.py
+++ b/waywell/version/box_report.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from waywell.version.fleet import Standing
+
 USUAL_PACE = 1.0
 """Pace of a box that is as fast as it should be."""
 
@@ -18,6 +20,12 @@
     pace: float = USUAL_PACE
     """Time that its work takes, as a multiple of the usual time."""
 
+    orders_begun: int = 0
+    """Orders that the box has begun since its start; numbers its states."""
+
+    standing: Standing | None = None
+    """Its place in a group in that state."""
+
     def is_slow(self) -> bool:
         """Answer whether a group is better off without the box."""
         return self.pace >= SLOW_PACE
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -180,7 +180,7 @@
         if verdict is Verdict.READY:
             order = Open(group.group, group.epoch)
             self._assign(head, order, OrderReason.READY)
-            self._memory.opened.add(group.group)
+            self._memory.note_opening(group.group)
         elif verdict is Verdict.CLOSE:
             close = Close(group.group, group.epoch)
             self._assign(head, close, OrderReason.UNWANTED)
@@ -247,7 +247,8 @@
                 verdict = verdicts.get(box.standing.group)
                 is_free = verdict is Verdict.FREE
             is_open = box.box not in self._memory.pending
-            if is_free and is_open and not box.leaving:
+            is_fit = not self._memory.is_unfit(box, self._now)
+            if is_free and is_open and is_fit and not box.leaving:
                 free[box.domain].append(box)
         return free
 
--- a/waywell/version/forming_memory.py
+++ b/waywell/version/forming_memory.py
@@ -24,7 +24,7 @@
 from waywell.version.routes import EngineModel
 
 if TYPE_CHECKING:
-    from collections.abc import Container
+    from collections.abc import Container, Iterable
 
     from waywell.version.fleet import Fleet
     from waywell.version.routes import Engine
@@ -37,7 +37,11 @@
 """For which boxes that were ordered into a group may not show it yet."""
 
 LATE_SECONDS = 15.0
-"""For which an order without an answer may still be carried out."""
+"""For which an abandoned group is remembered while it is not listed."""
+
+UNFIT_SECONDS = 0.5
+"""For which a box that told something else than its entry is left alone: the
+list, or its report, has caught up by then."""
 
 LOAD_PATIENCE = 3.0
 """Times a load's usual length after which a box that still loads is given
@@ -119,10 +123,6 @@
     next_epoch: int = 1
     """Epoch of the next group."""
 
-    first_epoch: int = 0
-    """First epoch of this holder; what others ordered of older groups is not
-    known, so these are not opened but formed anew."""
-
     pending: dict[BoxId, tuple[BoxOrder, float]] = attrs.Factory(dict)
     """Orders whose effect is not seen yet, with when they were sent."""
 
@@ -135,12 +135,23 @@
     heads: dict[GroupId, FleetBox] = attrs.Factory(dict)
     """Heads of groups that served, as they were last listed."""
 
-    opened: set[GroupId] = attrs.Factory(set)
-    """Groups that this holder ordered to open."""
+    unopened: set[GroupId] = attrs.Factory(set)
+    """Groups that this holder formed and never ordered to open, so that none
+    of them serves.  A group that was forgotten is not among them: its head is
+    told to leave before its boxes are used again."""
+
+    openable: set[GroupId] = attrs.Factory(set)
+    """Groups that this holder formed and whose members it has ordered nothing
+    else since.  Only these are opened: another order may be carried out at any
+    later time."""
 
     abandoned: dict[GroupId, float] = attrs.Factory(dict)
-    """Groups whose members were ordered elsewhere, with when that was.  Such
-    an order may be carried out seconds later, so they are never opened."""
+    """Groups that were ordered to close, or whose members were ordered
+    elsewhere, with when that was."""
+
+    unfit: dict[BoxId, float] = attrs.Factory(dict)
+    """Boxes whose entry contradicts what they told themselves, or that told
+    nothing, with when they were asked."""
 
     settled: set[GroupId] = attrs.Factory(set)
     """Groups whose head is known to be gone or to have left."""
@@ -188,11 +199,37 @@
 
     def note_order(self, box: FleetBox, order: BoxOrder, now: float) -> bool:
         """Remember an order, unless one is open; answer whether so."""
+        if isinstance(order, Leave | Close):
+            self.openable.discard(order.group)
         if box.box in self.pending:
             return False
         self.pending[box.box] = (order, now)
         return True
 
+    def note_joins(self, group: GroupId, boxes: list[FleetBox]) -> None:
+        """Remember a group that is formed, and what its boxes stood in."""
+        self.unopened.add(group)
+        self.openable.add(group)
+        for box in boxes:
+            if box.standing is not None:
+                self.openable.discard(box.standing.group)
+
+    def note_opening(self, group: GroupId) -> None:
+        """Remember that a group is ordered to open."""
+        self.unopened.discard(group)
+
+    def note_not_formed(
+        self,
+        group: GroupId,
+        unfit: Iterable[BoxId],
+        now: float,
+    ) -> None:
+        """Forget a group none of whose joins was sent."""
+        forming = self.forming.pop(group, None)
+        for name in forming.members if forming else ():
+            self.pending.pop(name, None)
+        self.unfit.update(dict.fromkeys(unfit, now))
+
     def note_result(
         self,
         assignment: Assignment,
@@ -219,6 +256,10 @@
             if forming.is_fresh(now)
         }
 
+    def is_unfit(self, box: FleetBox, now: float) -> bool:
+        """Answer whether a box was asked just now and did not fit a join."""
+        return now - self.unfit.get(box.box, -math.inf) < UNFIT_SECONDS
+
     def has_served(self, box: FleetBox, model: EngineModel) -> bool:
         """Answer whether a model is the one that a box served last."""
         return self.last_models.get(box.box) == model.name
@@ -308,7 +349,9 @@
         _keep_only(self.seen_at, present)
         _keep_only(self.heads, present)
         self.settled &= present
-        self.opened &= present
+        known = present | self.forming.keys()
+        self.unopened &= known
+        self.openable &= known
 
     def _forget_loads(
         self,
@@ -324,6 +367,7 @@
             if now - begun_at > counted:
                 self.loads.pop(name)
         _keep_only(self.refused_at, fleet.boxes)
+        _keep_only(self.unfit, fleet.boxes)
 
     def _forget_staging(
         self,
--- a/waywell/version/group_verdicts.py
+++ b/waywell/version/group_verdicts.py
@@ -91,8 +91,7 @@
 
     def _judge_ready(self, group: FleetGroup) -> Verdict:
         """Judge a group whose boxes are all ready."""
-        is_own = group.epoch >= self.memory.first_epoch
-        if is_own and group.group not in self.memory.abandoned:
+        if group.group in self.memory.openable:
             return Verdict.READY
         return self._judge_closed(group)
 
@@ -111,11 +110,10 @@
     def _judge_closed(self, group: FleetGroup) -> Verdict:
         """Judge a group that no box shows to serve.
 
-        An order to open it that this holder or another gave may still take
-        effect, also seconds later; it can't any more once the head has left.
+        Where an order to open it may have been given, by this holder or by
+        another, it may still take effect; it can't once the head has left.
         """
-        own = group.epoch >= self.memory.first_epoch
-        if own and group.group not in self.memory.opened:
+        if group.group in self.memory.unopened:
             return Verdict.FREE
         return Verdict.BREAK
 
@@ -152,9 +150,9 @@
         """Judge a group whose head is not listed, but may still serve.
 
         It may be cut off from the platform only, for any time, so the
-        others stay with it until each has left.
+        others stay with it until each has left, unless it was never opened.
         """
-        if group.group in self.memory.settled:
+        if group.group in self.memory.settled | self.memory.unopened:
             return Verdict.FREE
         return Verdict.HEADLESS
 
--- a/waywell/version/orders.py
+++ b/waywell/version/orders.py
@@ -26,6 +26,10 @@
     members: tuple[BoxId, ...]
     """All members; the first takes the requests."""
 
+    orders_begun: int | None = None
+    """Number of the box's state for which it was planned; the box refuses it
+    in any later one.  ``None`` until the box has told that number."""
+
 
 class Open(msgspec.Struct, frozen=True):
     """Begin to serve; to the head of a group that is ready."""
