Test that a node which leaves takes nothing that it can't finish; it does

Sequence: the order to stop at 19.1 s, a stream taken at 24.302 s, cut at 26.522 s as the process ends.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -14,6 +14,7 @@
 from tests.front_bench import WHOLE, Front
 from tests.house import HOST, KEY, make_manifest
 from waywell.cli import EXIT_REFUSED, run_command
+from waywell.codes import Code
 from waywell.standins.harness import wait_until
 
 if TYPE_CHECKING:
@@ -219,6 +220,30 @@
     assert process.wait() == 0
 
 
+def test_a_node_that_leaves_takes_nothing_that_it_can_not_finish(
+    served: tuple[Front, Process],
+) -> None:
+    """What would be cut by the node's end is refused as not run.
+
+    Symptom: streams that came 5.2 s after the order to stop were cut 2.2 s
+    later, as the process ended.  Cause: a node that leaves took all that came
+    as long as callers might keep the entry list, however long it would run.
+    """
+    front, process = served
+    for server in front.servers.values():
+        server.script.append('wait-3')
+        server.goes_on.clear()
+    process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not front.is_ready(process), 'the node to leave')
+    status, _body, answer = front.ask(process, '/notes/1', model='small')
+    assert status == 503
+    assert answer.getheader('waywell-code') == str(int(Code.NODE_LEAVING))
+    assert answer.getheader('waywell-ran') == 'not_run'
+    assert answer.getheader('connection') == 'close'
+    assert float(answer.getheader('retry-after')) == 0
+    assert not front.list_runs('m1', 'm2', 'm3', 'm4')
+
+
 def test_a_hang_up_signal_ends_nothing(served: tuple[Front, Process]) -> None:
     front, process = served
     process.send_signal(signal.SIGHUP)
