--- /dev/null
+++ b/tests/test_presence.py
@@ -0,0 +1,76 @@
+"""A node stays on the platform's list whatever is carried out late."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from returns.result import Result, Success
+
+from tests.test_membership import make_record
+from waywell.connection.platform import Changes, Kind, PlatformFault, Stored
+from waywell.process import presence as presence_module
+from waywell.process.membership import MembershipTable
+from waywell.process.presence import Presence
+
+
+class _Store:
+    """Objects by name; anyone may remove one."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, Stored] = {}
+        self.version = 0
+        self.listings = 0
+
+    async def fetch(
+        self, _kind: Kind, name: str
+    ) -> Result[Stored | None, PlatformFault]:
+        return Success(self.objects.get(name))
+
+    async def fetch_all(
+        self, _kind: Kind, _fresh: bool
+    ) -> Result[Changes, PlatformFault]:
+        self.listings += 1
+        return Success(
+            Changes(self.version, tuple(self.objects.values()), True)
+        )
+
+    async def write(
+        self, kind: Kind, name: str, body: Any, expected: int
+    ) -> Result[Stored, PlatformFault]:
+        self.version += 1
+        self.objects[name] = Stored(kind.value, name, self.version, body)
+        return Success(self.objects[name])
+
+
+def test_a_removal_that_was_carried_out_late_is_made_good(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A former run's word to remove the node takes effect after the new one's.
+
+    A call without an answer may be carried out seconds later; the new run had
+    taken its object for written and never looked again.  Found by reading.
+    """
+    monkeypatch.setattr(presence_module, 'JOIN_SECONDS', 0)
+    monkeypatch.setattr(presence_module, 'LOOK_AGAIN_SECONDS', 0)
+
+    async def work() -> None:
+        store = _Store()
+        table = MembershipTable(make_record('a'), 2.0)
+        links = SimpleNamespace(list_peers=set, dial=lambda *_words: None)
+        presence = Presence(store, table, links, (), Random(1))
+        task = asyncio.create_task(presence.run())
+        while store.listings < 1:
+            await asyncio.sleep(0)
+        assert set(store.objects) == {'a'}
+        store.objects.clear()
+        seen = store.listings
+        while store.listings < seen + 3:
+            await asyncio.sleep(0)
+        assert set(store.objects) == {'a'}
+        task.cancel()
+
+    asyncio.run(work())
