List a node again when the platform's list lacks it

Cause: a removal by a former run may be carried out after the new run wrote its object, which it then took for standing. Change: each look at the list tells whether the node is on it; a node that stops ends its looks before it withdraws.

--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -137,10 +137,10 @@
         self._forwarder.leave(ends_at)
         await self._leave()
         cut = await self._drain(ends_at)
-        await self.presence.withdraw()
-        self._ports.close()
         for helper in self._helpers:
             helper.cancel()
+        await self.presence.withdraw()
+        self._ports.close()
         for actor in self.actors:
             await actor.stop()
         log_event('stopped', node=self.settings.node.name, cut=cut)
--- a/waywell/process/presence.py
+++ b/waywell/process/presence.py
@@ -65,6 +65,7 @@
         self._seeds = seeds
         self._random = random
         self._listed_nodes = 0
+        self._is_listed = False
 
     async def run(self) -> None:
         """Be found by others, and go on looking for those not known.
@@ -72,14 +73,13 @@
         Nodes that start at one moment may meet in parts that know nothing of
         each other; the list in the platform shows whom a part lacks.
         """
-        is_listed = False
         looks = 0
         while True:
             looks += 1
-            if not is_listed:
-                is_listed = await self._list_self()
+            if not self._is_listed:
+                self._is_listed = await self._list_self()
             self._call(await self._find_strangers())
-            is_settled = is_listed and looks > FIRST_LOOKS
+            is_settled = self._is_listed and looks > FIRST_LOOKS
             await asyncio.sleep(
                 LOOK_AGAIN_SECONDS if is_settled else JOIN_SECONDS
             )
@@ -140,6 +140,10 @@
         listed = await self._platform.fetch_all(Kind.PRESENCE, False)
         if not isinstance(listed, Failure):
             objects = listed.unwrap().objects
+            # A former run's word to remove this node may be carried out late.
+            self._is_listed = self._members.own.node in {
+                stored.name for stored in objects
+            }
             self._listed_nodes = max(self._listed_nodes, len(objects))
             found.update(
                 Address(stored.body['host'], stored.body['peer_port'])
