--- a/tests/test_forming.py
+++ b/tests/test_forming.py
@@ -74,7 +74,7 @@
     """Return the memory of a holder that formed some groups."""
     memory = FormingMemory()
     for group in groups:
-        memory.note_joins(GroupId(group), [])
+        memory.rights.note_formed(GroupId(group), [])
     return memory
 
 
@@ -228,7 +228,7 @@
     boxes = make_group('small.7', 'a', 'b', head_state=MemberState.READY)
     assert pick(plan(boxes, make_own('small.7'), 2.0), Open)
     memory = make_own('small.7')
-    memory.note_joins(GroupId('small.8'), [boxes[1]])
+    memory.rights.note_formed(GroupId('small.8'), [boxes[1]])
     for now in (2.0, 20.0, 200.0):
         assert not pick(plan(boxes, memory, now), Open)
         memory.pending.clear()
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -10,6 +10,7 @@
 from waywell.process.actor import Message
 from waywell.process.duty import Duty
 from waywell.process.events import log_event, log_warning
+from waywell.process.forming_log import log_groups, log_order
 from waywell.version.box_report import BoxReport, ReportReading
 from waywell.version.fleet import Fleet, FleetBox
 from waywell.version.forming import (
@@ -23,7 +24,6 @@
     Assignment,
     Join,
     OrderResult,
-    Stage,
 )
 
 if TYPE_CHECKING:
@@ -343,20 +343,7 @@
         if self._summaries.get(service) == summary:
             return
         self._summaries[service] = summary
-        log_event(
-            'groups',
-            service=service,
-            boxes=len(view.fleet.boxes),
-            **summary.groups,
-            idle=','.join(
-                f'{domain}:{count}'
-                for domain, count in sorted(summary.idle.items())
-            ),
-            demand=','.join(
-                f'{model}:{places:.0f}'
-                for model, places in sorted(view.demand.items())
-            ),
-        )
+        log_groups(summary, view)
 
     def _is_of_this_term(self, epoch: int) -> bool:
         """Answer whether a plan was made in the present term of work."""
@@ -409,24 +396,5 @@
         if not self._is_of_this_term(epoch):
             return
         result = await self._orders.give(assignment, epoch)
-        log = log_event if result is OrderResult.TAKEN else log_warning
-        log('order', **_describe(assignment), result=result.value)
+        log_order(assignment, result)
         self.post(self.Ordered(assignment, result, epoch))
-
-
-def _describe(assignment: Assignment) -> dict[str, object]:
-    """Return what a log line tells of an order.
-
-    ``shown`` is the box's place in a group when the order was planned, and
-    ``begun`` the number of the state for which a join holds.
-    """
-    order, standing = assignment.order, assignment.box.standing
-    shown = f'{standing.group}.{standing.state.value}' if standing else 'none'
-    return {
-        'order': type(order).__name__.lower(),
-        'box': assignment.box.box,
-        'group': order.model if isinstance(order, Stage) else order.group,
-        'why': assignment.reason.value,
-        'shown': shown,
-        'begun': order.orders_begun if isinstance(order, Join) else '',
-    }
--- /dev/null
+++ b/waywell/process/forming_log.py
@@ -0,0 +1,51 @@
+"""Log lines of the forming duty: how groups stand, and each order."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from waywell.process.events import log_event, log_warning
+from waywell.version.orders import Join, OrderResult, Stage
+
+if TYPE_CHECKING:
+    from waywell.version.forming import FormingSummary, FormingView
+    from waywell.version.orders import Assignment
+
+
+def log_groups(summary: FormingSummary, view: FormingView) -> None:
+    """Log how the groups of a service stand."""
+    log_event(
+        'groups',
+        service=view.service,
+        boxes=len(view.fleet.boxes),
+        **summary.groups,
+        idle=','.join(
+            f'{domain}:{count}'
+            for domain, count in sorted(summary.idle.items())
+        ),
+        demand=','.join(
+            f'{model}:{places:.0f}'
+            for model, places in sorted(view.demand.items())
+        ),
+    )
+
+
+def log_order(assignment: Assignment, result: OrderResult) -> None:
+    """Log an order and what came of it.
+
+    ``shown`` is the box's place in a group as the plan saw it, and ``begun``
+    the number of the state for which a join holds.
+    """
+    log = log_event if result is OrderResult.TAKEN else log_warning
+    order, standing = assignment.order, assignment.box.standing
+    shown = f'{standing.group}.{standing.state.value}' if standing else 'none'
+    log(
+        'order',
+        order=type(order).__name__.lower(),
+        box=assignment.box.box,
+        group=order.model if isinstance(order, Stage) else order.group,
+        why=assignment.reason.value,
+        shown=shown,
+        begun=order.orders_begun if isinstance(order, Join) else '',
+        result=result.value,
+    )
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -180,7 +180,7 @@
         if verdict is Verdict.READY:
             order = Open(group.group, group.epoch)
             self._assign(head, order, OrderReason.READY)
-            self._memory.note_opening(group.group)
+            self._memory.rights.note_opening(group.group)
         elif verdict is Verdict.CLOSE:
             close = Close(group.group, group.epoch)
             self._assign(head, close, OrderReason.UNWANTED)
--- a/waywell/version/forming_memory.py
+++ b/waywell/version/forming_memory.py
@@ -11,6 +11,7 @@
 from waywell.ids import BoxId, GroupId, ModelName
 from waywell.version.box_report import ReportReading
 from waywell.version.fleet import FleetBox, MemberState
+from waywell.version.group_rights import GroupRights
 from waywell.version.orders import (
     Assignment,
     BoxOrder,
@@ -135,15 +136,8 @@
     heads: dict[GroupId, FleetBox] = attrs.Factory(dict)
     """Heads of groups that served, as they were last listed."""
 
-    unopened: set[GroupId] = attrs.Factory(set)
-    """Groups that this holder formed and never ordered to open, so that none
-    of them serves.  A group that was forgotten is not among them: its head is
-    told to leave before its boxes are used again."""
-
-    openable: set[GroupId] = attrs.Factory(set)
-    """Groups that this holder formed and whose members it has ordered nothing
-    else since.  Only these are opened: another order may be carried out at any
-    later time."""
+    rights: GroupRights = attrs.Factory(GroupRights)
+    """What may be done with groups that this holder formed."""
 
     abandoned: dict[GroupId, float] = attrs.Factory(dict)
     """Groups that were ordered to close, or whose members were ordered
@@ -200,24 +194,12 @@
     def note_order(self, box: FleetBox, order: BoxOrder, now: float) -> bool:
         """Remember an order, unless one is open; answer whether so."""
         if isinstance(order, Leave | Close):
-            self.openable.discard(order.group)
+            self.rights.note_ending(order.group)
         if box.box in self.pending:
             return False
         self.pending[box.box] = (order, now)
         return True
 
-    def note_joins(self, group: GroupId, boxes: list[FleetBox]) -> None:
-        """Remember a group that is formed, and what its boxes stood in."""
-        self.unopened.add(group)
-        self.openable.add(group)
-        for box in boxes:
-            if box.standing is not None:
-                self.openable.discard(box.standing.group)
-
-    def note_opening(self, group: GroupId) -> None:
-        """Remember that a group is ordered to open."""
-        self.unopened.discard(group)
-
     def note_not_formed(
         self,
         group: GroupId,
@@ -349,9 +331,7 @@
         _keep_only(self.seen_at, present)
         _keep_only(self.heads, present)
         self.settled &= present
-        known = present | self.forming.keys()
-        self.unopened &= known
-        self.openable &= known
+        self.rights.keep_only(present | self.forming.keys())
 
     def _forget_loads(
         self,
--- a/waywell/version/group_changes.py
+++ b/waywell/version/group_changes.py
@@ -40,7 +40,7 @@
         group = name_group(model.name, epoch)
         members = tuple(box.box for box in boxes)
         self.memory.forming[group] = FormingGroup(members, self.now)
-        self.memory.note_joins(group, boxes)
+        self.memory.rights.note_formed(group, boxes)
         self.need.groups[model.name] += 1
         for box in boxes:
             if box.standing is not None:
--- a/waywell/version/group_verdicts.py
+++ b/waywell/version/group_verdicts.py
@@ -91,7 +91,7 @@
 
     def _judge_ready(self, group: FleetGroup) -> Verdict:
         """Judge a group whose boxes are all ready."""
-        if group.group in self.memory.openable:
+        if group.group in self.memory.rights.openable:
             return Verdict.READY
         return self._judge_closed(group)
 
@@ -113,7 +113,7 @@
         Where an order to open it may have been given, by this holder or by
         another, it may still take effect; it can't once the head has left.
         """
-        if group.group in self.memory.unopened:
+        if group.group in self.memory.rights.unopened:
             return Verdict.FREE
         return Verdict.BREAK
 
@@ -152,7 +152,9 @@
         It may be cut off from the platform only, for any time, so the
         others stay with it until each has left, unless it was never opened.
         """
-        if group.group in self.memory.settled | self.memory.unopened:
+        if group.group in self.memory.settled:
+            return Verdict.FREE
+        if group.group in self.memory.rights.unopened:
             return Verdict.FREE
         return Verdict.HEADLESS
 
