--- a/tests/test_answer_times.py
+++ b/tests/test_answer_times.py
@@ -11,6 +11,7 @@
 from waywell.codes import Code, Ran
 from waywell.request.answer_times import (
     MARGIN,
+    MOST_SIZES,
     WINDOW_SECONDS,
     AnswerTimes,
 )
@@ -79,6 +80,18 @@
     assert times.estimate_end(errand, now) == now + seconds * MARGIN
 
 
+def test_routes_that_are_not_asked_any_more_are_forgotten() -> None:
+    """Routes come and go with each version, for as long as a node runs."""
+    times = AnswerTimes()
+    now = 0.0
+    for number in range(20 * MOST_SIZES):
+        now += 5 * WINDOW_SECONDS / MOST_SIZES
+        times.note(make_errand(now - 1.0, route=f'r{number}'), now)
+    assert len(times) <= MOST_SIZES
+    errand = make_errand(now, route=f'r{number}')
+    assert times.estimate_end(errand, now) == now + MARGIN
+
+
 def test_a_leaving_node_takes_what_it_can_finish_only(
     stage: Stage,  # noqa: F811
 ) -> None:
