Bound the answer times that are kept

Cause: each route that was ever answered was kept, and routes come and go with each version. Change: the 2,000 sizes answered last are kept.

--- a/waywell/request/answer_times.py
+++ b/waywell/request/answer_times.py
@@ -16,6 +16,10 @@
 MARGIN = 1.25
 """Times the slowest answer seen of late that the next one may take."""
 
+MOST_SIZES = 2000
+"""Sizes of routes that are kept: five of each of 400 routes.  Those that were
+answered longest ago are forgotten, as routes come and go."""
+
 SizeKey = tuple[str, int]
 """A route, and the power of two below the most tokens of an answer."""
 
@@ -51,15 +55,24 @@
 
     def __init__(self) -> None:
         """Start without an answer seen."""
+        # The one that was answered last comes last.
         self._slowest: dict[SizeKey, _Slowest] = {}
 
+    def __len__(self) -> int:
+        """Return how many sizes are kept."""
+        return len(self._slowest)
+
     def note(self, errand: Errand, now: float) -> None:
         """Take in that a request was answered whole."""
         pace = (now - errand.arrived_at) / _count_tokens(errand)
         found = self._find(errand, now)
-        self._slowest[_make_key(errand)] = attrs.evolve(
+        key = _make_key(errand)
+        self._slowest.pop(key, None)
+        self._slowest[key] = attrs.evolve(
             found, present=max(found.present, pace)
         )
+        if len(self._slowest) > MOST_SIZES:
+            self._slowest.pop(next(iter(self._slowest)))
 
     def estimate_end(self, errand: Errand, now: float) -> float:
         """Return by when a request is answered or given up, in seconds.
