Correct what was said beyond what was measured; play the full machine with 8 boxes again

The state machine went from 8 boxes to 6 unsaid when it was widened; the full one has 8 again, that of late orders alone has 6. Its comment gave a rate that no run had shown. The stand-in of a lone node's membership stood twice in the tests and stands once.

No code of the product changes but a doc comment.

--- a/tests/holder.py
+++ b/tests/holder.py
@@ -13,7 +13,7 @@
 import attrs
 
 from tests.held_clock import HeldClock
-from tests.test_membership import make_record
+from tests.lone_gossip import LoneGossip
 from waywell.connection.box_orders import BoxOrders
 from waywell.ids import BoxId, GroupId, ModelName
 from waywell.platform.orders import (
@@ -24,7 +24,6 @@
 from waywell.platform.servers import decode_server
 from waywell.process.actor import get_handler_name
 from waywell.process.forming import FormingDuty
-from waywell.process.membership import MembershipTable
 from waywell.version.fleet import Fleet, FleetBox, note_models
 from waywell.version.orders import Assignment, OrderResult
 
@@ -83,14 +82,6 @@
         return decode_report(box, replica.report(self.changes_behind))
 
 
-class _Gossip:
-    def __init__(self) -> None:
-        self.table = MembershipTable(make_record('a'), 2.0)
-
-    def post(self, _message: object) -> None:
-        """Take no word."""
-
-
 class _HeldDuty(FormingDuty):
     """Holds a term without a lease."""
 
@@ -227,7 +218,7 @@
         self._term += 1
         duty = _HeldDuty(
             None,
-            _Gossip(),
+            LoneGossip(),
             self.clock,
             self._outlook,
             self.orders,
--- /dev/null
+++ b/tests/lone_gossip.py
@@ -0,0 +1,16 @@
+"""Membership of a node that knows of no other."""
+
+from __future__ import annotations
+
+from tests.test_membership import make_record
+from waywell.process.membership import MembershipTable
+
+
+class LoneGossip:
+    """Knows its own node, and takes no word."""
+
+    def __init__(self) -> None:
+        self.table = MembershipTable(make_record('a'), 2.0)
+
+    def post(self, _message: object) -> None:
+        """Take no word."""
--- a/tests/test_answer_times.py
+++ b/tests/test_answer_times.py
@@ -38,9 +38,10 @@
 
 
 def test_a_longer_answer_takes_longer() -> None:
-    """A long stream came 3.1 s after the order to stop, and was cut 4.3 s later.
+    """A stream came 3.1 s after the order to stop, and was cut 4.3 s later.
 
-    Shorter ones of its route had been done within 3.4 s.
+    The longest answer of its route that was seen before had let expect less;
+    that the stream had more tokens is inferred, its head was not looked at.
     """
     times = AnswerTimes()
     times.note(make_errand(10.0, tokens=300), 13.0)
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -8,10 +8,9 @@
 from returns.result import Failure, Result, Success
 
 from tests.held_clock import HeldClock
-from tests.test_membership import make_record
+from tests.lone_gossip import LoneGossip
 from waywell.connection.platform import PlatformFault, Stored
 from waywell.process.duty import Duty
-from waywell.process.membership import MembershipTable
 
 if TYPE_CHECKING:
     from waywell.connection.platform import Kind
@@ -56,19 +55,11 @@
         return Success(self.stored)
 
 
-class _Gossip:
-    def __init__(self) -> None:
-        self.table = MembershipTable(make_record('a'), 2.0)
-
-    def post(self, _message: object) -> None:
-        """Take no word."""
-
-
 class _NotedDuty(Duty):
     """Notes the epochs under which it was taken up."""
 
     def __init__(self, store: _Store, clock: HeldClock) -> None:
-        super().__init__('forming', store, _Gossip(), clock, TERM)
+        super().__init__('forming', store, LoneGossip(), clock, TERM)
         self.taken: list[int] = []
 
     async def take_up(self) -> None:
--- a/tests/test_forming_machine.py
+++ b/tests/test_forming_machine.py
@@ -37,13 +37,12 @@
     loads_at_once=7,
 )
 CALLERS = {BIG: 9.0, SMALL: 9.0}
-BOXES = 6
 MOST_BEHIND = 3
 """Changes by which a report may be old."""
 
 LATE_ORDER_EXAMPLES = 600
-"""Examples of late orders alone; a box is joined elsewhere in one of some 300
-where a join does not name the state that it was planned for."""
+"""Examples of late orders alone: without the number that a join carries, 200
+showed no broken promise and 600 did."""
 
 ANY = st.integers(0, 99)
 
@@ -51,10 +50,12 @@
 class LateOrdersMachine(RuleBasedStateMachine):
     """The holder of the duty against boxes that carry orders out late."""
 
+    box_count = 6
+
     def __init__(self) -> None:
         super().__init__()
         self.house = SimHouse()
-        for number in range(BOXES):
+        for number in range(self.box_count):
             self.house.add(f'b{number}')
         self.holder = Holder(self.house, ENGINE)
 
@@ -148,6 +149,8 @@
 class FormingMachine(LateOrdersMachine):
     """Lists and reports are old besides, boxes are lost, holders change."""
 
+    box_count = 8
+
     @rule()
     def all_goes_well(self) -> None:
         """Orders are answered, and groups are ready, then open."""
--- a/waywell/request/answer_times.py
+++ b/waywell/request/answer_times.py
@@ -49,8 +49,8 @@
 class AnswerTimes:
     """Keeps the slowest answers of each route and size.
 
-    Without the size, streams of the longest tenth are still cut by a node that
-    ends: one stream in four played days.
+    By route alone a node that ended still cut one stream in four played days;
+    by size as well, none in seven.
     """
 
     def __init__(self) -> None:
