Search only the fabric domains that changed for better groups

Cause: each plan of the holder searched every domain for changes of groups, and at hundreds of boxes something changes all the time.

Change: what a domain allows depends on its own boxes only, so it is kept until one of them changes; what it gains is weighed each time. The lists of changes have a module of their own.

Conclusion: the same changes are found (hypothesis, six steps of lost, new and slow boxes); the search costs by what changed.

--- /dev/null
+++ b/tests/test_regrouping.py
@@ -0,0 +1,176 @@
+"""The search for changes of groups: only domains that changed are searched.
+
+Load: a fleet of hundreds of boxes in which a few domains change at any time,
+as a box is lost there or a new one comes.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.boxes import make_box, make_group
+from waywell.ids import BoxId, DomainName, ModelName
+from waywell.version.box_report import BoxReport, ReportReading
+from waywell.version.domain_changes import DomainChanges
+from waywell.version.fleet import Fleet, FleetBox, FleetGroup, Pools
+from waywell.version.forming_memory import FormingMemory
+from waywell.version.model_need import ModelNeed
+from waywell.version.regrouping import Regrouping, RegroupSearch
+from waywell.version.routes import Engine, EngineModel
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+BIG, SMALL = ModelName('big'), ModelName('small')
+ENGINE = Engine(
+    places=9,
+    models=(
+        EngineModel(BIG, 4, 0.5, load_seconds=16.0, warm_seconds=1.6),
+        EngineModel(SMALL, 2, 0.5, load_seconds=12.0, warm_seconds=1.1),
+    ),
+    loads_per_second=5.0,
+    loads_at_once=7,
+)
+DOMAINS = 4
+
+
+class Site:
+    """Boxes of some domains that come, go, and turn slow."""
+
+    def __init__(self) -> None:
+        self.memory = FormingMemory()
+        self.boxes: dict[BoxId, FleetBox] = {}
+        for domain in range(DOMAINS):
+            for place in range(2):
+                self.form(domain, f'small.{domain * 10 + place + 1}', 2)
+            self.form(domain, f'big.{domain * 10 + 5}', 4)
+            self.add(domain, f'idle{domain}', BIG)
+
+    def form(self, domain: int, group: str, size: int) -> None:
+        """Add a group that serves, whose boxes hold both models."""
+        model = ModelName(group.partition('.')[0])
+        names = [f'{group}-{rank}' for rank in range(size)]
+        for box in make_group(group, *names):
+            self.put(domain, box, SMALL if model == BIG else BIG)
+            self.memory.last_models[box.box] = model  # type: ignore[index]
+
+    def add(self, domain: int, name: str, staged: ModelName) -> None:
+        """Add an idle box that holds one model."""
+        self.put(domain, make_box(name), staged)
+
+    def put(self, domain: int, box: FleetBox, staged: ModelName) -> None:
+        self.boxes[box.box] = msgspec.structs.replace(
+            box, domain=DomainName(f'd{domain}'), staged=(staged,)
+        )
+
+    def slow_down(self, box: BoxId, pace: float) -> None:
+        reading = ReportReading(BoxReport(pace=pace), 0.0)
+        self.memory.reports[box] = reading
+
+    def search(
+        self, memory: FormingMemory, demand: dict[ModelName, float]
+    ) -> list[Regrouping]:
+        """Return the best change of each domain."""
+        serving = [
+            group
+            for group in Fleet(self.boxes).groups.values()
+            if len(group.members) == (4 if group.group[0] == 'b' else 2)
+        ]
+        need = ModelNeed(ENGINE, demand, len(self.boxes))
+        need.groups.update(
+            Counter(group.group.partition('.')[0] for group in serving)  # type: ignore[arg-type]
+        )
+        need.serving.update(need.groups)
+        search = RegroupSearch(need, memory, tuple(serving))
+        return search.list_best(self.list_idle(serving))
+
+    def list_idle(self, serving: list[FleetGroup]) -> Pools:
+        held = {box.box for group in serving for box in group.members}
+        idle: Pools = defaultdict(list)
+        for box in self.boxes.values():
+            if box.box not in held:
+                idle[box.domain].append(box)
+        return idle
+
+
+def forget_searches(memory: FormingMemory) -> FormingMemory:
+    """Return the same memory of boxes, without what was searched."""
+    return FormingMemory(
+        last_models=memory.last_models, reports=memory.reports
+    )
+
+
+@given(st.data())
+def test_what_is_known_of_domains_finds_the_same_as_a_whole_search(
+    data: st.DataObject,
+) -> None:
+    site = Site()
+    for step in range(6):
+        match data.draw(
+            st.sampled_from(('lose', 'add', 'slow', 'fast', 'stay'))
+        ):
+            case 'lose':
+                site.boxes.pop(data.draw(st.sampled_from(sorted(site.boxes))))
+            case 'add':
+                domain = data.draw(st.integers(0, DOMAINS - 1))
+                model = data.draw(st.sampled_from((BIG, SMALL)))
+                site.add(domain, f'new{step}', model)
+            case 'slow':
+                box = data.draw(st.sampled_from(sorted(site.boxes)))
+                site.slow_down(box, 4.0)
+            case 'fast':
+                box = data.draw(st.sampled_from(sorted(site.boxes)))
+                site.slow_down(box, 1.0)
+        demand = {
+            BIG: data.draw(st.floats(0, 60)),
+            SMALL: data.draw(st.floats(0, 60)),
+        }
+        known = site.search(site.memory, demand)
+        whole = site.search(forget_searches(site.memory), demand)
+        assert known == whole
+
+
+@pytest.fixture
+def searched(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """Return the domains that are searched, as they are."""
+    found: list[str] = []
+    original = DomainChanges.list_possible
+
+    def note(changes: DomainChanges, domain: object) -> Iterator[object]:
+        boxes = [*domain.idle, *domain.serving]  # type: ignore[attr-defined]
+        found.append(str(boxes[0].domain))
+        return original(changes, domain)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(DomainChanges, 'list_possible', note)
+    return found
+
+
+def test_only_domains_that_changed_are_searched(searched: list[str]) -> None:
+    site = Site()
+    demand = {BIG: 30.0, SMALL: 30.0}
+    site.search(site.memory, demand)
+    assert sorted(searched) == [f'd{number}' for number in range(DOMAINS)]
+    searched.clear()
+    site.search(site.memory, demand)
+    site.boxes.pop(BoxId('big.15-2'))
+    site.search(site.memory, demand)
+    site.slow_down(BoxId('small.21-0'), 4.0)
+    site.search(site.memory, demand)
+    assert searched == ['d1', 'd2']
+
+
+def test_domain_that_is_gone_is_forgotten() -> None:
+    site = Site()
+    demand = {BIG: 30.0, SMALL: 30.0}
+    site.search(site.memory, demand)
+    site.boxes = {
+        name: box for name, box in site.boxes.items() if box.domain != 'd3'
+    }
+    site.search(site.memory, demand)
+    assert set(site.memory.possible) == {'d0', 'd1', 'd2'}
--- a/waywell/bench/__main__.py
+++ b/waywell/bench/__main__.py
@@ -11,6 +11,7 @@
     repair,
     request,
     reserve,
+    search,
     size,
 )
 
@@ -26,6 +27,7 @@
     reserve.main()
     faults.main()
     feed.main()
+    search.main()
 
 
 if __name__ == '__main__':
--- a/waywell/version/forming_memory.py
+++ b/waywell/version/forming_memory.py
@@ -8,8 +8,9 @@
 
 import attrs
 
-from waywell.ids import BoxId, GroupId, ModelName
+from waywell.ids import BoxId, DomainName, GroupId, ModelName
 from waywell.version.box_report import ReportReading
+from waywell.version.domain_changes import PossibleChange
 from waywell.version.fleet import FleetBox, MemberState
 from waywell.version.group_rights import GroupRights
 from waywell.version.orders import (
@@ -106,6 +107,17 @@
     """Groups that served."""
 
 
+@attrs.frozen
+class KnownChanges:
+    """The changes of groups that one fabric domain allows."""
+
+    mark: object
+    """What they depend on."""
+
+    possible: tuple[PossibleChange, ...]
+    """The changes."""
+
+
 @attrs.frozen
 class Staging:
     """A model that a box loads beside all else."""
@@ -160,6 +172,9 @@
     searched: SearchMark | None = None
     """For what the domains were last searched."""
 
+    possible: dict[DomainName, KnownChanges] = attrs.Factory(dict)
+    """Changes that each domain allowed when it was last searched."""
+
     planned_since: float | None = None
     """When this holder first planned with callers there, in seconds."""
 
--- a/waywell/version/regroup_planner.py
+++ b/waywell/version/regroup_planner.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
 from waywell.version.fleet import Fleet, FleetGroup, Pools, parse_group
@@ -18,7 +20,10 @@
 from waywell.version.group_changes import GroupChanges
 from waywell.version.model_need import ModelNeed
 from waywell.version.orders import OrderReason
-from waywell.version.regrouping import NewGroup, Regrouping, RegroupSearch
+from waywell.version.regrouping import Regrouping, RegroupSearch
+
+if TYPE_CHECKING:
+    from waywell.version.domain_changes import NewGroup
 
 INTENDED_SECONDS = 8.0
 """For which boxes are kept for a group whose members are to leave others: the
--- a/waywell/version/regrouping.py
+++ b/waywell/version/regrouping.py
@@ -11,34 +11,31 @@
 from __future__ import annotations
 
 from collections import Counter
-from itertools import combinations, product
 from typing import TYPE_CHECKING
 
 import attrs
 
 from waywell.ids import ModelName
 from waywell.version.closable import count_closable
+from waywell.version.domain_changes import (
+    Counts,
+    Domain,
+    DomainChanges,
+    NewGroup,
+    PossibleChange,
+)
 from waywell.version.fleet import (
-    FleetBox,
     FleetGroup,
     Pools,
     divide_by_domain,
-    parse_group,
 )
-from waywell.version.forming_memory import FormingMemory
+from waywell.version.forming_memory import FormingMemory, KnownChanges
 from waywell.version.model_need import ModelNeed
-from waywell.version.routes import EngineModel
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from waywell.ids import DomainName
 
 
-MOST_CLOSED = 2
-"""Groups that one change closes at the most: what is gained by more does not
-make up for the places that are missing meanwhile."""
-
 CLOSING_SECONDS = 1.5
 """From the order to close a group until its boxes can join another: its
 streams end, and the box list shows it."""
@@ -54,37 +51,27 @@
 SLOW_BOX_LOAD = 0.6
 """Part of a model's places taken from which on slow boxes are put to use."""
 
-BoxKind = tuple[float, ...]
-"""Whether a box is slow, and the seconds until it could serve each model."""
-
-GroupKind = tuple[ModelName, tuple[BoxKind, ...]]
-"""What matters of a group: its model, and its boxes."""
-
-
-@attrs.frozen
-class NewGroup:
-    """A group that is to be formed."""
-
-    model: EngineModel
-    """Its model."""
-
-    boxes: tuple[FleetBox, ...]
-    """Its members, the head first."""
-
 
 @attrs.frozen
 class Regrouping:
-    """A change of the groups of one domain."""
-
-    closed: tuple[FleetGroup, ...]
-    """Groups to close first."""
+    """A change of the groups of one domain, with what it gains."""
 
-    formed: tuple[NewGroup, ...]
-    """Groups to form of their boxes and idle ones."""
+    possible: PossibleChange
+    """The change."""
 
     gain: float
     """What callers gain by it, in place-seconds."""
 
+    @property
+    def closed(self) -> tuple[FleetGroup, ...]:
+        """Return the groups to close first."""
+        return self.possible.closed
+
+    @property
+    def formed(self) -> tuple[NewGroup, ...]:
+        """Return the groups to form of their boxes and idle ones."""
+        return self.possible.formed
+
     @property
     def domain(self) -> DomainName:
         """Return the fabric domain that it changes."""
@@ -97,6 +84,17 @@
     return count_closable(search.serving, search.closing)
 
 
+def _make_changes(search: RegroupSearch) -> DomainChanges:
+    """Return what lists the changes that a domain allows."""
+    need = search.need
+    models = need.engine.models
+    return DomainChanges(
+        models,
+        search.memory,
+        tuple(need.get_load(model) > SLOW_BOX_LOAD for model in models),
+    )
+
+
 def _get_present_cost(search: RegroupSearch) -> float:
     """Return what callers lose a second while nothing is changed."""
     return search.need.get_cost({})
@@ -131,6 +129,17 @@
     )
     """What callers lose a second while nothing is changed."""
 
+    changes: DomainChanges = attrs.field(
+        init=False, default=attrs.Factory(_make_changes, takes_self=True)
+    )
+    """Lists what each domain allows."""
+
+    costs: dict[Counts, float] = attrs.field(init=False, factory=dict)
+    """Costs that are worked out already, by change."""
+
+    missed: dict[Counts, float] = attrs.field(init=False, factory=dict)
+    """Losses meanwhile that are worked out already, by groups closed."""
+
     def list_best(self, idle: Pools) -> list[Regrouping]:
         """Return the best change of each domain, that gains most first.
 
@@ -142,170 +151,96 @@
             Boxes that may join a group, by fabric domain.
         """
         near = divide_by_domain(self.serving)
+        names = sorted(set(idle) | set(near))
         best = [
-            self._find_best(idle.get(domain, []), near.get(domain, []))
-            for domain in sorted(set(idle) | set(near))
+            self._find_best(name, _make_domain(name, idle, near))
+            for name in names
         ]
+        for gone in self.memory.possible.keys() - set(names):
+            self.memory.possible.pop(gone)
         found = [change for change in best if change is not None]
         return sorted(found, key=lambda change: -change.gain)
 
     def find_in(self, domain: DomainName, idle: Pools) -> Regrouping | None:
         """Return the best change of one domain, if any gains something."""
         near = divide_by_domain(self.serving)
-        return self._find_best(idle.get(domain, []), near.get(domain, []))
+        return self._find_best(domain, _make_domain(domain, idle, near))
 
     def _find_best(
         self,
-        idle: list[FleetBox],
-        serving: list[FleetGroup],
+        name: DomainName,
+        domain: Domain,
     ) -> Regrouping | None:
         """Return the change of one domain that gains most, if any gains."""
-        if not idle and not self.need.is_unbalanced():
+        if not domain.idle and not self.need.is_unbalanced():
             return None
         best = max(
-            self._list_changes(idle, serving),
+            (
+                Regrouping(one, gain)
+                for one in self._list_possible(name, domain)
+                if self._may_make(one) and (gain := self._weigh(one)) > 0
+            ),
             key=lambda change: change.gain,
             default=None,
         )
-        return best if best is not None and best.gain > 0 else None
+        return best
 
-    def _list_changes(
-        self,
-        idle: list[FleetBox],
-        serving: list[FleetGroup],
-    ) -> Iterator[Regrouping]:
-        """Return the changes that can be made in one domain."""
-        for closed in self._list_closings(serving):
-            pool = [*idle, *(box for one in closed for box in one.members)]
-            for counts in self._list_counts(len(pool)):
-                formed = self._pick_groups(pool, counts)
-                if formed and _differ(closed, formed):
-                    yield self._weigh(closed, formed)
-
-    def _list_closings(
+    def _list_possible(
         self,
-        serving: list[FleetGroup],
-    ) -> Iterator[tuple[FleetGroup, ...]]:
-        """Return the sets of groups that may be closed together.
-
-        Of sets that are alike in models and weights, one is enough.
-        """
-        kinds = {one.group: self._describe(one) for one in serving}
-        most = MOST_CLOSED if self.may_close else 0
-        seen = set()
-        for count in range(most + 1):
-            for closed in combinations(serving, count):
-                kind = tuple(sorted(kinds[one.group] for one in closed))
-                if kind in seen:
-                    continue
-                seen.add(kind)
-                if Counter(model for model, _boxes in kind) <= self.closable:
-                    yield closed
-
-    def _describe(self, group: FleetGroup) -> GroupKind:
-        """Return what matters of a group: its model, and what boxes hold."""
-        boxes = sorted(
-            (
-                float(self.memory.is_slow(box.box)),
-                *(
-                    self.memory.estimate(box, model)
-                    for model in self.need.engine.models
-                ),
+        name: DomainName,
+        domain: Domain,
+    ) -> tuple[PossibleChange, ...]:
+        """Return the changes of a domain, those known where it is the same."""
+        known = self.memory.possible.get(name)
+        mark = self.changes.describe(domain)
+        if known is None or known.mark != mark:
+            possible = tuple(self.changes.list_possible(domain))
+            known = KnownChanges(mark, possible)
+            self.memory.possible[name] = known
+        return known.possible
+
+    def _may_make(self, change: PossibleChange) -> bool:
+        """Answer whether the groups of a change may be closed now."""
+        if not change.closed:
+            return True
+        return self.may_close and all(
+            count <= self.closable[model.name]
+            for count, model in zip(
+                change.less, self.need.engine.models, strict=True
             )
-            for box in group.members
         )
-        return parse_group(group.group), tuple(boxes)
-
-    def _list_counts(self, boxes: int) -> Iterator[tuple[int, ...]]:
-        """Return how many groups of each model so many boxes could be."""
-        models = self.need.engine.models
-        ranges = [range(boxes // one.boxes_per_group + 1) for one in models]
-        for counts in product(*ranges):
-            taken = sum(
-                count * model.boxes_per_group
-                for count, model in zip(counts, models, strict=True)
-            )
-            if 0 < taken <= boxes:
-                yield counts
-
-    def _pick_groups(
-        self,
-        pool: list[FleetBox],
-        counts: tuple[int, ...],
-    ) -> tuple[NewGroup, ...]:
-        """Return groups in some number, or none where weights are lacking."""
-        left = list(pool)
-        groups: list[NewGroup] = []
-        wanted = zip(self.need.engine.models, counts, strict=True)
-        for model, count in sorted(
-            wanted, key=lambda pair: -pair[0].boxes_per_group
-        ):
-            fit = self._rank_boxes(left, model)
-            size = model.boxes_per_group
-            taken = fit[: count * size]
-            if len(taken) < count * size:
-                return ()
-            groups += [
-                NewGroup(model, tuple(taken[first : first + size]))
-                for first in range(0, len(taken), size)
-            ]
-            left = [box for box in left if box not in taken]
-        return tuple(groups)
-
-    def _rank_boxes(
-        self,
-        pool: list[FleetBox],
-        model: EngineModel,
-    ) -> list[FleetBox]:
-        """Return the boxes that can join a group, that ready soonest first.
 
-        Slow ones come last, and only where the model is short of places.
-        """
-        takes_slow = self.need.get_load(model) > SLOW_BOX_LOAD
-        fit = [
-            box
-            for box in pool
-            if self.memory.holds(box, model)
-            and (takes_slow or not self.memory.is_slow(box.box))
-        ]
-        return sorted(
-            fit,
-            key=lambda box: (
-                self.memory.is_slow(box.box),
-                self.memory.estimate(box, model),
-                box.box,
-            ),
-        )
-
-    def _weigh(
-        self,
-        closed: tuple[FleetGroup, ...],
-        formed: tuple[NewGroup, ...],
-    ) -> Regrouping:
-        """Return a change with what it gains."""
-        less = Counter(parse_group(one.group) for one in closed)
-        change = Counter(one.model.name for one in formed)
-        change.subtract(less)
-        won = self.present_cost - self.need.get_cost(change)
-        won -= CONVERSION_COST * self._count_converted(formed)
-        missed = self.need.get_missed(less)
-        waited = self._estimate_wait(closed, formed)
+    def _weigh(self, change: PossibleChange) -> float:
+        """Return what a change gains, in place-seconds."""
+        won = self.present_cost - self._get_cost(change.change)
+        won -= CONVERSION_COST * change.converted
+        closing = CLOSING_SECONDS if change.closed else 0.0
+        waited = closing + change.joined + self.need.engine.form_seconds
         lasting = max(0.0, self._get_horizon() - waited)
-        return Regrouping(closed, formed, won * lasting - missed * waited)
-
-    def _estimate_wait(
-        self,
-        closed: tuple[FleetGroup, ...],
-        formed: tuple[NewGroup, ...],
-    ) -> float:
-        """Return the seconds until all new groups serve."""
-        joined = max(
-            self.memory.estimate(box, group.model)
-            for group in formed
-            for box in group.boxes
-        )
-        closing = CLOSING_SECONDS if closed else 0.0
-        return closing + joined + self.need.engine.form_seconds
+        return won * lasting - self._get_missed(change.less) * waited
+
+    def _get_cost(self, change: Counts) -> float:
+        """Return what callers lose a second after a change, in places."""
+        cost = self.costs.get(change)
+        if cost is None:
+            cost = self.need.get_cost(self._name(change))
+            self.costs[change] = cost
+        return cost
+
+    def _get_missed(self, less: Counts) -> float:
+        """Return what callers lose a second until a change is made."""
+        missed = self.missed.get(less)
+        if missed is None:
+            missed = self.need.get_missed(self._name(less))
+            self.missed[less] = missed
+        return missed
+
+    def _name(self, counts: Counts) -> dict[ModelName, int]:
+        models = self.need.engine.models
+        return {
+            model.name: count
+            for model, count in zip(models, counts, strict=True)
+        }
 
     def _get_horizon(self) -> float:
         """Return for how long a change is likely to last, in seconds.
@@ -315,18 +250,10 @@
         models = self.need.engine.models
         return max(LEAST_HORIZON, *(model.load_seconds for model in models))
 
-    def _count_converted(self, formed: tuple[NewGroup, ...]) -> int:
-        return sum(
-            not self.memory.has_served(box, group.model)
-            for group in formed
-            for box in group.boxes
-        )
-
 
-def _differ(
-    closed: tuple[FleetGroup, ...],
-    formed: tuple[NewGroup, ...],
-) -> bool:
-    """Answer whether a change forms other groups than it closes."""
-    before = Counter(parse_group(one.group) for one in closed)
-    return before != Counter(one.model.name for one in formed)
+def _make_domain(
+    name: DomainName,
+    idle: Pools,
+    near: dict[DomainName, list[FleetGroup]],
+) -> Domain:
+    return Domain(tuple(idle.get(name, ())), tuple(near.get(name, ())))
