Weigh what a box gives up by how short the model is that it leaves

Survivors of large groups joined as small ones for a little gain, and gave up the weights of the large model; a box that changed its model cost the same however short the model was that it left.

Change: where the domain has boxes enough for a group of the model that is left, leaving costs the box's part in one more group of it. The test fails without it.

--- a/tests/test_regrouping.py
+++ b/tests/test_regrouping.py
@@ -174,3 +174,48 @@
     }
     site.search(site.memory, demand)
     assert set(site.memory.possible) == {'d0', 'd1', 'd2'}
+
+
+def make_survivors() -> Site:
+    """Return a domain with what is left of one of two large groups."""
+    site = Site()
+    site.boxes.clear()
+    site.form(0, 'big.1', 4)
+    for name in ('s1', 's2', 's3'):
+        site.add(0, name, SMALL)
+        site.memory.last_models[BoxId(name)] = BIG  # type: ignore[index]
+    site.form(1, 'small.2', 2)
+    return site
+
+
+def test_survivors_of_a_short_model_are_not_given_to_one_with_room() -> None:
+    """Load: boxes are lost from groups of the larger model every few seconds.
+
+    Symptom: 1 to 4 of 6 large groups for 10 s, while 11 to 19 of 21 small ones
+    served.  Sequence: a large group lost a box; the others were free and
+    joined as small groups, whose model gained a little; they gave up the
+    weights of the large one, which takes 16 s to load.  Cause: a box that
+    leaves a model cost the same however short the model was.
+    """
+    site = make_survivors()
+    kept = site.search(site.memory, {BIG: 12.0, SMALL: 5.0})
+    assert not kept
+
+
+def test_survivors_of_a_model_with_room_help_another() -> None:
+    site = make_survivors()
+    (change,) = site.search(site.memory, {BIG: 1.0, SMALL: 12.0})
+    assert [one.model.name for one in change.formed] == [SMALL]
+
+
+def test_survivors_that_can_form_no_group_of_their_model_help_another() -> (
+    None
+):
+    site = make_survivors()
+    site.boxes = {
+        name: box
+        for name, box in site.boxes.items()
+        if not name.startswith('big')
+    }
+    (change,) = site.search(site.memory, {BIG: 12.0, SMALL: 12.0})
+    assert [one.model.name for one in change.formed] == [SMALL]
--- a/waywell/version/domain_changes.py
+++ b/waywell/version/domain_changes.py
@@ -65,8 +65,12 @@
     change: Counts
     """Groups of each model that there are more, or less, afterwards."""
 
+    left: Counts
+    """Boxes that leave each model, where the domain can form a group of it
+    with them."""
+
     converted: int
-    """Boxes that leave the model they served last."""
+    """Other boxes that join with a model which they did not serve last."""
 
     joined: float
     """Seconds until the slowest of its boxes is ready."""
@@ -122,6 +126,7 @@
 
     def list_possible(self, domain: Domain) -> Iterator[PossibleChange]:
         """Return the changes that can be made in a domain."""
+        formable = self._list_formable(domain)
         for closed in self._list_closings(domain.serving):
             closed_boxes = [box for one in closed for box in one.members]
             pool = [*domain.idle, *closed_boxes]
@@ -129,30 +134,62 @@
             for counts in self._list_counts(len(pool)):
                 formed = self._pick_groups(pool, counts)
                 if formed and counts != less:
-                    yield self._describe_change(closed, formed, less, counts)
+                    left = self._count_left(formed, formable)
+                    yield self._describe_change(closed, formed, less, left)
 
     def _mark(self, box: FleetBox) -> tuple[ModelName | None, bool]:
         """Return what is remembered of a box beside its entry."""
         name = box.box
         return self._memory.last_models.get(name), self._memory.is_slow(name)
 
+    def _list_formable(self, domain: Domain) -> set[ModelName]:
+        """Return the models that a domain has boxes enough to form."""
+        boxes = [
+            *domain.idle,
+            *(box for group in domain.serving for box in group.members),
+        ]
+        return {
+            model.name
+            for model in self._models
+            if sum(self._memory.holds(box, model) for box in boxes)
+            >= model.boxes_per_group
+        }
+
+    def _count_left(
+        self,
+        formed: tuple[NewGroup, ...],
+        formable: set[ModelName],
+    ) -> Counts:
+        """Return how many boxes leave each model that could be formed."""
+        last = self._memory.last_models
+        left = (
+            last[box.box]
+            for one in formed
+            for box in one.boxes
+            if box.box in last and last[box.box] != one.model.name
+        )
+        return self._count(name for name in left if name in formable)
+
     def _describe_change(
         self,
         closed: tuple[FleetGroup, ...],
         formed: tuple[NewGroup, ...],
         less: Counts,
-        counts: Counts,
+        left: Counts,
     ) -> PossibleChange:
         joins = [(box, one.model) for one in formed for box in one.boxes]
+        more = self._count(one.model.name for one in formed)
         memory = self._memory
+        converted = sum(
+            not memory.has_served(box, model) for box, model in joins
+        )
         return PossibleChange(
             closed,
             formed,
             less,
-            tuple(
-                more - fewer for more, fewer in zip(counts, less, strict=True)
-            ),
-            sum(not memory.has_served(box, model) for box, model in joins),
+            tuple(new - old for new, old in zip(more, less, strict=True)),
+            left,
+            converted - sum(left),
             max(memory.estimate(box, model) for box, model in joins),
         )
 
--- a/waywell/version/regrouping.py
+++ b/waywell/version/regrouping.py
@@ -213,7 +213,7 @@
     def _weigh(self, change: PossibleChange) -> float:
         """Return what a change gains, in place-seconds."""
         won = self.present_cost - self._get_cost(change.change)
-        won -= CONVERSION_COST * change.converted
+        won -= self._get_conversion_cost(change)
         closing = CLOSING_SECONDS if change.closed else 0.0
         waited = closing + change.joined + self.need.engine.form_seconds
         lasting = max(0.0, self._get_horizon() - waited)
@@ -227,6 +227,24 @@
             self.costs[change] = cost
         return cost
 
+    def _get_conversion_cost(self, change: PossibleChange) -> float:
+        """Return what it costs a second that boxes leave their models.
+
+        A box that joins with another model gives up the weights of the one
+        that it served.  Where that one is short, this is worth as much as its
+        part in one more group: after the loss of a box, survivors of groups of
+        eight became groups of four of a model with room, and the large one
+        had 1 to 4 of its 6 groups for 10 s (one day's log).
+        """
+        cost = CONVERSION_COST * change.converted
+        for model, count in zip(
+            self.need.engine.models, change.left, strict=True
+        ):
+            if count:
+                worth = self.need.get_gain(model) / model.boxes_per_group
+                cost += count * max(CONVERSION_COST, worth)
+        return cost
+
     def _get_missed(self, less: Counts) -> float:
         """Return what callers lose a second until a change is made."""
         missed = self.missed.get(less)
