Tell refused callers to come back spread out, later where no group serves

Change: 0.4 s to 1.2 s where replicas were full, 0.8 s to 2 s where none serves, drawn for each caller, within 0.3 of the time that it has left.

--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -7,7 +7,8 @@
 
 from waywell.codes import Code, Refusal
 from waywell.request.errand import CallerAnswer, Errand, ForwarderParts
-from waywell.request.journey import COME_BACK_SECONDS, Journey
+from waywell.request.journey import Journey
+from waywell.request.return_advice import ReturnReason, advise_return
 
 if TYPE_CHECKING:
     from waywell.request.ask import Ask
@@ -70,7 +71,12 @@
         name = route.pick_service(self._parts.draw())
         service = None if name is None else outlook.index.find_service(name)
         if service is None:
-            raise Refusal(Code.NO_WHOLE_GROUP, retry_after=COME_BACK_SECONDS)
+            raise Refusal(
+                Code.NO_WHOLE_GROUP,
+                retry_after=advise_return(
+                    ReturnReason.NO_GROUP, route.timeout, self._parts.draw()
+                ),
+            )
         seconds = route.timeout
         if ask.seconds is not None:
             seconds = min(seconds, ask.seconds)
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -11,15 +11,12 @@
 from waywell.process.events import log_event
 from waywell.request.attempt import Attempt, Inbox
 from waywell.request.attempts import Attempts
+from waywell.request.return_advice import ReturnReason, advise_return
 from waywell.version.routes import RouteKind
 
 if TYPE_CHECKING:
     from waywell.request.errand import CallerAnswer, Errand, ForwarderParts
 
-COME_BACK_SECONDS = 0.25
-"""Advice to callers while no replica can serve: a group that is patched from
-boxes at hand is back within about a second, most others are there."""
-
 SERVER_ERROR = 500
 """Lowest HTTP status that speaks against the replica."""
 
@@ -146,7 +143,10 @@
 
     async def _run(self) -> None:
         if not self._attempts.start():
-            raise Refusal(Code.NO_WHOLE_GROUP, retry_after=COME_BACK_SECONDS)
+            raise Refusal(
+                Code.NO_WHOLE_GROUP,
+                retry_after=self._advise(self._parts.clock.read()),
+            )
         while self._attempts.running:
             await self._step()
         self._give_up(Code.TARGET_FAILED)
@@ -289,7 +289,17 @@
             raise _Answered
         if errand.may_have_run:
             raise Refusal(code, Ran.MAY_HAVE_RUN)
-        raise Refusal(code, retry_after=COME_BACK_SECONDS)
+        raise Refusal(code, retry_after=self._advise(now))
+
+    def _advise(self, now: float) -> float:
+        """Return when the caller should come back, in seconds."""
+        errand = self._errand
+        full, lacking = ReturnReason.FULL, ReturnReason.NO_GROUP
+        return advise_return(
+            full if errand.rejections else lacking,
+            errand.ends_at - now,
+            self._parts.draw(),
+        )
 
 
 class _Answered(Exception):  # noqa: N818 - not an error: the way out
--- /dev/null
+++ b/waywell/request/return_advice.py
@@ -0,0 +1,55 @@
+"""When a caller should come back whose request was refused unrun.
+
+Answers the load of a model that has lost many groups: callers that all come
+back after a quarter of a second meet the same full replicas and are refused a
+second time, for good.
+"""
+
+from __future__ import annotations
+
+import enum
+
+FULL_SECONDS = (0.4, 1.2)
+"""From when to when a replica that was full has room again: streams take some
+0.5 to 2 s, and each that ends gives a place."""
+
+NO_GROUP_SECONDS = (0.8, 2.0)
+"""From when to when a group is back that lost a box: silence is known after
+half a second, its boxes are joined anew in 0.5 to 2 s."""
+
+MOST_OF_TIME_LEFT = 0.3
+"""Part of the time that the caller has left: the rest is for the answer."""
+
+
+class ReturnReason(enum.Enum):
+    """Why a request was refused."""
+
+    FULL = 'full'
+    """The replicas that it could go to rejected it."""
+
+    NO_GROUP = 'no_group'
+    """No replica can serve it."""
+
+
+def advise_return(
+    reason: ReturnReason,
+    seconds_left: float,
+    draw: float,
+) -> float:
+    """Return after how many seconds a caller should come back.
+
+    Callers that were refused at one moment come back spread out.
+
+    Parameters
+    ----------
+    reason
+        Why the request was refused.
+    seconds_left
+        Time that the caller has left.
+    draw
+        A number from 0 up to 1, drawn anew for each caller.
+    """
+    is_full = reason is ReturnReason.FULL
+    soonest, latest = FULL_SECONDS if is_full else NO_GROUP_SECONDS
+    seconds = soonest + draw * (latest - soonest)
+    return round(max(0.0, min(seconds, MOST_OF_TIME_LEFT * seconds_left)), 3)
