--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -94,3 +94,23 @@
     )
     alone._is_listed = True
     assert all(alone._may_look() for _ in range(100))
+
+
+def test_a_silent_platform_does_not_keep_a_node_that_stops() -> None:
+    """The store is silent while a node stops, at the end of its time.
+
+    Symptom: the process was ended by force, 0.6 s after its last answer was
+    whole.  Cause: it waited for the store to take its entry off the list.
+    """
+
+    class SilentStore(_Store):
+        async def delete(self, _kind: Kind, _name: str) -> None:
+            await asyncio.Event().wait()
+
+    async def work() -> None:
+        table = MembershipTable(make_record('a'), 2.0)
+        links = SimpleNamespace(list_peers=set)
+        presence = Presence(SilentStore(), table, links, (), Random(1))
+        await presence.withdraw(0.001)
+
+    asyncio.run(asyncio.wait_for(work(), 20))
--- a/tests/test_silent_domain.py
+++ b/tests/test_silent_domain.py
@@ -28,6 +28,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from waywell.version.box_report import BoxReport
+    from waywell.version.fleet import FleetBox
+
 LLM = ServiceName('llm')
 TRIPLE = ModelName('triple')
 ENGINE = Engine(
@@ -76,6 +79,19 @@
     return membership.group
 
 
+def _note_questions(holder: Holder) -> list[str]:
+    """Return the boxes that are asked from now on, as they are."""
+    asked: list[str] = []
+    read = holder.orders.read_report
+
+    async def note(box: FleetBox) -> BoxReport | None:
+        asked.append(box.box)
+        return await read(box)
+
+    holder.orders.read_report = note  # type: ignore[method-assign]
+    return asked
+
+
 def test_one_silent_box_lets_all_of_its_domain_be_asked(
     holder: Holder,
 ) -> None:
@@ -94,14 +110,7 @@
 def test_a_domain_whose_boxes_answer_is_asked_for_nothing_more(
     holder: Holder,
 ) -> None:
-    asked: list[str] = []
-    read = holder.orders.read_report
-
-    async def note(box):  # noqa: ANN001, ANN202
-        asked.append(box.box)
-        return await read(box)
-
-    holder.orders.read_report = note  # type: ignore[method-assign]
+    asked = _note_questions(holder)
     holder.doubt(_find_group(holder))
     assert sorted(asked) == sorted(GROUPED)
 
@@ -109,14 +118,7 @@
 def test_a_silent_domain_is_asked_once_and_not_by_each_silent_box(
     holder: Holder,
 ) -> None:
-    asked: list[str] = []
-    read = holder.orders.read_report
-
-    async def note(box):  # noqa: ANN001, ANN202
-        asked.append(box.box)
-        return await read(box)
-
-    holder.orders.read_report = note  # type: ignore[method-assign]
+    asked = _note_questions(holder)
     _silence(holder, *GROUPED, *IDLE)
     holder.doubt(_find_group(holder))
     # Each silent box is asked twice, as one packet may be lost.
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -73,6 +73,9 @@
 STOP_MARGIN = 0.6
 """Seconds before the forced end at which what still runs is cut."""
 
+WITHDRAW_MARGIN = 0.3
+"""Seconds after that for which the platform is waited for."""
+
 DRAIN_LOOK_SECONDS = 0.05
 """Seconds between two looks at the work in flight while stopping."""
 
@@ -147,7 +150,8 @@
         cut = await self._drain(ends_at)
         for helper in self._helpers:
             helper.cancel()
-        await self.presence.withdraw()
+        left = ends_at + WITHDRAW_MARGIN - self.clock.read()
+        await self.presence.withdraw(left)
         self._ports.close()
         for actor in self.actors:
             await actor.stop()
--- a/waywell/process/presence.py
+++ b/waywell/process/presence.py
@@ -85,9 +85,20 @@
                 LOOK_AGAIN_SECONDS if is_settled else JOIN_SECONDS
             )
 
-    async def withdraw(self) -> None:
-        """Take this node off the platform's list."""
-        await self._platform.delete(Kind.PRESENCE, self._members.own.node)
+    async def withdraw(self, seconds: float) -> None:
+        """Take this node off the platform's list, if that is done in time.
+
+        A platform that is silent kept a node whose work had ended until the
+        process was ended by force.  An entry that is left only costs others a
+        call; the next run of the node writes over it.
+        """
+        withdrawing = self._platform.delete(
+            Kind.PRESENCE, self._members.own.node
+        )
+        try:
+            await asyncio.wait_for(withdrawing, seconds)
+        except TimeoutError:
+            log_warning('not_withdrawn', node=self._members.own.node)
 
     def count_nodes(self) -> int:
         """Return the entry boxes that share budgets, also unheard ones.
