Test that a box that starts again under its id ends what was believed of it; it does not

By reading, a member that returned empty was free at once although its head still served, and the others of a head that returned empty were held.

--- a/tests/holder.py
+++ b/tests/holder.py
@@ -12,7 +12,6 @@
 
 import attrs
 
-from tests.held_clock import HeldClock
 from tests.lone_gossip import LoneGossip
 from waywell.connection.box_orders import BoxOrders
 from waywell.ids import BoxId, GroupId, ModelName
@@ -24,7 +23,8 @@
 from waywell.platform.servers import decode_server
 from waywell.process.actor import get_handler_name
 from waywell.process.forming import FormingDuty
-from waywell.version.fleet import Fleet, FleetBox, note_models
+from waywell.version.fleet import BoxLife, Fleet, FleetBox, note_models
+from waywell.version.lives import LifeBook
 from waywell.version.orders import Assignment, OrderResult
 
 if TYPE_CHECKING:
@@ -108,17 +108,18 @@
 
     def __init__(self, house: SimHouse, engine: Engine) -> None:
         self.house = house
-        self.clock = HeldClock()
+        self.clock = house.clock
         self.orders = SimOrders(house)
         self.demand: dict[ModelName, float] = {}
         self.loop = asyncio.new_event_loop()
         self._entries: dict[str, FleetBox] = {}
-        self.last_models: dict[BoxId, ModelName] = {}
+        self.last_models: dict[BoxLife, ModelName] = {}
         engines = [('llm', engine)]
         self._outlook = SimpleNamespace(
             index=SimpleNamespace(list_engines=lambda: engines),
             fleet=Fleet({}),
             last_models=self.last_models,
+            lives=LifeBook(),
             get_boxes_age=lambda _now: 0.0,
         )
         self._term = 0
@@ -134,6 +135,12 @@
         self.duty.held_term = 0
         self.duty = self._make_duty()
 
+    def restart_node(self) -> None:
+        """Let a node hold the duty that saw no list before."""
+        self._outlook.lives = LifeBook()
+        self.last_models.clear()
+        self.take_over()
+
     def refresh(self) -> None:
         """Let the list that the holder sees be true."""
         self._entries = {}
@@ -213,6 +220,7 @@
     def _show_entries(self) -> None:
         self._outlook.fleet = Fleet(dict(self._entries))
         note_models(self.last_models, self._outlook.fleet)
+        self._outlook.lives.note(self._outlook.fleet, self.clock.now)
 
     def _make_duty(self) -> _HeldDuty:
         self._term += 1
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -1,5 +1,9 @@
 """Model replicas that take orders as the platform's page tells, unconnected.
 
+A replica may start again under its id: then it stands in no group, has begun
+no orders and refuses no epoch, while the head of its former group goes on until
+it breaks by itself.
+
 They speak the protocol's words, so that what they do with an order depends on
 nothing but what is sent.
 """
@@ -7,14 +11,20 @@
 from __future__ import annotations
 
 import json
+from collections import defaultdict
 from http import HTTPStatus
 from typing import Any
 
 import attrs
 
+from tests.held_clock import HeldClock
+
 DOMAIN = 'd0'
 """Fabric domain of all replicas."""
 
+STALL_SECONDS = 6.0
+"""For which a head goes on that has lost a member."""
+
 
 @attrs.frozen
 class Membership:
@@ -38,7 +48,7 @@
 
 @attrs.define(eq=False)
 class SimReplica:
-    """One life of a replica.
+    """A replica, in its present life.
 
     Parameters
     ----------
@@ -53,6 +63,7 @@
     is_alive: bool = True
     is_listed: bool = True
     is_reachable: bool = True
+    born: int = 1
     orders_begun: int = 0
     highest: int = 0
     staged: tuple[str, ...] = ()
@@ -79,12 +90,25 @@
             return HTTPStatus.CONFLICT
         if operation == 'leave':
             self.membership = None
+            self.house.note_left(self.name, own.group)
         elif operation == 'open':
             return self._take_open(own)
         else:
             self.set_state('ready')
         return self._begin()
 
+    def restart(self) -> None:
+        """Start again under the same id; only the host keeps what it had."""
+        if self.membership is not None:
+            self.house.note_loss(self.membership.group)
+        self.is_alive = True
+        self.born += 1
+        self.orders_begun = 0
+        self.highest = 0
+        self.membership = None
+        self.told = []
+        self.note_change()
+
     def set_state(self, state: str) -> None:
         """Change how it stands in its group."""
         assert self.membership is not None
@@ -110,6 +134,7 @@
         own = self.membership
         self.told.append(
             {
+                'born': self.born,
                 'seq_no': self.orders_begun,
                 'group': None if own is None else own.encode(),
                 'pace': 1.0,
@@ -128,8 +153,12 @@
             'service': 'llm',
             'address': '10.0.0.1:8000',
             'zone': 'port',
+            'version': 'v1',
             'slots': 9,
             'state': 'ready',
+            'cold_left_ms': 0,
+            'seq_no': len(self.told),
+            'born': self.born,
             'domain': DOMAIN,
             'staged': list(self.staged),
             'group': None if own is None else own.encode(),
@@ -155,6 +184,8 @@
         self.house.check_join(self, order)
         self.highest = order['epoch']
         self.staged = (order['model'],)
+        if own is not None:
+            self.house.note_left(self.name, own.group)
         rank = members.index(self.name)
         group, epoch = _name_group(order)
         self.membership = Membership(group, epoch, members, rank, 'joining')
@@ -177,8 +208,17 @@
     broken: list[str] = attrs.Factory(list)
     """Rules that were broken, in words."""
 
+    clock: HeldClock = attrs.Factory(HeldClock)
+    """Where the time is read."""
+
+    left: dict[str, set[str]] = attrs.Factory(lambda: defaultdict(set))
+    """Replicas that left a group, by the group."""
+
+    lost_at: dict[str, float] = attrs.Factory(dict)
+    """When a group lost a member by a restart, in seconds."""
+
     def add(self, name: str, staged: tuple[str, ...] = ()) -> SimReplica:
-        """Start a replica; each life has an id of its own."""
+        """Start a replica under a new id."""
         self.replicas[name] = SimReplica(name, self, staged=staged)
         return self.replicas[name]
 
@@ -190,19 +230,40 @@
 
     def check_join(self, joining: SimReplica, order: dict[str, Any]) -> None:
         """Note a join that comes while the replica's group serves."""
-        own = joining.membership
-        if own is None:
-            return
         for head in self.replicas.values():
             other = head.membership
             if not head.is_alive or other is None or other.rank:
                 continue
-            if other.group == own.group and other.state == 'open':
+            if other.group == order['group'] or other.state != 'open':
+                continue
+            if self._counts_on(other, joining):
+                own = other
                 self.broken.append(
                     f'{joining.name} joins {order["group"]} while'
                     f' {own.group} is open',
                 )
 
+    def note_left(self, name: str, group: str) -> None:
+        """Remember that a replica has left a group in good order."""
+        self.left[group].add(name)
+
+    def note_loss(self, group: str) -> None:
+        """Remember when a group lost its first member by a restart."""
+        self.lost_at.setdefault(group, self.clock.now)
+
+    def _counts_on(self, open_group: Membership, joining: SimReplica) -> bool:
+        """Answer whether an open group still has a replica as its member."""
+        own = joining.membership
+        if own is not None and own.group == open_group.group:
+            return True
+        is_member = joining.name in open_group.members
+        lost_at = self.lost_at.get(open_group.group)
+        if not is_member or joining.name in self.left[open_group.group]:
+            return False
+        if lost_at is None:
+            return True
+        return self.clock.now - lost_at < STALL_SECONDS
+
     def check_open(self, own: Membership) -> None:
         """Note a group that opens before all its members were ready."""
         for member in own.members:
--- a/tests/test_forming_machine.py
+++ b/tests/test_forming_machine.py
@@ -120,6 +120,11 @@
         while flying:
             self.holder.carry_out(flying[-1 if newest_first else 0])
 
+    @rule(choice=ANY)
+    def start_again(self, choice: int) -> None:
+        """A box starts again under its id while orders are on their way."""
+        self._pick(choice).restart()
+
     @invariant()
     def keeps_its_promises(self) -> None:
         """No box joins while its group is open; no group opens too early."""
@@ -249,6 +254,14 @@
         lives = len(self.house.replicas)
         self.house.add(f'b{lives}', replica.staged)
 
+    @rule(choice=ANY)
+    def start_again_with_its_head(self, choice: int) -> None:
+        """A member and its head start again at one moment."""
+        own = self._pick(choice).membership
+        if own is not None:
+            for name in {own.members[0], self._pick(choice).name}:
+                self.house.replicas[name].restart()
+
     @rule(choice=ANY, pace=st.sampled_from([1.0, 5.0]))
     def tell_pace(self, choice: int, pace: float) -> None:
         """The holder hears how fast a box is."""
--- /dev/null
+++ b/tests/test_incarnations.py
@@ -0,0 +1,181 @@
+"""A box that starts again under its id is another one to all that is believed.
+
+Symptom: a box that returned empty was joined to a new group while the head of
+its former group still took requests; the members of a group whose head had
+returned empty stayed idle until each of them had carried out an order.
+
+Sequence: a group serves; one of its boxes starts again under its id, holding
+and knowing nothing; the list shows it in no group.
+
+Cause: beliefs were kept by the id alone, so a box that stood in no group was
+free, and a head that stood in no group was one that had not told yet.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.holder import Holder
+from tests.replicas import STALL_SECONDS, SimHouse
+from waywell.ids import ModelName
+from waywell.process.forming import SETTLE_SECONDS
+from waywell.version.forming_memory import PENDING_SECONDS
+from waywell.version.routes import Engine, EngineModel
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from tests.replicas import SimReplica
+
+PAIR = ModelName('pair')
+ENGINE = Engine(
+    9,
+    (EngineModel(PAIR, 2, load_seconds=12.0, warm_seconds=1.1),),
+    loads_per_second=5.0,
+    loads_at_once=7,
+)
+
+
+@pytest.fixture
+def holder() -> Iterator[Holder]:
+    """Return a holder before one open group of two, and callers for more."""
+    started = Holder(SimHouse(), ENGINE)
+    started.demand = {PAIR: 50.0}
+    for name in 'ab':
+        started.house.add(name, ('pair',))
+    started.refresh()
+    started.plan()
+    started.clock.now += SETTLE_SECONDS
+    _take_a_step(started)
+    for replica in started.house.replicas.values():
+        replica.finish_load()
+    _take_a_step(started)
+    assert _find_head(started).membership.state == 'open'
+    # The order to open is seen, and what was ordered is over.
+    started.clock.now += PENDING_SECONDS + 10.0
+    started.refresh()
+    started.plan()
+    yield started
+    started.close()
+
+
+def _take_a_step(holder: Holder) -> None:
+    """Let the holder plan by a true list, and all orders be carried out."""
+    holder.clock.now += PENDING_SECONDS + 0.1
+    holder.refresh()
+    holder.plan()
+    holder.carry_out_all()
+
+
+def _find_head(holder: Holder) -> SimReplica:
+    return next(
+        one
+        for one in holder.house.replicas.values()
+        if one.membership and not one.membership.rank
+    )
+
+
+def _find_member(holder: Holder) -> SimReplica:
+    return next(
+        one
+        for one in holder.house.replicas.values()
+        if one.membership and one.membership.rank
+    )
+
+
+def test_a_member_that_returns_empty_waits_while_its_head_serves(
+    holder: Holder,
+) -> None:
+    head, member = _find_head(holder), _find_member(holder)
+    holder.house.add('c', ('pair',))
+    member.restart()
+    holder.refresh()
+    holder.plan()
+    # The head is told to leave and does not hear it.
+    assert not holder.find_flying(member.name, 'join')
+    holder.carry_out(*holder.find_flying(head.name, 'leave'))
+    holder.refresh()
+    holder.plan()
+    assert holder.find_flying(member.name, 'join')
+    holder.carry_out_all()
+    assert not holder.house.broken
+
+
+def test_a_member_waits_no_longer_than_a_head_can_stand_still(
+    holder: Holder,
+) -> None:
+    head, member = _find_head(holder), _find_member(holder)
+    holder.house.add('c', ('pair',))
+    head.is_listed = False
+    head.is_reachable = False
+    member.restart()
+    holder.refresh()
+    holder.plan()
+    assert not holder.find_flying(member.name, 'join')
+    holder.clock.now += STALL_SECONDS + 2.0
+    holder.refresh()
+    holder.plan()
+    assert holder.find_flying(member.name, 'join')
+
+
+def test_a_new_holder_that_saw_no_restart_waits_as_well(
+    holder: Holder,
+) -> None:
+    head, member = _find_head(holder), _find_member(holder)
+    holder.house.add('c', ('pair',))
+    member.restart()
+    holder.restart_node()
+    holder.refresh()
+    holder.plan()
+    assert holder.find_flying(head.name, 'leave')
+    assert not holder.find_flying(member.name, 'join')
+
+
+def test_the_others_are_free_once_their_head_has_returned_empty(
+    holder: Holder,
+) -> None:
+    head, member = _find_head(holder), _find_member(holder)
+    head.restart()
+    holder.refresh()
+    holder.plan()
+    assert holder.find_flying(member.name, 'join')
+    assert holder.find_flying(head.name, 'join')
+    holder.carry_out_all()
+    assert not holder.house.broken
+
+
+def test_an_order_to_the_former_life_keeps_nothing_from_the_new_one(
+    holder: Holder,
+) -> None:
+    """What is pending at a life, lost or slow ends with it."""
+    head = _find_head(holder)
+    holder.house.add('c', ('pair',))
+    holder.refresh()
+    holder.plan()
+    (pending,) = holder.find_flying('c', 'join') or [None]
+    if pending is not None:
+        holder.time_out(pending)
+    head.restart()
+    holder.house.replicas['c'].restart()
+    holder.refresh()
+    holder.plan()
+    joined = {
+        flying.box
+        for flying in holder.orders.flying
+        if flying.body['operation'] == 'join' and flying is not pending
+    }
+    assert len(joined) == 2
+
+
+def test_a_new_life_has_to_load_what_the_former_one_served(
+    holder: Holder,
+) -> None:
+    head = _find_head(holder)
+    life = holder.find_entry(head.name).life
+    assert holder.last_models[life] == PAIR
+    head.restart()
+    holder.refresh()
+    assert holder.find_entry(head.name).life not in holder.last_models
+    assert life not in holder.last_models
