--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,325 @@
+"""Objects of the platform's store that another writer has written.
+
+Symptom: no node knew any box, although all of them lived; or a box went on being
+used under whose name something else was written.
+
+Sequence: one object of a page does not decode: bytes that are no text, no name,
+``null``, a revision that is a word, a number that JSON does not have, a state
+or an address that means nothing.
+
+Cause: a page was decoded as a whole; an object that was not understood was left
+out, but what was known under its name stayed; and values that name no box came
+through.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Success
+
+from tests.held_clock import HeldClock
+from waywell.connection.http_calls import CallAnswer, HttpCalls
+from waywell.connection.platform import Changes, Kind
+from waywell.ids import BoxId
+from waywell.platform.store import ObjectStore
+from waywell.process.fleet_watch import FleetWatch
+from waywell.process.front_settings import PromiseSettings
+from waywell.process.outlook import Outlook
+from waywell.process.platform_watch import WatchParts
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+ENTRY: dict[str, Any] = {
+    'service': 'llm',
+    'address': '10.128.0.9:8080',
+    'zone': 'hall-port',
+    'version': 'v1',
+    'slots': 9,
+    'state': 'ready',
+    'cold_left_ms': 0,
+    'seq_no': 4,
+    'born': 1_790_000_000_000,
+    'domain': 'd0',
+    'staged': ['big'],
+    'group': {'name': 'big.7', 'epoch': 7, 'rank': 1, 'state': 'ready'},
+}
+
+
+def encode(name: str, entry: Any, revision: Any = 5) -> bytes:
+    """Return an object as the store holds it."""
+    metadata = {'name': name, 'revision': revision}
+    return json.dumps({'metadata': metadata, 'spec': entry}).encode()
+
+
+def change(**fields: Any) -> bytes:
+    """Return the object of a box some of whose fields are changed."""
+    return encode('x', {**ENTRY, **fields})
+
+
+def drop(field: str) -> bytes:
+    """Return the object of a box that lacks a field."""
+    entry = {name: ENTRY[name] for name in ENTRY if name != field}
+    return encode('x', entry)
+
+
+SOUND = encode('sound', ENTRY)
+NAMELESS = {
+    'not_text': b'{"metadata": {"name": "\xff\xfe", "revision": 5}}',
+    'no_metadata': b'{"spec": {}}',
+    'no_name': b'{"metadata": {"revision": 5}, "spec": {}}',
+    'name_of_another_type': encode(7, ENTRY),  # type: ignore[arg-type]
+    'null': b'null',
+    'a_list': b'[1, 2]',
+    'a_word': b'"x"',
+}
+"""Objects that don't even tell whose they are."""
+
+NAMED = {
+    'bytes_that_are_no_text': change(zone='ZONE').replace(b'ZONE', b'\xff'),
+    'half_a_pair': change(zone='ZONE').replace(b'ZONE', rb'\ud800'),
+    'revision_a_word': encode('x', ENTRY, 'new'),
+    'revision_missing': b'{"metadata": {"name": "x"}, "spec": {}}',
+    'no_such_number': change(slots='N').replace(b'"N"', b'NaN'),
+    'infinite': change(slots='N').replace(b'"N"', b'Infinity'),
+    'no_spec': b'{"metadata": {"name": "x", "revision": 5}}',
+    'spec_a_list': encode('x', [1]),
+    'unknown_state': change(state='dancing'),
+    'state_a_number': change(state=1),
+    'no_slots': drop('slots'),
+    'slots_zero': change(slots=0),
+    'slots_negative': change(slots=-4),
+    'slots_a_word': change(slots='many'),
+    'slots_as_text': change(slots='9'),
+    'no_service': drop('service'),
+    'service_a_table': change(service={}),
+    'service_empty': change(service=''),
+    'no_state': drop('state'),
+    'no_address': drop('address'),
+    'port_too_high': change(address='10.0.0.1:999999'),
+    'port_zero': change(address='10.0.0.1:0'),
+    'port_negative': change(address='10.0.0.1:-80'),
+    'no_host': change(address=':8080'),
+    'host_a_name': change(address='example.org:8080'),
+    'born_as_text': change(born='1790000000000'),
+    'born_in_part': change(born=1.5),
+    'born_null': change(born=None),
+    'born_negative': change(born=-1),
+    'born_a_truth': change(born=True),
+    'group_a_word': change(group='big.7'),
+    'group_of_an_odd_name': change(group={**ENTRY['group'], 'name': 'g'}),
+    'group_of_another_epoch': change(group={**ENTRY['group'], 'epoch': 8}),
+    'group_rank_negative': change(group={**ENTRY['group'], 'rank': -1}),
+    'group_state_unknown': change(group={**ENTRY['group'], 'state': 'odd'}),
+    'staged_a_word': change(staged='big'),
+}
+"""Objects that tell whose they are, and name no box to use."""
+
+
+class Pages:
+    """Answers the calls of a store with pages made by hand."""
+
+    def __init__(self) -> None:
+        self.pages: list[bytes] = []
+        self.asked: list[str] = []
+
+    async def call(
+        self, _method: str, path: str, *_more: Any, **_: Any
+    ) -> Any:
+        self.asked.append(path)
+        return Success(CallAnswer(200, self.pages.pop(0)))
+
+    def add_list(self, *objects: bytes, has_more: bool = False) -> None:
+        more = b'true' if has_more else b'false'
+        self.pages.append(
+            b'{"items": [%b], "has_more": %b, "current_rev": 9}'
+            % (b', '.join(objects), more),
+        )
+
+    def add_events(self, *objects: bytes, removed: bool = False) -> None:
+        word = b'true' if removed else b'false'
+        events = [
+            b'{"object": %b, "removed": %b}' % (one, word) for one in objects
+        ]
+        self.pages.append(
+            b'{"events": [%b], "current_rev": 12}' % b', '.join(events),
+        )
+
+
+@pytest.fixture
+def pages(monkeypatch: pytest.MonkeyPatch) -> Iterator[Pages]:
+    """Return pages that a store answers with."""
+    made = Pages()
+    monkeypatch.setattr(
+        HttpCalls,
+        'call',
+        lambda _calls, *words, **named: made.call(*words, **named),
+    )
+    yield made
+
+
+def read_list(kind: Kind = Kind.BOX) -> Changes:
+    store = ObjectStore('127.0.0.1:1', 1.0)
+    return asyncio.run(store.fetch_all(kind)).unwrap()
+
+
+def read_events(kind: Kind = Kind.BOX) -> Changes:
+    store = ObjectStore('127.0.0.1:1', 1.0)
+    return asyncio.run(store.watch((kind,), 9, 0.1)).unwrap()
+
+
+def list_names(changes: Changes) -> set[str]:
+    return {stored.name for stored in changes.objects}
+
+
+@pytest.mark.parametrize('case', [*NAMED, *NAMELESS])
+def test_a_foreign_object_costs_none_of_its_neighbours(
+    pages: Pages, case: str
+) -> None:
+    foreign = {**NAMED, **NAMELESS}[case]
+    pages.add_list(SOUND, foreign, encode('other', ENTRY))
+    changes = read_list()
+    assert list_names(changes) == {'sound', 'other'}
+    assert changes.revision == 9
+
+
+@pytest.mark.parametrize('case', [*NAMED, *NAMELESS])
+def test_a_foreign_event_costs_none_of_its_neighbours(
+    pages: Pages, case: str
+) -> None:
+    foreign = {**NAMED, **NAMELESS}[case]
+    pages.add_events(SOUND, foreign, encode('other', ENTRY))
+    changes = read_events()
+    assert list_names(changes) == {'sound', 'other'}
+    assert changes.revision == 12
+
+
+@pytest.mark.parametrize('case', NAMED)
+def test_a_foreign_object_is_told_by_its_name(pages: Pages, case: str) -> None:
+    pages.add_events(NAMED[case])
+    assert read_events().unreadable == ('x',)
+
+
+def test_a_foreign_object_that_was_removed_is_gone(pages: Pages) -> None:
+    pages.add_events(NAMED['unknown_state'], removed=True)
+    (stored,) = read_events().objects
+    assert (stored.name, stored.body) == ('x', None)
+
+
+def test_a_list_goes_on_behind_a_foreign_object(pages: Pages) -> None:
+    pages.add_list(SOUND, NAMED['unknown_state'], has_more=True)
+    pages.add_list(encode('y', ENTRY))
+    assert list_names(read_list()) == {'sound', 'y'}
+    assert 'since_rev=x' in pages.asked[1]
+
+
+def test_a_list_goes_on_behind_an_object_without_a_name(pages: Pages) -> None:
+    pages.add_list(SOUND, NAMELESS['null'], has_more=True)
+    pages.add_list(encode('y', ENTRY))
+    assert list_names(read_list()) == {'sound', 'y'}
+    assert 'since_rev=sound' in pages.asked[1]
+
+
+@pytest.mark.parametrize(
+    'kind', [Kind.CONFIGURATION, Kind.LEASE, Kind.PRESENCE]
+)
+@pytest.mark.parametrize('case', ['not_text', 'no_name', 'null', 'a_list'])
+def test_objects_of_every_kind_are_read_one_by_one(
+    pages: Pages, kind: Kind, case: str
+) -> None:
+    pages.add_list(NAMELESS[case], encode('own', {'host': '10.0.0.1'}))
+    changes = read_list(kind)
+    assert 'own' in {*list_names(changes), *changes.unreadable}
+
+
+def make_watch() -> tuple[FleetWatch, Outlook]:
+    outlook = Outlook(PromiseSettings())
+    parts = WatchParts(
+        None,  # type: ignore[arg-type]
+        outlook,
+        HeldClock(),
+        lambda _now: True,
+        lambda: True,
+        lambda: 0.5,
+    )
+    return FleetWatch(parts, 0.4, lambda: False), outlook
+
+
+@pytest.mark.parametrize('case', NAMED)
+def test_a_box_is_not_used_once_its_entry_is_foreign(
+    pages: Pages, case: str
+) -> None:
+    watch, outlook = make_watch()
+    pages.add_list(SOUND, encode('x', ENTRY))
+    watch.take(read_list(), 100.0, 100.0)
+    assert BoxId('x') in outlook.fleet.boxes
+    pages.add_events(NAMED[case])
+    watch.take(read_events(), 101.0, 101.0)
+    assert set(outlook.fleet.boxes) == {'sound'}
+    pages.add_events(encode('x', ENTRY, 13))
+    watch.take(read_events(), 102.0, 102.0)
+    assert BoxId('x') in outlook.fleet.boxes
+
+
+def test_an_event_that_tells_no_name_lets_all_be_read_anew(
+    pages: Pages,
+) -> None:
+    watch, _outlook = make_watch()
+    pages.add_list(SOUND)
+    watch.take(read_list(), 100.0, 100.0)
+    assert watch.dump()['revision'] == 9
+    pages.add_events(NAMELESS['null'])
+    watch.take(read_events(), 101.0, 101.0)
+    assert not watch.dump()['revision']
+
+
+@given(junk=st.binary(max_size=60))
+def test_any_page_is_read_or_refused(junk: bytes) -> None:
+    """No answer ends the task that reads it."""
+    pages = Pages()
+    patch = pytest.MonkeyPatch()
+    patch.setattr(
+        HttpCalls,
+        'call',
+        lambda _calls, *words, **named: pages.call(*words, **named),
+    )
+    store = ObjectStore('127.0.0.1:1', 1.0)
+    for raw in (junk, b'{"items": [%b]}' % junk, b'{"events": [%b]}' % junk):
+        pages.pages.append(raw)
+        asyncio.run(store.fetch_all(Kind.BOX))
+        pages.pages.append(raw)
+        asyncio.run(store.watch((Kind.BOX,), 9, 0.1))
+        pages.pages.append(raw)
+        asyncio.run(store.fetch(Kind.LEASE, 'forming'))
+    patch.undo()
+
+
+PLACES = st.integers(0, len(SOUND) - 1)
+CUTS = st.tuples(PLACES, st.integers(0, 4), st.binary(max_size=3))
+
+
+@given(cut=CUTS)
+def test_a_sound_object_that_is_damaged_is_read_or_left_out(
+    cut: tuple[int, int, bytes],
+) -> None:
+    """Where the page is still one, its other objects are there."""
+    start, length, put = cut
+    damaged = SOUND[:start] + put + SOUND[start + length :]
+    pages = Pages()
+    patch = pytest.MonkeyPatch()
+    patch.setattr(
+        HttpCalls,
+        'call',
+        lambda _calls, *words, **named: pages.call(*words, **named),
+    )
+    pages.add_list(encode('other', ENTRY), damaged)
+    read = asyncio.run(ObjectStore('127.0.0.1:1', 1.0).fetch_all(Kind.BOX))
+    patch.undo()
+    if isinstance(read, Success):
+        assert 'other' in list_names(read.unwrap())
