Decode the platform's objects one by one; test that lease and presence recover, red

Cause: a page was decoded as a whole, entries were taken leniently, and an unreadable entry left what was known under its name in use. Change: a page that does not decode is read object by object, whatever its bytes; a list goes on behind the last name that can be read; an event without a name lets all be read anew. Entries are checked strictly: missing fields, other types, unknown states, ports, addresses, places and groups that no holder names. A box whose entry is foreign is not used until its next sound one. One log line an object and revision.

--- a/tests/house.py
+++ b/tests/house.py
@@ -243,8 +243,11 @@
             'service': service,
             'address': f'127.0.0.1:{port}',
             'zone': 'hall-a',
+            'version': 'v1',
             'slots': 9,
             'state': 'ready',
+            'cold_left_ms': 0,
+            'seq_no': 1,
             'domain': 'd0',
             'staged': [],
         }
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+import pytest
 from returns.result import Failure, Result, Success
 
 from tests.held_clock import HeldClock
@@ -138,3 +139,53 @@
         assert other.taken == [2]
 
     asyncio.run(work())
+
+
+@pytest.mark.parametrize(
+    'body',
+    [None, 'x', [1], {}, {'holder': 7}, {'holder': 'a', 'epoch': 'new'}],
+)
+def test_a_lease_that_another_writer_wrote_over_is_taken_in_a_later_term(
+    body: Any,
+) -> None:
+    """Symptom: the duty was never held again, or its epochs began anew.
+
+    Sequence: another writer writes something else over the lease while a node
+    holds it.  The holder gives up and waits for a term, as it can't know who
+    holds it now; its next term has a higher epoch.  Cause: a body that was not
+    understood ended the look at the lease.
+    """
+
+    async def work() -> None:
+        store, clock = _Store(), HeldClock()
+        duty = _NotedDuty(store, clock)
+        await duty.on_lease_tick(Duty.LeaseTick())
+        assert store.stored is not None
+        version = store.stored.version + 1
+        store.stored = Stored('lease', 'forming', version, body)
+        clock.now += TERM / 2
+        for _look in range(2):
+            await duty.on_lease_tick(Duty.LeaseTick())
+            assert not duty.is_held()
+        clock.now += TERM + 0.1
+        await duty.on_lease_tick(Duty.LeaseTick())
+        assert duty.is_held()
+        assert duty.taken == [1, 2]
+
+    asyncio.run(work())
+
+
+def test_the_epochs_of_groups_bound_the_next_term_from_below() -> None:
+    """A node that never read the lease must not number its groups lower."""
+
+    async def work() -> None:
+        store, clock = _Store(), HeldClock()
+        store.stored = Stored('lease', 'forming', 4, 'x')
+        duty = _NotedDuty(store, clock)
+        duty.find_least_epoch = lambda: 17  # type: ignore[method-assign]
+        await duty.on_lease_tick(Duty.LeaseTick())
+        clock.now += TERM + 0.1
+        await duty.on_lease_tick(Duty.LeaseTick())
+        assert duty.taken == [18]
+
+    asyncio.run(work())
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -114,3 +114,37 @@
         await presence.withdraw(0.001)
 
     asyncio.run(asyncio.wait_for(work(), 20))
+
+
+@pytest.mark.parametrize('body', [None, 'x', [1], {}, {'host': 7}])
+def test_what_another_writer_listed_hides_no_node(
+    monkeypatch: pytest.MonkeyPatch, body: Any
+) -> None:
+    """Symptom: a node called nobody that it did not know, for good.
+
+    Sequence: something that is no node stands on the list, also under the
+    node's own name.  Cause: each object was taken for a node's.
+    """
+    monkeypatch.setattr(presence_module, 'JOIN_SECONDS', 0)
+
+    async def work() -> None:
+        store = _Store()
+        for name in ('a', 'odd'):
+            store.objects[name] = Stored('presence', name, 3, body)
+        address = {'host': '10.0.0.9', 'peer_port': 7400}
+        store.objects['b'] = Stored('presence', 'b', 4, address)
+        table = MembershipTable(make_record('a'), 2.0)
+        called: set[tuple[str, int]] = set()
+        links = SimpleNamespace(
+            list_peers=set, dial=lambda *words: called.add(words)
+        )
+        presence = Presence(store, table, links, (), Random(1))
+        task = asyncio.create_task(presence.run())
+        while not called:
+            await asyncio.sleep(0)
+            assert not task.done()
+        assert called == {('10.0.0.9', 7400)}
+        assert store.objects['a'].body['host']
+        task.cancel()
+
+    asyncio.run(asyncio.wait_for(work(), 20))
--- a/waywell/connection/platform.py
+++ b/waywell/connection/platform.py
@@ -70,6 +70,9 @@
     unreadable: tuple[str, ...] = ()
     """Names of objects that are not understood, and so left out."""
 
+    nameless: int = 0
+    """Objects that are not understood and don't even tell a name."""
+
 
 class PlatformFault(enum.Enum):
     """Why a call to the platform failed."""
--- a/waywell/platform/orders.py
+++ b/waywell/platform/orders.py
@@ -110,7 +110,7 @@
     pace: float = USUAL_PACE
     """How slow the server is, not how fast: over 1 its work takes longer."""
 
-    born: Born | None = None
+    born: Born | msgspec.UnsetType = msgspec.UNSET
 
 
 def decode_report(box: FleetBox, raw: bytes) -> BoxReport:
--- a/waywell/platform/servers.py
+++ b/waywell/platform/servers.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from ipaddress import IPv4Address
 from types import MappingProxyType
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -22,6 +23,8 @@
     FleetBox,
     MemberState,
     Standing,
+    name_group,
+    parse_group,
 )
 
 _STATE_BY_WORD = MappingProxyType(
@@ -35,6 +38,9 @@
 )
 
 
+HIGHEST_PORT = 65_535
+"""Highest number of a TCP port."""
+
 Born = Annotated[int, msgspec.Meta(ge=1)]
 """Start of a server's life: names the life, and is compared with no clock."""
 
@@ -43,30 +49,38 @@
     name: str
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Word = Annotated[str, msgspec.Meta(min_length=1)]
+
+
 class Group(msgspec.Struct):
     """A server's place in a group, as entries and reports tell it."""
 
     name: str
-    epoch: int
-    rank: int = 0
+    epoch: _Count
+    rank: _Count = 0
     state: str = 'joining'
 
 
 class _Server(msgspec.Struct):
     # Its ``seq_no`` is left out: here it numbers the entries that the server
     # has written, while in a report the same name counts orders taken.
-    service: str
+    service: _Word
     address: str
-    zone: str = ''
+    zone: str
+    # Of its software, not of its weights.
+    version: str
     # Of the box; a group has as many as one box, not the sum.
-    slots: int = 1
+    slots: Annotated[int, msgspec.Meta(ge=1)]
     # Of the box's planned end, not of its group.
-    state: str = 'ready'
+    state: Literal['ready', 'draining']
+    cold_left_ms: float
+    seq_no: int
     staged: list[Any] = []
     domain: str = ''
     group: Group | None = None
     # The start of its life by its own clock, not by the store's.
-    born: Born | None = None
+    born: Born | msgspec.UnsetType = msgspec.UNSET
 
 
 def decode_server(name: str, spec: Any) -> FleetBox:
@@ -77,13 +91,13 @@
     ValueError
         When it is not understood.
     """
-    server = msgspec.convert(spec, _Server, strict=False)
-    host, _, port = server.address.rpartition(':')
+    server = msgspec.convert(spec, _Server)
+    host, port = _decode_address(server.address)
     return FleetBox(
         box=BoxId(name),
         service=ServiceName(server.service),
         host=host,
-        port=int(port),
+        port=port,
         hall=HallName(server.zone),
         domain=DomainName(server.domain),
         places=server.slots,
@@ -94,9 +108,20 @@
     )
 
 
-def decode_life(born: int | None) -> Incarnation:
+def decode_life(born: int | msgspec.UnsetType) -> Incarnation:
     """Return which life of a server tells something."""
-    return UNTOLD if born is None else Incarnation(born)
+    if isinstance(born, msgspec.UnsetType):
+        return UNTOLD
+    return Incarnation(born)
+
+
+def _decode_address(address: str) -> tuple[str, int]:
+    """Return IP number and port."""
+    host, _, port = address.rpartition(':')
+    number = int(port)
+    if not 0 < number <= HIGHEST_PORT:
+        raise ValueError(f'address {address!r}: port')
+    return str(IPv4Address(host)), number
 
 
 def _decode_staged(staged: Any) -> ModelName:
@@ -112,15 +137,22 @@
     Raises
     ------
     ValueError
-        When its state is unknown.
+        When its state is unknown, or no holder names groups like that.
     """
     if not group.name:
         return None
     if group.state not in _STATE_BY_WORD:
         raise ValueError(f'group {group.name}: state {group.state!r}')
+    if group.name != _name_again(group):
+        raise ValueError(f'group {group.name}: of another system')
     return Standing(
         GroupId(group.name),
         Epoch(group.epoch),
         group.rank,
         _STATE_BY_WORD[group.state],
     )
+
+
+def _name_again(group: Group) -> str:
+    """Return the name that a group of this model and epoch has."""
+    return name_group(parse_group(GroupId(group.name)), Epoch(group.epoch))
--- a/waywell/platform/store.py
+++ b/waywell/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Callable
 from functools import partial
 from http import HTTPStatus
@@ -21,6 +22,13 @@
     Stored,
 )
 from waywell.platform.manifest import decode_manifest
+from waywell.platform.objects import (
+    ForeignObject,
+    StoredObject,
+    StorePage,
+    decode_object,
+    decode_page,
+)
 from waywell.platform.servers import decode_server
 from waywell.process.events import log_warning
 
@@ -33,9 +41,13 @@
 STALE = MappingProxyType({'serializable': '1'})
 """Query of a read that may be seconds old; it costs a tenth."""
 
-MOST_OBJECTS = 50_000
-"""Objects of one list, so that a list that never ends is given up; some twenty
-times the target's boxes."""
+MOST_PAGES = 1000
+"""Pages of one list, so that a list that never ends is given up; at 50 objects
+a page some twenty times the target's boxes."""
+
+MOST_TOLD = 1000
+"""Objects of other writers whose revision is remembered, so that the log tells
+of each once."""
 
 _WORD_BY_KIND = MappingProxyType(
     {
@@ -58,31 +70,6 @@
 """Turns the name and the plain body of an object into the project's type."""
 
 
-class _Meta(msgspec.Struct):
-    name: str
-    # Of the object's last change, not of the whole store.
-    revision: int = 0
-
-
-class _Object(msgspec.Struct):
-    metadata: _Meta
-    spec: Any = None
-
-
-class _Event(msgspec.Struct):
-    # Holds the object as it last was where it is removed.
-    object: _Object
-    removed: bool = False
-
-
-class _Page(msgspec.Struct):
-    items: list[_Object] = []
-    events: list[_Event] = []
-    has_more: bool = False
-    # Of the whole store; a watch goes on from here.
-    current_rev: int = 0
-
-
 def _keep_plain(_name: str, spec: Any) -> Any:
     return spec
 
@@ -114,6 +101,7 @@
             timeout,
             {'content-type': 'application/json'},
         )
+        self._reader = _ObjectReader()
 
     async def fetch(
         self,
@@ -128,7 +116,9 @@
         if isinstance(called, Success):
             if called.unwrap().status == HTTPStatus.NOT_FOUND:
                 return Success(None)
-        return called.bind(_take_body).bind(partial(_decode_one, kind))
+        return called.bind(_take_body).bind(
+            partial(self._reader.decode_one, kind)
+        )
 
     async def fetch_all(
         self,
@@ -136,23 +126,27 @@
         fresh: bool = True,
     ) -> Result[Changes, PlatformFault]:
         """Return all objects of a kind and where a watch goes on."""
-        found: list[_Event] = []
-        revision = 0
+        pages: list[StorePage] = []
         query = {} if fresh else dict(STALE)
-        while len(found) < MOST_OBJECTS:
+        while len(pages) < MOST_PAGES:
             called = await self._calls.call('GET', _make_path(kind, **query))
             decoded = called.bind(_take_body).bind(_decode_page)
             if isinstance(decoded, Failure):
                 return decoded
             page = decoded.unwrap()
-            # Changes after the first page are seen by the watch.
-            revision = revision or page.current_rev
-            found.extend(_Event(item) for item in page.items)
-            if not page.has_more or not page.items:
-                objects, unreadable = _gather(kind, found)
-                return Success(Changes(revision, objects, True, unreadable))
-            query['since_rev'] = page.items[-1].metadata.name
-        return Failure(PlatformFault.UNREADABLE)
+            pages.append(page)
+            if not page.has_more:
+                break
+            if not page.last_name:
+                return Failure(PlatformFault.UNREADABLE)
+            query['since_rev'] = page.last_name
+        changes = self._reader.gather(kind, pages)
+        # Changes after the first page are seen by the watch.
+        return Success(
+            msgspec.structs.replace(
+                changes, revision=pages[0].revision, complete=True
+            ),
+        )
 
     async def write(
         self,
@@ -169,7 +163,9 @@
             meta.pop('revision')
         raw = msgspec.json.encode({'metadata': meta, 'spec': body})
         called = await self._calls.call(method, path, raw)
-        return called.bind(_take_body).bind(partial(_decode_one, kind))
+        return called.bind(_take_body).bind(
+            partial(self._reader.decode_one, kind)
+        )
 
     async def delete(
         self,
@@ -205,9 +201,9 @@
         if isinstance(decoded, Failure):
             return decoded
         page = decoded.unwrap()
-        objects, unreadable = _gather(kinds[0], page.events)
+        changes = self._reader.gather(kinds[0], [page])
         return Success(
-            Changes(page.current_rev, objects, unreadable=unreadable),
+            msgspec.structs.replace(changes, revision=page.revision),
         )
 
 
@@ -225,59 +221,86 @@
     return Failure(_FAULT_BY_STATUS.get(answer.status, PlatformFault.REFUSED))
 
 
-def _decode_page(raw: bytes) -> Result[_Page, PlatformFault]:
-    try:
-        return Success(msgspec.json.decode(raw, type=_Page))
-    except msgspec.MsgspecError as error:
-        log_warning('store_answer_unreadable', error=str(error))
-        return Failure(PlatformFault.UNREADABLE)
+def _refuse_answer(error: ValueError) -> Failure[PlatformFault]:
+    log_warning('store_answer_unreadable', error=str(error))
+    return Failure(PlatformFault.UNREADABLE)
 
 
-def _decode_one(kind: Kind, raw: bytes) -> Result[Any, PlatformFault]:
+def _decode_page(raw: bytes) -> Result[StorePage, PlatformFault]:
     try:
-        found = msgspec.json.decode(raw, type=_Object)
-    except msgspec.MsgspecError as error:
-        log_warning('store_answer_unreadable', error=str(error))
-        return Failure(PlatformFault.UNREADABLE)
-    stored = _read_object(kind, found)
-    if stored is None:
-        return Failure(PlatformFault.UNREADABLE)
-    return Success(stored)
-
-
-def _gather(
-    kind: Kind,
-    events: list[_Event],
-) -> tuple[tuple[Stored, ...], tuple[str, ...]]:
-    """Return the objects of some events and the names of unreadable ones."""
-    stored = []
-    unreadable = []
-    for event in events:
-        meta = event.object.metadata
-        if event.removed:
-            stored.append(Stored(kind.value, meta.name, meta.revision))
-            continue
-        read = _read_object(kind, event.object)
-        if read is None:
-            unreadable.append(meta.name)
-        else:
-            stored.append(read)
-    return tuple(stored), tuple(unreadable)
-
-
-def _read_object(kind: Kind, found: _Object) -> Stored | None:
-    """Return an object, or ``None`` with a log line where it is unreadable."""
-    meta = found.metadata
-    decoder = _DECODER_BY_KIND.get(kind, _keep_plain)
-    try:
-        body = decoder(meta.name, found.spec)
+        return Success(decode_page(raw))
     except ValueError as error:
+        return _refuse_answer(error)
+
+
+class _ObjectReader:
+    """Turns objects of the store into the project's types."""
+
+    def __init__(self) -> None:
+        """Have told of no foreign object."""
+        self._told: OrderedDict[tuple[Kind, str], int] = OrderedDict()
+
+    def gather(self, kind: Kind, pages: list[StorePage]) -> Changes:
+        """Return what some pages hold, but where a watch goes on."""
+        found = [one for page in pages for one in page.objects]
+        foreign = [other for page in pages for other in page.foreign]
+        for unframed in foreign:
+            self._tell_foreign(kind, unframed)
+        names = [unframed.name for unframed in foreign if unframed.name]
+        nameless = len(foreign) - len(names)
+        stored = []
+        for framed in found:
+            read = self.read(kind, framed)
+            if read is None:
+                names.append(framed.name)
+            else:
+                stored.append(read)
+        return Changes(
+            0,
+            tuple(stored),
+            unreadable=tuple(names),
+            nameless=nameless,
+        )
+
+    def read(self, kind: Kind, found: StoredObject) -> Stored | None:
+        """Return an object, or nothing where it is another writer's."""
+        if found.removed:
+            return Stored(kind.value, found.name, found.revision)
+        decoder = _DECODER_BY_KIND.get(kind, _keep_plain)
+        try:
+            body = decoder(found.name, found.spec)
+        except (ValueError, TypeError, OverflowError) as error:
+            foreign = ForeignObject(found.name, found.revision, str(error))
+            self._tell_foreign(kind, foreign)
+            return None
+        return Stored(kind.value, found.name, found.revision, body)
+
+    def decode_one(
+        self,
+        kind: Kind,
+        raw: bytes,
+    ) -> Result[Any, PlatformFault]:
+        """Return the one object of an answer."""
+        try:
+            stored = self.read(kind, decode_object(raw))
+        except ValueError as error:
+            return _refuse_answer(error)
+        if stored is None:
+            return Failure(PlatformFault.UNREADABLE)
+        return Success(stored)
+
+    def _tell_foreign(self, kind: Kind, foreign: ForeignObject) -> None:
+        """Log an object of another writer, once a revision."""
+        key = (kind, foreign.name)
+        if self._told.get(key) == foreign.revision:
+            return
+        self._told[key] = foreign.revision
+        while len(self._told) > MOST_TOLD:
+            self._told.popitem(last=False)
         log_warning(
             'object_unreadable',
             kind=kind.value,
-            name=meta.name,
-            revision=meta.revision,
-            error=str(error),
+            name=foreign.name,
+            revision=foreign.revision,
+            error=foreign.error,
         )
-        return None
-    return Stored(kind.value, meta.name, meta.revision, body)
--- a/waywell/process/fleet_watch.py
+++ b/waywell/process/fleet_watch.py
@@ -11,7 +11,7 @@
 from waywell.version.fleet import Fleet, FleetBox
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Set
 
     from waywell.connection.platform import Changes
     from waywell.process.platform_watch import WatchParts
@@ -84,8 +84,15 @@
                 listed.pop(name, None)
             else:
                 listed[name] = stored.body
+        for foreign in changes.unreadable:
+            # What another writer wrote names no box to use.
+            listed.pop(BoxId(foreign), None)
+            self._kept.pop(BoxId(foreign), None)
         self._revision = changes.revision
-        self._keep_vanished(listed, now)
+        if changes.nameless and not changes.complete:
+            # It may have been any box.
+            self.forget_revision()
+        self._keep_vanished(listed, set(changes.unreadable), now)
         self._drop_kept(listed, now)
         self._listed = listed
         known = self._outlook.fleet.boxes
@@ -107,6 +114,7 @@
     def _keep_vanished(
         self,
         listed: dict[BoxId, FleetBox],
+        foreign: Set[str],
         now: float,
     ) -> None:
         """Keep boxes for a while that vanished around an outage."""
@@ -114,7 +122,7 @@
         if now > until:
             return
         known = self._outlook.fleet.boxes
-        for name in self._listed.keys() - listed.keys():
+        for name in self._listed.keys() - listed.keys() - foreign:
             if name in known and not known[name].leaving:
                 self._kept[name] = until
 
