Let lease and presence recover from other writers' bodies; count and show foreign objects

Cause: a lease body that is not understood ended each look at it, and its epochs would have begun anew; one foreign object on the presence list ended the task that reads it. A lease that can't be given back is logged. Watches remember which objects are foreign: a gauge and the status show them.

--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -22,6 +22,7 @@
 from waywell.ids import ModelName
 from waywell.process.forming import SETTLE_SECONDS
 from waywell.version.forming_memory import PENDING_SECONDS
+from waywell.version.orders import Assignment, Leave
 from waywell.version.routes import Engine, EngineModel
 
 if TYPE_CHECKING:
@@ -182,3 +183,33 @@
     holder.refresh()
     assert holder.find_entry(head.name).life not in holder.last_models
     assert life not in holder.last_models
+
+
+def test_an_order_planned_for_a_former_life_is_not_sent(
+    holder: Holder,
+) -> None:
+    """Sequence: a box starts again while its join waits for other boxes."""
+    head = _find_head(holder)
+    entry = holder.find_entry(head.name)
+    order = Leave(entry.standing.group, entry.standing.epoch)
+    head.restart()
+    holder.refresh()
+    giving = holder.duty._give(Assignment(entry, order), holder.duty.epoch)
+    holder.loop.run_until_complete(giving)
+    assert not holder.orders.flying
+
+
+def test_a_box_that_tells_another_life_than_the_list_counts_as_lost(
+    holder: Holder,
+) -> None:
+    """The list lags by a heartbeat; what the box tells itself is newer."""
+    member = _find_member(holder)
+    former = holder.find_entry(member.name).life
+    member.restart()
+    holder.doubt('pair.1000001')
+    holder.plan()
+    assert holder.find_flying(_find_head(holder).name, 'leave')
+    assert former in holder.duty._get_memory('llm').lost
+    holder.refresh()
+    holder.plan()
+    assert not holder.duty._get_memory('llm').lost
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -100,3 +100,12 @@
             status = box.take(encode_order(numbered, 1))
             taken.append(status < 300)
         assert taken == [True, False]
+
+
+def test_a_join_planned_for_a_former_life_is_sent_to_no_later_one() -> None:
+    listed = msgspec.structs.replace(make_box('a'), incarnation=1)
+    report = BoxReport(orders_begun=0, incarnation=2)
+    check = check_joins(make_joins(listed), {listed.life: report})
+    assert check.unfit == (listed.life,)
+    told = BoxReport(orders_begun=0, incarnation=1)
+    assert check_joins(make_joins(listed), {listed.life: told}).joins
--- a/waywell/platform/store.py
+++ b/waywell/platform/store.py
@@ -244,9 +244,9 @@
         """Return what some pages hold, but where a watch goes on."""
         found = [one for page in pages for one in page.objects]
         foreign = [other for page in pages for other in page.foreign]
+        names = [other.name for other in foreign if other.name]
         for unframed in foreign:
             self._tell_foreign(kind, unframed)
-        names = [unframed.name for unframed in foreign if unframed.name]
         nameless = len(foreign) - len(names)
         stored = []
         for framed in found:
--- a/waywell/process/duty.py
+++ b/waywell/process/duty.py
@@ -10,7 +10,7 @@
 
 from waywell.connection.platform import Kind, PlatformFault
 from waywell.process.actor import Actor, Message
-from waywell.process.events import log_event
+from waywell.process.events import log_event, log_warning
 from waywell.process.gossip import Gossip
 from waywell.process.lease import LeaseMove, LeaseRecord, LeaseState
 from waywell.process.membership import NodeState, rank_contenders
@@ -82,14 +82,19 @@
 
     async def retire(self) -> None:
         """Give the lease back, so that nobody waits for its end."""
-        if self.is_held():
-            record = self.state.make_vacant(make_operation())
-            self.state.distrust()
-            await self._platform.write(
-                Kind.LEASE,
-                self._name,
-                msgspec.to_builtins(record),
-                self._version,
+        if not self.is_held():
+            return
+        record = self.state.make_vacant(make_operation())
+        self.state.distrust()
+        answer = await self._platform.write(
+            Kind.LEASE,
+            self._name,
+            msgspec.to_builtins(record),
+            self._version,
+        )
+        if isinstance(answer, Failure):
+            log_warning(
+                'lease_kept', lease=self._name, fault=answer.failure().value
             )
 
     async def _look(self) -> None:
@@ -124,10 +129,22 @@
 
     def _take_in(self, stored: Stored | None) -> None:
         self._version = stored.version if stored else 0
-        record = None
-        if stored is not None:
+        now = self._clock.read()
+        if stored is None:
+            self.state.observe(None, now)
+            return
+        try:
             record = msgspec.convert(stored.body, LeaseRecord)
-        self.state.observe(record, self._clock.read())
+        except msgspec.ValidationError as error:
+            log_warning(
+                'lease_unreadable',
+                lease=self._name,
+                version=stored.version,
+                error=str(error),
+            )
+            self.state.observe_unreadable(stored.version, now)
+            return
+        self.state.observe(record, now)
 
     async def _write(self, move: LeaseMove, sent_at: float) -> None:
         record = self.state.make_next(move, make_operation())
@@ -237,6 +254,10 @@
             )
         return table.own.node in self._candidates
 
+    def find_least_epoch(self) -> int:
+        """Return the highest epoch that is known to have been in use."""
+        return 0
+
     async def take_up(self) -> None:
         """Begin the duty; called when the lease was taken."""
 
@@ -250,6 +271,7 @@
     async def on_lease_tick(self, _tick: LeaseTick) -> None:
         """Renew, take or watch the lease."""
         if self.is_candidate() or self.lease.is_held():
+            self.lease.state.raise_least(self.find_least_epoch())
             await self.lease.tend()
         epoch = self.epoch if self.lease.is_held() else None
         if epoch == self._taken_epoch:
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -9,15 +9,15 @@
 from waywell.ids import GroupId, ServiceName
 from waywell.process.actor import Message
 from waywell.process.box_questions import ask_box
+from waywell.process.box_survey import BoxSurvey
 from waywell.process.duty import Duty
-from waywell.process.events import log_event, log_warning
+from waywell.process.events import log_warning
 from waywell.process.forming_log import log_groups, log_order
-from waywell.version.box_report import BoxReport, ReportReading
+from waywell.version.box_report import BoxReport
 from waywell.version.fleet import (
     BoxLife,
     Fleet,
     FleetBox,
-    is_same_life,
 )
 from waywell.version.forming import (
     FormingPlanner,
@@ -51,9 +51,6 @@
 EPOCHS_A_TERM = 1_000_000
 """Epochs that one holder has; the next one's are higher."""
 
-ASK_AGAIN_SECONDS = 1.0
-"""Between two questions to a box that is listed, and lost or slow."""
-
 OUTDATED_SECONDS = 10.0
 """Between two terms that are given up because a box has seen a later one: each
 new term forgets what the holder has learned."""
@@ -146,12 +143,19 @@
         self._read_demand = read_demand
         self._memories: dict[ServiceName, FormingMemory] = {}
         self._summaries: dict[ServiceName, FormingSummary] = {}
-        self._asking: set[BoxLife] = set()
+        self._survey = BoxSurvey(outlook, self._begin_probe)
         self._box_count = 0
         self._counted_at = 0.0
         self._outdated_at = float('-inf')
         self._planning: asyncio.Task[object] | None = None
 
+    def find_least_epoch(self) -> int:
+        """Return the term of the latest group that is listed.
+
+        Where the lease was written over, nothing else tells it.
+        """
+        return self._outlook.fleet.find_latest_epoch() // EPOCHS_A_TERM
+
     async def take_up(self) -> None:
         """Forget what an earlier term knew; begin to plan."""
         self._memories.clear()
@@ -169,7 +173,7 @@
             return
         for name, engine in self._outlook.index.list_engines():
             memory = self._get_memory(name)
-            self._ask_troubled(memory, now)
+            self._survey.ask_troubled(memory, now)
             view = FormingView(
                 name,
                 engine,
@@ -209,27 +213,13 @@
         if not self.is_held() or group is None:
             return
         for member in group.members:
-            self._ask(member)
+            self._survey.ask(member)
 
     def on_probed(self, probed: Probed) -> None:
         """Count a life of a box as lost, or as back."""
-        life = probed.box.life
-        self._asking.discard(life)
         memory = self._get_memory(probed.box.service)
         now = self.clock.read()
-        report = probed.report
-        if report is None or not _is_of(probed.box, report):
-            is_news = life not in memory.lost
-            memory.lost[life] = now
-            if is_news:
-                event = 'box_silent' if report is None else 'box_restarting'
-                log_warning(event, box=life.box, ended=life.incarnation)
-                self._ask_mates(memory, probed.box, now)
-            return
-        if life in memory.lost:
-            memory.lost.pop(life)
-            log_event('box_back', box=life.box)
-        self._note_report(memory, probed.box, report, now)
+        self._survey.take(memory, probed.box, probed.report, now)
 
     def dump(self) -> dict[str, object]:
         """Return the duty as plain values."""
@@ -259,72 +249,8 @@
             },
         )
 
-    def _note_report(
-        self,
-        memory: FormingMemory,
-        box: FleetBox,
-        report: BoxReport,
-        now: float,
-    ) -> None:
-        """Keep what a box told; where it is slow, others may be as well."""
-        was_slow = memory.is_slow(box.life)
-        memory.reports[box.life] = ReportReading(report, now)
-        if report.is_slow() != was_slow:
-            event = 'box_slow' if report.is_slow() else 'box_fast'
-            log_event(event, box=box.box, pace=report.pace)
-        if report.is_slow():
-            self._ask_mates(memory, box, now)
-
-    def _ask_mates(
-        self,
-        memory: FormingMemory,
-        box: FleetBox,
-        now: float,
-    ) -> None:
-        """Ask the boxes of a domain where one is silent or slow.
-
-        What hits one box often hits more.  Those that no request depends on
-        are noticed by nobody else until their entries lapse, and groups were
-        formed of them in vain: of 20 boxes of 171 that went silent at one
-        moment, the holder knew 9 at the most after 2 s (one day's log).
-        """
-        for other in self._outlook.fleet.boxes.values():
-            is_mate = other.domain == box.domain
-            is_lost = other.life in memory.lost
-            if is_mate and other.service == box.service and not is_lost:
-                self._ask_again(memory, other, now)
-
-    def _ask_troubled(self, memory: FormingMemory, now: float) -> None:
-        """Ask lost and slow boxes again while they are listed."""
-        fleet = self._outlook.fleet
-        for lost, asked_at in tuple(memory.lost.items()):
-            box = fleet.find_life(lost)
-            if box is None:
-                memory.lost.pop(lost)
-            elif now - asked_at > ASK_AGAIN_SECONDS:
-                self._ask(box)
-        for told in tuple(memory.reports):
-            box = fleet.find_life(told)
-            if box is None:
-                memory.reports.pop(told)
-            elif memory.is_slow(told):
-                self._ask_again(memory, box, now)
-
-    def _ask_again(
-        self,
-        memory: FormingMemory,
-        box: FleetBox,
-        now: float,
-    ) -> None:
-        """Ask a box how it is, unless it told a moment ago."""
-        reading = memory.reports.get(box.life)
-        if reading is None or now - reading.read_at > ASK_AGAIN_SECONDS:
-            self._ask(box)
-
-    def _ask(self, box: FleetBox) -> None:
-        if box.life not in self._asking:
-            self._asking.add(box.life)
-            self.spawn(self._probe(box))
+    def _begin_probe(self, box: FleetBox) -> None:
+        self.spawn(self._probe(box))
 
     async def _probe(self, box: FleetBox) -> BoxReport | None:
         """Ask a box for a sign of life; note and return what it told."""
@@ -424,8 +350,3 @@
         result = await self._orders.give(assignment, epoch)
         log_order(assignment, result)
         self.post(self.Ordered(assignment, result, epoch))
-
-
-def _is_of(box: FleetBox, report: BoxReport) -> bool:
-    """Answer whether a report is of the life that the list shows."""
-    return is_same_life(box.incarnation, report.incarnation)
--- a/waywell/process/front_gauges.py
+++ b/waywell/process/front_gauges.py
@@ -56,6 +56,19 @@
             'node',
             self._count_in_flight,
         )
+        show(
+            'waywell_foreign_objects',
+            'Objects of the platform that another writer has written.',
+            'part',
+            self._count_foreign,
+        )
+
+    def _count_foreign(self) -> Mapping[str, float]:
+        node = self._node
+        return {
+            'routes': len(node.routes.foreign),
+            'boxes': len(node.fleet.foreign),
+        }
 
     def _count_serving(self) -> Mapping[str, float]:
         return self._node.outlook.count_serving()
--- a/waywell/process/front_operations.py
+++ b/waywell/process/front_operations.py
@@ -25,6 +25,10 @@
     from waywell.version.routes import Route, ServiceShare
 
 
+MOST_SHOWN = 20
+"""Names of other writers' objects that a status shows of each part."""
+
+
 class FrontOperations:
     """Answers operators' questions about one node.
 
@@ -73,6 +77,10 @@
                 'boxes': len(outlook.fleet.boxes),
                 'boxes_age_seconds': outlook.get_boxes_age(now),
                 'serving': outlook.count_serving(),
+                'foreign': {
+                    'routes': node.routes.foreign[:MOST_SHOWN],
+                    'boxes': node.fleet.foreign[:MOST_SHOWN],
+                },
                 'forms_groups': node.forming.is_held(),
                 'reads_platform': node.feed.is_reader(),
             },
--- a/waywell/process/lease.py
+++ b/waywell/process/lease.py
@@ -33,6 +33,10 @@
 NOBODY = NodeId('')
 """Holder of a lease that was given back."""
 
+UNKNOWN_HOLDER = NodeId('?')
+"""Holder of a lease over which another writer has written: whoever held it may
+still trust it, so it is waited for as for any other."""
+
 
 class LeaseRecord(msgspec.Struct, frozen=True):
     """A lease as the platform keeps it."""
@@ -91,6 +95,7 @@
         self._incarnation = incarnation
         self._term = term
         self._seen_at = 0.0
+        self._least_epoch = 0
         self._held_from = float('-inf')
         self._term_epoch = 0
 
@@ -99,12 +104,30 @@
         """Return the epoch last seen."""
         return self.record.epoch if self.record else 0
 
+    def raise_least(self, epoch: int) -> None:
+        """Let the next term have a higher epoch than one that was in use."""
+        self._least_epoch = max(self._least_epoch, epoch)
+
     def observe(self, record: LeaseRecord | None, now: float) -> None:
         """Take in what the platform shows at ``now``."""
         if record != self.record:
+            self.raise_least(self.epoch)
             self.record = record
             self._seen_at = now
 
+    def observe_unreadable(self, version: int, now: float) -> None:
+        """Take in that another writer has written over the lease.
+
+        Parameters
+        ----------
+        version
+            Version of what is there.
+        now
+            The present time, in seconds.
+        """
+        unknown = LeaseRecord(UNKNOWN_HOLDER, Incarnation(0), 0, version)
+        self.observe(unknown, now)
+
     def confirm(self, record: LeaseRecord, sent_at: float, now: float) -> None:
         """Take in that an own write, sent at ``sent_at``, took effect.
 
@@ -148,7 +171,7 @@
         return LeaseRecord(
             self._node,
             self._incarnation,
-            self.epoch + 1,
+            max(self.epoch, self._least_epoch) + 1,
             operation=operation,
         )
 
@@ -158,7 +181,7 @@
 
     def _choose_own_move(self, now: float) -> LeaseMove:
         """Return what to do about an own record."""
-        if not self.is_held(now):
+        if not self.is_held(now) or self._least_epoch > self.epoch:
             return LeaseMove.TAKE
         if now >= self._held_from + self._term * RENEW_SHARE:
             return LeaseMove.RENEW
--- a/waywell/process/platform_watch.py
+++ b/waywell/process/platform_watch.py
@@ -89,15 +89,25 @@
         self._revision = 0
         self._failures = 0
         self._wanted = asyncio.Event()
+        self._foreign: set[str] = set()
 
     def start(self) -> None:
         """Begin to read."""
         super().start()
         self.spawn(self._watch())
 
+    @property
+    def foreign(self) -> list[str]:
+        """Return the objects that another writer has written."""
+        return sorted(self._foreign)
+
     def dump(self) -> dict[str, object]:
         """Return the state as plain values."""
-        return {**super().dump(), 'revision': self._revision}
+        return {
+            **super().dump(),
+            'revision': self._revision,
+            'foreign': self.foreign,
+        }
 
     def get_pace(self) -> float:
         """Return the least seconds between two looks."""
@@ -151,7 +161,9 @@
             await asyncio.sleep(self._choose_wait())
             return
         self._note_reached()
-        self.take(answer.unwrap(), asked_at, now)
+        changes = answer.unwrap()
+        self._note_foreign(changes)
+        self.take(changes, asked_at, now)
         await asyncio.sleep(max(0.0, asked_at + self.get_pace() - now))
 
     async def _read(self) -> Result[Changes, PlatformFault]:
@@ -169,6 +181,13 @@
             draw=parts.draw(),
         )
 
+    def _note_foreign(self, changes: Changes) -> None:
+        """Remember which objects are another writer's."""
+        if changes.complete:
+            self._foreign.clear()
+        self._foreign -= {stored.name for stored in changes.objects}
+        self._foreign.update(changes.unreadable)
+
     def _note_lost(self, fault: PlatformFault) -> None:
         self._failures += 1
         if self._failures == 1:
--- a/waywell/process/presence.py
+++ b/waywell/process/presence.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import msgspec
 from returns.result import Failure
 
 from waywell.connection.platform import Kind
@@ -13,10 +14,10 @@
 from waywell.process.membership import may_call
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Iterator, Sequence
     from random import Random
 
-    from waywell.connection.platform import Platform
+    from waywell.connection.platform import Platform, Stored
     from waywell.process.links import PeerLinks
     from waywell.process.membership import MembershipTable
 
@@ -33,6 +34,13 @@
 """Seconds between two looks for entry boxes that this one does not know."""
 
 
+class _Listed(msgspec.Struct):
+    """What a node writes of itself."""
+
+    host: str
+    peer_port: int
+
+
 class Presence:
     """Lists this node in the platform and calls the others listed there.
 
@@ -170,8 +178,18 @@
                 stored.name for stored in objects
             }
             self._listed_nodes = max(self._listed_nodes, len(objects))
-            found.update(
-                Address(stored.body['host'], stored.body['peer_port'])
-                for stored in objects
-            )
+            found.update(_list_addresses(objects))
         return sorted(found - known, key=str)
+
+
+def _list_addresses(objects: Iterable[Stored]) -> Iterator[Address]:
+    """Return the addresses that nodes have listed."""
+    for stored in objects:
+        try:
+            listed = msgspec.convert(stored.body, _Listed)
+        except msgspec.ValidationError as error:
+            log_warning(
+                'presence_unreadable', node=stored.name, error=str(error)
+            )
+            continue
+        yield Address(listed.host, listed.peer_port)
--- a/waywell/version/fleet.py
+++ b/waywell/version/fleet.py
@@ -233,6 +233,13 @@
         box = self.boxes.get(known.box)
         return box is not None and box.life != known.life
 
+    def find_latest_epoch(self) -> int:
+        """Return the highest epoch of a listed group, 0 without any."""
+        epochs = (
+            box.standing.epoch for box in self.boxes.values() if box.standing
+        )
+        return max(epochs, default=0)
+
     def list_plain(self, service: ServiceName) -> list[Replica]:
         """Return the boxes of a plain service that may get requests."""
         return [
