Send newer routes to followers with the reader's first answer about them

Change: a follower asks its reader for newer routes in each question; it reads itself only when two questions have brought none, or its routes grow old.

--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -127,7 +127,6 @@
     bench.answer(bench.ask())
     assert bench.get_ages()[0] == 2.0
     assert bench.feed.behind_version == 7
-    assert bench.feed.needs_routes(bench.clock.now)
     assert bench.ask().wants_routes
     bench.answer(bench.ask(), routes=RouteTable(7))
     assert bench.outlook.index.table.version == 7
@@ -269,3 +268,32 @@
     lean, full = (message for _node, message in bench.links.sent)
     assert (lean.boxes, lean.gone, lean.is_whole) == ((), (), False)
     assert [box.box for box in full.boxes] == ['x']
+
+
+def test_a_node_takes_newer_routes_from_its_reader() -> None:
+    """Load: 71 nodes and eleven versions of the routes within ten seconds.
+
+    Each node read each version from the platform as soon as it heard of it.
+    """
+    bench = Bench()
+    bench.outlook.take_routes(RouteTable(6))
+    bench.outlook.confirm_routes(bench.clock.now)
+    ask = bench.ask()
+    assert ask.wants_routes
+    bench.answer(ask, routes=RouteTable(7))
+    assert bench.outlook.index.table.version == 7
+    assert not bench.feed.needs_routes(bench.clock.now)
+
+
+def test_a_node_whose_reader_sends_no_newer_routes_reads_them() -> None:
+    """The reader lives and answers, and its routes are not the newest."""
+    bench = Bench()
+    bench.outlook.take_routes(RouteTable(6))
+    bench.outlook.confirm_routes(bench.clock.now)
+    bench.answer(bench.ask())
+    assert not bench.feed.needs_routes(bench.clock.now)
+    bench.clock.now += 0.8
+    bench.outlook.confirm_routes(bench.clock.now)
+    assert bench.feed.needs_routes(bench.clock.now)
+    bench.answer(bench.ask(), routes=RouteTable(7))
+    assert not bench.feed.needs_routes(bench.clock.now)
--- a/waywell/connection/peer.py
+++ b/waywell/connection/peer.py
@@ -96,7 +96,7 @@
     """Number of that list at the answerer."""
 
     wants_routes: bool = False
-    """Whether the asker can't read a newer version of the routes itself."""
+    """Whether a newer version of the routes is to come with the answer."""
 
     hall: str = ''
     """Data hall of the asker."""
--- a/waywell/process/feed.py
+++ b/waywell/process/feed.py
@@ -36,6 +36,10 @@
 MOST_OPEN = 32
 """Questions without an answer that are remembered."""
 
+BEHIND_ASKS = 2.0
+"""Questions to the reader that a node which knows of newer routes waits for
+before it reads them itself; the answer to the first one should bring them."""
+
 UNKNOWN_AGE = 1e9
 """Age of what was never known, in seconds."""
 
@@ -125,6 +129,7 @@
         self._followers: set[NodeId] = set()
         self._readers = HallReaders(gossip.table)
         self._may_fetch = False
+        self._behind_since = 0.0
         self.behind_version = 0
         links.subscribe(self, FeedAsk, FeedAnswer)
 
@@ -141,7 +146,7 @@
         """Answer whether this node has to read the routes itself."""
         if now < self._reads_from:
             return False
-        if self.is_reader() or self.behind_version:
+        if self.is_reader() or self._is_left_behind(now):
             return True
         return self._are_routes_old(now)
 
@@ -197,6 +202,12 @@
         for peer in self._links.list_peers() - asked:
             self._ask(peer, now, wants_boxes=False)
 
+    def _is_left_behind(self, now: float) -> bool:
+        """Answer whether nobody has sent the newer routes that there are."""
+        if not self.behind_version:
+            return False
+        return now - self._behind_since > BEHIND_ASKS * self._paces.ask
+
     def _are_routes_old(self, now: float) -> bool:
         """Answer whether the routes were not confirmed for too long."""
         return self._outlook.get_routes_age(now) > self._paces.route_fed
@@ -234,13 +245,22 @@
             self._outlook.index.table.version,
             base.run,
             base.serial,
-            wants_routes=self.behind_version > 0,
+            wants_routes=self.behind_version > 0 or self._follows(peer),
             hall=self._own.hall,
             loads=loads,
             wants_boxes=wants_boxes,
         )
         self._links.send(peer, ask)
 
+    def _follows(self, peer: NodeId) -> bool:
+        """Answer whether a peer reads for this node.
+
+        It sends newer routes with its first answer about them: where each node
+        read each version itself, that was 960 of 3,360 calls of 71 nodes on a
+        day with eleven versions (counted from a log of all calls).
+        """
+        return peer == self._readers.own
+
     def _answer(self, peer: NodeId, ask: FeedAsk) -> None:
         now = self._clock.read()
         self._take_loads(peer, ask, now)
@@ -329,6 +349,8 @@
             self._outlook.take_routes(answer.routes)
         own = self._outlook.index.table.version
         if answer.version > own:
+            if not self.behind_version:
+                self._behind_since = self._clock.read()
             self.behind_version = answer.version
         elif own >= self.behind_version:
             self.behind_version = 0
