Look only at entries that changed when a new list comes

Cause: each list was gone through whole twice, for the models that boxes served and for their lives: 1.3 ms with 222 boxes, 2.5 times a second at each node (profile). Change: lists are compared by identity once; both take what differs. Figures: 0.02 ms a list where two boxes changed (same profile). Conclusion: no change of behaviour.

--- a/tests/holder.py
+++ b/tests/holder.py
@@ -23,7 +23,13 @@
 from waywell.platform.servers import decode_server
 from waywell.process.actor import get_handler_name
 from waywell.process.forming import FormingDuty
-from waywell.version.fleet import BoxLife, Fleet, FleetBox, note_models
+from waywell.version.fleet import (
+    BoxLife,
+    Fleet,
+    FleetBox,
+    compare_fleets,
+    note_models,
+)
 from waywell.version.lives import LifeBook
 from waywell.version.orders import Assignment, OrderResult
 
@@ -138,6 +144,7 @@
     def restart_node(self) -> None:
         """Let a node hold the duty that saw no list before."""
         self._outlook.lives = LifeBook()
+        self._outlook.fleet = Fleet({})
         self.last_models.clear()
         self.take_over()
 
@@ -145,17 +152,21 @@
         """Let the list that the holder sees be true."""
         self._entries = {}
         for name in self.house.replicas:
-            self.refresh_one(name)
+            self._read_entry(name)
+        self._show_entries()
 
     def refresh_one(self, name: str) -> None:
         """Let the entry of one replica be true; others may be old."""
+        self._read_entry(name)
+        self._show_entries()
+
+    def _read_entry(self, name: str) -> None:
         replica = self.house.replicas[name]
         if replica.is_listed:
             entry = replica.make_entry()
             self._entries[name] = decode_server(name, entry)
         else:
             self._entries.pop(name, None)
-        self._show_entries()
 
     def hide(self, *names: str) -> list[FleetBox]:
         """Take entries off the list; return them as they were."""
@@ -218,9 +229,11 @@
             is_busy = self.duty.handle_waiting()
 
     def _show_entries(self) -> None:
-        self._outlook.fleet = Fleet(dict(self._entries))
-        note_models(self.last_models, self._outlook.fleet)
-        self._outlook.lives.note(self._outlook.fleet, self.clock.now)
+        before, after = self._outlook.fleet, Fleet(dict(self._entries))
+        change = compare_fleets(before, after)
+        note_models(self.last_models, before, change)
+        self._outlook.lives.note(after, change, self.clock.now)
+        self._outlook.fleet = after
 
     def _make_duty(self) -> _HeldDuty:
         self._term += 1
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -20,7 +20,7 @@
 from tests.held_clock import HeldClock
 
 DOMAIN = 'd0'
-"""Fabric domain of all replicas."""
+"""Fabric domain of replicas that are in no other."""
 
 STALL_SECONDS = 6.0
 """For which a head goes on that has lost a member."""
@@ -60,6 +60,7 @@
 
     name: str
     house: SimHouse
+    domain: str = DOMAIN
     is_alive: bool = True
     is_listed: bool = True
     is_reachable: bool = True
@@ -159,7 +160,7 @@
             'cold_left_ms': 0,
             'seq_no': len(self.told),
             'born': self.born,
-            'domain': DOMAIN,
+            'domain': self.domain,
             'staged': list(self.staged),
             'group': None if own is None else own.encode(),
         }
--- a/waywell/process/outlook.py
+++ b/waywell/process/outlook.py
@@ -14,6 +14,7 @@
     Fleet,
     Replica,
     ReplicaKey,
+    compare_fleets,
     make_key,
     note_models,
 )
@@ -85,12 +86,13 @@
 
     def take_fleet(self, fleet: Fleet, asked_at: float) -> None:
         """Put a box list in force that was asked for at a moment."""
+        change = compare_fleets(self.fleet, fleet)
+        note_models(self.last_models, self.fleet, change)
+        ended = self.lives.note(fleet, change, asked_at)
         self.fleet = fleet
         self.fleet_serial += 1
-        note_models(self.last_models, fleet)
         self._boxes_at = max(self._boxes_at, asked_at)
         self._replicas.clear()
-        ended = self.lives.note(fleet, asked_at)
         if ended:
             self._tell_ended(ended)
 
--- a/waywell/version/fleet.py
+++ b/waywell/version/fleet.py
@@ -298,7 +298,39 @@
     return UNTOLD in {listed, told} or listed == told
 
 
-def note_models(last: dict[BoxLife, ModelName], fleet: Fleet) -> None:
+class FleetChange(NamedTuple):
+    """What differs between a list and the one before it."""
+
+    boxes: tuple[FleetBox, ...]
+    """Boxes whose entries are new."""
+
+    gone: tuple[BoxId, ...]
+    """Boxes that are not listed any more."""
+
+
+def compare_fleets(before: Fleet, after: Fleet) -> FleetChange:
+    """Return what differs between two lists.
+
+    Entries that did not change are the same values in both, so only few are
+    looked at: with 222 boxes 0.02 ms in place of 1.3 ms for all that is noted
+    of each new list (profile of one node's lists).
+    """
+    known = before.boxes
+    return FleetChange(
+        tuple(
+            box
+            for name, box in after.boxes.items()
+            if known.get(name) is not box
+        ),
+        tuple(known.keys() - after.boxes.keys()),
+    )
+
+
+def note_models(
+    last: dict[BoxLife, ModelName],
+    before: Fleet,
+    change: FleetChange,
+) -> None:
     """Remember which model each life of a box served last.
 
     Its entry does not tell any more once it has left its group, but it joins
@@ -306,14 +338,15 @@
     holder of the forming duty knows.  A box that starts again has to load it
     anew.
     """
-    for box in fleet.boxes.values():
+    for name in change.gone:
+        last.pop(before.boxes[name].life, None)
+    for box in change.boxes:
+        known = before.boxes.get(box.box)
+        if known is not None and known.life != box.life:
+            last.pop(known.life, None)
         standing = box.standing
         if standing and standing.state is not MemberState.JOINING:
             last[box.life] = parse_group(standing.group)
-    for life in tuple(last):
-        listed = fleet.boxes.get(life.box)
-        if listed is None or listed.life != life:
-            last.pop(life)
 
 
 def _serves(group: FleetGroup, size: int) -> bool:
--- a/waywell/version/lives.py
+++ b/waywell/version/lives.py
@@ -21,7 +21,7 @@
 
 if TYPE_CHECKING:
     from waywell.ids import BoxId, GroupId
-    from waywell.version.fleet import Fleet
+    from waywell.version.fleet import Fleet, FleetChange
 
 USUAL_STALL = 6.0
 """Seconds for which a head goes on without one of its members, where the
@@ -59,11 +59,11 @@
 
 
 @attrs.frozen
-class _Seen:
-    """A box as it was last listed."""
+class _Gone:
+    """A box that is off the list, as it was last listed."""
 
     box: FleetBox
-    at: float
+    since: float
 
 
 class LifeBook:
@@ -78,29 +78,40 @@
     def __init__(self, stall: float = USUAL_STALL) -> None:
         """Know no box yet."""
         self._bound_seconds = stall + STALL_MARGIN
-        self._seen: dict[BoxId, _Seen] = {}
+        self._listed: dict[BoxId, FleetBox] = {}
+        self._gone: dict[BoxId, _Gone] = {}
         self._former: dict[BoxLife, FormerPlace] = {}
         self._ended_groups: dict[GroupId, float] = {}
         self._first_list_at: float | None = None
 
-    def note(self, fleet: Fleet, now: float) -> tuple[EndedLife, ...]:
+    def note(
+        self,
+        fleet: Fleet,
+        change: FleetChange,
+        now: float,
+    ) -> tuple[EndedLife, ...]:
         """Take in a later list; return the lives that it shows to be over.
 
         Parameters
         ----------
         fleet
             The list.
+        change
+            What differs from the list before.
         now
             The present time, in seconds.
         """
         if self._first_list_at is None and fleet.boxes:
             self._first_list_at = now
         ended = []
-        for box in fleet.boxes.values():
-            known = self._seen.get(box.box)
-            if known is not None and known.box is not box:
-                ended.extend(self._compare(known.box, box, now))
-            self._seen[box.box] = _Seen(box, now)
+        for name in change.gone:
+            self._gone[name] = _Gone(self._listed.pop(name), now)
+        for box in change.boxes:
+            known = self._find_known(box.box)
+            if known is not None:
+                ended.extend(self._compare(known, box, now))
+            self._gone.pop(box.box, None)
+            self._listed[box.box] = box
         self._forget_old(fleet, now)
         return tuple(ended)
 
@@ -122,6 +133,11 @@
             return True
         return now - self._first_list_at < self._bound_seconds
 
+    def _find_known(self, name: BoxId) -> FleetBox | None:
+        """Return a box as it was last listed, if that is not long ago."""
+        gone = self._gone.get(name)
+        return gone.box if gone else self._listed.get(name)
+
     def _compare(
         self,
         known: FleetBox,
@@ -141,9 +157,9 @@
         return [EndedLife(known.life, standing)]
 
     def _forget_old(self, fleet: Fleet, now: float) -> None:
-        for name, seen in tuple(self._seen.items()):
-            if name not in fleet.boxes and now - seen.at > KEPT_SECONDS:
-                self._seen.pop(name)
+        for name, gone in tuple(self._gone.items()):
+            if now - gone.since > KEPT_SECONDS:
+                self._gone.pop(name)
         for life, former in tuple(self._former.items()):
             if now - former.ended_at > self._bound_seconds:
                 self._former.pop(life)
