Keep members of serving groups whose entries lapse, while they answer

Cause: 26 of 222 boxes were cut off from the platform for 5 s; their entries went, and four of five groups of sixteen were taken apart although each of their boxes lived and answered. Change: a member of an open group is kept for 6 s after its entry has gone, and asked by the holder each second; a head for as long as requests may still reach a box that leaves. Kept boxes join nothing.

--- a/tests/holder.py
+++ b/tests/holder.py
@@ -126,6 +126,7 @@
             fleet=Fleet({}),
             last_models=self.last_models,
             lives=LifeBook(),
+            kept=frozenset(),
             get_boxes_age=lambda _now: 0.0,
         )
         self._term = 0
--- a/tests/test_fleet_watch.py
+++ b/tests/test_fleet_watch.py
@@ -127,7 +127,9 @@
 
 def test_a_head_is_kept_longer_where_leaving_takes_longer() -> None:
     head, member = make_group('big.7', 'a', 'b')
-    bench = Bench(head, member, promises=PromiseSettings(leaving_within_ms=4e3))
+    bench = Bench(
+        head, member, promises=PromiseSettings(leaving_within_ms=4e3)
+    )
     assert bench.list(5.0, member) == {'a', 'b'}
     assert bench.list(7.5, member) == {'a', 'b'}
     assert bench.list(8.0, member) == {'b'}
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -31,6 +31,7 @@
 from waywell.process.fleet_watch import FleetWatch
 from waywell.process.front_settings import PromiseSettings
 from waywell.process.outlook import Outlook
+from waywell.process.paces import make_paces
 from waywell.process.platform_watch import WatchParts
 
 if TYPE_CHECKING:
@@ -248,7 +249,9 @@
         lambda: True,
         lambda: 0.5,
     )
-    return FleetWatch(parts, 0.4, lambda: False), outlook
+    return FleetWatch(
+        parts, make_paces(PromiseSettings()), lambda: False
+    ), outlook
 
 
 @pytest.mark.parametrize('case', NAMED)
--- a/waywell/process/box_survey.py
+++ b/waywell/process/box_survey.py
@@ -90,6 +90,13 @@
             elif memory.is_slow(told):
                 self._ask_again(memory, box, now)
 
+    def ask_kept(self, memory: FormingMemory, now: float) -> None:
+        """Ask boxes whose entries have gone whether they live."""
+        for name in self._outlook.kept:
+            box = self._outlook.fleet.boxes.get(name)
+            if box is not None and box.life not in memory.lost:
+                self._ask_again(memory, box, now)
+
     def _note_lost(
         self,
         memory: FormingMemory,
--- a/waywell/process/fleet_watch.py
+++ b/waywell/process/fleet_watch.py
@@ -8,12 +8,13 @@
 from waywell.ids import BoxId
 from waywell.process.events import log_event
 from waywell.process.platform_watch import PlatformWatch, WatchScope
-from waywell.version.fleet import Fleet, FleetBox
+from waywell.version.fleet import Fleet, FleetBox, MemberState
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Set
 
     from waywell.connection.platform import Changes
+    from waywell.process.paces import Paces
     from waywell.process.platform_watch import WatchParts
 
 QUICK_PACE = 0.15
@@ -25,6 +26,14 @@
 platform are kept: they are back within two seconds if they live."""
 
 
+MEMBER_KEEP_SECONDS = 6.0
+"""For which a member of a serving group is kept whose entry has gone.
+Requests go to the head alone, and a member that is lost is noticed by the
+silence of its group; one that is cut off from the platform serves on.  Of 222
+boxes 26 were cut off for 5 s: without this four of five groups of sixteen were
+broken up, though each of their boxes lived (one day's log)."""
+
+
 class FleetWatch(PlatformWatch):
     """Watches the box list.
 
@@ -32,9 +41,9 @@
     ----------
     parts
         What it works with.
-    pace
-        Seconds between two looks: boxes change all the time, and each call
-        has a price.
+    paces
+        How often to look: boxes change all the time, and each call has a
+        price.
     is_quick
         Answers whether this node forms groups: each step of a group is seen
         on the list before the next one.
@@ -43,11 +52,13 @@
     def __init__(
         self,
         parts: WatchParts,
-        pace: float,
+        paces: Paces,
         is_quick: Callable[[], bool],
     ) -> None:
         """Know nothing yet."""
         self._is_quick = is_quick
+        self._head_keep = paces.vanished_kept
+        pace = paces.box_look
         # The list must be confirmed as often as it is asked for.
         scope = WatchScope('boxes', Kind.BOX, wait=pace, pace=pace)
         super().__init__('fleet', scope, parts)
@@ -94,6 +105,7 @@
             self.forget_revision()
         self._keep_vanished(listed, set(changes.unreadable), now)
         self._drop_kept(listed, now)
+        self._outlook.kept = frozenset(self._kept)
         self._listed = listed
         known = self._outlook.fleet.boxes
         kept = {name: known[name] for name in self._kept if name in known}
@@ -117,15 +129,33 @@
         foreign: Set[str],
         now: float,
     ) -> None:
-        """Keep boxes for a while that vanished around an outage."""
-        until = self._returned_at + KEEP_SECONDS
-        if now > until:
-            return
+        """Keep boxes for a while that vanished, but may well serve.
+
+        They do around an outage, and in groups that serve.
+        """
+        until_back = self._returned_at + KEEP_SECONDS
         known = self._outlook.fleet.boxes
         for name in self._listed.keys() - listed.keys() - foreign:
-            if name in known and not known[name].leaving:
+            box = known.get(name)
+            if box is None or box.leaving:
+                continue
+            until = max(until_back, now + self._choose_keep(box))
+            if until > now:
                 self._kept[name] = until
 
+    def _choose_keep(self, box: FleetBox) -> float:
+        """Return for how long a box is kept that vanished, in seconds."""
+        standing = box.standing
+        if standing is None:
+            return 0.0
+        group = self._outlook.fleet.groups[standing.group]
+        head = group.head
+        if head is None or head.standing is None:
+            return 0.0
+        if head.standing.state is not MemberState.OPEN:
+            return 0.0
+        return MEMBER_KEEP_SECONDS if standing.rank else self._head_keep
+
     def _drop_kept(self, listed: dict[BoxId, FleetBox], now: float) -> None:
         """Give up kept boxes that are back, or that stay away."""
         for name, until in tuple(self._kept.items()):
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -174,11 +174,13 @@
         for name, engine in self._outlook.index.list_engines():
             memory = self._get_memory(name)
             self._survey.ask_troubled(memory, now)
+            self._survey.ask_kept(memory, now)
             view = FormingView(
                 name,
                 engine,
                 self._list_present(name, memory),
                 self._read_demand(now),
+                self._outlook.kept,
             )
             planner = FormingPlanner(view, memory, now)
             self._send(planner.plan())
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -261,7 +261,7 @@
         )
         self.fleet = FleetWatch(
             self._make_watch_parts(self._needs_boxes),
-            paces.box_look,
+            paces,
             lambda: self.forming.is_held(),
         )
         self.forming = FormingDuty(
--- a/waywell/process/outlook.py
+++ b/waywell/process/outlook.py
@@ -22,7 +22,7 @@
 from waywell.version.routes import RouteIndex, RouteTable
 
 if TYPE_CHECKING:
-    from waywell.ids import ServiceName
+    from waywell.ids import BoxId, ServiceName
     from waywell.process.front_settings import PromiseSettings
 
 EndListener = Callable[[tuple[EndedLife, ...]], None]
@@ -53,6 +53,7 @@
         self.index = RouteIndex(RouteTable(0))
         self.fleet = Fleet({})
         self.fleet_serial = 0
+        self.kept: frozenset[BoxId] = frozenset()
         self.last_models: dict[BoxLife, ModelName] = {}
         self.lives = LifeBook(promises.group_stall)
         self._end_listeners: list[EndListener] = []
--- a/waywell/process/paces.py
+++ b/waywell/process/paces.py
@@ -30,6 +30,10 @@
 """Longest time between two questions to the reader, in seconds: half the
 length of a stream, as the answers tell other nodes' requests in flight."""
 
+SEND_MARGIN = 0.4
+"""Seconds from the choice of a box until its request may reach it: a process
+may stand still, and packets may be sent again."""
+
 BOX_FED_PART = 0.7
 """Part of the bound for leaving boxes after which a node reads the box list
 itself; the rest is for the call and for requests on their way."""
@@ -113,6 +117,9 @@
     ask: float
     """Between two questions to the reader."""
 
+    vanished_kept: float
+    """For which a box whose entry has gone may get requests still."""
+
     @property
     def told_apart(self) -> float:
         """Return by how much two nodes' knowledge differs in age at the most.
@@ -130,10 +137,14 @@
         ROUTE_FED_PART * promises.applied_within,
         KEY_PART * promises.keys_refused_within,
     )
+    box_look = min(BOX_LOOK_MOST, BOX_LOOK_PART * leaving)
+    ask = min(ASK_MOST, ASK_PART * leaving)
     return Paces(
-        box_look=min(BOX_LOOK_MOST, BOX_LOOK_PART * leaving),
+        box_look=box_look,
         box_fed=BOX_FED_PART * leaving,
         route_look=ROUTE_LOOK_PART * route_fed,
         route_fed=route_fed,
-        ask=min(ASK_MOST, ASK_PART * leaving),
+        ask=ask,
+        # The list tells of it one look late, and followers one question later.
+        vanished_kept=max(0.0, leaving - box_look - ask - SEND_MARGIN),
     )
--- a/waywell/version/forming.py
+++ b/waywell/version/forming.py
@@ -21,7 +21,7 @@
 
 import attrs
 
-from waywell.ids import DomainName, GroupId, ModelName, ServiceName
+from waywell.ids import BoxId, DomainName, GroupId, ModelName, ServiceName
 from waywell.version.fleet import (
     UNTOLD,
     Fleet,
@@ -67,6 +67,9 @@
     demand: Mapping[ModelName, float]
     """Work that callers ask of each model, in places."""
 
+    kept: frozenset[BoxId] = frozenset()
+    """Boxes whose entries have gone; they serve on, and join nothing."""
+
 
 @attrs.frozen
 class FormingSummary:
@@ -107,6 +110,7 @@
         self._groups = list(view.fleet.groups.values())
         self._need = ModelNeed(view.engine, view.demand, len(self._boxes))
         self._fleet = view.fleet
+        self._kept = view.kept
         self._assignments: list[Assignment] = []
         self._changes = GroupChanges(
             self._need, self._memory, self._assign, now
@@ -251,6 +255,7 @@
                 is_free = verdict is Verdict.FREE
             is_open = box.life not in self._memory.pending
             is_fit = not self._memory.is_unfit(box, self._now)
+            is_fit = is_fit and box.box not in self._kept
             if is_free and is_open and is_fit and not box.leaving:
                 free[box.domain].append(box)
         return free
