Count a box that does not answer the holder as lost only where no request speaks for it

Cause: cut boxes answer neither the platform nor the holder's questions, while callers' requests run on at their groups. The holder asked whole domains after each crash and counted their silence as loss: from 12.9 s on it took all groups of sixteen apart (log). Change: a silent box of a group at which requests are in flight, and which no node has doubted for 2 s, is unreached: asked again each second, joined to nothing. A doubt counts it as lost at once. Ruled out: entries that lapse (the groups went 1.5 s before).

--- a/tests/holder.py
+++ b/tests/holder.py
@@ -192,7 +192,7 @@
 
     def ask(self, name: str) -> None:
         """Let the holder ask a box how it is."""
-        self.duty._survey.ask(self._entries[name])
+        self.loop.call_soon(self.duty._survey.ask, self._entries[name])
         self.run_tasks()
 
     def find_head(self, group: str) -> str:
--- a/waywell/process/box_survey.py
+++ b/waywell/process/box_survey.py
@@ -1,7 +1,13 @@
-"""Which boxes are asked how they are, and what their answers change."""
+"""Which boxes are asked how they are, and what their answers change.
+
+Answers cuts between the boxes and the nodes' orders, while callers' requests
+still run: a box that does not answer the holder is lost only where no request
+speaks for its group.
+"""
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from waywell.process.events import log_event, log_warning
@@ -11,13 +17,20 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from waywell.ids import GroupId
     from waywell.process.outlook import Outlook
+    from waywell.version.fleet import FleetGroup
     from waywell.version.forming_memory import FormingMemory
 
 ASK_AGAIN_SECONDS = 1.0
 """Between two questions to a box that is listed, and lost or slow."""
 
 
+DOUBTED_SECONDS = 2.0
+"""For which a group that a node has doubted is not spoken for by its requests:
+those that were sent before still count as in flight."""
+
+
 class BoxSurvey:
     """Asks boxes for signs of life and takes in what they tell.
 
@@ -27,17 +40,41 @@
         Where the box list is.
     begin
         Begins to ask a box; its answer is taken in later.
+    count_requests
+        Returns the requests in flight at a box, of all nodes.
     """
 
     def __init__(
         self,
         outlook: Outlook,
         begin: Callable[[FleetBox], None],
+        count_requests: Callable[[BoxLife], int],
     ) -> None:
         """Ask nobody yet."""
         self._outlook = outlook
         self._begin = begin
+        self._count_requests = count_requests
         self._asking: set[BoxLife] = set()
+        self._doubted_at: dict[GroupId, float] = {}
+        self._unreached: dict[BoxLife, float] = {}
+
+    def note_doubt(
+        self,
+        memory: FormingMemory,
+        group: FleetGroup,
+        now: float,
+    ) -> None:
+        """Take in that a node hears nothing of a group any more.
+
+        Its members are asked; one that did not answer a moment ago is lost.
+        """
+        self._doubted_at[group.group] = now
+        for member in group.members:
+            unreached_at = self._unreached.get(member.life, -math.inf)
+            if now - unreached_at < DOUBTED_SECONDS:
+                self._note_lost(memory, member, None, now)
+            else:
+                self.ask(member)
 
     def ask(self, box: FleetBox) -> None:
         """Ask a box how it is, unless its answer is waited for."""
@@ -66,6 +103,10 @@
             The present time, in seconds.
         """
         self._asking.discard(box.life)
+        if report is None and self._is_spoken_for(box, now):
+            self._note_unreached(memory, box, now)
+            return
+        self._unreached.pop(box.life, None)
         if report is None or not _is_of(box, report):
             self._note_lost(memory, box, report, now)
             return
@@ -75,20 +116,18 @@
         self._note_report(memory, box, report, now)
 
     def ask_troubled(self, memory: FormingMemory, now: float) -> None:
-        """Ask lost and slow boxes again while they are listed."""
-        fleet = self._outlook.fleet
-        for lost, asked_at in tuple(memory.lost.items()):
-            box = fleet.find_life(lost)
-            if box is None:
-                memory.lost.pop(lost)
-            elif now - asked_at > ASK_AGAIN_SECONDS:
+        """Ask lost, unreached and slow boxes again while they are listed."""
+        self._forget_old(now)
+        for troubled in (memory.lost, self._unreached):
+            for box in self._list_due(troubled, now):
                 self.ask(box)
+        fleet = self._outlook.fleet
         for told in tuple(memory.reports):
-            box = fleet.find_life(told)
-            if box is None:
+            known = fleet.find_life(told)
+            if known is None:
                 memory.reports.pop(told)
             elif memory.is_slow(told):
-                self._ask_again(memory, box, now)
+                self._ask_again(memory, known, now)
 
     def ask_kept(self, memory: FormingMemory, now: float) -> None:
         """Ask boxes whose entries have gone whether they live."""
@@ -97,6 +136,54 @@
             if box is not None and box.life not in memory.lost:
                 self._ask_again(memory, box, now)
 
+    def _is_spoken_for(self, box: FleetBox, now: float) -> bool:
+        """Answer whether requests run at a box's group, and none stands still.
+
+        A group that lost a member stands still, which the nodes whose streams
+        run there notice within a fraction of a second, and doubt it.
+        """
+        standing = box.standing
+        if standing is None:
+            return False
+        doubted_at = self._doubted_at.get(standing.group, -math.inf)
+        group = self._outlook.fleet.groups.get(standing.group)
+        head = group.head if group else None
+        if head is None or now - doubted_at < DOUBTED_SECONDS:
+            return False
+        return self._count_requests(head.life) > 0
+
+    def _note_unreached(
+        self,
+        memory: FormingMemory,
+        box: FleetBox,
+        now: float,
+    ) -> None:
+        """Remember that a box of a group that serves does not answer."""
+        if box.life not in self._unreached:
+            log_warning('box_unreached', box=box.box)
+            self._ask_mates(memory, box, now)
+        self._unreached[box.life] = now
+
+    def _list_due(
+        self,
+        troubled: dict[BoxLife, float],
+        now: float,
+    ) -> list[FleetBox]:
+        """Return the boxes to ask again; forget those that are gone."""
+        due = []
+        for life, asked_at in tuple(troubled.items()):
+            box = self._outlook.fleet.find_life(life)
+            if box is None:
+                troubled.pop(life)
+            elif now - asked_at > ASK_AGAIN_SECONDS:
+                due.append(box)
+        return due
+
+    def _forget_old(self, now: float) -> None:
+        for group, doubted_at in tuple(self._doubted_at.items()):
+            if now - doubted_at > DOUBTED_SECONDS:
+                self._doubted_at.pop(group)
+
     def _note_lost(
         self,
         memory: FormingMemory,
@@ -145,10 +232,11 @@
         formed of them in vain: of 20 boxes of 171 that went silent at one
         moment, the holder knew 9 at the most after 2 s (one day's log).
         """
+        silent = memory.lost.keys() | self._unreached.keys()
         for other in self._outlook.fleet.boxes.values():
             is_mate = other.domain == box.domain
-            is_lost = other.life in memory.lost
-            if is_mate and other.service == box.service and not is_lost:
+            is_mate = is_mate and other.service == box.service
+            if is_mate and other.life not in silent:
                 self._ask_again(memory, other, now)
 
     def _ask_again(
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -79,6 +79,8 @@
         Term of the lease, in seconds.
     read_demand
         Returns the places that callers take, by model.
+    count_requests
+        Returns the requests in flight at a box, of all nodes.
     """
 
     class PlanTick(Message, frozen=True):
@@ -135,6 +137,7 @@
         orders: BoxOrders,
         term: float,
         read_demand: Callable[[float], Mapping[ModelName, float]],
+        count_requests: Callable[[BoxLife], int],
     ) -> None:
         """Start without the lease."""
         super().__init__('forming', platform, gossip, clock, term)
@@ -143,7 +146,7 @@
         self._read_demand = read_demand
         self._memories: dict[ServiceName, FormingMemory] = {}
         self._summaries: dict[ServiceName, FormingSummary] = {}
-        self._survey = BoxSurvey(outlook, self._begin_probe)
+        self._survey = BoxSurvey(outlook, self._begin_probe, count_requests)
         self._box_count = 0
         self._counted_at = 0.0
         self._outdated_at = float('-inf')
@@ -214,8 +217,9 @@
         group = self._outlook.fleet.groups.get(doubted.group)
         if not self.is_held() or group is None:
             return
-        for member in group.members:
-            self._survey.ask(member)
+        self._survey.note_doubt(
+            self._get_memory(group.service), group, self.clock.read()
+        )
 
     def on_probed(self, probed: Probed) -> None:
         """Count a life of a box as lost, or as back."""
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -34,7 +35,7 @@
 from waywell.process.presence import Presence
 from waywell.process.request_metrics import RequestMetrics
 from waywell.process.route_watch import RouteWatch
-from waywell.request.demand import DemandGauge, count_by_model
+from waywell.request.demand import DemandGauge, count_at, count_by_model
 from waywell.request.errand import CallerAnswer, ForwarderParts
 from waywell.request.forwarder import Forwarder
 from waywell.request.placement import Chooser
@@ -272,6 +273,7 @@
             self._adapter.orders,
             timing.lease,
             self._read_demand,
+            partial(count_at, self.book, self.loads),
         )
         self.doubts = Doubts(
             self.links, self.book, self.clock, self._note_doubt
--- a/waywell/request/demand.py
+++ b/waywell/request/demand.py
@@ -12,6 +12,8 @@
     from collections.abc import Mapping
 
     from waywell.ids import ModelName
+    from waywell.request.replica_book import ReplicaBook
+    from waywell.request.shared_loads import SharedLoads
     from waywell.version.fleet import BoxLife, Fleet
 
 MEMORY_SECONDS = 3.0
@@ -68,3 +70,8 @@
         if box is not None and box.standing is not None:
             counts[parse_group(box.standing.group)] += requests
     return counts
+
+
+def count_at(book: ReplicaBook, loads: SharedLoads, life: BoxLife) -> int:
+    """Return the requests in flight at a box, of this node and all others."""
+    return book.list_loads().get(life, 0) + loads.get(life)
