Let nodes that hear from each other share the calls to a platform that refuses

Change: the longest wait grows by 0.1 s for each node that hears from others; the first that reaches the store tells them. A node that hears from nobody calls as before.

--- a/tests/test_fleet_watch.py
+++ b/tests/test_fleet_watch.py
@@ -34,6 +34,7 @@
             None,
             lambda _now: True,
             lambda: True,
+            lambda: 1,
             lambda: 0.5,
         )
         self.is_quick = False
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -247,6 +247,7 @@
         HeldClock(),
         lambda _now: True,
         lambda: True,
+        lambda: 1,
         lambda: 0.5,
     )
     return FleetWatch(
--- a/tests/test_paces.py
+++ b/tests/test_paces.py
@@ -42,14 +42,19 @@
     assert tight.route_look < usual.route_look
 
 
-def count_calls(seconds: float, *, reads_for_others: bool, seed: int) -> int:
+def count_calls(
+    seconds: float, *, reads_for_others: bool, seed: int, nodes: int = 1
+) -> int:
     """Return the calls of one node while the platform refuses all of them."""
     random = Random(seed)
     now, failures = 0.0, 0
     while now < seconds:
         failures += 1
         now += choose_failed_wait(
-            failures, reads_for_others=reads_for_others, draw=random.random()
+            failures,
+            reads_for_others=reads_for_others,
+            nodes=nodes,
+            draw=random.random(),
         )
     return failures
 
@@ -75,11 +80,16 @@
     None
 ):
     waits = [
-        choose_failed_wait(failures, reads_for_others=True, draw=0.999)
+        choose_failed_wait(
+            failures, reads_for_others=True, nodes=195, draw=0.999
+        )
         for failures in range(1, 2000)
     ]
     assert max(waits) < 0.75
-    assert choose_failed_wait(1, reads_for_others=False, draw=0.5) == 0.25
+    assert (
+        choose_failed_wait(1, reads_for_others=False, nodes=195, draw=0.5)
+        == 0.25
+    )
 
 
 def test_nodes_that_failed_at_one_moment_call_again_at_others() -> None:
@@ -87,7 +97,7 @@
     waits = {
         round(
             choose_failed_wait(
-                3, reads_for_others=False, draw=random.random()
+                3, reads_for_others=False, nodes=195, draw=random.random()
             ),
             2,
         )
@@ -96,3 +106,30 @@
     assert len(waits) > 50
     assert min(waits) >= 0.5
     assert max(waits) <= 1.5
+
+
+def test_hundreds_of_nodes_share_the_calls_to_a_platform_that_refuses() -> (
+    None
+):
+    """Load: 71 nodes, the store turning all of them away for 30 s.
+
+    Each of them called every other second at last: 71 calls for each of routes
+    and boxes every two seconds, each with its price.
+    """
+    alone, together = (
+        sum(
+            count_calls(30.0, reads_for_others=False, seed=seed, nodes=nodes)
+            for seed in range(71)
+        )
+        for nodes in (1, 71)
+    )
+    assert alone > 71 * 15
+    assert together < 71 * 9
+
+
+def test_a_node_that_hears_from_nobody_calls_as_often_as_ever() -> None:
+    waits = [
+        choose_failed_wait(9, reads_for_others=False, nodes=1, draw=0.5)
+        for _ in range(3)
+    ]
+    assert waits == [2.0, 2.0, 2.0]
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -298,6 +298,7 @@
             self.clock,
             is_needed,
             self._reads_for_others,
+            self.presence.count_hearing,
             self._random.random,
         )
 
--- a/waywell/process/paces.py
+++ b/waywell/process/paces.py
@@ -61,6 +61,11 @@
 the platform is back, or, cut off from that one as well, is back by itself
 within the 4 s and more that nodes have to catch up."""
 
+SHARED_WAIT = 0.1
+"""Seconds of the longest wait for each node that would hear from this one: of
+hundreds the first one that reaches the platform tells the others, so all of
+them together call some ten times a second and not each every other second."""
+
 LONGEST_READER_WAIT = 0.5
 """Longest wait of a node that reads for others; the whole system is as late as
 it is."""
@@ -74,6 +79,7 @@
     failures: int,
     *,
     reads_for_others: bool,
+    nodes: int,
     draw: float,
 ) -> float:
     """Return for how long a node waits after calls that failed, in seconds.
@@ -89,10 +95,14 @@
         Calls that failed in a row, this one counted.
     reads_for_others
         Whether others hear from this node what it reads.
+    nodes
+        Nodes that hear from each other, this one counted.
     draw
         A number from 0 up to 1, drawn anew for each call.
     """
-    longest = LONGEST_READER_WAIT if reads_for_others else LONGEST_FAILED_WAIT
+    longest = max(LONGEST_FAILED_WAIT, SHARED_WAIT * nodes)
+    if reads_for_others:
+        longest = LONGEST_READER_WAIT
     doubled = math.ldexp(FAILED_WAIT, min(failures - 1, MOST_DOUBLED))
     wait = min(longest, doubled)
     return wait * (1 + WAIT_SPREAD * (2 * draw - 1))
--- a/waywell/process/platform_watch.py
+++ b/waywell/process/platform_watch.py
@@ -42,6 +42,9 @@
     reads_for_others: Callable[[], bool]
     """Answers whether others hear from this node what it reads."""
 
+    count_nodes: Callable[[], int]
+    """Returns the nodes that hear from each other, this one counted."""
+
     draw: Callable[[], float]
     """Draws a number from 0 up to 1."""
 
@@ -178,6 +181,7 @@
         return choose_failed_wait(
             self._failures,
             reads_for_others=parts.reads_for_others(),
+            nodes=parts.count_nodes(),
             draw=parts.draw(),
         )
 
--- a/waywell/process/presence.py
+++ b/waywell/process/presence.py
@@ -116,6 +116,10 @@
         known = len(self._members.records)
         return max(self._listed_nodes, known if known > 1 else 0)
 
+    def count_hearing(self) -> int:
+        """Return the nodes that this one hears from, itself counted."""
+        return self._members.count_live() if self._links.list_peers() else 1
+
     def _may_look(self) -> bool:
         """Answer whether this node looks at the platform's list now.
 
@@ -132,7 +136,7 @@
     def _call(self, strangers: list[Address]) -> None:
         """Call some of the entry boxes that are not known."""
         count = min(JOIN_DIALS, len(strangers))
-        live = self._members.count_live() if self._links.list_peers() else 1
+        live = self.count_hearing()
         for address in self._random.sample(strangers, count):
             if may_call(live, self._random.random()):
                 self._links.dial(address.host, address.port)
