Take a doubt back when its group goes on; let boxes of such groups be unreached, not lost

Cause: sound groups of sixteen pause together while long prompts are read, and are doubted about once a second. Each doubt let the group rest at all nodes for a second, so that one to three of five sound groups got nothing new at any time; and for the holder it spoke against cut boxes that did not answer. A request that is only sent there takes nothing back. The test that a doubt alone made unreached boxes lost is replaced by one as strict each way: lost if the group stays silent for 0.35 s, kept if it goes on.

--- a/waywell/connection/peer.py
+++ b/waywell/connection/peer.py
@@ -67,6 +67,22 @@
     """Incarnation of that box."""
 
 
+class ReplicaHeard(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """A replica that was doubted goes on."""
+
+    group: GroupId
+    """Group of the replica; empty for a plain service."""
+
+    box: BoxId
+    """Box that takes its requests."""
+
+    epoch: Epoch
+    """Epoch of its group."""
+
+    incarnation: Incarnation = UNTOLD
+    """Incarnation of that box."""
+
+
 class BoxLoad(msgspec.Struct, frozen=True, array_like=True):
     """Requests in flight at a replica."""
 
@@ -158,6 +174,7 @@
     Beat,
     Records,
     ReplicaDoubt,
+    ReplicaHeard,
     FeedAsk,
     FeedAnswer,
 ]
--- a/waywell/process/box_survey.py
+++ b/waywell/process/box_survey.py
@@ -30,6 +30,10 @@
 """For which a group that a node has doubted is not spoken for by its requests:
 those that were sent before still count as in flight."""
 
+LISTENED_SECONDS = 0.35
+"""From a doubt until it says something: a sound group pauses while it reads
+long prompts, and a node that hears it go on takes the doubt back."""
+
 
 class BoxSurvey:
     """Asks boxes for signs of life and takes in what they tell.
@@ -58,23 +62,15 @@
         self._doubted_at: dict[GroupId, float] = {}
         self._unreached: dict[BoxLife, float] = {}
 
-    def note_doubt(
-        self,
-        memory: FormingMemory,
-        group: FleetGroup,
-        now: float,
-    ) -> None:
-        """Take in that a node hears nothing of a group any more.
-
-        Its members are asked; one that did not answer a moment ago is lost.
-        """
+    def note_doubt(self, group: FleetGroup, now: float) -> None:
+        """Take in that a node hears nothing of a group any more."""
         self._doubted_at[group.group] = now
         for member in group.members:
-            unreached_at = self._unreached.get(member.life, -math.inf)
-            if now - unreached_at < DOUBTED_SECONDS:
-                self._note_lost(memory, member, None, now)
-            else:
-                self.ask(member)
+            self.ask(member)
+
+    def note_heard(self, group: GroupId) -> None:
+        """Take in that a doubted group goes on."""
+        self._doubted_at.pop(group, None)
 
     def ask(self, box: FleetBox) -> None:
         """Ask a box how it is, unless its answer is waited for."""
@@ -148,7 +144,9 @@
         doubted_at = self._doubted_at.get(standing.group, -math.inf)
         group = self._outlook.fleet.groups.get(standing.group)
         head = group.head if group else None
-        if head is None or now - doubted_at < DOUBTED_SECONDS:
+        if head is None:
+            return False
+        if LISTENED_SECONDS < now - doubted_at < DOUBTED_SECONDS:
             return False
         return self._count_requests(head.life) > 0
 
@@ -175,10 +173,15 @@
             box = self._outlook.fleet.find_life(life)
             if box is None:
                 troubled.pop(life)
-            elif now - asked_at > ASK_AGAIN_SECONDS:
+            elif now - asked_at > ASK_AGAIN_SECONDS or self._is_doubted(box):
                 due.append(box)
         return due
 
+    def _is_doubted(self, box: FleetBox) -> bool:
+        """Answer whether a node hears nothing of a box's group just now."""
+        standing = box.standing
+        return standing is not None and standing.group in self._doubted_at
+
     def _forget_old(self, now: float) -> None:
         for group, doubted_at in tuple(self._doubted_at.items()):
             if now - doubted_at > DOUBTED_SECONDS:
--- a/waywell/process/forming.py
+++ b/waywell/process/forming.py
@@ -92,6 +92,12 @@
         group: GroupId
         """The group."""
 
+    class Heard(Message, frozen=True):
+        """A doubted group goes on."""
+
+        group: GroupId
+        """The group."""
+
     class Probed(Message, frozen=True):
         """A box was asked for a sign of life."""
 
@@ -217,9 +223,11 @@
         group = self._outlook.fleet.groups.get(doubted.group)
         if not self.is_held() or group is None:
             return
-        self._survey.note_doubt(
-            self._get_memory(group.service), group, self.clock.read()
-        )
+        self._survey.note_doubt(group, self.clock.read())
+
+    def on_heard(self, heard: Heard) -> None:
+        """Take in that a doubted group goes on."""
+        self._survey.note_heard(heard.group)
 
     def on_probed(self, probed: Probed) -> None:
         """Count a life of a box as lost, or as back."""
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -13,7 +13,7 @@
 from waywell.connection.peer import FrontWire
 from waywell.ids import GroupId, HallName, Incarnation, NodeId
 from waywell.process.clock import SystemClock
-from waywell.process.doubts import Doubts
+from waywell.process.doubts import DoubtListeners, Doubts
 from waywell.process.events import log_event
 from waywell.process.feed import Feed
 from waywell.process.fleet_watch import FleetWatch
@@ -276,7 +276,13 @@
             partial(count_at, self.book, self.loads),
         )
         self.doubts = Doubts(
-            self.links, self.book, self.clock, self._note_doubt
+            self.links,
+            self.book,
+            self.clock,
+            DoubtListeners(
+                partial(self._tell_forming, FormingDuty.Doubted),
+                partial(self._tell_forming, FormingDuty.Heard),
+            ),
         )
         self.actors = (
             self.links,
@@ -343,9 +349,14 @@
     def _reads_for_others(self) -> bool:
         return self.feed.is_reader() or self.forming.is_held()
 
-    def _note_doubt(self, group: GroupId) -> None:
+    def _tell_forming(
+        self,
+        word: type[FormingDuty.Doubted | FormingDuty.Heard],
+        group: GroupId,
+    ) -> None:
+        """Tell the forming duty of a doubt; plain services have no group."""
         if group:
-            self.forming.post(FormingDuty.Doubted(group))
+            self.forming.post(word(group))
 
     def _read_demand(self, now: float) -> Mapping[Any, float]:
         loads = self.loads.add_up()
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -70,7 +70,7 @@
             return
         now = self._parts.clock.read()
         self._note_pause(attempt, now)
-        self._parts.book.note_heard(attempt.replica.key, now)
+        self._parts.book.note_event(attempt.replica.key, now)
         if not self._is_next(piece):
             # Another attempt was ahead of this one, or it skips an event.
             self._fail(attempt, now, f'event_{piece.event.number}')
--- a/waywell/request/replica_book.py
+++ b/waywell/request/replica_book.py
@@ -36,6 +36,9 @@
     heard_at: float = 0.0
     """When it last sent something, in seconds."""
 
+    event_at: float = 0.0
+    """When it last sent a piece of an answer, in seconds."""
+
     rests_until: float = 0.0
     """Until when it gets nothing new."""
 
@@ -91,6 +94,17 @@
         record.streak = 0
         record.rests_until = 0.0
 
+    def note_event(self, key: ReplicaKey, now: float) -> None:
+        """Note that a piece of an answer came."""
+        self.note_heard(key, now)
+        self.get(key).event_at = now
+
+    def forgive(self, key: ReplicaKey) -> None:
+        """Let a replica rest no longer that was doubted for nothing."""
+        record = self.get(key)
+        record.rests_until = 0.0
+        record.streak = max(0, record.streak - 1)
+
     def note_first(self, key: ReplicaKey, ratio: float) -> None:
         """Note how long an answer's beginning took.
 
