Split the folder of processes by subject

Cause: 44 modules of six subjects in one folder. Change: membership, knowledge, duties, health and telemetry have folders of their own; modules keep their names, nothing else changes. A test fails where a module is loaded in a circle, or where what decides about versions loads processes, connections or requests.

--- a/tests/holder.py
+++ b/tests/holder.py
@@ -14,6 +14,7 @@
 
 from tests.lone_gossip import LoneGossip
 from waywell.connection.box_orders import BoxOrders
+from waywell.duties.forming import FormingDuty
 from waywell.ids import BoxId, GroupId, ModelName
 from waywell.platform.orders import (
     decode_report,
@@ -22,7 +23,6 @@
 )
 from waywell.platform.servers import decode_server
 from waywell.process.actor import get_handler_name
-from waywell.process.forming import FormingDuty
 from waywell.version.fleet import (
     BoxLife,
     Fleet,
--- a/tests/lone_gossip.py
+++ b/tests/lone_gossip.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tests.test_membership import make_record
-from waywell.process.membership import MembershipTable
+from waywell.membership.membership import MembershipTable
 
 
 class LoneGossip:
--- a/tests/switched.py
+++ b/tests/switched.py
@@ -67,7 +67,7 @@
 
 def ignore_probes() -> None:
     """Hear nothing that speaks against a group."""
-    from waywell.process import health
+    from waywell.health import health
 
     health.HealthTable.is_usable = lambda *_rest: True
 
--- a/tests/test_box_questions.py
+++ b/tests/test_box_questions.py
@@ -10,8 +10,8 @@
 from tests.boxes import make_box
 from tests.loops import in_loop
 from waywell.connection.box_orders import BoxOrders
-from waywell.process import box_questions
-from waywell.process.box_questions import ask_box
+from waywell.duties import box_questions
+from waywell.duties.box_questions import ask_box
 from waywell.version.box_report import BoxReport
 from waywell.version.orders import Assignment, OrderResult
 
--- a/tests/test_doubts.py
+++ b/tests/test_doubts.py
@@ -7,15 +7,15 @@
 from tests.boxes import make_box
 from tests.held_clock import HeldClock
 from waywell.connection.peer import ReplicaDoubt, ReplicaHeard
-from waywell.ids import Epoch, GroupId, NodeId
-from waywell.process.doubts import (
+from waywell.health.doubts import (
     LISTEN_LOOKS,
     LISTEN_SECONDS,
     REPEAT_SECONDS,
     DoubtListeners,
     Doubts,
 )
-from waywell.process.links import PeerLinks
+from waywell.ids import Epoch, GroupId, NodeId
+from waywell.membership.links import PeerLinks
 from waywell.request.replica_book import LONGEST_REST, ReplicaBook
 from waywell.version.fleet import Replica, ReplicaKey
 
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -11,9 +11,9 @@
 from tests.held_clock import HeldClock
 from tests.lone_gossip import LoneGossip
 from waywell.connection.platform import PlatformFault, Stored
+from waywell.duties.duty import Duty
+from waywell.duties.lease import LeaseState
 from waywell.ids import Incarnation, NodeId
-from waywell.process.duty import Duty
-from waywell.process.lease import LeaseState
 
 if TYPE_CHECKING:
     from waywell.connection.platform import Kind
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from waywell.process.events import LineBudget, PipeSink, quote_text
+from waywell.telemetry.events import LineBudget, PipeSink, quote_text
 
 LINE = 'event=x text=' + 'a' * 900 + '\n'
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -9,13 +9,13 @@
 from tests.test_membership import make_record
 from waywell.connection.peer import FeedAnswer, FeedAsk
 from waywell.ids import HallName, NodeId
-from waywell.process.feed import Feed
+from waywell.knowledge.feed import Feed
+from waywell.knowledge.outlook import Outlook
+from waywell.knowledge.paces import make_paces
+from waywell.knowledge.readers import pick_reader
+from waywell.membership.links import PeerLinks
+from waywell.membership.membership import MembershipTable, NodeRecord
 from waywell.process.front_settings import PromiseSettings
-from waywell.process.links import PeerLinks
-from waywell.process.membership import MembershipTable, NodeRecord
-from waywell.process.outlook import Outlook
-from waywell.process.paces import make_paces
-from waywell.process.readers import pick_reader
 from waywell.request.replica_book import ReplicaBook
 from waywell.request.shared_loads import SharedLoads
 from waywell.version.routes import RouteTable
--- a/tests/test_fleet_watch.py
+++ b/tests/test_fleet_watch.py
@@ -6,15 +6,15 @@
 
 from tests.boxes import make_box, make_group
 from waywell.connection.platform import Changes, PlatformFault, Stored
-from waywell.process.fleet_watch import (
+from waywell.knowledge.fleet_watch import (
     KEEP_SECONDS,
     MEMBER_KEEP_SECONDS,
     FleetWatch,
 )
+from waywell.knowledge.outlook import Outlook
+from waywell.knowledge.paces import make_paces
+from waywell.knowledge.platform_watch import WatchParts
 from waywell.process.front_settings import PromiseSettings
-from waywell.process.outlook import Outlook
-from waywell.process.paces import make_paces
-from waywell.process.platform_watch import WatchParts
 from waywell.version.fleet import FleetBox, MemberState
 
 AWAY = msgspec.structs.replace(make_box('away'), leaving=True)
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -27,12 +27,12 @@
 from waywell.connection.http_calls import CallAnswer, HttpCalls
 from waywell.connection.platform import Changes, Kind
 from waywell.ids import BoxId
+from waywell.knowledge.fleet_watch import FleetWatch
+from waywell.knowledge.outlook import Outlook
+from waywell.knowledge.paces import make_paces
+from waywell.knowledge.platform_watch import WatchParts
 from waywell.platform.store import ObjectStore
-from waywell.process.fleet_watch import FleetWatch
 from waywell.process.front_settings import PromiseSettings
-from waywell.process.outlook import Outlook
-from waywell.process.paces import make_paces
-from waywell.process.platform_watch import WatchParts
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/tests/test_forming_machine.py
+++ b/tests/test_forming_machine.py
@@ -20,8 +20,8 @@
 
 from tests.holder import FlyingOrder, Holder
 from tests.replicas import SimHouse, SimReplica
+from waywell.duties.forming import FormingDuty
 from waywell.ids import ModelName
-from waywell.process.forming import FormingDuty
 from waywell.version.box_report import BoxReport
 from waywell.version.forming_memory import GATHER_SECONDS, PENDING_SECONDS
 from waywell.version.routes import Engine, EngineModel
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -20,10 +20,8 @@
     ModelName,
     ServiceName,
 )
+from waywell.knowledge.outlook import Outlook
 from waywell.process.front_settings import PromiseSettings
-from waywell.process.metrics import Metrics
-from waywell.process.outlook import Outlook
-from waywell.process.request_metrics import RequestMetrics
 from waywell.request.ask import AnswerMark, Ask
 from waywell.request.attempt import Attempt
 from waywell.request.errand import CallerAnswer, ForwarderParts
@@ -33,6 +31,8 @@
 from waywell.request.resend_budget import ResendBudget, ResendLimits
 from waywell.request.shared_loads import SharedLoads
 from waywell.request.stream_events import StreamEvent
+from waywell.telemetry.metrics import Metrics
+from waywell.telemetry.request_metrics import RequestMetrics
 from waywell.version.fleet import Fleet
 from waywell.version.routes import (
     Engine,
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -7,10 +7,10 @@
 from tests.held_clock import HeldClock
 from tests.test_membership import make_record
 from waywell.ids import NodeId
-from waywell.process.gossip import Gossip
-from waywell.process.links import PeerLinks
-from waywell.process.membership import MembershipTable, NodeState
-from waywell.process.timing import TimingSettings
+from waywell.membership.gossip import Gossip
+from waywell.membership.links import PeerLinks
+from waywell.membership.membership import MembershipTable, NodeState
+from waywell.telemetry.timing import TimingSettings
 
 B = NodeId('b')
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from waywell.connection.target import ProbeAnswer
+from waywell.health.health import Evidence, HealthTable, Verdict
+from waywell.health.prober import ProbeRing, judge_probes
 from waywell.ids import BoxId, Epoch, GroupId, HallName, NodeId
-from waywell.process.health import Evidence, HealthTable, Verdict
 from waywell.process.loads import LoadTable, find_level
-from waywell.process.prober import ProbeRing, judge_probes
 from waywell.version.roster import Group, GroupState, Member
 
 GROUP = GroupId('g')
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -19,8 +19,8 @@
 
 from tests.holder import Holder
 from tests.replicas import STALL_SECONDS, SimHouse
+from waywell.duties.forming import SETTLE_SECONDS
 from waywell.ids import ModelName
-from waywell.process.forming import SETTLE_SECONDS
 from waywell.version.forming_memory import PENDING_SECONDS
 from waywell.version.orders import Assignment, Leave
 from waywell.version.routes import Engine, EngineModel
--- a/tests/test_late_joins.py
+++ b/tests/test_late_joins.py
@@ -29,8 +29,8 @@
 
 from tests.holder import Holder
 from tests.replicas import SimHouse
+from waywell.duties.forming import SETTLE_SECONDS
 from waywell.ids import ModelName
-from waywell.process.forming import SETTLE_SECONDS
 from waywell.version.forming_memory import GATHER_SECONDS, PENDING_SECONDS
 from waywell.version.routes import Engine, EngineModel
 
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,60 @@
+"""No module needs itself while it is loaded, however far the way round."""
+
+from __future__ import annotations
+
+import ast
+from graphlib import CycleError, TopologicalSorter
+from pathlib import Path
+
+import waywell
+
+ROOT = Path(waywell.__file__).parent
+
+
+def name_module(path: Path) -> str:
+    parts = path.relative_to(ROOT.parent).with_suffix('').parts
+    return '.'.join(part for part in parts if part != '__init__')
+
+
+MODULES = {name_module(path): path for path in ROOT.rglob('*.py')}
+
+
+def is_for_types_only(node: ast.AST) -> bool:
+    return (
+        isinstance(node, ast.If)
+        and isinstance(node.test, ast.Name)
+        and node.test.id == 'TYPE_CHECKING'
+    )
+
+
+def list_imports(path: Path) -> set[str]:
+    """Return the modules that one loads when it is loaded."""
+    found = set()
+    for node in ast.parse(path.read_text(encoding='utf-8')).body:
+        if is_for_types_only(node):
+            continue
+        if isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            found.add(node.module)
+            found |= {f'{node.module}.{alias.name}' for alias in node.names}
+    return found & MODULES.keys()
+
+
+def test_no_module_is_loaded_in_a_circle() -> None:
+    needs = {name: list_imports(path) for name, path in MODULES.items()}
+    try:
+        TopologicalSorter(needs).prepare()
+    except CycleError as error:
+        raise AssertionError(' -> '.join(error.args[1])) from error
+
+
+def test_what_decides_without_input_loads_no_daemon() -> None:
+    """Versions know nothing of processes, connections or requests."""
+    outer = ('waywell.process', 'waywell.connection', 'waywell.request')
+    for name, path in MODULES.items():
+        if name.startswith('waywell.version'):
+            loaded = {
+                one for one in list_imports(path) if one.startswith(outer)
+            }
+            assert not loaded, name
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from waywell.duties.lease import LeaseMove, LeaseRecord, LeaseState
 from waywell.ids import Incarnation, NodeId
-from waywell.process.lease import LeaseMove, LeaseRecord, LeaseState
 
 TERM = 6.0
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -17,11 +17,11 @@
     StreamListener,
 )
 from waywell.ids import NodeId
+from waywell.membership.links import PeerLinks
 from waywell.process.actor import Actor
-from waywell.process.links import PeerLinks
 
 if TYPE_CHECKING:
-    from waywell.process.membership import NodeRecord
+    from waywell.membership.membership import NodeRecord
 
 BEAT = Beat(1, 1, 1, 0)
 
@@ -148,7 +148,7 @@
 async def test_stream_whose_peer_says_nothing_is_closed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr('waywell.process.links.HELLO_SECONDS', 0)
+    monkeypatch.setattr('waywell.membership.links.HELLO_SECONDS', 0)
     bench = Bench()
     stream = HeldStream(bench.links.make_listener())
     stream.listener.on_open(stream)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from waywell.ids import HallName, Incarnation, NodeId
-from waywell.process.membership import (
+from waywell.membership.membership import (
     CALLERS,
     MembershipTable,
     NodeRecord,
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -8,7 +8,7 @@
 import pytest
 
 from waywell.codes import Code, Ran
-from waywell.process.metrics import InstrumentKind, InstrumentSpec, Metrics
+from waywell.telemetry.metrics import InstrumentKind, InstrumentSpec, Metrics
 
 LOADING = """
 import asyncio, sys
@@ -75,7 +75,7 @@
 def test_no_heap_of_words_waits_for_a_scrape(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr('waywell.process.metrics.MOST_WAITING', 3)
+    monkeypatch.setattr('waywell.telemetry.metrics.MOST_WAITING', 3)
     metrics = Metrics()
     counter = metrics.add(
         InstrumentSpec(
--- a/tests/test_old_answers.py
+++ b/tests/test_old_answers.py
@@ -26,9 +26,9 @@
 from tests.loops import in_loop
 from tests.test_membership import make_record
 from waywell.connection.platform import Stored
+from waywell.duties.duty import TICKS_A_TERM, Duty
+from waywell.duties.lease import LeaseRecord
 from waywell.ids import Incarnation, NodeId
-from waywell.process.duty import TICKS_A_TERM, Duty
-from waywell.process.lease import LeaseRecord
 
 if TYPE_CHECKING:
     from waywell.connection.platform import Kind, PlatformFault
--- a/tests/test_outlook.py
+++ b/tests/test_outlook.py
@@ -7,8 +7,8 @@
 from tests.boxes import make_box, make_fleet, make_group
 from waywell.codes import Code, Refusal
 from waywell.ids import ModelName, ServiceName
+from waywell.knowledge.outlook import KEY_MARGIN, Outlook
 from waywell.process.front_settings import PromiseSettings
-from waywell.process.outlook import KEY_MARGIN, Outlook
 from waywell.version.routes import (
     Engine,
     EngineModel,
--- a/tests/test_paces.py
+++ b/tests/test_paces.py
@@ -7,8 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from waywell.knowledge.paces import choose_failed_wait, make_paces
 from waywell.process.front_settings import PromiseSettings
-from waywell.process.paces import choose_failed_wait, make_paces
 
 BOUNDS = st.floats(300.0, 60_000.0)
 
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -12,9 +12,9 @@
 
 from tests.test_membership import make_record
 from waywell.connection.platform import Changes, Kind, PlatformFault, Stored
-from waywell.process import presence as presence_module
-from waywell.process.membership import MembershipTable
-from waywell.process.presence import Presence
+from waywell.membership import presence as presence_module
+from waywell.membership.membership import MembershipTable
+from waywell.membership.presence import Presence
 
 
 class _Store:
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -7,7 +7,7 @@
 
 from tests.test_membership import make_record
 from waywell.ids import BoxId, Epoch, GroupId, HallName
-from waywell.process.membership import NodeRecord, NodeState
+from waywell.membership.membership import NodeRecord, NodeState
 from waywell.process.release import (
     ReleaseTracker,
     may_route_unfenced,
--- a/tests/test_silent_domain.py
+++ b/tests/test_silent_domain.py
@@ -20,9 +20,9 @@
 
 from tests.holder import Holder
 from tests.replicas import SimHouse
+from waywell.duties.box_survey import ASK_AGAIN_SECONDS, LISTENED_SECONDS
+from waywell.duties.forming import SETTLE_SECONDS
 from waywell.ids import ModelName, ServiceName
-from waywell.process.box_survey import ASK_AGAIN_SECONDS, LISTENED_SECONDS
-from waywell.process.forming import SETTLE_SECONDS
 from waywell.version.forming_memory import PENDING_SECONDS
 from waywell.version.routes import Engine, EngineModel
 
--- a/waywell/bench/decisions.py
+++ b/waywell/bench/decisions.py
@@ -12,6 +12,8 @@
 
 from waywell.bench.figures import fit_slope, write_figures
 from waywell.connection.entry_peer import LoadNews
+from waywell.health.health import HealthTable
+from waywell.health.prober import pick_probed
 from waywell.ids import (
     BoxId,
     DomainName,
@@ -22,10 +24,8 @@
     RequestId,
     SessionId,
 )
-from waywell.process.health import HealthTable
+from waywell.membership.membership import MembershipTable, NodeRecord
 from waywell.process.loads import LoadTable
-from waywell.process.membership import MembershipTable, NodeRecord
-from waywell.process.prober import pick_probed
 from waywell.request.balance import Balance
 from waywell.request.claim import ClaimKey, ClaimTable, issue_prefix
 from waywell.request.routing import choose_for_session, choose_less_loaded
--- a/waywell/connection/admin.py
+++ b/waywell/connection/admin.py
@@ -13,7 +13,7 @@
 
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.deferreds import start_task
-from waywell.process.events import log_event, log_warning
+from waywell.telemetry.events import log_event, log_warning
 from waywell.version.selector import Selector
 
 if TYPE_CHECKING:
--- a/waywell/connection/caller_base.py
+++ b/waywell/connection/caller_base.py
@@ -11,7 +11,7 @@
 
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.deferreds import start_task
-from waywell.process.events import log_warning
+from waywell.telemetry.events import log_warning
 
 CODE_HEADER = 'waywell-code'
 """Number of the result code, on refusals."""
--- a/waywell/connection/entry_peer.py
+++ b/waywell/connection/entry_peer.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from waywell.health.health import Evidence
 from waywell.ids import GroupId, NodeId, RequestId
-from waywell.process.health import Evidence
 from waywell.request.claim import ClaimState
 from waywell.version.document import Change, Document, DocumentKind
 
--- a/waywell/connection/frames.py
+++ b/waywell/connection/frames.py
@@ -20,7 +20,7 @@
     PeerTransport,
     StreamListener,
 )
-from waywell.process.events import log_warning
+from waywell.telemetry.events import log_warning
 
 LENGTH_BYTES = 4
 """Bytes of the length before each message."""
--- a/waywell/connection/peer.py
+++ b/waywell/connection/peer.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from waywell.ids import BoxId, Epoch, GroupId, Incarnation
-from waywell.process.membership import NodeRecord
+from waywell.membership.membership import NodeRecord
 from waywell.version.fleet import UNTOLD, FleetBox
 from waywell.version.routes import RouteTable
 
--- a/waywell/daemon.py
+++ b/waywell/daemon.py
@@ -9,7 +9,7 @@
 
 from twisted.internet import asyncioreactor
 
-from waywell.process.events import log_event, open_log
+from waywell.telemetry.events import log_event, open_log
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/waywell/process/box_survey.py
+++ b/waywell/duties/box_survey.py
@@ -10,7 +10,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from waywell.process.events import log_event, log_warning
+from waywell.telemetry.events import log_event, log_warning
 from waywell.version.box_report import BoxReport, ReportReading
 from waywell.version.fleet import BoxLife, FleetBox, is_same_life
 
@@ -18,7 +18,7 @@
     from collections.abc import Callable
 
     from waywell.ids import GroupId
-    from waywell.process.outlook import Outlook
+    from waywell.knowledge.outlook import Outlook
     from waywell.version.fleet import FleetGroup
     from waywell.version.forming_memory import FormingMemory
 
--- a/waywell/process/duty.py
+++ b/waywell/duties/duty.py
@@ -9,17 +9,17 @@
 from returns.result import Failure
 
 from waywell.connection.platform import Kind, PlatformFault
+from waywell.duties.lease import LeaseMove, LeaseRecord, LeaseState
+from waywell.membership.gossip import Gossip
+from waywell.membership.membership import NodeState, rank_contenders
 from waywell.process.actor import Actor, Message
-from waywell.process.events import log_event, log_warning
-from waywell.process.gossip import Gossip
-from waywell.process.lease import LeaseMove, LeaseRecord, LeaseState
-from waywell.process.membership import NodeState, rank_contenders
+from waywell.telemetry.events import log_event, log_warning
 
 if TYPE_CHECKING:
     from waywell.connection.platform import Platform, Stored
     from waywell.ids import NodeId
+    from waywell.membership.membership import NodeRecord
     from waywell.process.clock import Clock
-    from waywell.process.membership import NodeRecord
 
 CONTENDERS = 3
 """Nodes that contend for one duty."""
--- a/waywell/process/forming.py
+++ b/waywell/duties/forming.py
@@ -6,13 +6,13 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
+from waywell.duties.box_questions import ask_box
+from waywell.duties.box_survey import BoxSurvey
+from waywell.duties.duty import Duty
+from waywell.duties.forming_log import log_groups, log_order
 from waywell.ids import GroupId, ServiceName
 from waywell.process.actor import Message
-from waywell.process.box_questions import ask_box
-from waywell.process.box_survey import BoxSurvey
-from waywell.process.duty import Duty
-from waywell.process.events import log_warning
-from waywell.process.forming_log import log_groups, log_order
+from waywell.telemetry.events import log_warning
 from waywell.version.box_report import BoxReport
 from waywell.version.fleet import (
     BoxLife,
@@ -38,9 +38,9 @@
     from waywell.connection.box_orders import BoxOrders
     from waywell.connection.platform import Platform
     from waywell.ids import ModelName
+    from waywell.knowledge.outlook import Outlook
+    from waywell.membership.gossip import Gossip
     from waywell.process.clock import Clock
-    from waywell.process.gossip import Gossip
-    from waywell.process.outlook import Outlook
 
 PLAN_SECONDS = 0.15
 """Between two plans: a tenth of the time in which a group is patched."""
--- a/waywell/process/forming_log.py
+++ b/waywell/duties/forming_log.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from waywell.process.events import log_event, log_warning
+from waywell.telemetry.events import log_event, log_warning
 from waywell.version.orders import Join, OrderResult, Stage
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/waywell/health/__init__.py
@@ -0,0 +1,1 @@
+"""What speaks against replicas and groups, and for them again."""
--- a/waywell/process/doubts.py
+++ b/waywell/health/doubts.py
@@ -19,12 +19,12 @@
 from waywell.connection.peer import ReplicaDoubt, ReplicaHeard
 from waywell.ids import GroupId
 from waywell.process.actor import Actor
-from waywell.process.events import log_event
+from waywell.telemetry.events import log_event
 from waywell.version.fleet import ReplicaKey
 
 if TYPE_CHECKING:
+    from waywell.membership.links import PeerLinks
     from waywell.process.clock import Clock
-    from waywell.process.links import PeerLinks
     from waywell.request.replica_book import ReplicaBook
     from waywell.version.fleet import Replica
 
--- a/waywell/process/prober.py
+++ b/waywell/health/prober.py
@@ -8,22 +8,22 @@
 from typing import TYPE_CHECKING
 
 from waywell.connection.entry_peer import HealthNews, LoadNews
+from waywell.health.health import Evidence, HealthTable, Verdict
+from waywell.membership.membership import NodeState
 from waywell.process.actor import Actor, Message
-from waywell.process.events import log_event
-from waywell.process.health import Evidence, HealthTable, Verdict
-from waywell.process.membership import NodeState
+from waywell.telemetry.events import log_event
 from waywell.version.roster import Group, GroupState
 
 if TYPE_CHECKING:
     from waywell.connection.target import ProbeAnswer, Target
     from waywell.ids import GroupId, NodeId
+    from waywell.membership.gossip import Gossip
+    from waywell.membership.links import PeerLinks
+    from waywell.membership.membership import NodeRecord
     from waywell.process.clock import Clock
     from waywell.process.documents import InForce
-    from waywell.process.gossip import Gossip
-    from waywell.process.links import PeerLinks
     from waywell.process.loads import LoadTable
-    from waywell.process.membership import NodeRecord
-    from waywell.process.timing import TimingSettings
+    from waywell.telemetry.timing import TimingSettings
 
 PROBERS = 2
 """Nodes that probe one group."""
--- a/waywell/process/feed.py
+++ b/waywell/knowledge/feed.py
@@ -17,19 +17,19 @@
 
 from waywell.connection.peer import BoxLoad, FeedAnswer, FeedAsk
 from waywell.ids import NodeId
+from waywell.knowledge.box_lists import BoxLists
+from waywell.knowledge.readers import HallReaders
 from waywell.process.actor import Actor, Message
-from waywell.process.box_lists import BoxLists
-from waywell.process.readers import HallReaders
 from waywell.version.fleet import BoxLife, Fleet
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from waywell.knowledge.outlook import Outlook
+    from waywell.knowledge.paces import Paces
+    from waywell.membership.gossip import Gossip
+    from waywell.membership.links import PeerLinks
     from waywell.process.clock import Clock
-    from waywell.process.gossip import Gossip
-    from waywell.process.links import PeerLinks
-    from waywell.process.outlook import Outlook
-    from waywell.process.paces import Paces
     from waywell.request.replica_book import ReplicaBook
     from waywell.request.shared_loads import SharedLoads
 
--- a/waywell/process/fleet_watch.py
+++ b/waywell/knowledge/fleet_watch.py
@@ -6,16 +6,16 @@
 
 from waywell.connection.platform import Kind, PlatformFault
 from waywell.ids import BoxId
-from waywell.process.events import log_event
-from waywell.process.platform_watch import PlatformWatch, WatchScope
+from waywell.knowledge.platform_watch import PlatformWatch, WatchScope
+from waywell.telemetry.events import log_event
 from waywell.version.fleet import Fleet, FleetBox, MemberState
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Set
 
     from waywell.connection.platform import Changes
-    from waywell.process.paces import Paces
-    from waywell.process.platform_watch import WatchParts
+    from waywell.knowledge.paces import Paces
+    from waywell.knowledge.platform_watch import WatchParts
 
 QUICK_PACE = 0.15
 """Seconds between two looks of the node that forms groups, as between its
--- a/waywell/process/outlook.py
+++ b/waywell/knowledge/outlook.py
@@ -8,7 +8,7 @@
 
 from waywell.codes import Code, Refusal
 from waywell.ids import ModelName
-from waywell.process.events import log_event
+from waywell.telemetry.events import log_event
 from waywell.version.fleet import (
     BoxLife,
     Fleet,
--- a/waywell/process/platform_watch.py
+++ b/waywell/knowledge/platform_watch.py
@@ -11,11 +11,11 @@
 from returns.result import Failure
 
 from waywell.connection.platform import Kind, Platform
+from waywell.knowledge.outlook import Outlook
+from waywell.knowledge.paces import choose_failed_wait
 from waywell.process.actor import Actor
 from waywell.process.clock import Clock
-from waywell.process.events import log_event, log_warning
-from waywell.process.outlook import Outlook
-from waywell.process.paces import choose_failed_wait
+from waywell.telemetry.events import log_event, log_warning
 
 if TYPE_CHECKING:
     from returns.result import Result
--- a/waywell/process/readers.py
+++ b/waywell/knowledge/readers.py
@@ -5,12 +5,12 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from waywell.process.events import log_event
-from waywell.process.membership import NodeState, rank_contenders
+from waywell.membership.membership import NodeState, rank_contenders
+from waywell.telemetry.events import log_event
 
 if TYPE_CHECKING:
     from waywell.ids import HallName, NodeId
-    from waywell.process.membership import MembershipTable, NodeRecord
+    from waywell.membership.membership import MembershipTable, NodeRecord
 
 
 class HallReaders:
--- a/waywell/process/route_watch.py
+++ b/waywell/knowledge/route_watch.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 from waywell.connection.platform import Kind
-from waywell.process.events import log_event
-from waywell.process.platform_watch import PlatformWatch, WatchScope
+from waywell.knowledge.platform_watch import PlatformWatch, WatchScope
+from waywell.telemetry.events import log_event
 
 if TYPE_CHECKING:
     from waywell.connection.platform import Changes, PlatformFault, Stored
-    from waywell.process.platform_watch import WatchParts
+    from waywell.knowledge.platform_watch import WatchParts
 
 ROUTES_NAME = 'main'
 """Name of the one object that holds the routes."""
--- /dev/null
+++ b/waywell/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry boxes there are, and the streams between them."""
--- a/waywell/process/gossip.py
+++ b/waywell/membership/gossip.py
@@ -10,22 +10,22 @@
 import msgspec
 
 from waywell.connection.peer import Beat, Records
-from waywell.process.actor import Actor, Message
-from waywell.process.events import log_event
-from waywell.process.links import PeerLinks
-from waywell.process.membership import (
+from waywell.membership.links import PeerLinks
+from waywell.membership.membership import (
     MembershipTable,
     NodeRecord,
     NodeState,
     may_call,
 )
+from waywell.process.actor import Actor, Message
+from waywell.telemetry.events import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from waywell.ids import NodeId
     from waywell.process.clock import Clock
-    from waywell.process.timing import TimingSettings
+    from waywell.telemetry.timing import TimingSettings
 
 FLUSH_SECONDS = 0.1
 """Seconds for which news gathers before it is passed on."""
--- a/waywell/process/links.py
+++ b/waywell/membership/links.py
@@ -15,7 +15,7 @@
 )
 from waywell.ids import NodeId
 from waywell.process.actor import Actor, Message
-from waywell.process.events import log_detail
+from waywell.telemetry.events import log_detail
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,7 +23,7 @@
     from msgspec import Raw
 
     from waywell.connection.peer_stream import PeerTransport
-    from waywell.process.membership import NodeRecord
+    from waywell.membership.membership import NodeRecord
 
 HELLO_SECONDS = 2.0
 """Seconds for a new stream's first message."""
--- a/waywell/process/presence.py
+++ b/waywell/membership/presence.py
@@ -9,17 +9,17 @@
 from returns.result import Failure
 
 from waywell.connection.platform import Kind
-from waywell.process.events import log_warning
+from waywell.membership.membership import may_call
 from waywell.process.front_settings import Address, parse_address
-from waywell.process.membership import may_call
+from waywell.telemetry.events import log_warning
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Sequence
     from random import Random
 
     from waywell.connection.platform import Platform, Stored
-    from waywell.process.links import PeerLinks
-    from waywell.process.membership import MembershipTable
+    from waywell.membership.links import PeerLinks
+    from waywell.membership.membership import MembershipTable
 
 JOIN_SECONDS = 1.0
 """Seconds between two attempts to find other entry boxes."""
--- a/waywell/platform/__main__.py
+++ b/waywell/platform/__main__.py
@@ -24,10 +24,10 @@
     """
     gc.disable()
     from waywell.daemon import run_node  # noqa: PLC0415
-    from waywell.process.events import open_output_log  # noqa: PLC0415
     from waywell.process.front_settings import (  # noqa: PLC0415
         load_front_settings,
     )
+    from waywell.telemetry.events import open_output_log  # noqa: PLC0415
     from waywell.version.faults import FaultsError  # noqa: PLC0415
 
     try:
--- a/waywell/platform/orders.py
+++ b/waywell/platform/orders.py
@@ -17,7 +17,7 @@
     decode_group,
     decode_life,
 )
-from waywell.process.events import log_warning
+from waywell.telemetry.events import log_warning
 from waywell.version.box_report import USUAL_PACE, BoxReport
 from waywell.version.orders import (
     Assignment,
--- a/waywell/platform/store.py
+++ b/waywell/platform/store.py
@@ -30,7 +30,7 @@
     decode_page,
 )
 from waywell.platform.servers import decode_server
-from waywell.process.events import log_warning
+from waywell.telemetry.events import log_warning
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/waywell/process/actor.py
+++ b/waywell/process/actor.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from waywell.process.events import log_warning
+from waywell.telemetry.events import log_warning
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
--- a/waywell/process/administration.py
+++ b/waywell/process/administration.py
@@ -11,8 +11,8 @@
 
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.platform import Kind, PlatformFault
-from waywell.process.measures import count_stranded
 from waywell.process.store import DocumentStore, StoredDocument
+from waywell.telemetry.measures import count_stranded
 from waywell.version.configuration import (
     check_configuration,
     split_configuration,
--- a/waywell/process/assembly.py
+++ b/waywell/process/assembly.py
@@ -10,14 +10,14 @@
 
 from waywell.connection.platform import Kind
 from waywell.connection.target import GroupOrder, OrderOutcome
+from waywell.duties.duty import Duty, make_operation
+from waywell.health.health import Verdict
 from waywell.ids import BoxId, GroupId
+from waywell.membership.gossip import Gossip
 from waywell.process.actor import Message
-from waywell.process.duty import Duty, make_operation
-from waywell.process.events import log_event, log_warning
-from waywell.process.gossip import Gossip
-from waywell.process.health import Verdict
 from waywell.process.release import ReleaseTracker
 from waywell.process.store import DocumentStore
+from waywell.telemetry.events import log_event, log_warning
 from waywell.version.assembly import (
     AssemblyView,
     doubts_boxes,
@@ -37,10 +37,10 @@
 if TYPE_CHECKING:
     from waywell.connection.platform import Changes, Platform
     from waywell.connection.target import Target
+    from waywell.health.health import Evidence, HealthTable
     from waywell.process.clock import Clock
     from waywell.process.documents import Documents
-    from waywell.process.health import Evidence, HealthTable
-    from waywell.process.timing import TimingSettings
+    from waywell.telemetry.timing import TimingSettings
     from waywell.version.draft import Plan
 
 PLAN_SECONDS = 0.5
--- a/waywell/process/claims.py
+++ b/waywell/process/claims.py
@@ -12,8 +12,8 @@
 from waywell.connection.entry_peer import ClaimAnswer, ClaimAsk
 from waywell.connection.grpc_peer import ask_claim, open_channel
 from waywell.connection.platform import Kind, PlatformFault
-from waywell.process.duty import make_operation
-from waywell.process.membership import NodeState
+from waywell.duties.duty import make_operation
+from waywell.membership.membership import NodeState
 from waywell.request.claim import (
     ClaimKey,
     ClaimState,
@@ -23,8 +23,8 @@
 
 if TYPE_CHECKING:
     from waywell.connection.platform import Platform
+    from waywell.membership.membership import MembershipTable, NodeRecord
     from waywell.process.clock import Clock
-    from waywell.process.membership import MembershipTable, NodeRecord
 
 NAME_DIGITS = 40
 """Hexadecimal digits in the name of a claim object."""
--- a/waywell/process/documents.py
+++ b/waywell/process/documents.py
@@ -7,9 +7,9 @@
 
 from waywell.connection.entry_peer import DocumentNews, DocumentWanted
 from waywell.connection.peer import Beat
+from waywell.membership.gossip import Numbers
 from waywell.process.actor import Actor, Message
-from waywell.process.events import log_event, log_warning
-from waywell.process.gossip import Numbers
+from waywell.telemetry.events import log_event, log_warning
 from waywell.version.configuration import join_configuration
 from waywell.version.document import (
     Change,
@@ -26,8 +26,8 @@
     from collections.abc import Callable
 
     from waywell.ids import NodeId
+    from waywell.membership.links import PeerLinks
     from waywell.process.clock import Clock
-    from waywell.process.links import PeerLinks
 
 
 ASK_SECONDS = 1.0
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -15,28 +15,24 @@
 from waywell.connection.http_platform import HttpPlatform
 from waywell.connection.http_target import HttpTarget
 from waywell.connection.platform import Kind
+from waywell.health.health import HealthTable
+from waywell.health.prober import Prober
 from waywell.ids import HallName, Incarnation, NodeId
+from waywell.membership.gossip import Gossip
+from waywell.membership.links import PeerLinks
+from waywell.membership.membership import (
+    MembershipTable,
+    NodeRecord,
+    NodeState,
+)
 from waywell.process.administration import Administration
 from waywell.process.assembly import AssemblyDuty
 from waywell.process.claims import HomeClaimer, PlatformClaimer
 from waywell.process.clock import SystemClock
 from waywell.process.documents import Documents, InForce
-from waywell.process.events import log_event
-from waywell.process.gossip import Gossip
-from waywell.process.health import HealthTable
-from waywell.process.history import open_history
-from waywell.process.links import PeerLinks
 from waywell.process.loads import LoadTable
-from waywell.process.measures import DowntimeMeter, count_serving
-from waywell.process.membership import (
-    MembershipTable,
-    NodeRecord,
-    NodeState,
-)
-from waywell.process.metrics import Metrics
 from waywell.process.operations import Operations
 from waywell.process.ports import Ports
-from waywell.process.prober import Prober
 from waywell.process.release import may_route_unfenced
 from waywell.process.watch import HallDuty
 from waywell.request.admission import Admission
@@ -45,6 +41,10 @@
 from waywell.request.dispatcher import Dispatcher, NodeFacts, Parts
 from waywell.request.facts import REQUEST_ID_HEADER
 from waywell.request.retry import RetryBudget
+from waywell.telemetry.events import log_event
+from waywell.telemetry.history import open_history
+from waywell.telemetry.measures import DowntimeMeter, count_serving
+from waywell.telemetry.metrics import Metrics
 
 if TYPE_CHECKING:
     from waywell.process.settings import Settings
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -11,30 +11,26 @@
 from waywell.connection.frames import FrameTransport
 from waywell.connection.front import FrontBackend, FrontRequest
 from waywell.connection.peer import FrontWire
+from waywell.duties.forming import FormingDuty
+from waywell.health.doubts import DoubtListeners, Doubts
 from waywell.ids import GroupId, HallName, Incarnation, NodeId
-from waywell.process.clock import SystemClock
-from waywell.process.doubts import DoubtListeners, Doubts
-from waywell.process.events import log_event
-from waywell.process.feed import Feed
-from waywell.process.fleet_watch import FleetWatch
-from waywell.process.forming import FormingDuty
-from waywell.process.front_gauges import FrontGauges
-from waywell.process.front_operations import FrontOperations
-from waywell.process.front_ports import FrontHandlers, FrontPorts
-from waywell.process.gossip import Gossip, Numbers
-from waywell.process.links import PeerLinks
-from waywell.process.membership import (
+from waywell.knowledge.feed import Feed
+from waywell.knowledge.fleet_watch import FleetWatch
+from waywell.knowledge.outlook import Outlook
+from waywell.knowledge.paces import make_paces
+from waywell.knowledge.platform_watch import WatchParts
+from waywell.knowledge.route_watch import RouteWatch
+from waywell.membership.gossip import Gossip, Numbers
+from waywell.membership.links import PeerLinks
+from waywell.membership.membership import (
     MembershipTable,
     NodeRecord,
     NodeState,
 )
-from waywell.process.metrics import Metrics
-from waywell.process.outlook import Outlook
-from waywell.process.paces import make_paces
-from waywell.process.platform_watch import WatchParts
-from waywell.process.presence import Presence
-from waywell.process.request_metrics import RequestMetrics
-from waywell.process.route_watch import RouteWatch
+from waywell.membership.presence import Presence
+from waywell.process.clock import SystemClock
+from waywell.process.front_operations import FrontOperations
+from waywell.process.front_ports import FrontHandlers, FrontPorts
 from waywell.request.demand import DemandGauge, count_at, count_by_model
 from waywell.request.errand import CallerAnswer, ForwarderParts
 from waywell.request.forwarder import Forwarder
@@ -42,6 +38,10 @@
 from waywell.request.replica_book import ReplicaBook
 from waywell.request.resend_budget import ResendBudget
 from waywell.request.shared_loads import SharedLoads
+from waywell.telemetry.events import log_event
+from waywell.telemetry.front_gauges import FrontGauges
+from waywell.telemetry.metrics import Metrics
+from waywell.telemetry.request_metrics import RequestMetrics
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
--- a/waywell/process/front_settings.py
+++ b/waywell/process/front_settings.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from waywell.process.timing import TimingSettings
 from waywell.request.resend_budget import ResendLimits
+from waywell.telemetry.timing import TimingSettings
 from waywell.version.faults import FaultsError, structure_input
 from waywell.version.toml_text import read_text, read_toml
 
--- a/waywell/process/operations.py
+++ b/waywell/process/operations.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING, Any
 
+from waywell.duties.duty import make_operation
 from waywell.process.administration import ANY_NUMBER
-from waywell.process.duty import make_operation
-from waywell.process.measures import count_serving
+from waywell.telemetry.measures import count_serving
 
 if TYPE_CHECKING:
     from waywell.connection.admin import Call, Handler
--- a/waywell/process/release.py
+++ b/waywell/process/release.py
@@ -10,7 +10,7 @@
 
 from typing import TYPE_CHECKING
 
-from waywell.process.membership import NodeRecord, NodeState
+from waywell.membership.membership import NodeRecord, NodeState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/waywell/process/settings.py
+++ b/waywell/process/settings.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from waywell.process.timing import TimingSettings
+from waywell.telemetry.timing import TimingSettings
 from waywell.version.faults import FaultsError, structure_input
 from waywell.version.toml_text import read_text, read_toml
 
--- a/waywell/process/watch.py
+++ b/waywell/process/watch.py
@@ -15,20 +15,20 @@
 from returns.result import Failure
 
 from waywell.connection.platform import ANY_VERSION, Kind
+from waywell.duties.duty import Duty
 from waywell.ids import NodeId
+from waywell.membership.gossip import Gossip
+from waywell.membership.membership import NodeState
 from waywell.process.actor import Message
-from waywell.process.duty import Duty
-from waywell.process.gossip import Gossip
-from waywell.process.membership import NodeState
 from waywell.process.store import DocumentStore
 from waywell.version.document import Document, DocumentKind
 
 if TYPE_CHECKING:
     from waywell.connection.platform import Platform, Stored
+    from waywell.membership.membership import NodeRecord
     from waywell.process.clock import Clock
     from waywell.process.documents import Documents
-    from waywell.process.membership import NodeRecord
-    from waywell.process.timing import TimingSettings
+    from waywell.telemetry.timing import TimingSettings
 
 WATCH_SECONDS = 20.0
 """Seconds for which one watch waits."""
--- a/waywell/report/entries.py
+++ b/waywell/report/entries.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from waywell.process.events import log_warning
+from waywell.telemetry.events import log_warning
 
 DRAWN = ('fresh', 'hunt', 'mix')
 """Beginnings of the names of days that were drawn."""
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -5,10 +5,10 @@
 from typing import TYPE_CHECKING
 
 from waywell.connection.exchange import Outgoing
-from waywell.process.events import log_event
 from waywell.request.ask import Delivery
 from waywell.request.attempt import Attempt, Inbox
 from waywell.request.patience import measure_patience
+from waywell.telemetry.events import log_event
 
 if TYPE_CHECKING:
     from waywell.request.errand import Errand, ForwarderParts
--- a/waywell/request/balance.py
+++ b/waywell/request/balance.py
@@ -11,8 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
+    from waywell.health.health import HealthTable
     from waywell.ids import GroupId
-    from waywell.process.health import HealthTable
     from waywell.process.loads import LoadTable
     from waywell.version.roster import Group
 
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -12,11 +12,10 @@
 
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.target import Dispatch, DispatchFault, Target
+from waywell.health.health import HealthTable
 from waywell.process.claims import Claimer
 from waywell.process.clock import Clock
 from waywell.process.documents import InForce
-from waywell.process.health import HealthTable
-from waywell.process.history import History
 from waywell.request.admission import Admission
 from waywell.request.balance import Balance
 from waywell.request.claim import ClaimKey, ClaimState, read_issued
@@ -28,6 +27,7 @@
     choose_less_loaded,
 )
 from waywell.request.submission import CallerPort, Submission, Work
+from waywell.telemetry.history import History
 from waywell.version.roster import Group, GroupState
 from waywell.version.serving import RequestShape
 
--- a/waywell/request/errand.py
+++ b/waywell/request/errand.py
@@ -10,9 +10,8 @@
 
 from waywell.connection.wire import Wire
 from waywell.ids import ServiceName
+from waywell.knowledge.outlook import Outlook
 from waywell.process.clock import Clock
-from waywell.process.outlook import Outlook
-from waywell.process.request_metrics import RequestMetrics
 from waywell.request.answer_times import AnswerTimes
 from waywell.request.ask import Ask
 from waywell.request.pauses import PauseGauge
@@ -20,6 +19,7 @@
 from waywell.request.replica_book import ReplicaBook
 from waywell.request.resend_budget import ResendBudget
 from waywell.request.running import RunningAttempts
+from waywell.telemetry.request_metrics import RequestMetrics
 from waywell.version.fleet import Replica, ReplicaKey
 from waywell.version.routes import Engine, KeyHolder, Route
 
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -8,10 +8,10 @@
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.exchange import SendFault
 from waywell.process.actor import get_handler_name
-from waywell.process.events import log_event
 from waywell.request.attempt import Attempt, Inbox
 from waywell.request.attempts import Attempts
 from waywell.request.return_advice import ReturnReason, advise_return
+from waywell.telemetry.events import log_event
 from waywell.version.routes import RouteKind
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/waywell/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""What a process tells of itself: log lines, metrics, gauges."""
--- a/waywell/process/request_metrics.py
+++ b/waywell/telemetry/request_metrics.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from waywell.process.metrics import InstrumentKind, InstrumentSpec
+from waywell.telemetry.metrics import InstrumentKind, InstrumentSpec
 
 if TYPE_CHECKING:
-    from waywell.process.metrics import Metrics
+    from waywell.telemetry.metrics import Metrics
 
 LATENCY_BOUNDS = (
     0.025,
