--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -16,6 +16,7 @@
 
 import asyncio
 import json
+from contextlib import contextmanager
 from typing import TYPE_CHECKING, Any
 
 import pytest
@@ -153,16 +154,24 @@
         )
 
 
-@pytest.fixture
-def pages(monkeypatch: pytest.MonkeyPatch) -> Iterator[Pages]:
-    """Return pages that a store answers with."""
+@contextmanager
+def answer_by_pages() -> Iterator[Pages]:
+    """Let stores answer with pages, for examples that share a test."""
     made = Pages()
-    monkeypatch.setattr(
-        HttpCalls,
-        'call',
-        lambda _calls, *words, **named: made.call(*words, **named),
-    )
-    yield made
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(
+            HttpCalls,
+            'call',
+            lambda _calls, *words, **named: made.call(*words, **named),
+        )
+        yield made
+
+
+@pytest.fixture
+def pages() -> Iterator[Pages]:
+    """Return pages that stores answer with."""
+    with answer_by_pages() as made:
+        yield made
 
 
 def read_list(kind: Kind = Kind.BOX) -> Changes:
@@ -286,22 +295,17 @@
 @given(junk=st.binary(max_size=60))
 def test_any_page_is_read_or_refused(junk: bytes) -> None:
     """No answer ends the task that reads it."""
-    pages = Pages()
-    patch = pytest.MonkeyPatch()
-    patch.setattr(
-        HttpCalls,
-        'call',
-        lambda _calls, *words, **named: pages.call(*words, **named),
-    )
     store = ObjectStore('127.0.0.1:1', 1.0)
-    for raw in (junk, b'{"items": [%b]}' % junk, b'{"events": [%b]}' % junk):
-        pages.pages.append(raw)
-        asyncio.run(store.fetch_all(Kind.BOX))
-        pages.pages.append(raw)
-        asyncio.run(store.watch((Kind.BOX,), 9, 0.1))
-        pages.pages.append(raw)
-        asyncio.run(store.fetch(Kind.LEASE, 'forming'))
-    patch.undo()
+    with answer_by_pages() as pages:
+        for raw in (
+            junk,
+            b'{"items": [%b]}' % junk,
+            b'{"events": [%b]}' % junk,
+        ):
+            pages.pages = [raw] * 3
+            asyncio.run(store.fetch_all(Kind.BOX))
+            asyncio.run(store.watch((Kind.BOX,), 9, 0.1))
+            asyncio.run(store.fetch(Kind.LEASE, 'forming'))
 
 
 PLACES = st.integers(0, len(SOUND) - 1)
@@ -315,15 +319,8 @@
     """Where the page is still one, its other objects are there."""
     start, length, put = cut
     damaged = SOUND[:start] + put + SOUND[start + length :]
-    pages = Pages()
-    patch = pytest.MonkeyPatch()
-    patch.setattr(
-        HttpCalls,
-        'call',
-        lambda _calls, *words, **named: pages.call(*words, **named),
-    )
-    pages.add_list(encode('other', ENTRY), damaged)
-    read = asyncio.run(ObjectStore('127.0.0.1:1', 1.0).fetch_all(Kind.BOX))
-    patch.undo()
+    with answer_by_pages() as pages:
+        pages.add_list(encode('other', ENTRY), damaged)
+        read = asyncio.run(ObjectStore('127.0.0.1:1', 1.0).fetch_all(Kind.BOX))
     if isinstance(read, Success):
         assert 'other' in list_names(read.unwrap())
