--- a/tests/house.py
+++ b/tests/house.py
@@ -248,6 +248,7 @@
             'state': 'ready',
             'cold_left_ms': 0,
             'seq_no': 1,
+            'born': 1,
             'domain': 'd0',
             'staged': [],
         }
@@ -262,6 +263,15 @@
         self._server.shutdown()
         self._server.server_close()
 
+    def restart(self) -> None:
+        """Begin a new life under the same id; only the host keeps weights."""
+        self.orders_begun = 0
+        self.fence = 0
+        self.members = []
+        self.entry['group'] = None
+        self.entry['born'] += 1
+        self.write_entry()
+
     def crash(self) -> None:
         """Listen no more and be forgotten by the store."""
         self.close()
@@ -330,6 +340,7 @@
     def make_report(self) -> dict[str, Any]:
         """Return how it is now."""
         return {
+            'born': self.entry['born'],
             'seq_no': self.orders_begun,
             'group': self.get_group() or None,
         }
