--- a/tests/test_fleet_watch.py
+++ b/tests/test_fleet_watch.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from tests.boxes import make_box, make_group
+from tests.boxes import make_box, make_fleet, make_group
 from waywell.connection.platform import Changes, PlatformFault, Stored
 from waywell.knowledge.fleet_watch import (
     KEEP_SECONDS,
@@ -154,3 +154,19 @@
     bench.list(5.0, head)
     assert bench.list(6.0, head, member) == {'a', 'b'}
     assert not bench.outlook.kept
+
+
+def test_a_list_that_was_asked_for_earlier_undoes_no_later_one() -> None:
+    """Symptom: a box's present life counted as over, and the one before as new.
+
+    Sequence: this node asks the slow platform; its reader's later list comes
+    first, and shows a box in a new life; then the answer comes.  Cause: what
+    this node reads itself is put in force whenever it comes.  Found by reading.
+    """
+    old = msgspec.structs.replace(make_box('a'), incarnation=1)
+    new = msgspec.structs.replace(make_box('a'), incarnation=2)
+    bench = Bench(old)
+    bench.outlook.take_fleet(make_fleet(new), 5.3)
+    stored = (Stored('box', old.box, 1, old),)
+    bench.watch.take(Changes(9, stored, complete=True), 5.0, 5.4)
+    assert bench.outlook.fleet.boxes[old.box].incarnation == 2
