Log what tells a request again at each attempt

Cause: the lines of attempts name the attempt's id only, and each repeat has another; of 32 requests that one end of a replica cut, 9 could not be told, so it could not be seen whether all ends had one request in common. Change: a fingerprint of method, path, account and body on each of these lines. No decision changes.

--- /dev/null
+++ b/tests/test_fingerprint.py
@@ -0,0 +1,64 @@
+"""What tells a request again."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from waywell.ids import AccountName
+from waywell.request.ask import Ask
+from waywell.request.fingerprint import make_fingerprint
+
+SHOP = AccountName('shop')
+ASK = Ask('a1', 'POST', '/notes/1?x=2', 'shop.example', (), b'{"a": 1}')
+
+
+def test_each_repeat_has_the_same() -> None:
+    repeat = msgspec.structs.replace(
+        ASK,
+        attempt='a2',
+        host='SHOP.example:8000',
+        headers=((b'x', b'y'),),
+        key='the new one',
+        seconds=3.0,
+        resume_after=4,
+    )
+    assert make_fingerprint(repeat, SHOP) == make_fingerprint(ASK, SHOP)
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'method': 'PUT'},
+        {'target': '/notes/2?x=2'},
+        {'target': '/notes/1?x=3'},
+        {'body': b'{"a": 2}'},
+        {'body': b''},
+    ],
+)
+def test_another_request_has_another(change: dict[str, object]) -> None:
+    other = msgspec.structs.replace(ASK, **change)
+    assert make_fingerprint(other, SHOP) != make_fingerprint(ASK, SHOP)
+
+
+def test_another_account_has_another() -> None:
+    others = {
+        make_fingerprint(ASK, account)
+        for account in (None, SHOP, AccountName('store'))
+    }
+    assert len(others) == 3
+
+
+@given(st.text(max_size=8), st.text(max_size=8), st.binary(max_size=8))
+def test_no_part_runs_into_the_next(
+    target: str,
+    account: str,
+    body: bytes,
+) -> None:
+    one = Ask('a', 'GET', target, 'h', (), body)
+    longer = Ask('a', 'GET', f'{target}x', 'h', (), body)
+    assert make_fingerprint(longer, AccountName(account)) != make_fingerprint(
+        one, AccountName(f'x{account}')
+    )
--- a/waywell/ids.py
+++ b/waywell/ids.py
@@ -36,6 +36,9 @@
 RequestId = NewType('RequestId', str)
 """A caller's name for a request; unique within its client account."""
 
+Fingerprint = NewType('Fingerprint', str)
+"""Digest of what a request asks and for whom, the same at each repeat."""
+
 Epoch = NewType('Epoch', int)
 """Fence of a group: a target refuses work of an epoch below its own."""
 
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -150,6 +150,7 @@
         log_event(
             event,
             request=errand.ask.attempt,
+            fingerprint=errand.fingerprint,
             route=errand.route.name,
             attempt=attempt.number,
             box=attempt.replica.key.box,
--- a/waywell/request/errand.py
+++ b/waywell/request/errand.py
@@ -9,7 +9,7 @@
 import attrs
 
 from waywell.connection.wire import Wire
-from waywell.ids import ServiceName
+from waywell.ids import Fingerprint, ServiceName
 from waywell.knowledge.outlook import Outlook
 from waywell.process.clock import Clock
 from waywell.request.answer_times import AnswerTimes
@@ -118,6 +118,9 @@
     ends_at: float
     """When it is given up, in seconds."""
 
+    fingerprint: Fingerprint = Fingerprint('')
+    """What tells it again when it is repeated."""
+
     engine: Engine | None = None
     """Engine of the service, where it has one."""
 
--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -7,6 +7,7 @@
 
 from waywell.codes import Code, Refusal
 from waywell.request.errand import CallerAnswer, Errand, ForwarderParts
+from waywell.request.fingerprint import make_fingerprint
 from waywell.request.journey import Journey
 from waywell.request.return_advice import ReturnReason, advise_return
 
@@ -88,6 +89,9 @@
             holder,
             arrived_at=now,
             ends_at=now + seconds,
+            fingerprint=make_fingerprint(
+                ask, None if holder is None else holder.account
+            ),
             engine=service.engine,
             last_event=ask.resume_after,
         )
