Hold back requests that crash the replicas that run them

Cause: a node knew a request by one attempt of its caller, so what a cut says of the request was dropped with the attempt, and each repeat at each node put as many replicas at risk as its route allows. Change: a node whose attempts break asks whether the replica takes a new connection; where not, it tells all nodes what ran there. The request that the ends have in common is held back after the third, at every node: refused as not run, with when to come back, and broken off where it runs. What was cut beside it is retried, and cleared once served. Kept in the platform for starts of all nodes and for nodes that do not reach each other. Ruled out: counting every broken attempt (lost, spoilt and reset answers would count), counting by node (no node sees three ends of its own).

--- a/tests/house.py
+++ b/tests/house.py
@@ -69,6 +69,7 @@
         self.slow_seconds = 0.0
         self.loses_answers = False
         self.refusal = 0
+        self.hidden: set[str] = set()
         self.servers: dict[str, Server] = {}
         self.broken: list[str] = []
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
@@ -128,7 +129,7 @@
             items = [
                 found
                 for (its_kind, _name), found in sorted(self._objects.items())
-                if its_kind == kind
+                if its_kind == kind and kind not in self.hidden
             ]
             return {'items': items, 'current_rev': self._revision}
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -15,12 +15,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import json
+from typing import TYPE_CHECKING, Any
 
 import pytest
 
 from tests.front_bench import Front
 from tests.house import Server, make_manifest
+from waywell.codes import Code
 from waywell.standins.harness import wait_until
 
 if TYPE_CHECKING:
@@ -62,6 +64,23 @@
     return nodes
 
 
+def read_quarantine(front: Front, node: Process) -> dict[str, Any]:
+    _status, raw = front.get(node, 'metrics_port', '/dump')
+    found: dict[str, Any] = json.loads(raw)['quarantine']
+    return found
+
+
+def wait_told(front: Front, nodes: list[Process]) -> None:
+    """Wait until all nodes know of each end."""
+    for node in nodes:
+        wait_until(
+            lambda node=node: (
+                read_quarantine(front, node)['ends'] == count_ended(front)
+            ),
+            'the word of each end',
+        )
+
+
 def count_ended(front: Front) -> int:
     return sum(server.has_ended for server in front.servers.values())
 
@@ -80,3 +99,69 @@
     # What others ask is served all the while.
     for node in nodes:
         assert front.ask(node, path)[0] == 200
+
+
+def test_the_third_end_is_the_last_at_whatever_node(front: Front) -> None:
+    nodes = start(front)
+    for _repeat in range(REPEATS):
+        for node in nodes:
+            status, _body, answer = front.ask(node, '/match/1', body=DEADLY)
+            wait_told(front, nodes)
+    assert count_ended(front) == 3
+    assert status == 503
+    assert answer.getheader('waywell-code') == str(int(Code.REQUEST_HELD_BACK))
+    assert answer.getheader('waywell-ran') == 'not_run'
+    assert float(answer.getheader('retry-after')) > 60
+
+
+def test_a_node_that_starts_later_knows_what_the_others_hold_back(
+    front: Front,
+) -> None:
+    nodes = start(front)
+    for _repeat in range(3):
+        front.ask(nodes[0], '/match/1', body=DEADLY)
+        wait_told(front, nodes)
+    later = front.start('front-3')
+    wait_until(lambda: front.is_ready(later), 'readiness')
+    wait_told(front, [later])
+    assert front.ask(later, '/match/1', body=DEADLY)[0] == 503
+    assert count_ended(front) == 3
+
+
+def test_what_is_held_back_outlives_all_nodes(front: Front) -> None:
+    nodes = start(front)
+    for _repeat in range(3):
+        front.ask(nodes[0], '/match/1', body=DEADLY)
+        wait_told(front, nodes)
+    wait_until(
+        lambda: front.store.list_names('waywell-held-requests'), 'the record'
+    )
+    for node in nodes:
+        node.kill()
+    nodes = [front.start(f'later-{number}') for number in (1, 2)]
+    for node in nodes:
+        wait_until(lambda node=node: front.is_ready(node), 'readiness')
+        wait_until(
+            lambda node=node: read_quarantine(front, node)['held'],
+            'the request that is held back',
+        )
+        assert front.ask(node, '/match/1', body=DEADLY)[0] == 503
+        assert front.ask(node, '/match/1')[0] == 200
+    assert count_ended(front) == 3
+
+
+def test_a_node_that_reaches_only_the_platform_learns_of_it_too(
+    front: Front,
+) -> None:
+    """Two nodes that never meet, as halls that do not reach each other."""
+    front.store.hidden.add('waywell-entries')
+    one, other = start(front)
+    for _repeat in range(3):
+        front.ask(one, '/match/1', body=DEADLY)
+    wait_until(
+        lambda: read_quarantine(front, other)['held'],
+        'the request that is held back',
+    )
+    assert read_quarantine(front, other)['ends'] == 0
+    assert front.ask(other, '/match/1', body=DEADLY)[0] == 503
+    assert count_ended(front) == 3
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -11,6 +11,7 @@
 
 from tests.boxes import make_fleet, make_group
 from tests.held_clock import HeldClock
+from tests.lone_quarantine import LoneQuarantine
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.exchange import SendFault
 from waywell.ids import (
@@ -113,6 +114,7 @@
             self.clock.now,
         )
         self.outlook = outlook
+        self.quarantine = LoneQuarantine(self.clock)
         self.forwarder = Forwarder(
             ForwarderParts(
                 outlook=outlook,
@@ -125,6 +127,8 @@
                 count_nodes=lambda: 1,
                 raise_doubt=lambda _replica: None,
                 metrics=RequestMetrics(Metrics()),
+                guard=self.quarantine,
+                running=self.quarantine._running,
             ),
         )
 
--- a/waywell/codes.py
+++ b/waywell/codes.py
@@ -46,6 +46,7 @@
     NODE_STARTING = 2006
     NODE_BUSY = 2007
     ROUTES_STALE = 2008
+    REQUEST_HELD_BACK = 2009
 
     TARGET_UNREACHABLE = 3001
     TARGET_FAILED = 3002
@@ -113,6 +114,10 @@
             503,
             'It is not sure that the routes here are the newest.',
         ),
+        Code.REQUEST_HELD_BACK: CodeFacts(
+            503,
+            'Replicas ended under this request: it is not sent on for now.',
+        ),
         Code.TARGET_UNREACHABLE: CodeFacts(503, 'No target could be reached.'),
         Code.TARGET_FAILED: CodeFacts(502, 'The target broke off.'),
         Code.FENCE_REFUSED: CodeFacts(503, 'The target refused the epoch.'),
--- a/waywell/connection/exchange.py
+++ b/waywell/connection/exchange.py
@@ -50,6 +50,9 @@
     REPLICA_ENDED = 'replica_ended'
     """A box of the replica has started again; what ran there is lost."""
 
+    HELD_BACK = 'held_back'
+    """Replicas ended under the request; this one is to be spared."""
+
 
 class Outgoing(msgspec.Struct, frozen=True):
     """A request on its way to a box."""
@@ -192,12 +195,31 @@
     may_send
         Asked in the turn of the event loop that writes the first byte.
     """
-    endpoint = TCP4ClientEndpoint(
-        reactor,
-        outgoing.host,
-        outgoing.port,
-        timeout=connect_seconds,
-    )
+    connected = await _connect(outgoing.host, outgoing.port, connect_seconds)
+    if isinstance(connected, Failure):
+        return connected
+    protocol = connected.unwrap()
+    if not may_send():
+        protocol.transport.abortConnection()
+        return Failure(SendFault.TOO_LATE)
+    return await _request(protocol, outgoing)
+
+
+async def is_reachable(host: str, port: int, connect_seconds: float) -> bool:
+    """Answer whether a connection comes up; nothing is sent on it."""
+    connected = await _connect(host, port, connect_seconds)
+    if isinstance(connected, Failure):
+        return False
+    connected.unwrap().transport.abortConnection()
+    return True
+
+
+async def _connect(
+    host: str,
+    port: int,
+    connect_seconds: float,
+) -> Result[Any, SendFault]:
+    endpoint = TCP4ClientEndpoint(reactor, host, port, timeout=connect_seconds)
     try:
         protocol: Any = await await_deferred(
             endpoint.connect(Factory.forProtocol(_OnceProtocol)),
@@ -205,10 +227,7 @@
         )
     except Exception:
         return Failure(SendFault.NOT_SENT)
-    if not may_send():
-        protocol.transport.abortConnection()
-        return Failure(SendFault.TOO_LATE)
-    return await _request(protocol, outgoing)
+    return Success(protocol)
 
 
 async def _request(
--- a/waywell/connection/peer.py
+++ b/waywell/connection/peer.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from waywell.ids import BoxId, Epoch, GroupId, Incarnation
+from waywell.ids import BoxId, Epoch, Fingerprint, GroupId, Incarnation
 from waywell.membership.membership import NodeRecord
 from waywell.version.fleet import UNTOLD, FleetBox
 from waywell.version.routes import RouteTable
@@ -83,6 +83,65 @@
     """Incarnation of that box."""
 
 
+class SuspectRun(msgspec.Struct, frozen=True, array_like=True):
+    """A request that ran at a replica when that ended."""
+
+    fingerprint: Fingerprint
+    """The request."""
+
+    has_begun: bool
+    """Whether it had brought a piece of its answer."""
+
+
+class ReplicaEnded(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """A replica has ended while requests ran there."""
+
+    box: BoxId
+    """Box that took its requests."""
+
+    epoch: Epoch
+    """Epoch of its group."""
+
+    incarnation: Incarnation
+    """Incarnation of that box."""
+
+    age: float
+    """Seconds since the end was noticed."""
+
+    runs: tuple[SuspectRun, ...]
+    """Requests of the sender, or all that it knows of."""
+
+
+class RequestHeld(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Enough replicas have ended under a request: it is held back."""
+
+    fingerprint: Fingerprint
+    """The request."""
+
+    crashes: int
+    """Replicas that ended."""
+
+    age: float
+    """Seconds since the last of them did."""
+
+
+class RequestCleared(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """A request that was suspected was served whole."""
+
+    fingerprint: Fingerprint
+    """The request."""
+
+
+class KnownCrashes(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """All that a node knows of such requests, for a peer that may not."""
+
+    ended: tuple[ReplicaEnded, ...]
+    """Ends of replicas."""
+
+    held: tuple[RequestHeld, ...]
+    """Requests that others hold back."""
+
+
 class BoxLoad(msgspec.Struct, frozen=True, array_like=True):
     """Requests in flight at a replica."""
 
@@ -175,6 +234,10 @@
     Records,
     ReplicaDoubt,
     ReplicaHeard,
+    ReplicaEnded,
+    RequestHeld,
+    RequestCleared,
+    KnownCrashes,
     FeedAsk,
     FeedAnswer,
 ]
--- a/waywell/connection/platform.py
+++ b/waywell/connection/platform.py
@@ -35,6 +35,9 @@
     PRESENCE = 'presence'
     """One object a data hall: its entry boxes."""
 
+    HELD_REQUEST = 'held_request'
+    """One object a request that crashes replicas."""
+
     CLAIM = 'claim'
     """One object a request id that a caller made up."""
 
--- a/waywell/knowledge/platform_watch.py
+++ b/waywell/knowledge/platform_watch.py
@@ -134,6 +134,14 @@
     def take_fault(self, fault: PlatformFault, now: float) -> None:
         """Take in that a call failed."""
 
+    async def read(self) -> Result[Changes, PlatformFault]:
+        """Read all, or what has changed since."""
+        platform = self._parts.platform
+        kind = self._scope.kind
+        if not self._revision:
+            return await platform.fetch_all(kind)
+        return await platform.watch((kind,), self._revision, self._scope.wait)
+
     def forget_revision(self) -> None:
         """Read all anew at the next look: changes may have been missed."""
         self._revision = 0
@@ -155,7 +163,7 @@
 
     async def _look(self, asked_at: float) -> None:
         """Read once, then wait until the next look is due."""
-        answer = await self._read()
+        answer = await self.read()
         now = self._parts.clock.read()
         if isinstance(answer, Failure):
             fault: PlatformFault = answer.failure()
@@ -169,13 +177,6 @@
         self.take(changes, asked_at, now)
         await asyncio.sleep(max(0.0, asked_at + self.get_pace() - now))
 
-    async def _read(self) -> Result[Changes, PlatformFault]:
-        platform = self._parts.platform
-        kind = self._scope.kind
-        if not self._revision:
-            return await platform.fetch_all(kind)
-        return await platform.watch((kind,), self._revision, self._scope.wait)
-
     def _choose_wait(self) -> float:
         parts = self._parts
         return choose_failed_wait(
--- a/waywell/platform/store.py
+++ b/waywell/platform/store.py
@@ -55,6 +55,7 @@
         Kind.BOX: 'servers',
         Kind.LEASE: 'waywell-leases',
         Kind.PRESENCE: 'waywell-entries',
+        Kind.HELD_REQUEST: 'waywell-held-requests',
     },
 )
 
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -31,6 +31,7 @@
 from waywell.process.clock import SystemClock
 from waywell.process.front_operations import FrontOperations
 from waywell.process.front_ports import FrontHandlers, FrontPorts
+from waywell.quarantine.tasks import make_quarantine
 from waywell.request.demand import DemandGauge, count_at, count_by_model
 from waywell.request.errand import CallerAnswer, ForwarderParts
 from waywell.request.forwarder import Forwarder
@@ -284,9 +285,16 @@
                 partial(self._tell_forming, FormingDuty.Heard),
             ),
         )
+        self.quarantine = make_quarantine(
+            self.links,
+            self._make_watch_parts(self.feed.needs_routes),
+            self.forming.is_held,
+        )
         self.actors = (
             self.links,
             self.doubts,
+            self.quarantine.quarantine,
+            self.quarantine.records,
             self.feed,
             self.gossip,
             self.routes,
@@ -327,6 +335,8 @@
                 count_nodes=self.presence.count_nodes,
                 raise_doubt=self.doubts.raise_doubt,
                 metrics=RequestMetrics(self.metrics),
+                guard=self.quarantine.quarantine,
+                running=self.quarantine.running,
             ),
         )
 
@@ -418,7 +428,7 @@
             self._tell_readiness()
             self._forget_replicas()
             now = self.clock.read()
-            for watch in (self.routes, self.fleet):
+            for watch in (self.routes, self.fleet, self.quarantine.records):
                 watch.look_again(now)
             await asyncio.sleep(
                 TEND_SECONDS if self._was_ready else START_TEND_SECONDS
--- /dev/null
+++ b/waywell/quarantine/tasks.py
@@ -0,0 +1,61 @@
+"""The tasks that hold requests back, put together for a front daemon."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from waywell.connection.exchange import is_reachable
+from waywell.quarantine.held_records import HeldRecords
+from waywell.quarantine.quarantine import Quarantine
+from waywell.request.attempt import CONNECT_SECONDS
+from waywell.request.running import RunningAttempts
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from waywell.knowledge.platform_watch import WatchParts
+    from waywell.membership.links import PeerLinks
+    from waywell.version.fleet import FleetBox
+
+
+@attrs.frozen
+class QuarantineTasks:
+    """What a node runs to hold requests back."""
+
+    running: RunningAttempts
+    """Attempts of the node, which are broken off when they are to be."""
+
+    quarantine: Quarantine
+    """Finds the requests."""
+
+    records: HeldRecords
+    """Keeps them in the platform."""
+
+
+def make_quarantine(
+    links: PeerLinks,
+    watch_parts: WatchParts,
+    is_cleaner: Callable[[], bool],
+) -> QuarantineTasks:
+    """Return the tasks of one node.
+
+    Parameters
+    ----------
+    links
+        Streams to other nodes.
+    watch_parts
+        What reading the platform works with.
+    is_cleaner
+        Answers whether this node removes records that are over.
+    """
+    running = RunningAttempts()
+    quarantine = Quarantine(links, running, watch_parts.clock, _is_listening)
+    records = HeldRecords(watch_parts, quarantine, is_cleaner)
+    return QuarantineTasks(running, quarantine, records)
+
+
+async def _is_listening(box: FleetBox) -> bool:
+    """Answer whether a box takes a new connection."""
+    return await is_reachable(box.host, box.port, CONNECT_SECONDS)
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -24,6 +24,7 @@
     from collections.abc import Callable
 
     from waywell.connection.wire import Wire
+    from waywell.ids import Fingerprint
     from waywell.version.fleet import Replica
 
 CONNECT_SECONDS = 0.15
@@ -84,6 +85,8 @@
         Place among the attempts at the request, from 1.
     inbox
         Where what comes is put.
+    fingerprint
+        What tells the request again.
     """
 
     class Head(msgspec.Struct, frozen=True):
@@ -131,9 +134,16 @@
         fault: SendFault
         """Why."""
 
-    def __init__(self, replica: Replica, number: int, inbox: Inbox) -> None:
+    def __init__(
+        self,
+        replica: Replica,
+        number: int,
+        inbox: Inbox,
+        fingerprint: Fingerprint,
+    ) -> None:
         """Send nothing yet."""
         self.replica = replica
+        self.fingerprint = fingerprint
         self.number = number
         self.started_at = 0.0
         self.has_begun = False
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from waywell.codes import Code, Refusal
 from waywell.connection.exchange import Outgoing
 from waywell.request.ask import Delivery
 from waywell.request.attempt import Attempt, Inbox
@@ -50,11 +51,16 @@
         """Start an attempt at the best replica left; answer whether so."""
         errand = self._errand
         now = self._parts.clock.read()
-        replica = self._choose(now)
+        replica = self._choose(now) if self._may_risk(0, now) else None
         if replica is None:
             return False
         errand.tried |= {replica.key}
-        attempt = Attempt(replica, len(errand.tried), self._inbox)
+        attempt = Attempt(
+            replica,
+            len(errand.tried),
+            self._inbox,
+            errand.fingerprint,
+        )
         self.running.append(attempt)
         self._parts.running.add(attempt)
         record = self._parts.book.get(replica.key)
@@ -71,11 +77,19 @@
         self.log('attempt', attempt, now, load=record.in_flight)
         return True
 
-    def start_paid(self, now: float) -> bool:
-        """Start a second attempt within the budget; answer whether so."""
-        if not self.has_sends_left() or not self._spend(now):
+    def start_paid(self, now: float, beside: int = 0) -> bool:
+        """Start a second attempt within the budget; answer whether so.
+
+        Parameters
+        ----------
+        now
+            The present time, in seconds.
+        beside
+            Attempts that go on beside it.
+        """
+        if not self.has_sends_left() or not self._may_risk(beside, now):
             return False
-        return self.start()
+        return self._spend(now) and self.start()
 
     def drop(self, attempt: Attempt) -> None:
         """Break an attempt off, unless it was dropped before."""
@@ -102,6 +116,7 @@
             len(self.running) == 1
             and self._errand.route.may_repeat
             and self.has_sends_left()
+            and self._may_risk(1, self._parts.clock.read())
         )
 
     def has_sends_left(self) -> bool:
@@ -120,7 +135,7 @@
         """Start a second attempt beside a silent one, or wait once more."""
         attempt = self.running[0]
         self.note_silence(now)
-        if self.start_paid(now):
+        if self.start_paid(now, beside=1):
             self.log('hedged', attempt, now)
             return
         attempt.started_at = now
@@ -136,6 +151,25 @@
                 self._parts.raise_doubt(attempt.replica)
                 self.log('silent', attempt, now)
 
+    def check_unsent(self, now: float) -> None:
+        """Refuse a request that was not sent because of what it is.
+
+        Raises
+        ------
+        Refusal
+            When its key was removed, or replicas ended under it meanwhile.
+        """
+        errand = self._errand
+        if errand.may_have_run:
+            return
+        self._parts.guard.check(errand.fingerprint, now)
+        if errand.holder is None:
+            return
+        outlook = self._parts.outlook
+        outlook.check_keys(now)
+        if outlook.index.find_holder(errand.ask.key) is None:
+            raise Refusal(Code.UNKNOWN_KEY)
+
     def log(
         self,
         event: str,
@@ -173,6 +207,12 @@
             now,
         )
 
+    def _may_risk(self, beside: int, now: float) -> bool:
+        """Answer whether the request may put one more replica at risk."""
+        return self._parts.guard.may_send(
+            self._errand.fingerprint, beside, now
+        )
+
     def _spend(self, now: float) -> bool:
         return self._parts.budget.spend(
             self._errand.service, self._parts.count_nodes(), now
@@ -203,6 +243,8 @@
         now = self._parts.clock.read()
         if now >= errand.ends_at:
             return False
+        if self._parts.guard.find_release(errand.fingerprint, now):
+            return False
         outlook = self._parts.outlook
         if errand.holder is not None:
             if not outlook.are_keys_fresh(now):
--- a/waywell/request/errand.py
+++ b/waywell/request/errand.py
@@ -14,6 +14,7 @@
 from waywell.process.clock import Clock
 from waywell.request.answer_times import AnswerTimes
 from waywell.request.ask import Ask
+from waywell.request.guard import RequestGuard
 from waywell.request.pauses import PauseGauge
 from waywell.request.placement import Chooser
 from waywell.request.replica_book import ReplicaBook
@@ -86,6 +87,9 @@
     metrics: RequestMetrics
     """Counts and times."""
 
+    guard: RequestGuard
+    """Knows which requests crash replicas."""
+
     pauses: PauseGauge = attrs.Factory(PauseGauge)
     """Pauses between events that are usual."""
 
--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -49,6 +49,7 @@
             When no answer was begun.
         """
         errand = self._identify(ask)
+        self._parts.guard.check(errand.fingerprint, errand.arrived_at)
         self._check_end(errand)
         self._parts.budget.note_request(errand.service, errand.arrived_at)
         await Journey(self._parts, errand, answer).run()
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -111,12 +111,15 @@
             return
         now = self._parts.clock.read()
         if not end.is_whole:
+            self._note_broken(attempt, is_over=False)
             self._fail(attempt, now, 'cut')
             return
         self._attempts.drop_others(attempt)
         self._begin(attempt.head)
         self._answer.finish()
         status = attempt.head.status
+        if status < SERVER_ERROR:
+            self._parts.guard.note_served(self._errand.fingerprint)
         self._attempts.log('answered', attempt, now, status=status)
         self._parts.answer_times.note(self._errand, now)
         self._parts.metrics.time_answer(self._errand.service, self._get_age())
@@ -128,7 +131,12 @@
         if attempt not in self._attempts.running:
             return
         now = self._parts.clock.read()
+        if fault.fault is SendFault.HELD_BACK and self._errand.may_have_run:
+            self._spare(attempt, now)
+            return
         if self._may_have_reached(fault):
+            is_over = fault.fault is SendFault.REPLICA_ENDED
+            self._note_broken(attempt, is_over=is_over)
             self._fail(attempt, now, fault.fault.value)
             return
         if fault.fault is SendFault.NOT_SENT:
@@ -137,7 +145,7 @@
         self._attempts.drop(attempt)
         if self._attempts.running:
             return
-        self._check_key_again(now)
+        self._attempts.check_unsent(now)
         if not self._attempts.start():
             self._give_up(Code.TARGET_UNREACHABLE)
 
@@ -239,14 +247,21 @@
         """Return the seconds since the request arrived."""
         return self._parts.clock.read() - self._errand.arrived_at
 
-    def _check_key_again(self, now: float) -> None:
-        """Refuse when the reason not to send was the key."""
-        if self._errand.holder is None or self._errand.may_have_run:
-            return
-        self._parts.outlook.check_keys(now)
-        ask = self._errand.ask
-        if self._parts.outlook.index.find_holder(ask.key) is None:
-            raise Refusal(Code.UNKNOWN_KEY)
+    def _note_broken(self, attempt: Attempt, *, is_over: bool) -> None:
+        """Note what ran at a replica that may have ended under it."""
+        self._parts.guard.note_broken(
+            attempt.replica,
+            self._errand.fingerprint,
+            has_begun=attempt.has_begun,
+            is_over=is_over,
+        )
+
+    def _spare(self, attempt: Attempt, now: float) -> None:
+        """Drop an attempt whose replica would end under it as others did."""
+        self._attempts.log('held_back', attempt, now)
+        self._attempts.drop(attempt)
+        if not self._attempts.running:
+            self._give_up(Code.TARGET_FAILED)
 
     def _fail(self, attempt: Attempt, now: float, why: str) -> None:
         """Drop an attempt that broke; go on elsewhere where that is safe."""
--- a/waywell/request/running.py
+++ b/waywell/request/running.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from waywell.ids import GroupId
+    from waywell.ids import Fingerprint, GroupId
     from waywell.version.fleet import Replica
     from waywell.version.lives import EndedLife
 
@@ -48,6 +48,17 @@
                 fault = SendFault.REPLICA_ENDED
                 attempt.tell(Attempt.Fault(attempt, fault))
 
+    def spare(self, fingerprint: Fingerprint) -> None:
+        """Break off the attempts at a request that crashes what runs it.
+
+        One that has brought a piece of its answer has not crashed its replica
+        in beginning to run, and goes on.
+        """
+        for attempt in tuple(self._attempts):
+            if attempt.fingerprint == fingerprint and not attempt.has_begun:
+                fault = SendFault.HELD_BACK
+                attempt.tell(Attempt.Fault(attempt, fault))
+
 
 def _is_in(replica: Replica, groups: set[GroupId]) -> bool:
     return bool(replica.group) and replica.group in groups
