--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -34,7 +34,7 @@
 from waywell.request.stream_events import StreamEvent
 from waywell.telemetry.metrics import Metrics
 from waywell.telemetry.request_metrics import RequestMetrics
-from waywell.version.fleet import Fleet
+from waywell.version.fleet import Fleet, ReplicaKey
 from waywell.version.routes import (
     Engine,
     EngineModel,
@@ -437,3 +437,91 @@
     asyncio.run(play())
     assert len(stage.attempts) == 1
     assert stage.answer.end == 'whole'
+
+
+async def _end_three(stage: Stage) -> None:
+    """Let three replicas end under the request that is played."""
+    fingerprint = stage.attempts[0].fingerprint
+    for number in (1, 2, 3):
+        stage.quarantine.book.note_crash(
+            ReplicaKey(BoxId(f'x{number}')),
+            {fingerprint: False},
+            stage.clock.now + number,
+        )
+
+
+def test_an_attempt_that_broke_is_told_with_what_it_had_brought(
+    stage: Stage,
+) -> None:
+    async def play() -> None:
+        await stage.begin()
+        (first,) = stage.attempts
+        stage.quarantine.ended.add(first.replica.key.box)
+        await stage.head(first)
+        await stage.events(first, 1)
+        await stage.end(first, is_whole=False)
+        second = stage.attempts[1]
+        stage.quarantine.ended.add(second.replica.key.box)
+        second.tell(Attempt.Fault(second, SendFault.BROKEN))
+        await stage.settle()
+
+    asyncio.run(play())
+    ends = stage.quarantine.book.crashes
+    assert [list(end.runs.values()) for end in ends] == [[True], [False]]
+
+
+def test_a_request_that_is_held_back_meanwhile_is_broken_off(
+    stage: Stage,
+) -> None:
+    async def play() -> None:
+        await stage.begin()
+        await _end_three(stage)
+        stage.quarantine._running.spare(stage.attempts[0].fingerprint)
+        await stage.settle()
+
+    asyncio.run(play())
+    assert len(stage.attempts) == 1
+    assert stage.refusal is not None
+    assert stage.refusal.code is Code.TARGET_FAILED
+    assert stage.refusal.ran is Ran.MAY_HAVE_RUN
+    # Nothing speaks against a replica that was spared.
+    assert not stage.book.get(stage.attempts[0].replica.key).streak
+
+
+def test_a_request_that_is_held_back_is_refused_as_not_run(
+    stage: Stage,
+) -> None:
+    async def play() -> None:
+        await stage.begin()
+        await _end_three(stage)
+        (first,) = stage.attempts
+        await stage.head(first)
+        await stage.events(first, 1)
+        await stage.end(first, is_whole=False)
+        # The stream that had begun is not taken up elsewhere.
+        assert stage.answer.end == 'cut'
+        await stage.begin()
+
+    asyncio.run(play())
+    assert len(stage.attempts) == 1
+    assert stage.refusal is not None
+    assert stage.refusal.code is Code.REQUEST_HELD_BACK
+    assert stage.refusal.ran is Ran.NOT_RUN
+
+
+def test_an_answer_that_is_whole_clears_the_request(stage: Stage) -> None:
+    async def play() -> None:
+        await stage.begin()
+        (first,) = stage.attempts
+        stage.quarantine.ended.add(first.replica.key.box)
+        first.tell(Attempt.Fault(first, SendFault.BROKEN))
+        await stage.settle()
+        assert stage.quarantine.book.count_crashes(first.fingerprint) == 1
+        second = stage.attempts[1]
+        await stage.head(second)
+        await stage.events(second, 1)
+        await stage.end(second)
+
+    asyncio.run(play())
+    fingerprint = stage.attempts[0].fingerprint
+    assert not stage.quarantine.book.count_crashes(fingerprint)
