--- a/waywell/daemon.py
+++ b/waywell/daemon.py
@@ -85,6 +85,11 @@
         self._reactor.stop()
 
 
+def make_loop() -> asyncio.AbstractEventLoop:
+    """Return the event loop of a daemon."""
+    return asyncio.new_event_loop()
+
+
 def run_node(
     make_node: Callable[[], Node],
     open_events: Callable[[], object],
@@ -103,7 +108,7 @@
     str
         Why it could not start, or an empty text.
     """
-    loop = asyncio.new_event_loop()
+    loop = make_loop()
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
     open_events()
