Read the clock that counts suspended time, for decisions and timers

Cause: decisions, and the event loop's timers, read the monotonic clock, which stands while a machine is suspended. Change: both read the clock since boot. Leases, keys, ages of lists and routes, heartbeats and limits of requests go on by it. Not suspended on a machine.

--- a/tests/house.py
+++ b/tests/house.py
@@ -293,6 +293,8 @@
             except OSError:
                 # Its caller has hung up meanwhile.
                 continue
+        # The thread that accepts would try so for ever.
+        threading.Thread(target=self.close, daemon=True).start()
 
     def get_group(self) -> dict[str, Any]:
         """Return the group that it stands in, or nothing."""
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -15,8 +15,15 @@
 
 import pytest
 
+from tests.house import KEY
+from waywell.codes import Refusal
 from waywell.daemon import make_loop
+from waywell.duties.lease import HOLDER_SHARE, LeaseRecord, LeaseState
+from waywell.ids import AccountName, Incarnation, NodeId
+from waywell.knowledge.outlook import Outlook
 from waywell.process.clock import SystemClock
+from waywell.process.front_settings import PromiseSettings
+from waywell.version.routes import KeyHolder, RouteTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -53,6 +60,33 @@
     assert clock.read() - before >= ASLEEP
 
 
+def test_a_lease_has_lapsed_when_its_holder_wakes(
+    suspend: Callable[[], None],
+) -> None:
+    clock = SystemClock()
+    lease = LeaseState(NodeId('n1'), Incarnation(1), ASLEEP / 2)
+    record = LeaseRecord(NodeId('n1'), Incarnation(1), 1)
+    lease.confirm(record, clock.read(), clock.read())
+    assert lease.is_held(clock.read())
+    suspend()
+    assert HOLDER_SHARE < 1
+    assert not lease.is_held(clock.read())
+
+
+def test_keys_are_not_relied_on_when_a_node_wakes(
+    suspend: Callable[[], None],
+) -> None:
+    clock = SystemClock()
+    outlook = Outlook(PromiseSettings())
+    holder = KeyHolder(AccountName('shop'))
+    outlook.take_routes(RouteTable(1, holders={KEY: holder}))
+    outlook.confirm_routes(clock.read())
+    outlook.check_keys(clock.read())
+    suspend()
+    with pytest.raises(Refusal):
+        outlook.check_keys(clock.read())
+
+
 def test_timers_that_fell_due_while_asleep_run_at_once(
     suspend: Callable[[], None],
 ) -> None:
--- a/waywell/daemon.py
+++ b/waywell/daemon.py
@@ -9,6 +9,7 @@
 
 from twisted.internet import asyncioreactor
 
+from waywell.process.clock import read_boot_clock
 from waywell.telemetry.events import log_event, open_log
 
 if TYPE_CHECKING:
@@ -85,9 +86,21 @@
         self._reactor.stop()
 
 
+class _BootLoop(asyncio.SelectorEventLoop):
+    """An event loop whose timers count the time while suspended.
+
+    What fell due meanwhile runs when the wait for input ends, which is no
+    longer than until the next timer.
+    """
+
+    def time(self) -> float:
+        """Return the seconds since the machine's start."""
+        return read_boot_clock()
+
+
 def make_loop() -> asyncio.AbstractEventLoop:
     """Return the event loop of a daemon."""
-    return asyncio.new_event_loop()
+    return _BootLoop()
 
 
 def run_node(
