--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -101,6 +101,21 @@
     assert len(front.list_runs('a1', 'a2')) == statuses.count(200)
 
 
+def test_not_run_is_not_said_of_a_request_that_may_have_run(
+    served: tuple[Front, Process],
+) -> None:
+    """One replica broke off under it; the other was only full."""
+    front, process = served
+    shared = deque(['reset', 'reject'])
+    for name in ('a1', 'a2'):
+        front.servers[name].script = shared
+    status, _body, answer = front.ask(process, '/stock/1')
+    assert not shared
+    assert answer.getheader('waywell-ran') == 'may_have_run'
+    # 503 promises that it has not run.
+    assert status == 502
+
+
 def test_a_request_that_all_rejected_has_not_run(
     served: tuple[Front, Process],
 ) -> None:
