Say 503 of requests only that have not run

Cause: the status came from the code of the last failure, also where an attempt before it may have run. Change: such refusals are 502. A non-repeatable request was never sent on after it may have run, so only repeatable ones got the untrue word.

--- a/waywell/connection/front.py
+++ b/waywell/connection/front.py
@@ -32,6 +32,9 @@
 NOT_RUN_STATUS = 503
 """HTTP status that promises that a request has not run."""
 
+MAY_HAVE_RUN_STATUS = 502
+"""HTTP status that promises nothing about whether it has."""
+
 
 @attrs.frozen
 class FrontBackend:
@@ -111,9 +114,12 @@
 
 
 def _choose_status(refusal: Refusal) -> int:
-    """Return the status of a refusal; 5xx promises nothing but by 503."""
-    if refusal.ran is Ran.NOT_RUN and refusal.status > NOT_RUN_STATUS:
+    """Return the status of a refusal; of the 5xx only 503 promises not run."""
+    is_not_run = refusal.ran is Ran.NOT_RUN
+    if is_not_run and refusal.status > NOT_RUN_STATUS:
         return NOT_RUN_STATUS
+    if not is_not_run and refusal.status == NOT_RUN_STATUS:
+        return MAY_HAVE_RUN_STATUS
     return refusal.status
 
 
