--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -112,6 +112,16 @@
     assert answer.getheader('waywell-code') == str(int(Code.REQUEST_HELD_BACK))
     assert answer.getheader('waywell-ran') == 'not_run'
     assert float(answer.getheader('retry-after')) > 60
+    _status, raw = front.get(nodes[0], 'metrics_port', '/v1/status')
+    (shown,) = json.loads(raw)['held_requests'].values()
+    assert shown['ends'] == 3
+    _status, raw = front.get(nodes[0], 'metrics_port', '/metrics')
+    gauges = [
+        line.rpartition(' ')[2]
+        for line in raw.decode().splitlines()
+        if line.startswith('waywell_quarantine{')
+    ]
+    assert sorted(map(float, gauges)) == [1.0, 3.0]
 
 
 def test_a_node_that_starts_later_knows_what_the_others_hold_back(
--- a/waywell/process/front_operations.py
+++ b/waywell/process/front_operations.py
@@ -81,6 +81,7 @@
                     'routes': node.routes.foreign[:MOST_SHOWN],
                     'boxes': node.fleet.foreign[:MOST_SHOWN],
                 },
+                'held_requests': node.quarantine.quarantine.list_held(),
                 'forms_groups': node.forming.is_held(),
                 'reads_platform': node.feed.is_reader(),
             },
--- a/waywell/quarantine/quarantine.py
+++ b/waywell/quarantine/quarantine.py
@@ -199,19 +199,27 @@
             self._links.spread(word)
         self._compare(held, 'platform')
 
+    def count(self) -> dict[str, float]:
+        """Return how many ends are remembered, and how many requests held."""
+        return {'ends': len(self.book.crashes), 'held': len(self.book.held)}
+
+    def list_held(self) -> dict[str, dict[str, float]]:
+        """Return what is held back, by fingerprint, as plain values."""
+        now = self._clock.read()
+        return {
+            fingerprint: {
+                'ends': hold.crashes,
+                'seconds_left': round(max(0.0, hold.until - now), 1),
+            }
+            for fingerprint, hold in self.book.held.items()
+        }
+
     def dump(self) -> dict[str, object]:
         """Return the state as plain values."""
-        now = self._clock.read()
         return {
             **super().dump(),
             'ends': len(self.book.crashes),
-            'held': {
-                fingerprint: {
-                    'ends': hold.crashes,
-                    'seconds_left': round(max(0.0, hold.until - now), 1),
-                }
-                for fingerprint, hold in self.book.held.items()
-            },
+            'held': self.list_held(),
         }
 
     async def _check(self, replica: Replica) -> None:
--- a/waywell/telemetry/front_gauges.py
+++ b/waywell/telemetry/front_gauges.py
@@ -62,6 +62,15 @@
             'part',
             self._count_foreign,
         )
+        show(
+            'waywell_quarantine',
+            'Replicas that ended under requests, and requests held back.',
+            'part',
+            self._count_quarantine,
+        )
+
+    def _count_quarantine(self) -> Mapping[str, float]:
+        return self._node.quarantine.quarantine.count()
 
     def _count_foreign(self) -> Mapping[str, float]:
         node = self._node
