--- /dev/null
+++ b/tests/test_crashing_targets.py
@@ -0,0 +1,67 @@
+"""Requests that crash each target, before the product's own entry daemon.
+
+Like the front daemon it knew a request by one submission only, and sent it on
+up to three times at each repeat at each entry box: six targets and more ended
+under one request that came twice to each of two.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tests.conftest import QUICK
+from waywell.standins.harness import BoxSpec, make_configuration, wait_until
+
+if TYPE_CHECKING:
+    from waywell.standins.harness import Bench
+
+DEADLY = b'what no target survives'
+
+TARGETS = 8
+"""More than the repeats of the test can end."""
+
+
+MOST_ENDED = 4
+"""Three until the cause is known for sure, and one whose word is on its way."""
+
+
+def start(bench: Bench) -> None:
+    """Start two entry boxes before plain targets that the request ends."""
+    for name in ('entry-1', 'entry-2'):
+        bench.start_entry(name, timing=QUICK)
+    bench.start_boxes(
+        [
+            BoxSpec(f'app-{number}', fenced=False, labels={'pool': 'app'})
+            for number in range(TARGETS)
+        ],
+    )
+    configuration = make_configuration()
+    (apps,) = (
+        one for one in configuration['group_set'] if one['name'] == 'app-main'
+    )
+    apps['groups'] = TARGETS
+    assert bench.apply('entry-1', configuration).status == 200
+    for name in ('entry-1', 'entry-2'):
+        bench.wait_serving(name, 'app-main', TARGETS)
+    for number in range(TARGETS):
+        bench.set_target_faults(f'app-{number}', ends_under=DEADLY.decode())
+
+
+def count_ended(bench: Bench) -> int:
+    return sum(not target.is_running() for target in bench.targets.values())
+
+
+def test_a_request_that_crashes_targets_is_sent_to_few(bench: Bench) -> None:
+    start(bench)
+    repeatable = {'waywell-repeatable': 'yes'}
+    callers = [bench.get_caller(f'entry-{number}') for number in (1, 2)]
+    for _repeat in range(2):
+        for caller in callers:
+            # Retries have to be earned by requests that are served.
+            for _request in range(30):
+                caller.call('/services/app/price')
+            caller.call('/services/app/stock', 'POST', DEADLY, repeatable)
+    wait_until(lambda: count_ended(bench) >= 3, 'three ends')
+    assert count_ended(bench) <= MOST_ENDED
+    answer = callers[0].call('/services/app/stock', 'POST', b'x', repeatable)
+    assert answer.status == 200
--- a/waywell/standins/target.py
+++ b/waywell/standins/target.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import hashlib
+import os
 import time
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -49,6 +50,9 @@
     close_after_read: bool = False
     """Close after the request was read and run, without an answer."""
 
+    ends_under: str = ''
+    """Body of a request under which the process ends; empty for none."""
+
     ready: bool = True
     """What it says of itself to probes."""
 
@@ -137,6 +141,8 @@
             group=self.order.group if self.order else '',
             epoch=request.getHeader(EPOCH_HEADER) or '',
         )
+        if body and body.decode('latin-1') == self.faults.ends_under:
+            os._exit(1)
         self.in_flight += 1
         answering = _Answering(self, request, body)
         request.notifyFinish().addBoth(lambda _: answering.end())
