Hold back requests that crash targets at the entry daemon too

The same cause and the same guard: what ran at a target that ended is told to all entry boxes, and the third end is the last. Not kept in the platform there: all entry boxes ended at one moment forget it.

--- a/tests/test_fingerprint.py
+++ b/tests/test_fingerprint.py
@@ -7,14 +7,20 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from waywell.ids import AccountName
+from waywell.ids import AccountName, Fingerprint
+from waywell.request import fingerprint
 from waywell.request.ask import Ask
-from waywell.request.fingerprint import make_fingerprint
 
 SHOP = AccountName('shop')
 ASK = Ask('a1', 'POST', '/notes/1?x=2', 'shop.example', (), b'{"a": 1}')
 
 
+def make_fingerprint(ask: Ask, account: AccountName | None) -> Fingerprint:
+    return fingerprint.make_fingerprint(
+        ask.method, ask.target, ask.body, account
+    )
+
+
 def test_each_repeat_has_the_same() -> None:
     repeat = msgspec.structs.replace(
         ASK,
--- a/waywell/connection/grpc_peer.py
+++ b/waywell/connection/grpc_peer.py
@@ -22,7 +22,15 @@
     HealthNews,
     LoadNews,
 )
-from waywell.connection.peer import Beat, Hello, Records
+from waywell.connection.peer import (
+    Beat,
+    Hello,
+    KnownCrashes,
+    Records,
+    ReplicaEnded,
+    RequestCleared,
+    RequestHeld,
+)
 from waywell.connection.peer_stream import (
     PeerStream,
     PeerTraffic,
@@ -50,6 +58,10 @@
     DocumentWanted,
     HealthNews,
     LoadNews,
+    ReplicaEnded,
+    RequestHeld,
+    RequestCleared,
+    KnownCrashes,
 ]
 """All messages of the exchange stream."""
 
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -35,12 +35,15 @@
 from waywell.process.ports import Ports
 from waywell.process.release import may_route_unfenced
 from waywell.process.watch import HallDuty
+from waywell.quarantine.quarantine import Quarantine
+from waywell.quarantine.tasks import is_listening
 from waywell.request.admission import Admission
 from waywell.request.balance import Balance
 from waywell.request.claim import ClaimTable, issue_prefix
 from waywell.request.dispatcher import Dispatcher, NodeFacts, Parts
 from waywell.request.facts import REQUEST_ID_HEADER
 from waywell.request.retry import RetryBudget
+from waywell.request.running import RunningAttempts
 from waywell.telemetry.events import log_event
 from waywell.telemetry.history import open_history
 from waywell.telemetry.measures import DowntimeMeter, count_serving
@@ -264,8 +267,12 @@
             self.clock,
             timing,
         )
+        self.quarantine = Quarantine(
+            self.links, RunningAttempts(), self.clock, is_listening
+        )
         self.actors = (
             self.links,
+            self.quarantine,
             self.gossip,
             self.documents,
             self.hall_duty,
@@ -291,6 +298,7 @@
             clock=self.clock,
             history=history,
             random=self._random,
+            guard=self.quarantine,
         )
         self._dispatcher = Dispatcher(parts, self.describe)
 
--- a/waywell/quarantine/tasks.py
+++ b/waywell/quarantine/tasks.py
@@ -51,11 +51,11 @@
         Answers whether this node removes records that are over.
     """
     running = RunningAttempts()
-    quarantine = Quarantine(links, running, watch_parts.clock, _is_listening)
+    quarantine = Quarantine(links, running, watch_parts.clock, is_listening)
     records = HeldRecords(watch_parts, quarantine, is_cleaner)
     return QuarantineTasks(running, quarantine, records)
 
 
-async def _is_listening(box: FleetBox) -> bool:
+async def is_listening(box: FleetBox) -> bool:
     """Answer whether a box takes a new connection."""
     return await is_reachable(box.host, box.port, CONNECT_SECONDS)
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from functools import partial
+from http import HTTPStatus
 from random import Random
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, TypeVar
@@ -13,6 +14,7 @@
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.target import Dispatch, DispatchFault, Target
 from waywell.health.health import HealthTable
+from waywell.ids import Incarnation, ServiceName
 from waywell.process.claims import Claimer
 from waywell.process.clock import Clock
 from waywell.process.documents import InForce
@@ -20,6 +22,8 @@
 from waywell.request.balance import Balance
 from waywell.request.claim import ClaimKey, ClaimState, read_issued
 from waywell.request.facts import read_facts
+from waywell.request.fingerprint import make_fingerprint
+from waywell.request.guard import RequestGuard
 from waywell.request.retry import MOST_ATTEMPTS, RetryBudget
 from waywell.request.routing import (
     Choice,
@@ -28,6 +32,7 @@
 )
 from waywell.request.submission import CallerPort, Submission, Work
 from waywell.telemetry.history import History
+from waywell.version.fleet import FleetBox, Replica, ReplicaKey
 from waywell.version.roster import Group, GroupState
 from waywell.version.serving import RequestShape
 
@@ -119,6 +124,9 @@
     random: Random
     """Draws the groups that are compared."""
 
+    guard: RequestGuard
+    """Knows which requests crash targets."""
+
 
 class Dispatcher:
     """Serves requests by what is in force.
@@ -226,12 +234,19 @@
             service=service,
             shape=shape,
             deadline_at=self._parts.clock.read() + seconds,
+            fingerprint=make_fingerprint(
+                submission.method,
+                facts.path,
+                submission.body,
+                f'{facts.service}/{account.name}',
+            ),
         )
 
     def _admit(self, work: Work) -> None:
         """Count the request in, or refuse it."""
         nodes = self._describe_node().live_nodes
         now = self._parts.clock.read()
+        self._parts.guard.check(work.fingerprint, now)
         _unwrap(self._parts.admission.admit(work.account, nodes, now))
         self._parts.budget.earn(work.account.name)
 
@@ -379,6 +394,8 @@
     ) -> DispatchFault:
         """Note what a failed attempt leaves open."""
         work.tried.add(group.group)
+        if fault is DispatchFault.BROKEN:
+            self._note_broken(work, group, has_begun=False)
         if fault not in _NOT_RUN_FAULTS:
             work.may_have_run = True
         self._note('attempt_failed', work, group, fault=fault.value)
@@ -402,8 +419,27 @@
         finally:
             self._parts.health.note_end(choice.group.group)
         self._note('answered', work, choice.group, whole=whole)
+        if whole and answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            self._parts.guard.note_served(work.fingerprint)
+        if not whole:
+            self._note_broken(work, choice.group, has_begun=True)
         return whole
 
+    def _note_broken(
+        self,
+        work: Work,
+        group: Group,
+        *,
+        has_begun: bool,
+    ) -> None:
+        """Note what ran at a target that may have ended under it."""
+        self._parts.guard.note_broken(
+            _make_replica(work, group),
+            work.fingerprint,
+            has_begun=has_begun,
+            is_over=False,
+        )
+
     def _may_retry(
         self,
         work: Work,
@@ -414,6 +450,9 @@
             return False
         if work.may_have_run and not work.facts.repeatable:
             return False
+        now = self._parts.clock.read()
+        if not self._parts.guard.may_send(work.fingerprint, 0, now):
+            return False
         return self._parts.budget.spend(work.account.name)
 
     def _refuse(self, work: Work, fault: DispatchFault) -> Refusal:
@@ -468,3 +507,17 @@
         # the write, which leaves the outcome open.
         fresh=not work.facts.repeatable,
     )
+
+
+def _make_replica(work: Work, group: Group) -> Replica:
+    """Return a group as the guard knows replicas."""
+    head = group.head
+    box = FleetBox(
+        head.box,
+        ServiceName(work.service.name),
+        head.host,
+        head.port,
+        group.hall,
+    )
+    key = ReplicaKey(head.box, group.epoch, Incarnation(head.boot))
+    return Replica(key, box, group=group.group)
--- a/waywell/request/fingerprint.py
+++ b/waywell/request/fingerprint.py
@@ -13,7 +13,6 @@
 
 if TYPE_CHECKING:
     from waywell.ids import AccountName
-    from waywell.request.ask import Ask
 
 DIGEST_BYTES = 8
 """Bytes of a fingerprint: of a thousand million requests a day, two with the
@@ -23,7 +22,12 @@
 """Bytes of the length before each part, so that no part runs into the next."""
 
 
-def make_fingerprint(ask: Ask, account: AccountName | None) -> Fingerprint:
+def make_fingerprint(
+    method: str,
+    target: str,
+    body: bytes,
+    account: AccountName | str | None,
+) -> Fingerprint:
     """Return the fingerprint of a request: who asks for what.
 
     Neither the host nor the service counts, as routes move between services
@@ -31,15 +35,19 @@
 
     Parameters
     ----------
-    ask
-        The request.
+    method
+        HTTP method.
+    target
+        Path and query.
+    body
+        Body.
     account
         Client account, where the route asks for a key; a caller may change
         the key.
     """
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    head = (ask.method, ask.target, account or '')
-    for part in (*(text.encode() for text in head), ask.body):
+    head = (method, target, account or '')
+    for part in (*(text.encode() for text in head), body):
         digest.update(len(part).to_bytes(LENGTH_BYTES, 'big'))
         digest.update(part)
     return Fingerprint(digest.hexdigest())
--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -91,7 +91,10 @@
             arrived_at=now,
             ends_at=now + seconds,
             fingerprint=make_fingerprint(
-                ask, None if holder is None else holder.account
+                ask.method,
+                ask.target,
+                ask.body,
+                None if holder is None else holder.account,
             ),
             engine=service.engine,
             last_event=ask.resume_after,
--- a/waywell/request/submission.py
+++ b/waywell/request/submission.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from waywell.ids import GroupId, SessionId
+from waywell.ids import Fingerprint, GroupId, SessionId
 from waywell.request.facts import RequestFacts
 from waywell.version.objects import Account, Service
 from waywell.version.serving import RequestShape
@@ -74,6 +74,9 @@
     deadline_at: float
     """When the answer must have begun, in seconds of the node's clock."""
 
+    fingerprint: Fingerprint
+    """What tells the request again when it is repeated."""
+
     tried: set[GroupId] = attrs.Factory(set)
     """Groups that failed it."""
 
