Never hold back what was served a moment ago; let begun streams go on

Found by reading the change: where answers are lost at many replicas, three attempts at one key that many ask for counted as ends for some milliseconds; a piece that waited beside the word to break off was dropped with its stream.

--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -488,6 +488,25 @@
     assert not stage.book.get(stage.attempts[0].replica.key).streak
 
 
+def test_a_stream_that_has_begun_goes_on_when_it_is_held_back(
+    stage: Stage,
+) -> None:
+    async def play() -> None:
+        await stage.begin()
+        (first,) = stage.attempts
+        await stage.head(first)
+        # The piece waits in the queue when the word comes.
+        first.tell(Attempt.Piece(first, StreamEvent(b'id: 1\n\n', 1)))
+        stage.quarantine._running.spare(first.fingerprint)
+        await stage.settle()
+        await stage.events(first, 2)
+        await stage.end(first)
+
+    asyncio.run(play())
+    assert list_numbers(stage.answer.body) == [1, 2]
+    assert stage.answer.end == 'whole'
+
+
 def test_a_request_that_is_held_back_is_refused_as_not_run(
     stage: Stage,
 ) -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -176,6 +176,18 @@
     assert bench.node.may_send(DEADLY, 0, bench.clock.now)
 
 
+@in_loop
+async def test_what_was_served_a_moment_ago_is_sent_on_all_the_while() -> None:
+    """Answers get lost at many replicas, and many ask for the same."""
+    bench = Bench()
+    bench.node.note_served(OTHER)
+    for number in range(5):
+        bench.node.note_broken(
+            make_replica(f'b{number}'), OTHER, has_begun=False, is_over=False
+        )
+    assert bench.node.may_send(OTHER, 1, bench.clock.now)
+
+
 @in_loop
 async def test_after_a_hold_one_attempt_may_run_at_a_time() -> None:
     bench = Bench()
--- a/waywell/quarantine/crash_book.py
+++ b/waywell/quarantine/crash_book.py
@@ -128,7 +128,7 @@
         suspects = {
             fingerprint: has_begun
             for fingerprint, has_begun in runs.items()
-            if not self._was_served_by(fingerprint, ended_at)
+            if not self.was_served(fingerprint, ended_at)
         }
         if not suspects:
             return False
@@ -146,7 +146,7 @@
 
     def note_told(self, fingerprint: Fingerprint, hold: Hold) -> bool:
         """Take in that others hold a request; answer whether that is news."""
-        if self._was_served_by(fingerprint, hold.ended_at):
+        if self.was_served(fingerprint, hold.ended_at):
             return False
         known = self.held.get(fingerprint)
         if known is not None and known.crashes >= hold.crashes:
@@ -193,6 +193,15 @@
         hold = self.held.get(fingerprint)
         return hold if hold and now < hold.until else None
 
+    def was_served(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Answer whether a request was served of late.
+
+        One key can get much of the traffic: it runs at every replica that
+        ends, and its attempts break wherever answers are lost.
+        """
+        served_at = self._served.get(fingerprint)
+        return served_at is not None and now < served_at + SERVED_SECONDS
+
     def forget_old(self, now: float) -> None:
         """Drop what happened long ago."""
         kept = [
@@ -212,14 +221,6 @@
             self.told.pop(fingerprint)
         self._judge()
 
-    def _was_served_by(
-        self,
-        fingerprint: Fingerprint,
-        ended_at: float,
-    ) -> bool:
-        served_at = self._served.get(fingerprint)
-        return served_at is not None and ended_at < served_at + SERVED_SECONDS
-
     def _raise_told(
         self,
         fingerprints: Iterable[Fingerprint],
--- a/waywell/quarantine/quarantine.py
+++ b/waywell/quarantine/quarantine.py
@@ -128,7 +128,7 @@
             return False
         known = self.book.count_crashes(fingerprint)
         known += sum(fingerprint in runs for runs in self._checks.values())
-        if not known:
+        if not known or self.book.was_served(fingerprint, now):
             return True
         if fingerprint in self.book.held:
             # Its hold is over; one attempt tells whether it still crashes.
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -258,6 +258,9 @@
 
     def _spare(self, attempt: Attempt, now: float) -> None:
         """Drop an attempt whose replica would end under it as others did."""
+        if attempt.has_begun:
+            # A piece came before the word: its replica goes on.
+            return
         self._attempts.log('held_back', attempt, now)
         self._attempts.drop(attempt)
         if not self._attempts.running:
