--- a/tests/switched.py
+++ b/tests/switched.py
@@ -119,11 +119,13 @@
     """Install the reactor before an import draws another one in."""
     import asyncio
 
-    loop = asyncio.new_event_loop()
+    from waywell import daemon
+
+    loop = daemon.make_loop()
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
     asyncioreactor.install = lambda _loop: None
-    asyncio.new_event_loop = lambda: loop
+    daemon.make_loop = lambda: loop
 
 
 def main() -> int:
