--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -142,6 +142,7 @@
     ) -> None:
         attempt.started_at = now
         assert may_send()
+        self.may_send = may_send
         self.attempts.append(attempt)
 
     async def begin(self) -> asyncio.Task:
@@ -507,6 +508,22 @@
     assert stage.answer.end == 'whole'
 
 
+def test_a_request_that_is_held_back_while_it_connects_is_not_written(
+    stage: Stage,
+) -> None:
+    async def play() -> None:
+        await stage.begin()
+        await _end_three(stage)
+        assert not stage.may_send()
+        (first,) = stage.attempts
+        first.tell(Attempt.Fault(first, SendFault.TOO_LATE))
+        await stage.settle()
+
+    asyncio.run(play())
+    assert len(stage.attempts) == 1
+    assert stage.refusal is not None
+
+
 def test_a_request_that_is_held_back_is_refused_as_not_run(
     stage: Stage,
 ) -> None:
--- a/waywell/quarantine/crash_book.py
+++ b/waywell/quarantine/crash_book.py
@@ -297,14 +297,10 @@
 def _find_guilty(crashes: list[Crash]) -> list[Fingerprint]:
     """Return requests that were at enough ends and are needed to explain them.
 
-    Taken likeliest first, each needs an end that those before it leave open.
-    What all the others explain together is taken out again, unlikeliest first.
+    Those of which each end is explained by the others are taken out,
+    unlikeliest first.
     """
-    guilty: list[Fingerprint] = []
-    for candidate in _rank_candidates(crashes):
-        there = [crash for crash in crashes if candidate in crash.runs]
-        if _list_unexplained(there, guilty):
-            guilty.append(candidate)
+    guilty = _rank_candidates(crashes)
     for doubtful in reversed(guilty):
         others = [one for one in guilty if one != doubtful]
         there = [crash for crash in crashes if doubtful in crash.runs]
