Test that a node that started is told what others have served; it is not

By reading: where one key gets much of the traffic and a domain is lost, a fresh node alone would refuse it for 600 s.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -235,6 +235,26 @@
     assert not bench.node.book.count_crashes(caught)
 
 
+@in_loop
+async def test_a_node_that_started_is_told_what_others_have_served() -> None:
+    """It has served nothing yet when three replicas of a domain end, and one
+    request that many ask for ran at each of them."""
+    bench = Bench(nodes=2)
+    fresh = bench.nodes[1]
+    hot = Fingerprint('hot')
+    bench.node.note_served(hot)
+    for number in (1, 2, 3):
+        await bench.end(f'b{number}', 'hot', f'x{number}', node=1)
+    assert fresh.find_release(hot, bench.clock.now) > 0
+    bench.carry_words()
+    for node, word in bench.node.noted.sent:
+        assert node == PEER
+        fresh.on_received(PeerLinks.Received(NodeId('n1'), word))
+    assert not fresh.find_release(hot, bench.clock.now)
+    # What nobody has served is not spoken for.
+    assert len(bench.node.noted.sent) == 3
+
+
 @in_loop
 async def test_one_end_is_cleared_without_a_word() -> None:
     bench = Bench()
