Tell a node that suspects a request which others have served

Cause: who has served nothing yet can't tell a request that many ask for from one that crashes replicas, and others leave its word aside without an answer. Change: they answer that it was served; the node clears it at once.

--- a/waywell/quarantine/quarantine.py
+++ b/waywell/quarantine/quarantine.py
@@ -35,6 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable, Mapping
 
+    from waywell.ids import NodeId
     from waywell.process.clock import Clock
     from waywell.request.running import RunningAttempts
     from waywell.version.fleet import FleetBox, Replica
@@ -183,6 +184,7 @@
         word = received.message
         held = self.book.held
         for one in _list_words(word):
+            self._speak_for_served(one, received.node)
             if self._take_word(one):
                 self._links.pass_on(one, received.node)
         self._compare(held, received.node)
@@ -261,6 +263,17 @@
         while len(self._witnessed) > MOST_WITNESSED:
             self._witnessed.popitem(last=False)
 
+    def _speak_for_served(self, word: Any, sender: NodeId) -> None:
+        """Tell a node that suspects what was served here a moment ago.
+
+        One that has just started has served nothing: it alone would refuse
+        for ten minutes what many ask for and all others serve.
+        """
+        now = self._clock.read()
+        for fingerprint in _list_suspects(word):
+            if self.book.was_served(fingerprint, now):
+                self._links.send(sender, RequestCleared(fingerprint))
+
     def _take_word(self, word: Any) -> bool:
         """Take in one word of another node; answer whether it is news."""
         now = self._clock.read()
@@ -315,6 +328,13 @@
     return (word,)
 
 
+def _list_suspects(word: Any) -> tuple[Fingerprint, ...]:
+    """Return the requests that a word speaks against."""
+    if isinstance(word, ReplicaEnded):
+        return tuple(run.fingerprint for run in word.runs)
+    return (word.fingerprint,) if isinstance(word, RequestHeld) else ()
+
+
 def _describe_end(
     replica: ReplicaKey,
     runs: Mapping[Fingerprint, bool],
