Ask only once the replicas are seen; give a test's work its fingerprint

A node is ready before it has the box list; with that list held back until after the requests the same failure follows, each with 503 and nothing ended. The test now waits for the replicas and checks that each request reached one.

--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -60,10 +60,27 @@
     front.store.put('config', 'main', make_manifest())
     nodes = [front.start(f'front-{number}') for number in (1, 2)]
     for node in nodes:
-        wait_until(lambda node=node: front.is_ready(node), 'readiness')
+        wait_serving(front, node)
     return nodes
 
 
+def wait_serving(front: Front, node: Process) -> None:
+    """Wait until a node is ready and sees all replicas that are listed."""
+    wait_until(lambda: front.is_ready(node), 'readiness')
+
+    def sees_all() -> bool:
+        _status, raw = front.get(node, 'metrics_port', '/dump')
+        return bool(json.loads(raw)['serving']['app/'] == REPLICAS)
+
+    wait_until(sees_all, 'all replicas')
+
+
+def end_three(front: Front, node: Process) -> None:
+    """Let three replicas end under requests at one node."""
+    for _repeat in range(3):
+        assert front.ask(node, '/match/1', body=DEADLY)[0] == 502
+
+
 def read_quarantine(front: Front, node: Process) -> dict[str, Any]:
     _status, raw = front.get(node, 'metrics_port', '/dump')
     found: dict[str, Any] = json.loads(raw)['quarantine']
@@ -128,11 +145,10 @@
     front: Front,
 ) -> None:
     nodes = start(front)
-    for _repeat in range(3):
-        front.ask(nodes[0], '/match/1', body=DEADLY)
-        wait_told(front, nodes)
+    end_three(front, nodes[0])
+    wait_told(front, nodes)
     later = front.start('front-3')
-    wait_until(lambda: front.is_ready(later), 'readiness')
+    wait_serving(front, later)
     wait_told(front, [later])
     assert front.ask(later, '/match/1', body=DEADLY)[0] == 503
     assert count_ended(front) == 3
@@ -140,9 +156,7 @@
 
 def test_what_is_held_back_outlives_all_nodes(front: Front) -> None:
     nodes = start(front)
-    for _repeat in range(3):
-        front.ask(nodes[0], '/match/1', body=DEADLY)
-        wait_told(front, nodes)
+    end_three(front, nodes[0])
     wait_until(
         lambda: front.store.list_names('waywell-held-requests'), 'the record'
     )
@@ -150,7 +164,7 @@
         node.kill()
     nodes = [front.start(f'later-{number}') for number in (1, 2)]
     for node in nodes:
-        wait_until(lambda node=node: front.is_ready(node), 'readiness')
+        wait_serving(front, node)
         wait_until(
             lambda node=node: read_quarantine(front, node)['held'],
             'the request that is held back',
@@ -166,8 +180,7 @@
     """Two nodes that never meet, as halls that do not reach each other."""
     front.store.hidden.add('waywell-entries')
     one, other = start(front)
-    for _repeat in range(3):
-        front.ask(one, '/match/1', body=DEADLY)
+    end_three(front, one)
     wait_until(
         lambda: read_quarantine(front, other)['held'],
         'the request that is held back',
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -8,7 +8,7 @@
 
 from tests.checker import list_runs
 from tests.conftest import QUICK
-from waywell.ids import SessionId
+from waywell.ids import Fingerprint, SessionId
 from waywell.request.facts import RequestFacts
 from waywell.request.routing import hash_session
 from waywell.request.submission import Submission, Work
@@ -108,6 +108,7 @@
         service=Service('llm'),
         shape=RequestShape('llm', 'a', 'default'),
         deadline_at=1,
+        fingerprint=Fingerprint('f'),
     )
     other = attrs.evolve(work, account=Account('b'))
     assert work.session == 'a/s'
