Test that a list that goes back ends no group for good; it does

No order to leave was given, so the group counted as ended; only a head that is shown elsewhere marks one so, and this one stood in its group all the while.

--- /dev/null
+++ b/tests/test_lives.py
@@ -0,0 +1,60 @@
+"""Which groups have ended, as later lists and lists that go back tell it.
+
+A node that gives orders reads the box list itself and hears its reader's; the
+reader's can be asked for later and yet be read earlier, so the list goes back
+for a moment.  One that showed a head from before it had joined marked its
+group as ended, for as long as the group was there.  Four seconds later that
+head went off the list while it served on, and its members were joined to
+another group at once, without an order to leave.  The log told it by what it
+lacked, a line order=leave of that group between these two:
+
+    12.0290 order=open group=vode895cfe.1000023 result=taken
+    16.1096 order=join group=vode895cfe.1000029 shown=vode895cfe.1000023.ready
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from tests.boxes import make_fleet, make_group
+from waywell.ids import GroupId
+from waywell.version.fleet import Fleet, compare_fleets
+from waywell.version.lives import LifeBook
+
+GROUP = GroupId('notes.7')
+HEAD, MEMBER = make_group(GROUP, 'a', 'b')
+BEFORE = msgspec.structs.replace(HEAD, standing=None)
+
+
+class Bench:
+    """Lists in the order in which they are put in force."""
+
+    def __init__(self) -> None:
+        self.book = LifeBook()
+        self.now = 100.0
+        self._fleet = Fleet({})
+
+    def show(self, *boxes: object) -> None:
+        fleet = make_fleet(*boxes)
+        self.now += 0.2
+        change = compare_fleets(self._fleet, fleet)
+        self.book.note(fleet, change, self.now)
+        self._fleet = fleet
+
+
+def test_a_list_that_goes_back_ends_no_group_for_good() -> None:
+    bench = Bench()
+    bench.show(HEAD, MEMBER)
+    bench.show(BEFORE, MEMBER)
+    bench.show(HEAD, MEMBER)
+    # Off the list it may well serve on.
+    bench.show(MEMBER)
+    assert not bench.book.has_ended(GROUP)
+
+
+def test_a_group_whose_head_has_left_has_ended() -> None:
+    bench = Bench()
+    bench.show(HEAD, MEMBER)
+    bench.show(BEFORE, MEMBER)
+    bench.show(MEMBER)
+    assert bench.book.has_ended(GROUP)
