Count a group as ended no more once its head is shown in it

Cause: one list that went back, from before the head had joined, marked its group for as long as it was there; when the head went off the list while it served on, its members were joined elsewhere at once. Change: a head that is shown in its group takes the mark back. Not mended: that a list goes back at all (the test that is known to fail).

--- a/waywell/version/lives.py
+++ b/waywell/version/lives.py
@@ -147,6 +147,11 @@
         """Note what a newer entry tells; return the life that is over."""
         standing = known.standing
         is_same = known.life == box.life
+        own = box.standing
+        if own is not None and own.rank == 0:
+            # A list that went back may have shown it elsewhere; members of its
+            # group were joined to others while it served.
+            self._ended_groups.pop(own.group, None)
         if standing is not None and standing.rank == 0:
             if not is_same or not _stands_in(box, standing):
                 self._ended_groups[standing.group] = now
