--- a/tests/test_crash_book.py
+++ b/tests/test_crash_book.py
@@ -176,6 +176,17 @@
     assert set(book.held) == {DEADLY}
 
 
+def test_a_hold_that_is_judged_otherwise_is_news_once() -> None:
+    """As news each time, its word would go round the nodes without end."""
+    book = CrashBook()
+    for number in (1, 2, 3):
+        note(book, number, 'deadly', 'innocent')
+    note(book, 4, 'deadly')
+    hold = Hold(3, 3.0)
+    book.note_told(Fingerprint('innocent'), hold)
+    assert not book.note_told(Fingerprint('innocent'), hold)
+
+
 def test_what_is_remembered_is_bounded() -> None:
     book = CrashBook()
     for number in (1, 2, 3):
