Pass the word of a hold on once, also where it is judged otherwise

Cause: what was told before was compared only while it was held here, so a node that knew better took each word for news and passed it on, round and round. Change: what was told is compared too.

--- a/waywell/quarantine/crash_book.py
+++ b/waywell/quarantine/crash_book.py
@@ -148,7 +148,7 @@
         """Take in that others hold a request; answer whether that is news."""
         if self.was_served(fingerprint, hold.ended_at):
             return False
-        known = self.held.get(fingerprint)
+        known = self.held.get(fingerprint) or self.told.get(fingerprint)
         if known is not None and known.crashes >= hold.crashes:
             return False
         self.told[fingerprint] = hold
