Show in the log what rest a replica asks for, and whether it rests here

Cause of the change: a rejection that asks for rest looked like one of a full replica, and an attempt at a resting replica like any other, so the hypotheses on requests during rest could not be told apart. Nothing is decided by them yet.

--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -106,6 +106,35 @@
     assert WIRE.read_mark(421, ()).is_misdirected
 
 
+@pytest.mark.parametrize(
+    ('status', 'text', 'seconds'),
+    [
+        (503, b'3', 3.0),
+        (503, b' 0.25 ', 0.25),
+        (429, b'2', 2.0),
+        (200, b'3', 0.0),
+        (503, b'', 0.0),
+        (503, b'-1', 0.0),
+        (503, b'nan', 0.0),
+        (503, b'inf', 0.0),
+        (503, b'Fri, 20 Feb 2026 06:06:14 GMT', 0.0),
+    ],
+)
+def test_the_rest_that_a_replica_asks_for(
+    status: int,
+    text: bytes,
+    seconds: float,
+) -> None:
+    mark = WIRE.read_mark(status, ((b'Retry-After', text),))
+    assert mark.rest_seconds == seconds
+
+
+def test_a_replica_that_leaves_says_so() -> None:
+    assert WIRE.read_mark(200, ((b'Server-Leaving', b'1'),)).is_leaving
+    assert not WIRE.read_mark(200, ((b'Server-Leaving', b'0'),)).is_leaving
+    assert not WIRE.read_mark(200, ()).is_leaving
+
+
 @given(
     name=st.sampled_from(
         [b'X-Deadline-Ms', b'X-Token-Count', b'X-Length-Hint']
--- a/waywell/request/ask.py
+++ b/waywell/request/ask.py
@@ -83,3 +83,9 @@
 
     is_misdirected: bool = False
     """Whether another box, or a box that is no head, has the address."""
+
+    rest_seconds: float = 0.0
+    """For which the replica wants nothing from this node; 0 for no wish."""
+
+    is_leaving: bool = False
+    """Whether the replica says that it is about to end."""
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -74,7 +74,8 @@
             lambda: self._may_send(replica),
             now,
         )
-        self.log('attempt', attempt, now, load=record.in_flight)
+        rests = round(max(0.0, record.rests_until - now), 3)
+        self.log('attempt', attempt, now, load=record.in_flight, rests=rests)
         return True
 
     def start_paid(self, now: float, beside: int = 0) -> bool:
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -202,7 +202,14 @@
         self._parts.book.note_failure(attempt.replica.key, now)
         if head.mark.is_misdirected:
             self._parts.outlook.doubt(attempt.replica)
-        self._attempts.log('rejected', attempt, now, status=head.status)
+        self._attempts.log(
+            'rejected',
+            attempt,
+            now,
+            status=head.status,
+            rest_asked=head.mark.rest_seconds,
+            leaving=head.mark.is_leaving,
+        )
         self._attempts.drop(attempt)
         if not self._attempts.running:
             if not self._attempts.start_paid(now):
