Test that replicas which ask for rest, or leave, get nothing more; they do

Callers were refused after two replicas that had asked for rest, and replicas that end got requests until the list showed it. The stage of the forwarder's tests has a module of its own.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 import pytest
 from hypothesis import settings
 
+from tests.forwarder_stage import Stage, drive
 from waywell.standins.harness import Bench, BoxSpec, make_configuration
 
 if TYPE_CHECKING:
@@ -67,6 +68,14 @@
         terminalreporter.write_line(f'KNOWN RED {test}: {reason}')
 
 
+@pytest.fixture
+def stage(monkeypatch: pytest.MonkeyPatch) -> Stage:
+    """Return a forwarder whose attempts are driven by hand."""
+    made = Stage()
+    drive(made, monkeypatch)
+    return made
+
+
 @pytest.fixture
 def bench() -> Iterator[Bench]:
     """Return a platform stand-in and nothing else yet."""
--- a/tests/house.py
+++ b/tests/house.py
@@ -230,6 +230,9 @@
         """Listen, and write the entry."""
         self.name = name
         self.runs: list[dict[str, str]] = []
+        self.arrivals = 0
+        self.rest_text = ''
+        self.is_leaving = False
         self.orders: list[dict[str, Any]] = []
         self.script: deque[str] = deque()
         self.members: list[str] = []
@@ -373,6 +376,11 @@
                 server._lines.discard(self.connection)
                 super().finish()
 
+            def send_response(self, *words: Any) -> None:
+                super().send_response(*words)
+                if server.is_leaving:
+                    self.send_header('Server-Leaving', '1')
+
             def do_GET(self) -> None:
                 if self.path == '/api/report':
                     self.answer(200, server.make_report())
@@ -391,6 +399,7 @@
                     self._run()
 
             def _run(self) -> None:
+                server.arrivals += 1
                 act = server.script.popleft() if server.script else ''
                 own = {
                     'X-Request-Attempt-Id': self.headers[
@@ -401,6 +410,11 @@
                 if act == 'reject':
                     self.answer(503, {}, {**own, 'X-Not-Executed': '1'})
                     return
+                if act == 'rest':
+                    own |= {'X-Not-Executed': '1'}
+                    own |= {'Retry-After': server.rest_text}
+                    self.answer(503, {}, own)
+                    return
                 server.runs.append({**self.headers, 'X-Path': self.path})
                 if act == 'reset':
                     self.hang_up()
--- a/tests/test_answer_times.py
+++ b/tests/test_answer_times.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.test_forwarder import Stage, stage  # noqa: F401 - a fixture
+from tests.forwarder_stage import Stage
 from waywell.codes import Code, Ran
 from waywell.request.answer_times import (
     MARGIN,
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -3,215 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from random import Random
-from typing import Any
 
-import msgspec
 import pytest
 
-from tests.boxes import make_fleet, make_group
-from tests.held_clock import HeldClock
-from tests.lone_quarantine import LoneQuarantine
-from waywell.codes import Code, Ran, Refusal
+from tests.forwarder_stage import Stage, drive
+from waywell.codes import Code, Ran
 from waywell.connection.exchange import SendFault
-from waywell.ids import (
-    BoxId,
-    HallName,
-    Incarnation,
-    ModelName,
-    ServiceName,
-)
-from waywell.knowledge.outlook import Outlook
-from waywell.process.front_settings import PromiseSettings
-from waywell.request.ask import AnswerMark, Ask
+from waywell.ids import BoxId
+from waywell.request.ask import AnswerMark
 from waywell.request.attempt import Attempt
-from waywell.request.errand import CallerAnswer, ForwarderParts
-from waywell.request.forwarder import Forwarder
-from waywell.request.placement import Chooser
-from waywell.request.replica_book import ReplicaBook
-from waywell.request.resend_budget import ResendBudget, ResendLimits
-from waywell.request.shared_loads import SharedLoads
 from waywell.request.stream_events import StreamEvent
-from waywell.telemetry.metrics import Metrics
-from waywell.telemetry.request_metrics import RequestMetrics
-from waywell.version.fleet import Fleet, ReplicaKey
-from waywell.version.routes import (
-    Engine,
-    EngineModel,
-    Route,
-    RoutedService,
-    RouteKind,
-    RouteTable,
-    ServiceShare,
-)
-
-MODEL = ModelName('notes')
-STREAM_HEADERS = ((b'content-type', b'text/event-stream'),)
-
-
-class _Answer(CallerAnswer):
-    def __init__(self) -> None:
-        self.body = b''
-        self.status = 0
-        self.end = ''
-
-    def begin(self, status: int, headers: Any, length: int | None) -> None:
-        assert not self.status
-        self.status = status
-
-    async def write(self, raw: bytes) -> None:
-        self.body += raw
-
-    def finish(self) -> None:
-        self.end = 'whole'
-
-    def cut(self) -> None:
-        self.end = 'cut'
-
-
-class _Wire:
-    def make_headers(self, *_words: object) -> tuple:
-        return ()
-
-
-class Stage:
-    """A forwarder whose attempts are driven by hand."""
-
-    def __init__(self, kind: RouteKind = RouteKind.STREAM) -> None:
-        self.clock = HeldClock()
-        self.book = ReplicaBook()
-        self.attempts: list[Attempt] = []
-        self.answer = _Answer()
-        self.refusal: Refusal | None = None
-        stream = kind is RouteKind.STREAM
-        route = Route(
-            'r',
-            'h',
-            '/',
-            kind,
-            timeout=8.0,
-            goal=0.4,
-            shares=(ServiceShare(ServiceName('llm'), 1.0),),
-            gap_goal=0.3,
-            most_targets=2,
-            resumable=stream,
-        )
-        engine = Engine(9, (EngineModel(MODEL, 2),))
-        outlook = Outlook(PromiseSettings())
-        outlook.take_routes(
-            RouteTable(
-                1,
-                (route,),
-                (RoutedService(ServiceName('llm'), engine=engine),),
-            ),
-        )
-        outlook.confirm_routes(self.clock.now)
-        outlook.take_fleet(
-            make_fleet(
-                *make_group('notes.7', 'a', 'b'),
-                *make_group('notes.8', 'c', 'd'),
-            ),
-            self.clock.now,
-        )
-        self.outlook = outlook
-        self.quarantine = LoneQuarantine(self.clock)
-        self.forwarder = Forwarder(
-            ForwarderParts(
-                outlook=outlook,
-                wire=_Wire(),
-                chooser=Chooser(HallName('port'), SharedLoads(), Random(1)),
-                book=self.book,
-                budget=ResendBudget(ResendLimits(0.2, 90.0, 10.0), 0.0),
-                clock=self.clock,
-                draw=lambda: 0.0,
-                count_nodes=lambda: 1,
-                raise_doubt=lambda _replica: None,
-                metrics=RequestMetrics(Metrics()),
-                guard=self.quarantine,
-                running=self.quarantine._running,
-            ),
-        )
-
-    def note_start(
-        self,
-        attempt: Attempt,
-        _outgoing: object,
-        _wire: object,
-        may_send: Any,
-        now: float,
-    ) -> None:
-        attempt.started_at = now
-        assert may_send()
-        self.may_send = may_send
-        self.attempts.append(attempt)
-
-    async def begin(self) -> asyncio.Task:
-        ask = Ask('a1', 'POST', '/x', 'h', (), b'', model=MODEL)
-        task = asyncio.create_task(self._serve(ask))
-        await self.settle()
-        return task
-
-    async def settle(self) -> None:
-        for _turn in range(10):
-            await asyncio.sleep(0)
-
-    async def pass_time(self, seconds: float) -> None:
-        """Let the clock pass, and wake the forwarder as a timer would."""
-        self.clock.now += seconds
-        self.attempts[0]._inbox.put(None)
-        await self.settle()
-
-    async def head(self, attempt: Attempt, **changes: Any) -> None:
-        facts = {'status': 200, 'mark': AnswerMark('a1'), **changes}
-        attempt.tell(
-            Attempt.Head(
-                attempt, headers=STREAM_HEADERS, length=None, **facts
-            ),
-        )
-        await self.settle()
-
-    async def events(self, attempt: Attempt, *numbers: int) -> None:
-        for number in numbers:
-            raw = b'id: %d\n\n' % number
-            attempt.tell(Attempt.Piece(attempt, StreamEvent(raw, number)))
-        await self.settle()
-
-    async def end(self, attempt: Attempt, is_whole: bool = True) -> None:
-        attempt.tell(Attempt.End(attempt, is_whole))
-        await self.settle()
-
-    async def _serve(self, ask: Ask) -> None:
-        try:
-            await self.forwarder.serve(ask, self.answer)
-        except Refusal as refusal:
-            self.refusal = refusal
-
-    async def restart(self, *names: str) -> None:
-        """Let a newer list show boxes that started again under their ids."""
-        boxes = dict(self.outlook.fleet.boxes)
-        for name in names:
-            boxes[BoxId(name)] = msgspec.structs.replace(
-                boxes[BoxId(name)],
-                standing=None,
-                incarnation=Incarnation(2),
-            )
-        self.outlook.take_fleet(Fleet(boxes), self.clock.now)
-        await self.settle()
-
-
-@pytest.fixture
-def stage(monkeypatch: pytest.MonkeyPatch) -> Stage:
-    made = Stage()
-    _drive(made, monkeypatch)
-    return made
-
-
-def _drive(made: Stage, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(
-        Attempt,
-        'start',
-        lambda *words: made.note_start(*words),
-    )
+from waywell.version.fleet import ReplicaKey
+from waywell.version.routes import RouteKind
 
 
 def list_numbers(body: bytes) -> list[int]:
@@ -338,7 +141,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     stage = Stage(RouteKind.UNSAFE)
-    _drive(stage, monkeypatch)
+    drive(stage, monkeypatch)
 
     async def play() -> None:
         task = await stage.begin()
@@ -358,7 +161,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     stage = Stage(RouteKind.UNSAFE)
-    _drive(stage, monkeypatch)
+    drive(stage, monkeypatch)
 
     async def play() -> None:
         await stage.begin()
@@ -406,7 +209,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     made = Stage(RouteKind.UNSAFE)
-    _drive(made, monkeypatch)
+    drive(made, monkeypatch)
 
     async def play() -> None:
         task = await made.begin()
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -178,6 +178,16 @@
         if not self._is_over:
             self._inbox.put(message)
 
+    def take_head(
+        self,
+        status: int,
+        headers: RawHeaders,
+        mark: AnswerMark,
+        length: int | None,
+    ) -> None:
+        """Tell the head of the answer."""
+        self.tell(self.Head(self, status, headers, mark, length))
+
     async def _run(
         self,
         outgoing: Outgoing,
@@ -190,15 +200,11 @@
             return
         exchange = opened.unwrap()
         self._exchange = exchange
-        mark = wire.read_mark(exchange.status, exchange.headers)
-        self.tell(
-            self.Head(
-                self,
-                exchange.status,
-                exchange.headers,
-                mark,
-                exchange.length,
-            ),
+        self.take_head(
+            exchange.status,
+            exchange.headers,
+            wire.read_mark(exchange.status, exchange.headers),
+            exchange.length,
         )
         exchange.deliver(_make_reader(self, exchange, self._inbox))
 
