Send nothing to a replica for as long as it has asked for rest

Callers saw: requests refused after two replicas that had asked for rest; a replica that had asked for 3 s got up to 4 requests of one node meanwhile. Cause: what a replica asks was not kept. All that kept requests from it was the node's own belief of its health, 1 s long, which any piece of a stream that ran there took back, and which counted for nothing where all replicas rested. Change: the wish is kept by the life of the box, apart from beliefs of health; the choice leaves such replicas out and the turn of the write asks once more. Where all rest, callers are refused at once with the end of the first rest. Why it holds: only time and the end of the life take a wish back; first attempts, retries, hedges and resumed streams have one way to a replica. The answer is heard where it is read, also when nobody waits for it any more. Nothing is paid for a retry that no replica is left for.

--- a/waywell/codes.py
+++ b/waywell/codes.py
@@ -47,6 +47,7 @@
     NODE_BUSY = 2007
     ROUTES_STALE = 2008
     REQUEST_HELD_BACK = 2009
+    REPLICAS_REST = 2010
 
     TARGET_UNREACHABLE = 3001
     TARGET_FAILED = 3002
@@ -118,6 +119,9 @@
             503,
             'Replicas ended under this request: it is not sent on for now.',
         ),
+        Code.REPLICAS_REST: CodeFacts(
+            503, 'All replicas have asked for rest.'
+        ),
         Code.TARGET_UNREACHABLE: CodeFacts(503, 'No target could be reached.'),
         Code.TARGET_FAILED: CodeFacts(502, 'The target broke off.'),
         Code.FENCE_REFUSED: CodeFacts(503, 'The target refused the epoch.'),
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -32,6 +32,7 @@
 from waywell.process.front_operations import FrontOperations
 from waywell.process.front_ports import FrontHandlers, FrontPorts
 from waywell.quarantine.tasks import make_quarantine
+from waywell.request.backpressure import Backpressure
 from waywell.request.demand import DemandGauge, count_at, count_by_model
 from waywell.request.errand import CallerAnswer, ForwarderParts
 from waywell.request.forwarder import Forwarder
@@ -100,6 +101,8 @@
         self.metrics = Metrics()
         self.outlook = Outlook(settings.promises)
         self.book = ReplicaBook()
+        self.backpressure = Backpressure()
+        self.outlook.listen_for_ends(self.backpressure.forget_ended)
         self.loads = SharedLoads()
         self.demand = DemandGauge()
         self.incarnation = Incarnation(int(self.clock.read_wall() * 1000))
@@ -337,6 +340,7 @@
                 metrics=RequestMetrics(self.metrics),
                 guard=self.quarantine.quarantine,
                 running=self.quarantine.running,
+                backpressure=self.backpressure,
             ),
         )
 
@@ -428,6 +432,7 @@
             self._tell_readiness()
             self._forget_replicas()
             now = self.clock.read()
+            self.backpressure.forget_old(now)
             for watch in (self.routes, self.fleet, self.quarantine.records):
                 watch.look_again(now)
             await asyncio.sleep(
--- a/waywell/process/front_operations.py
+++ b/waywell/process/front_operations.py
@@ -81,6 +81,7 @@
                     'routes': node.routes.foreign[:MOST_SHOWN],
                     'boxes': node.fleet.foreign[:MOST_SHOWN],
                 },
+                'backpressure': node.backpressure.dump(now),
                 'held_requests': node.quarantine.quarantine.list_held(),
                 'forms_groups': node.forming.is_held(),
                 'reads_platform': node.feed.is_reader(),
@@ -152,6 +153,9 @@
                     'rests_seconds': round(
                         max(0.0, record.rests_until - now), 2
                     ),
+                    'asked_rest_seconds': round(
+                        node.backpressure.find_rest(replica.key.life, now), 2
+                    ),
                 },
             )
         return {
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -25,7 +25,7 @@
 
     from waywell.connection.wire import Wire
     from waywell.ids import Fingerprint
-    from waywell.version.fleet import Replica
+    from waywell.version.fleet import BoxLife, Replica
 
 CONNECT_SECONDS = 0.15
 """For a connection to come up: a few times the longest way between halls;
@@ -87,6 +87,9 @@
         Where what comes is put.
     fingerprint
         What tells the request again.
+    note_mark
+        Takes in what the replica says of its answer, also where nobody waits
+        for it any more.
     """
 
     class Head(msgspec.Struct, frozen=True):
@@ -140,8 +143,10 @@
         number: int,
         inbox: Inbox,
         fingerprint: Fingerprint,
+        note_mark: Callable[[BoxLife, AnswerMark], None],
     ) -> None:
         """Send nothing yet."""
+        self._note_mark = note_mark
         self.replica = replica
         self.fingerprint = fingerprint
         self.number = number
@@ -185,7 +190,8 @@
         mark: AnswerMark,
         length: int | None,
     ) -> None:
-        """Tell the head of the answer."""
+        """Take in the head of the answer, and tell it."""
+        self._note_mark(self.replica.key.life, mark)
         self.tell(self.Head(self, status, headers, mark, length))
 
     async def _run(
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -8,12 +8,14 @@
 from waywell.connection.exchange import Outgoing
 from waywell.request.ask import Delivery
 from waywell.request.attempt import Attempt, Inbox
+from waywell.request.lack import Lack, explain_lack
 from waywell.request.patience import measure_patience
 from waywell.telemetry.events import log_event
 
 if TYPE_CHECKING:
+    from waywell.request.ask import AnswerMark
     from waywell.request.errand import Errand, ForwarderParts
-    from waywell.version.fleet import Replica
+    from waywell.version.fleet import BoxLife, Replica
 
 
 class Attempts:
@@ -49,33 +51,11 @@
 
     def start(self) -> bool:
         """Start an attempt at the best replica left; answer whether so."""
-        errand = self._errand
         now = self._parts.clock.read()
         replica = self._choose(now) if self._may_risk(0, now) else None
         if replica is None:
             return False
-        errand.tried |= {replica.key}
-        attempt = Attempt(
-            replica,
-            len(errand.tried),
-            self._inbox,
-            errand.fingerprint,
-        )
-        self.running.append(attempt)
-        self._parts.running.add(attempt)
-        record = self._parts.book.get(replica.key)
-        if not record.in_flight:
-            # Silence is counted from when it has work.
-            record.heard_at = now
-        self._parts.book.note_start(replica.key)
-        attempt.start(
-            self._make_outgoing(replica, now),
-            self._parts.wire,
-            lambda: self._may_send(replica),
-            now,
-        )
-        rests = round(max(0.0, record.rests_until - now), 3)
-        self.log('attempt', attempt, now, load=record.in_flight, rests=rests)
+        self._send(replica, now)
         return True
 
     def start_paid(self, now: float, beside: int = 0) -> bool:
@@ -90,7 +70,12 @@
         """
         if not self.has_sends_left() or not self._may_risk(beside, now):
             return False
-        return self._spend(now) and self.start()
+        replica = self._choose(now)
+        # Nothing is paid for an attempt that no replica is left for.
+        if replica is None or not self._spend(now):
+            return False
+        self._send(replica, now)
+        return True
 
     def drop(self, attempt: Attempt) -> None:
         """Break an attempt off, unless it was dropped before."""
@@ -197,17 +182,60 @@
             **pairs,
         )
 
-    def _choose(self, now: float) -> Replica | None:
+    def explain_lack(self, now: float) -> Lack:
+        """Return why no replica is left for the request."""
+        release = self._parts.backpressure.find_release(
+            self._list_replicas(), now
+        )
+        return explain_lack(release, self._errand.rejections)
+
+    def _send(self, replica: Replica, now: float) -> None:
+        errand = self._errand
+        errand.tried |= {replica.key}
+        attempt = Attempt(
+            replica,
+            len(errand.tried),
+            self._inbox,
+            errand.fingerprint,
+            self._note_mark,
+        )
+        self.running.append(attempt)
+        self._parts.running.add(attempt)
+        record = self._parts.book.get(replica.key)
+        if not record.in_flight:
+            # Silence is counted from when it has work.
+            record.heard_at = now
+        self._parts.book.note_start(replica.key)
+        attempt.start(
+            self._make_outgoing(replica, now),
+            self._parts.wire,
+            lambda: self._may_send(replica),
+            now,
+        )
+        rests = round(max(0.0, record.rests_until - now), 3)
+        self.log('attempt', attempt, now, load=record.in_flight, rests=rests)
+
+    def _list_replicas(self) -> list[Replica]:
         errand = self._errand
+        return self._parts.outlook.list_replicas(
+            errand.service, errand.ask.model
+        )
+
+    def _choose(self, now: float) -> Replica | None:
+        # A replica that has asked for rest is no last resort: with one taken
+        # where all rest, each of them got up to 4 requests in 3 s of rest.
+        backpressure = self._parts.backpressure
         return self._parts.chooser.choose(
-            self._parts.outlook.list_replicas(
-                errand.service, errand.ask.model
-            ),
-            errand.tried,
+            backpressure.list_open(self._list_replicas(), now),
+            self._errand.tried,
             self._parts.book,
             now,
         )
 
+    def _note_mark(self, life: BoxLife, mark: AnswerMark) -> None:
+        now = self._parts.clock.read()
+        self._parts.backpressure.note(life, mark, now)
+
     def _may_risk(self, beside: int, now: float) -> bool:
         """Answer whether the request may put one more replica at risk."""
         return self._parts.guard.may_send(
@@ -246,6 +274,8 @@
             return False
         if self._parts.guard.find_release(errand.fingerprint, now):
             return False
+        if not self._parts.backpressure.may_send(replica.key.life, now):
+            return False
         outlook = self._parts.outlook
         if errand.holder is not None:
             if not outlook.are_keys_fresh(now):
--- a/waywell/request/errand.py
+++ b/waywell/request/errand.py
@@ -14,6 +14,7 @@
 from waywell.process.clock import Clock
 from waywell.request.answer_times import AnswerTimes
 from waywell.request.ask import Ask
+from waywell.request.backpressure import Backpressure
 from waywell.request.guard import RequestGuard
 from waywell.request.pauses import PauseGauge
 from waywell.request.placement import Chooser
@@ -96,6 +97,9 @@
     running: RunningAttempts = attrs.Factory(RunningAttempts)
     """Attempts that run now."""
 
+    backpressure: Backpressure = attrs.Factory(Backpressure)
+    """What replicas have asked of this node."""
+
     answer_times: AnswerTimes = attrs.Factory(AnswerTimes)
     """How long whole answers take."""
 
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -10,7 +10,7 @@
 from waywell.process.actor import get_handler_name
 from waywell.request.attempt import Attempt, Inbox
 from waywell.request.attempts import Attempts
-from waywell.request.return_advice import ReturnReason, advise_return
+from waywell.request.return_advice import advise_return
 from waywell.telemetry.events import log_event
 from waywell.version.routes import RouteKind
 
@@ -147,14 +147,14 @@
             return
         self._attempts.check_unsent(now)
         if not self._attempts.start():
-            self._give_up(Code.TARGET_UNREACHABLE)
+            lack = self._attempts.explain_lack(now)
+            self._give_up(lack.code if lack.rest else Code.TARGET_UNREACHABLE)
 
     async def _run(self) -> None:
         if not self._attempts.start():
-            raise Refusal(
-                Code.NO_WHOLE_GROUP,
-                retry_after=self._advise(self._parts.clock.read()),
-            )
+            now = self._parts.clock.read()
+            lack = self._attempts.explain_lack(now)
+            raise Refusal(lack.code, retry_after=self._advise(now))
         while self._attempts.running:
             await self._step()
         self._give_up(Code.TARGET_FAILED)
@@ -213,7 +213,7 @@
         self._attempts.drop(attempt)
         if not self._attempts.running:
             if not self._attempts.start_paid(now):
-                self._give_up(Code.NO_WHOLE_GROUP)
+                self._give_up(self._attempts.explain_lack(now).code)
 
     def _is_next(self, piece: Attempt.Piece) -> bool:
         """Answer whether a piece goes on where the answer stands."""
@@ -324,12 +324,10 @@
 
     def _advise(self, now: float) -> float:
         """Return when the caller should come back, in seconds."""
-        errand = self._errand
-        full, lacking = ReturnReason.FULL, ReturnReason.NO_GROUP
+        lack = self._attempts.explain_lack(now)
+        seconds_left = self._errand.ends_at - now
         return advise_return(
-            full if errand.rejections else lacking,
-            errand.ends_at - now,
-            self._parts.draw(),
+            lack.reason, seconds_left, self._parts.draw(), lack.rest
         )
 
 
--- a/waywell/request/return_advice.py
+++ b/waywell/request/return_advice.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+from types import MappingProxyType
 
 FULL_SECONDS = (0.4, 1.2)
 """From when to when a replica that was full has room again: streams take some
@@ -17,6 +18,10 @@
 """From when to when a group is back that lost a box: silence is known after
 half a second, its boxes are joined anew in 0.5 to 2 s."""
 
+RESTED_SECONDS = (0.0, 0.8)
+"""From when to when after the first rest has ended: a replica that is just
+rested meets callers one after the other, not all that were refused."""
+
 MOST_OF_TIME_LEFT = 0.3
 """Part of the time that the caller has left: the rest is for the answer."""
 
@@ -30,11 +35,24 @@
     NO_GROUP = 'no_group'
     """No replica can serve it."""
 
+    RESTING = 'resting'
+    """All replicas have asked for rest."""
+
+
+_SECONDS_BY_REASON = MappingProxyType(
+    {
+        ReturnReason.FULL: FULL_SECONDS,
+        ReturnReason.NO_GROUP: NO_GROUP_SECONDS,
+        ReturnReason.RESTING: RESTED_SECONDS,
+    },
+)
+
 
 def advise_return(
     reason: ReturnReason,
     seconds_left: float,
     draw: float,
+    rest: float = 0.0,
 ) -> float:
     """Return after how many seconds a caller should come back.
 
@@ -48,8 +66,9 @@
         Time that the caller has left.
     draw
         A number from 0 up to 1, drawn anew for each caller.
+    rest
+        Seconds until the first replica wants requests again.
     """
-    is_full = reason is ReturnReason.FULL
-    soonest, latest = FULL_SECONDS if is_full else NO_GROUP_SECONDS
-    seconds = soonest + draw * (latest - soonest)
+    soonest, latest = _SECONDS_BY_REASON[reason]
+    seconds = rest + soonest + draw * (latest - soonest)
     return round(max(0.0, min(seconds, MOST_OF_TIME_LEFT * seconds_left)), 3)
--- a/waywell/telemetry/front_gauges.py
+++ b/waywell/telemetry/front_gauges.py
@@ -68,6 +68,16 @@
             'part',
             self._count_quarantine,
         )
+        show(
+            'waywell_backpressure',
+            'Replicas that have asked this node for no more requests.',
+            'part',
+            self._count_wishes,
+        )
+
+    def _count_wishes(self) -> Mapping[str, float]:
+        node = self._node
+        return node.backpressure.count(node.clock.read())
 
     def _count_quarantine(self) -> Mapping[str, float]:
         return self._node.quarantine.quarantine.count()
