--- a/waywell/process/front_operations.py
+++ b/waywell/process/front_operations.py
@@ -153,6 +153,9 @@
                     'rests_seconds': round(
                         max(0.0, record.rests_until - now), 2
                     ),
+                    'wants_requests': node.backpressure.may_send(
+                        replica.key.life, now
+                    ),
                     'asked_rest_seconds': round(
                         node.backpressure.find_rest(replica.key.life, now), 2
                     ),
