--- a/waywell/standins/harness.py
+++ b/waywell/standins/harness.py
@@ -310,13 +310,20 @@
 
     def set_target_faults(self, name: str, **faults: Any) -> dict[str, Any]:
         """Set faults of a target; return its counts of runs."""
+        return dict(self._call_faults(name, faults)['runs'])
+
+    def count_turned_away(self, name: str) -> int:
+        """Return how many requests a target has turned away."""
+        return int(self._call_faults(name, {})['turned_away'])
+
+    def _call_faults(self, name: str, faults: dict[str, Any]) -> Any:
         port = self.targets[name].ports['port']
         answer = call_http(
             f'http://127.0.0.1:{port}/standin/faults',
             'POST',
             json.dumps(faults).encode(),
         )
-        return dict(answer.read_json()['runs'])
+        return answer.read_json()
 
     def count_serving(self, entry: str, group_set: str) -> int:
         """Return how many groups of a set an entry sees serving."""
--- a/waywell/standins/target.py
+++ b/waywell/standins/target.py
@@ -53,6 +53,10 @@
     ends_under: str = ''
     """Body of a request under which the process ends; empty for none."""
 
+    rest: str = ''
+    """Seconds of rest that it asks for while it turns requests away; empty
+    where it takes them."""
+
     ready: bool = True
     """What it says of itself to probes."""
 
@@ -80,6 +84,7 @@
         self.faults = TargetFaults()
         self.order: GroupOrder | None = None
         self.in_flight = 0
+        self.turned_away = 0
         self._fenced = fenced
         self._history = history
 
@@ -94,10 +99,15 @@
             now = msgspec.to_builtins(self.faults)
             raw = msgspec.json.decode(request.content.read() or b'{}')
             self.faults = msgspec.convert({**now, **raw}, TargetFaults)
-            _answer(request, 200, {'runs': self.runs})
+            shown = {'runs': self.runs, 'turned_away': self.turned_away}
+            _answer(request, 200, shown)
         elif self._is_fenced_off(request):
             request.setHeader(FENCE_HEADER.encode(), FENCE_REFUSED.encode())
             _answer(request, 409, {'epoch': self._get_epoch()})
+        elif self.faults.rest:
+            self.turned_away += 1
+            request.setHeader(b'retry-after', self.faults.rest.encode())
+            _answer(request, 503, {})
         else:
             self._run(request, path)
         return int(NOT_DONE_YET)
