--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -42,6 +42,7 @@
 from waywell.request.claim import ClaimTable, issue_prefix
 from waywell.request.dispatcher import Dispatcher, NodeFacts, Parts
 from waywell.request.facts import REQUEST_ID_HEADER
+from waywell.request.request_claims import RequestClaims
 from waywell.request.retry import RetryBudget
 from waywell.request.running import RunningAttempts
 from waywell.telemetry.events import log_event
@@ -292,8 +293,11 @@
             balance=Balance(self.health, self.loads),
             admission=self.admission,
             budget=RetryBudget(),
-            home_claimer=self.home_claimer,
-            own_claimer=PlatformClaimer(self.platform, self.clock),
+            claims=RequestClaims(
+                self.home_claimer,
+                PlatformClaimer(self.platform, self.clock),
+                history,
+            ),
             target=self.target,
             clock=self.clock,
             history=history,
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -15,15 +15,18 @@
 from waywell.connection.target import Dispatch, DispatchFault, Target
 from waywell.health.health import HealthTable
 from waywell.ids import Incarnation, ServiceName
-from waywell.process.claims import Claimer
 from waywell.process.clock import Clock
 from waywell.process.documents import InForce
 from waywell.request.admission import Admission
 from waywell.request.balance import Balance
-from waywell.request.claim import ClaimKey, ClaimState, read_issued
+from waywell.request.claim import ClaimKey, ClaimState
 from waywell.request.facts import read_facts
 from waywell.request.fingerprint import make_fingerprint
 from waywell.request.guard import RequestGuard
+from waywell.request.request_claims import (
+    NO_GROUP_RETRY_SECONDS,
+    RequestClaims,
+)
 from waywell.request.retry import MOST_ATTEMPTS, RetryBudget
 from waywell.request.routing import (
     Choice,
@@ -45,20 +48,6 @@
 Inner = TypeVar('Inner')
 """What a step of the way finds."""
 
-NO_GROUP_RETRY_SECONDS = 2.0
-"""Advice to callers while no group can serve."""
-
-_REFUSAL_BY_CLAIM = MappingProxyType(
-    {
-        ClaimState.RUNNING: (Code.REPEAT_RUNNING, Ran.MAY_HAVE_RUN),
-        ClaimState.DONE: (Code.REPEAT_DONE, Ran.RAN),
-        ClaimState.UNKNOWN: (Code.REPEAT_UNKNOWN, Ran.MAY_HAVE_RUN),
-        ClaimState.REFUSED: (Code.REPEAT_REFUSED, Ran.NOT_RUN),
-        ClaimState.EXPIRED: (Code.BAD_REQUEST_ID, Ran.MAY_HAVE_RUN),
-        ClaimState.FULL: (Code.NODE_BUSY, Ran.MAY_HAVE_RUN),
-    },
-)
-
 _CODE_BY_FAULT = MappingProxyType(
     {
         DispatchFault.NOT_SENT: Code.TARGET_UNREACHABLE,
@@ -106,11 +95,8 @@
     budget: RetryBudget
     """Budget of retries."""
 
-    home_claimer: Claimer
-    """Claims of ids that an entry box gave out."""
-
-    own_claimer: Claimer
-    """Claims of ids that callers made up."""
+    claims: RequestClaims
+    """Claims of ids that run at most once."""
 
     target: Target
     """Calls to targets."""
@@ -170,7 +156,7 @@
         except Refusal as refusal:
             raise self._doubt(refusal, facts) from refusal
         try:
-            key = await self._claim(work)
+            key = await self._parts.claims.claim(work)
             await self._run(work, key)
         finally:
             self._parts.admission.release(work.account.name)
@@ -265,34 +251,6 @@
             refusal.retry_after,
         )
 
-    async def _claim(self, work: Work) -> ClaimKey | None:
-        """Claim the id of a request that may not be repeated."""
-        request_id = work.facts.request_id
-        if work.facts.repeatable or request_id is None:
-            return None
-        key = ClaimKey(work.account.name, request_id)
-        state = await self._get_claimer(key).claim(key)
-        self._parts.history.note(
-            'claimed',
-            request=request_id,
-            state=state.value if state else 'none',
-        )
-        if state is ClaimState.GRANTED:
-            return key
-        if state is None:
-            raise Refusal(
-                Code.CLAIM_UNKNOWN,
-                Ran.MAY_HAVE_RUN,
-                retry_after=NO_GROUP_RETRY_SECONDS,
-            )
-        code, ran = _REFUSAL_BY_CLAIM[state]
-        raise Refusal(code, ran)
-
-    def _get_claimer(self, key: ClaimKey) -> Claimer:
-        if read_issued(key.request_id) is None:
-            return self._parts.own_claimer
-        return self._parts.home_claimer
-
     async def _run(self, work: Work, key: ClaimKey | None) -> None:
         """Make attempts, and settle the claim by how they ended."""
         state = ClaimState.UNKNOWN
@@ -305,7 +263,7 @@
             raise
         finally:
             if key is not None:
-                self._get_claimer(key).settle(key, state)
+                self._parts.claims.settle(key, state)
 
     async def _attempt_all(self, work: Work) -> bool:
         """Make attempts until one is answered."""
--- a/waywell/standins/harness.py
+++ b/waywell/standins/harness.py
@@ -316,15 +316,6 @@
         """Return how many requests a target has turned away."""
         return int(self._call_faults(name, {})['turned_away'])
 
-    def _call_faults(self, name: str, faults: dict[str, Any]) -> Any:
-        port = self.targets[name].ports['port']
-        answer = call_http(
-            f'http://127.0.0.1:{port}/standin/faults',
-            'POST',
-            json.dumps(faults).encode(),
-        )
-        return answer.read_json()
-
     def count_serving(self, entry: str, group_set: str) -> int:
         """Return how many groups of a set an entry sees serving."""
         sets = self.read_status(entry)['group_sets']
@@ -345,6 +336,15 @@
             lines.extend(json.loads(line) for line in whole.splitlines())
         return lines
 
+    def _call_faults(self, name: str, faults: dict[str, Any]) -> Any:
+        port = self.targets[name].ports['port']
+        answer = call_http(
+            f'http://127.0.0.1:{port}/standin/faults',
+            'POST',
+            json.dumps(faults).encode(),
+        )
+        return answer.read_json()
+
     def _put_box(
         self,
         spec: BoxSpec,
--- a/waywell/standins/target.py
+++ b/waywell/standins/target.py
@@ -104,10 +104,6 @@
         elif self._is_fenced_off(request):
             request.setHeader(FENCE_HEADER.encode(), FENCE_REFUSED.encode())
             _answer(request, 409, {'epoch': self._get_epoch()})
-        elif self.faults.rest:
-            self.turned_away += 1
-            request.setHeader(b'retry-after', self.faults.rest.encode())
-            _answer(request, 503, {})
         else:
             self._run(request, path)
         return int(NOT_DONE_YET)
@@ -142,6 +138,9 @@
         return int(text) != self.order.epoch
 
     def _run(self, request: Request, path: str) -> None:
+        if self.faults.rest:
+            self._turn_away(request)
+            return
         body = request.content.read()
         name = request.getHeader('waywell-request-id') or ''
         self.runs[name] = self.runs.get(name, 0) + 1
@@ -158,6 +157,11 @@
         request.notifyFinish().addBoth(lambda _: answering.end())
         reactor.callLater(self.faults.slow, answering.begin)
 
+    def _turn_away(self, request: Request) -> None:
+        self.turned_away += 1
+        request.setHeader(b'retry-after', self.faults.rest.encode())
+        _answer(request, 503, {})
+
     def _note(self, event: str, **pairs: Any) -> None:
         if not self._history:
             return
