Let targets rest that ask the entry daemon for it

Callers saw: a target that turns all away with 503 and Retry-After got the next requests as well; being quick at it, more than the others. Cause: the same as at the front daemon: the wish was not read, and the answer counted as one of a sound target. Change: the head of an answer tells the wish, which is kept by the life of the box the group was formed with; the choice leaves such groups out, the turn of the write asks once more, and where all rest callers are refused at once with the end of the first rest. The decoder of Retry-After is now one for both daemons.

--- a/waywell/connection/http_target.py
+++ b/waywell/connection/http_target.py
@@ -27,6 +27,7 @@
 from waywell.connection.bodies import BytesBody, read_whole
 from waywell.connection.deferreds import await_deferred
 from waywell.connection.hop_headers import HOP_HEADERS
+from waywell.connection.retry_after import REST_HEADER, read_rest
 from waywell.connection.target import (
     EPOCH_HEADER,
     FENCE_HEADER,
@@ -123,6 +124,8 @@
         known = isinstance(response.length, int)
         self.length = response.length if known else None
         self.load = self._read_load()
+        rests = response.headers.getRawHeaders(REST_HEADER, [''])
+        self.rest_seconds = read_rest(self.status, rests[0])
 
     def deliver(self, receiver: IProtocol) -> None:
         """Deliver the body to a receiver, with back pressure."""
--- a/waywell/connection/target.py
+++ b/waywell/connection/target.py
@@ -51,6 +51,9 @@
     TIMED_OUT = 'timed_out'
     """The request left, and the deadline passed."""
 
+    RESTING = 'resting'
+    """The target asked for rest while the request connected; not sent."""
+
     FENCED = 'fenced'
     """The target refused the epoch and ran nothing."""
 
@@ -101,6 +104,9 @@
     load: int | None
     """Requests in flight at the target, when it says so."""
 
+    rest_seconds: float = 0.0
+    """For which the target wants nothing more; 0 for no wish."""
+
     @abc.abstractmethod
     def deliver(self, receiver: IProtocol) -> None:
         """Deliver the body to a receiver, with back pressure."""
--- a/waywell/platform/messages.py
+++ b/waywell/platform/messages.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import math
-from http import HTTPStatus
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 from waywell.codes import Code, Refusal
 from waywell.connection.hop_headers import HOP_HEADERS
+from waywell.connection.retry_after import REST_HEADER, read_rest
 from waywell.connection.wire import RawHeaders, Wire
 from waywell.ids import ModelName
 from waywell.request.ask import AnswerMark, Ask, Delivery
@@ -33,18 +32,11 @@
 # A server that leaves says so in all its answers.
 LEAVING_HEADER = 'server-leaving'
 LEAVING_TEXT = '1'
-# Seconds for which a server that turns a request away wants nothing more.
-REST_HEADER = 'retry-after'
 VERSION_HEADER = 'x-expect-version'
 
 MISDIRECTED = 421
 """HTTP status of a server that is another one, or no head."""
 
-_RESTING_STATUSES = frozenset(
-    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS),
-)
-"""Answers that may ask for rest; on others the header means something else."""
-
 KEY_SCHEME = 'bearer'
 """Scheme of the header with the key."""
 
@@ -133,7 +125,7 @@
             attempt=texts.get(ATTEMPT_HEADER, ''),
             is_rejected=REJECTED_HEADER in texts,
             is_misdirected=status == MISDIRECTED,
-            rest_seconds=_read_rest(status, texts.get(REST_HEADER, '')),
+            rest_seconds=read_rest(status, texts.get(REST_HEADER, '')),
             is_leaving=texts.get(LEAVING_HEADER, '').strip() == LEAVING_TEXT,
         )
 
@@ -171,18 +163,6 @@
     return int(text)
 
 
-def _read_rest(status: int, text: str) -> float:
-    """Return the seconds of rest that an answer asks for; 0 for none."""
-    if status not in _RESTING_STATUSES:
-        return 0.0
-    try:
-        seconds = float(text)
-    except ValueError:
-        # A date, or no number at all: no wish that could be kept to.
-        return 0.0
-    return seconds if 0 < seconds < math.inf else 0.0
-
-
 def _read_tokens(text: str) -> tuple[int, int]:
     """Return the tokens of the prompt and the most of the answer."""
     if not text:
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -304,6 +304,7 @@
             random=self._random,
             guard=self.quarantine,
         )
+        self.backpressure = parts.backpressure
         self._dispatcher = Dispatcher(parts, self.describe)
 
     def _show_metrics(self) -> None:
@@ -408,6 +409,7 @@
                 self._count_serving(),
                 self.clock.read(),
             )
+            self.backpressure.forget_old(self.clock.read())
             await asyncio.sleep(MEASURE_SECONDS)
 
     async def _close(self) -> None:
--- a/waywell/process/operations.py
+++ b/waywell/process/operations.py
@@ -123,6 +123,7 @@
             'incarnation': node.incarnation,
             'in_flight': node.admission.list_in_flight(),
             'claims': len(node.home_claimer.table),
+            'backpressure': node.backpressure.dump(node.clock.read()),
             'refuses_new': node.refuses_new,
             'platform_age': node.gossip.get_platform_age(node.clock.read()),
             'tasks': {actor.name: actor.dump() for actor in node.actors},
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -18,6 +18,8 @@
 from waywell.process.clock import Clock
 from waywell.process.documents import InForce
 from waywell.request.admission import Admission
+from waywell.request.ask import AnswerMark
+from waywell.request.backpressure import Backpressure
 from waywell.request.balance import Balance
 from waywell.request.claim import ClaimKey, ClaimState
 from waywell.request.facts import read_facts
@@ -35,12 +37,12 @@
 )
 from waywell.request.submission import CallerPort, Submission, Work
 from waywell.telemetry.history import History
-from waywell.version.fleet import FleetBox, Replica, ReplicaKey
+from waywell.version.fleet import BoxLife, FleetBox, Replica, ReplicaKey
 from waywell.version.roster import Group, GroupState
 from waywell.version.serving import RequestShape
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from waywell.connection.target import TargetAnswer
     from waywell.request.facts import RequestFacts
@@ -55,13 +57,22 @@
         DispatchFault.BROKEN: Code.TARGET_FAILED,
         DispatchFault.TIMED_OUT: Code.DEADLINE_PASSED,
         DispatchFault.FENCED: Code.FENCE_REFUSED,
+        DispatchFault.RESTING: Code.REPLICAS_REST,
     },
 )
 
 _NOT_RUN_FAULTS = frozenset(
-    (DispatchFault.NOT_SENT, DispatchFault.TOO_LATE, DispatchFault.FENCED),
+    (
+        DispatchFault.NOT_SENT,
+        DispatchFault.TOO_LATE,
+        DispatchFault.FENCED,
+        DispatchFault.RESTING,
+    ),
 )
 
+_NO_FAILURES = frozenset((DispatchFault.TOO_LATE, DispatchFault.RESTING))
+"""Faults that say nothing against the health of a group."""
+
 _LAST_FAULTS = frozenset((DispatchFault.TOO_LATE, DispatchFault.TIMED_OUT))
 
 
@@ -113,6 +124,9 @@
     guard: RequestGuard
     """Knows which requests crash targets."""
 
+    backpressure: Backpressure = attrs.Factory(Backpressure)
+    """What targets have asked of this node."""
+
 
 class Dispatcher:
     """Serves requests by what is in force.
@@ -293,12 +307,26 @@
         else:
             choice = choose_for_session(work.session, groups, is_usable, loads)
         if choice is None:
-            raise Refusal(
+            raise self._explain_lack(work, groups, now)
+        return choice
+
+    def _explain_lack(
+        self,
+        work: Work,
+        groups: Sequence[Group],
+        now: float,
+    ) -> Refusal:
+        """Return why no group can serve, and when one may."""
+        rest = self._parts.backpressure.find_release(
+            [_make_replica(work, group) for group in groups], now
+        )
+        if rest is None:
+            return Refusal(
                 Code.NO_WHOLE_GROUP,
                 _get_ran(work),
                 retry_after=NO_GROUP_RETRY_SECONDS,
             )
-        return choice
+        return Refusal(Code.REPLICAS_REST, _get_ran(work), retry_after=rest)
 
     def _can_use(self, work: Work, group: Group) -> bool:
         if group.state is not GroupState.SERVING or group.group in work.tried:
@@ -308,6 +336,8 @@
             if not facts.may_route_unfenced:
                 return False
         now = self._parts.clock.read()
+        if not self._parts.backpressure.may_send(_make_life(group), now):
+            return False
         return self._parts.health.is_usable(group.group, group.epoch, now)
 
     async def _attempt(
@@ -326,7 +356,7 @@
             answer = await self._parts.target.dispatch(
                 _make_dispatch(work, group),
                 work.deadline_at - started_at,
-                lambda: self._may_send(work),
+                lambda: self._may_send(work, group),
             )
         except BaseException:
             # The caller has gone, and the attempt was cancelled.
@@ -334,16 +364,42 @@
             raise
         now = clock.read()
         if not isinstance(answer, Failure):
-            health.note_answer(group.group, now - started_at, now)
-            return answer.unwrap()
+            return self._take_answer(group, answer.unwrap(), started_at)
         health.note_end(group.group)
-        fault = answer.failure()
+        fault = self._name_fault(group, answer.failure(), now)
         if fault is DispatchFault.TIMED_OUT:
             health.note_timeout(group.group, now - started_at, now)
-        elif fault is not DispatchFault.TOO_LATE:
+        elif fault not in _NO_FAILURES:
             health.note_failure(group.group, now)
         return self._take_fault(work, group, fault)
 
+    def _take_answer(
+        self,
+        group: Group,
+        answer: TargetAnswer,
+        started_at: float,
+    ) -> TargetAnswer:
+        """Note what the head of an answer says of its group."""
+        now = self._parts.clock.read()
+        if answer.rest_seconds:
+            mark = AnswerMark(rest_seconds=answer.rest_seconds)
+            self._parts.backpressure.note(_make_life(group), mark, now)
+        self._parts.health.note_answer(group.group, now - started_at, now)
+        return answer
+
+    def _name_fault(
+        self,
+        group: Group,
+        fault: DispatchFault,
+        now: float,
+    ) -> DispatchFault:
+        """Tell a wish that came while it connected from a late request."""
+        if fault is not DispatchFault.TOO_LATE:
+            return fault
+        if self._parts.backpressure.may_send(_make_life(group), now):
+            return fault
+        return DispatchFault.RESTING
+
     def _take_fault(
         self,
         work: Work,
@@ -359,11 +415,14 @@
         self._note('attempt_failed', work, group, fault=fault.value)
         return fault
 
-    def _may_send(self, work: Work) -> bool:
+    def _may_send(self, work: Work, group: Group) -> bool:
         """Answer, right before the write, whether it is still wanted."""
         if work.caller.is_gone():
             return False
-        return self._parts.clock.read() < work.deadline_at
+        now = self._parts.clock.read()
+        if not self._parts.backpressure.may_send(_make_life(group), now):
+            return False
+        return now < work.deadline_at
 
     async def _relay(
         self,
@@ -467,6 +526,11 @@
     )
 
 
+def _make_life(group: Group) -> BoxLife:
+    """Return the life of the box that a group was formed with."""
+    return BoxLife(group.head.box, Incarnation(group.head.boot))
+
+
 def _make_replica(work: Work, group: Group) -> Replica:
     """Return a group as the guard knows replicas."""
     head = group.head
