Put no box list in force that was asked for earlier than the one in force

Cause: what a node reads itself was put in force whenever its answer came, also after a later list of its reader. Change: its answer goes through the comparison that the reader's lists go through. What it has beyond the list in force comes with the next look. Why it holds: of two lists only one with a later question replaces another. Beside it a function that nothing called (CrashBook.forget_told) is gone.

--- a/tests/test_fleet_watch.py
+++ b/tests/test_fleet_watch.py
@@ -170,3 +170,16 @@
     stored = (Stored('box', old.box, 1, old),)
     bench.watch.take(Changes(9, stored, complete=True), 5.0, 5.4)
     assert bench.outlook.fleet.boxes[old.box].incarnation == 2
+
+
+def test_what_an_earlier_answer_had_beyond_it_comes_with_the_next_look() -> (
+    None
+):
+    bench = Bench(make_box('a'))
+    bench.outlook.take_fleet(make_fleet(make_box('a'), make_box('b')), 5.3)
+    changes = (make_box('a'), make_box('b'), make_box('c'))
+    stored = tuple(Stored('box', box.box, 1, box) for box in changes)
+    bench.watch.take(Changes(9, stored, complete=True), 5.0, 5.4)
+    assert set(bench.outlook.fleet.boxes) == {'a', 'b'}
+    bench.watch.take(Changes(9, ()), 5.5, 5.5)
+    assert set(bench.outlook.fleet.boxes) == {'a', 'b', 'c'}
--- a/waywell/knowledge/fleet_watch.py
+++ b/waywell/knowledge/fleet_watch.py
@@ -113,6 +113,11 @@
         if boxes == known:
             self._outlook.confirm_fleet(asked_at)
             return
+        if not self._outlook.is_newer_fleet(asked_at):
+            # A reader's later list came first: put in force by its answer of
+            # before, a box's present life counted as over.  What this answer
+            # has beyond that list is taken with the next look.
+            return
         self._log_changes(boxes, known)
         self._outlook.take_fleet(Fleet(boxes), asked_at)
 
--- a/waywell/quarantine/crash_book.py
+++ b/waywell/quarantine/crash_book.py
@@ -178,11 +178,6 @@
             self._judge()
         return max(total, told.crashes if told else 0)
 
-    def forget_told(self, fingerprint: Fingerprint) -> None:
-        """Drop a hold that nobody tells of any more."""
-        if self.told.pop(fingerprint, None) is not None:
-            self._judge()
-
     def count_crashes(self, fingerprint: Fingerprint) -> int:
         """Return the ends that no other request explains."""
         hold = self.held.get(fingerprint)
