--- a/tests/house.py
+++ b/tests/house.py
@@ -230,7 +230,8 @@
         """Listen, and write the entry."""
         self.name = name
         self.runs: list[dict[str, str]] = []
-        self.arrivals = 0
+        self.came: list[tuple[float, str]] = []
+        self.asked_rest: list[tuple[float, float, str]] = []
         self.rest_text = ''
         self.is_leaving = False
         self.orders: list[dict[str, Any]] = []
@@ -262,10 +263,19 @@
         }
         self.write_entry()
 
+    @property
+    def arrivals(self) -> int:
+        """Return how many requests have come."""
+        return len(self.came)
+
     def write_entry(self) -> None:
         """Write the entry as it is."""
         self._store.put('servers', self.name, dict(self.entry))
 
+    def get_port(self) -> int:
+        """Return the port that its entry tells."""
+        return int(self.entry['address'].rpartition(':')[2])
+
     def close(self) -> None:
         """Listen no more; the entry stays."""
         self._server.shutdown()
@@ -399,18 +409,20 @@
                     self._run()
 
             def _run(self) -> None:
-                server.arrivals += 1
+                attempt = self.headers['X-Request-Attempt-Id']
+                server.came.append((time.monotonic(), attempt))
                 act = server.script.popleft() if server.script else ''
                 own = {
-                    'X-Request-Attempt-Id': self.headers[
-                        'X-Request-Attempt-Id'
-                    ],
+                    'X-Request-Attempt-Id': attempt,
                     'X-Replica-Stamp': f'stamp-of-{server.name}',
                 }
                 if act == 'reject':
                     self.answer(503, {}, {**own, 'X-Not-Executed': '1'})
                     return
                 if act == 'rest':
+                    server.asked_rest.append(
+                        (time.monotonic(), float(server.rest_text), attempt)
+                    )
                     own |= {'X-Not-Executed': '1'}
                     own |= {'Retry-After': server.rest_text}
                     self.answer(503, {}, own)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -46,6 +46,25 @@
 REST_SECONDS = 0.02
 """Seconds that a caller waits after a request that failed."""
 
+REST_TEXTS = ('0.8', '1.5', '3')
+"""Seconds of rest that a server asks for."""
+
+REST_KNOWN_SECONDS = 0.5
+"""After a wish for rest, for which requests may still be on their way."""
+
+MOST_DURING_REST = 2
+"""Requests of one node that may come nevertheless."""
+
+LEAVING_KNOWN_SECONDS = 2.0
+"""After a node has passed on that a server leaves, for which it may still
+send requests to it."""
+
+LEAVES_AFTER = (2.5, 4.0)
+"""Least and most seconds from the word of leaving to the end."""
+
+WISH_SHARE = 0.25
+"""Part of the steps in which a server asks for something."""
+
 SLOW_SECONDS = (0.05, 0.6)
 """Least and most seconds by which a relay or the store delays."""
 
@@ -75,6 +94,12 @@
     def __init__(self, seed: int, folder: Path) -> None:
         """Start everything."""
         self.random = random.Random(seed)
+        # The seeds that ever failed go on to draw the faults that they drew.
+        self._wishes = random.Random(seed + 1)
+        self._leaving: dict[str, float] = {}
+        self._told_leaving: dict[tuple[Process, str], float] = {}
+        self._asked: dict[str, Process] = {}
+        self._spoiled: set[int] = set()
         self.front = Front(folder)
         self.front.add_servers()
         self._ways_to_servers = [
@@ -136,6 +161,7 @@
         ]
         healing: list[threading.Timer] = []
         while time.monotonic() < ends_at:
+            self._ask_wish()
             heal = self.random.choice(faults)()
             if heal is not None:
                 timer = threading.Timer(
@@ -213,7 +239,9 @@
         return self._spoil(self._ways_to_store[self.random.choice(names)])
 
     def _spoil_way_to_server(self) -> Any:
-        return self._spoil(self.random.choice(self._ways_to_servers))
+        relay = self.random.choice(self._ways_to_servers)
+        self._spoiled.add(relay.port)
+        return self._spoil(relay)
 
     def _spoil(self, relay: Relay) -> Any:
         """Cut, silence one way, reset or delay what goes over a relay."""
@@ -229,9 +257,29 @@
             relay.silence(Way(kind))
         return relay.mend
 
+    def _ask_wish(self) -> None:
+        """Let servers ask for rest, or say that they leave and do so."""
+        now = time.monotonic()
+        for name, ends_at in tuple(self._leaving.items()):
+            if now >= ends_at:
+                self._leaving.pop(name)
+                if name in self.front.servers:
+                    self._replace(name)
+        if self._wishes.random() > WISH_SHARE:
+            return
+        name = self._wishes.choice(sorted(self.front.servers))
+        server = self.front.servers[name]
+        if self._wishes.random() < 0.5:
+            server.rest_text = self._wishes.choice(REST_TEXTS)
+            server.script.append('rest')
+        else:
+            server.is_leaving = True
+            self._leaving[name] = now + self._wishes.uniform(*LEAVES_AFTER)
+
     def _crash_server(self) -> None:
-        names = sorted(self.front.servers)
-        name = self.random.choice(names)
+        self._replace(self.random.choice(sorted(self.front.servers)))
+
+    def _replace(self, name: str) -> None:
         old = self.front.servers.pop(name)
         service = old.entry['service']
         self.front.gone.append(old)
@@ -267,8 +315,10 @@
             relay.mend()
         # The first version does not know the key that is asked with.
         self._change_routes()
-        for server in self.front.servers.values():
+        for server in tuple(self.front.servers.values()):
             server.script.clear()
+            if server.is_leaving:
+                self._replace(server.name)
         for name, process in tuple(self.fronts.items()):
             if not process.is_running():
                 self._restart(name)
@@ -294,6 +344,7 @@
             process = random.choice(sorted(self.fronts.items()))[1]
             key = random.choice([KEY, 'another'])
             self._sent[attempt] = (key, time.monotonic())
+            self._asked[attempt] = process
             try:
                 self._call(process, path, attempt, key)
             except (OSError, http.client.HTTPException, RuntimeError):
@@ -312,6 +363,10 @@
             process, path, model, key, X_Request_Attempt_Id=attempt
         )
         self.ends[str(status)] += 1
+        if answer.getheader('Server-Leaving'):
+            stamp = answer.getheader('X-Replica-Stamp', '')
+            told = (process, stamp.removeprefix('stamp-of-'))
+            self._told_leaving.setdefault(told, time.monotonic())
         if status == 200 and body != whole:
             self.broken.append(f'{attempt}: not the whole answer: {body!r}')
         if answer.getheader('waywell-ran') == 'not_run':
@@ -335,6 +390,35 @@
             if key == KEY and sent_at > self._removed_at + KEY_BOUND:
                 self.broken.append(f'{attempt}: ran with a removed key')
 
+        for server in (*self.front.servers.values(), *self.front.gone):
+            self._check_leaving(server)
+            if server.get_port() not in self._spoiled:
+                self._check_rests(server)
+
+    def _check_leaving(self, server: Server) -> None:
+        """Hold what came against what nodes had passed on before."""
+        for _at, attempt in server.came:
+            told = (self._asked.get(attempt), server.name)
+            sent_at = self._sent.get(attempt, ('', 0.0))[1]
+            told_at = self._told_leaving.get(told, float('inf'))
+            if sent_at > told_at + LEAVING_KNOWN_SECONDS:
+                self.broken.append(f'{attempt}: sent to what leaves')
+
+    def _check_rests(self, server: Server) -> None:
+        """Hold what came against the rest that was asked for.
+
+        A way that was cut or silent may have lost the wish.
+        """
+        for asked_at, seconds, attempt in server.asked_rest:
+            node = self._asked.get(attempt)
+            came = sum(
+                asked_at + REST_KNOWN_SECONDS < at < asked_at + seconds
+                and self._asked.get(other) is node
+                for at, other in server.came
+            )
+            if came > MOST_DURING_REST:
+                self.broken.append(f'{server.name}: {came} in its rest')
+
     def _note_second(self, attempt: str, run: dict[str, str]) -> None:
         if run.get('X-Path') == '/match/1':
             self.broken.append(f'{attempt}: ran twice')
