--- a/tests/house.py
+++ b/tests/house.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from collections import deque
+from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -60,6 +61,15 @@
     return server
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What a store held at a moment."""
+
+    objects: dict[tuple[str, str], dict[str, Any]]
+    events: list[tuple[int, str, dict[str, Any], bool]]
+    revision: int
+
+
 class Store:
     """Keeps objects by kind and name; can go silent and misbehave."""
 
@@ -75,6 +85,7 @@
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
         self._revision = 0
+        self._era = 1
         self._forgotten = 0
         self._changed = threading.Condition()
         self._server = _serve(self._make_handler())
@@ -117,6 +128,32 @@
             self._forgotten = self._revision
             self._changed.notify_all()
 
+    def take_copy(self) -> StoreCopy:
+        """Return what it holds now, to come back from later."""
+        with self._changed:
+            return StoreCopy(
+                dict(self._objects), list(self._events), self._revision
+            )
+
+    def go_back(self, copy: StoreCopy, *again: tuple[str, str, Any]) -> None:
+        """Come back from an older copy; revisions are given out again.
+
+        Parameters
+        ----------
+        copy
+            What it holds then.
+        again
+            Kind, name and spec of what is written again before anyone asks.
+        """
+        with self._changed:
+            self._era += 1
+            self._objects = dict(copy.objects)
+            self._events = list(copy.events)
+            self._revision = copy.revision
+            for written in again:
+                self.put(*written)
+            self._changed.notify_all()
+
     def list_names(self, kind: str) -> set[str]:
         """Return the names of the objects of a kind."""
         with self._changed:
@@ -137,7 +174,7 @@
         ends_at = time.monotonic() + seconds
         with self._changed:
             while True:
-                if after < self._forgotten:
+                if not self._forgotten <= after <= self._revision:
                     return None
                 events = [
                     {'removed': removed, 'object': found}
@@ -162,6 +199,10 @@
 
     def _make_handler(store) -> type[_Handler]:  # noqa: N805
         class Handler(_Handler):
+            def send_response(self, *words: Any) -> None:
+                super().send_response(*words)
+                self.send_header('Store-Era', str(store._era))
+
             def do_GET(self) -> None:
                 if self._is_cut():
                     return
--- a/tests/lone_gossip.py
+++ b/tests/lone_gossip.py
@@ -9,8 +9,8 @@
 class LoneGossip:
     """Knows its own node, and takes no word."""
 
-    def __init__(self) -> None:
-        self.table = MembershipTable(make_record('a'), 2.0)
+    def __init__(self, name: str = 'a') -> None:
+        self.table = MembershipTable(make_record(name), 2.0)
 
     def post(self, _message: object) -> None:
         """Take no word."""
