--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 from hypothesis import settings
 
 from tests.forwarder_stage import Stage, drive
+from tests.front_bench import Front
 from waywell.standins.harness import Bench, BoxSpec, make_configuration
 
 if TYPE_CHECKING:
@@ -76,6 +77,15 @@
     return made
 
 
+@pytest.fixture
+def front(tmp_path: Path) -> Iterator[Front]:
+    """Return front daemons to be, with a store, engines and plain servers."""
+    made = Front(tmp_path)
+    made.add_servers()
+    yield made
+    made.close()
+
+
 @pytest.fixture
 def bench() -> Iterator[Bench]:
     """Return a platform stand-in and nothing else yet."""
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -136,7 +136,9 @@
         await stage.begin()
         (first,) = stage.attempts
         await stage.head(first, status=503, mark=REST)
-        head, member = ('a', 'b') if first.replica.head.box == 'a' else 'cd'
+        head, member = (
+            ('a', 'b') if first.replica.head.box == 'a' else ('c', 'd')
+        )
         stage.outlook.take_fleet(
             make_fleet(*make_group('notes.9', head, member)),
             stage.clock.now + 0.1,
--- a/tests/test_leaving_replicas.py
+++ b/tests/test_leaving_replicas.py
@@ -8,31 +8,16 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
-
-import pytest
 
 from tests.forwarder_stage import Stage
 from tests.front_bench import WHOLE, Front
 from waywell.request.ask import AnswerMark
 from waywell.standins.harness import wait_until
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-    from pathlib import Path
-
 REQUESTS = 12
 """Of which some would go to a replica that is one of two."""
 
 
-@pytest.fixture
-def front(tmp_path: Path) -> Iterator[Front]:
-    made = Front(tmp_path)
-    made.add_servers()
-    yield made
-    made.close()
-
-
 def test_a_plain_replica_that_says_so_gets_nothing_more(front: Front) -> None:
     node = front.start()
     front.wait_serving(node)
--- a/tests/test_resting_replicas.py
+++ b/tests/test_resting_replicas.py
@@ -18,9 +18,6 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
-
-import pytest
 
 from tests.forwarder_stage import Stage
 from tests.front_bench import Front
@@ -28,10 +25,6 @@
 from waywell.request.ask import AnswerMark
 from waywell.standins.harness import Process, wait_until
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-    from pathlib import Path
-
 LONG_REST = '600'
 """Seconds of rest that outlast every test."""
 
@@ -42,14 +35,6 @@
 """Of which some would go to a replica that is one of two."""
 
 
-@pytest.fixture
-def front(tmp_path: Path) -> Iterator[Front]:
-    made = Front(tmp_path)
-    made.add_servers()
-    yield made
-    made.close()
-
-
 def start(front: Front) -> Process:
     node = front.start()
     front.wait_serving(node)
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -11,7 +11,6 @@
 import threading
 from typing import TYPE_CHECKING, Any
 
-import pytest
 from returns.result import Result, Success
 
 from tests.front_bench import Front
@@ -24,7 +23,6 @@
 from waywell.standins.harness import Process, wait_until
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
     from pathlib import Path
 
     from waywell.connection.platform import Kind, PlatformFault
@@ -41,14 +39,6 @@
 """Of which some would go to a replica that is one of two."""
 
 
-@pytest.fixture
-def front(tmp_path: Path) -> Iterator[Front]:
-    made = Front(tmp_path)
-    made.add_servers()
-    yield made
-    made.close()
-
-
 def read_status(front: Front, node: Process) -> Any:
     _status, raw = front.get(node, 'metrics_port', '/v1/status')
     return json.loads(raw)
