--- a/tests/test_resting_replicas.py
+++ b/tests/test_resting_replicas.py
@@ -1,13 +1,13 @@
 """Replicas that turn a request away and ask the node for rest.
 
-Nine replicas turned all requests away for 5 s and asked each node for 3 s of
-rest.  The nodes did not read the wish: a replica that rejects rested for 1 s
-of their own, each piece of a stream that still ran there took that rest back,
-and where all replicas rested one of them was taken all the same.  So one node
-sent four requests to each of two replicas within the 3 s that they had asked
-for, and most callers of the larger model were refused after two replicas that
-wanted nothing.  A first choice 0.24 s after the word of the same replica,
-while others were awake and two streams ran there, settled it:
+Nine replicas turned all requests away for 5 s, and at least two of them asked
+a node for 3 s of rest.  It did not read the wish: a replica that rejects
+rested for 1 s of its own, each piece of a stream that still ran there took
+that rest back, and where all replicas rested one of them was taken all the
+same.  So the node sent four requests to each of the two within those 3 s, and
+64 requests of all nodes were given up after two replicas that turned them
+away.  A first choice 0.24 s after the word of the same replica, while others
+were awake and two streams ran there, settled it:
 
     6.5046 event=rejected attempt=2 box=i-5d4fc7f206 age=0.012 status=503
     6.7415 event=attempt attempt=1 box=i-5d4fc7f206 age=0.0 load=2
