--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -222,8 +222,9 @@
         )
 
     def _choose(self, now: float) -> Replica | None:
-        # A replica that has asked for rest is no last resort: with one taken
-        # where all rest, each of them got up to 4 requests in 3 s of rest.
+        # A replica that has asked for rest is no last resort.  Without this a
+        # node sent 4 requests to each of two that had asked it for 3 s of rest
+        # (one day's log).
         backpressure = self._parts.backpressure
         return self._parts.chooser.choose(
             backpressure.list_open(self._list_replicas(), now),
