--- a/waywell/connection/http_target.py
+++ b/waywell/connection/http_target.py
@@ -27,6 +27,7 @@
 from waywell.connection.bodies import BytesBody, read_whole
 from waywell.connection.deferreds import await_deferred
 from waywell.connection.hop_headers import HOP_HEADERS
+from waywell.connection.named_limit import LIMIT_HEADER, read_limit
 from waywell.connection.retry_after import REST_HEADER, read_rest
 from waywell.connection.target import (
     EPOCH_HEADER,
@@ -126,6 +127,8 @@
         self.load = self._read_load()
         rests = response.headers.getRawHeaders(REST_HEADER, [''])
         self.rest_seconds = read_rest(self.status, rests[0])
+        limits = response.headers.getRawHeaders(LIMIT_HEADER, [None])
+        self.limit = read_limit(limits[0])
 
     def deliver(self, receiver: IProtocol) -> None:
         """Deliver the body to a receiver, with back pressure."""
--- a/waywell/connection/target.py
+++ b/waywell/connection/target.py
@@ -107,6 +107,10 @@
     rest_seconds: float = 0.0
     """For which the target wants nothing more; 0 for no wish."""
 
+    limit: float | None = None
+    """Requests a second that it takes from all nodes together; ``None``
+    where the answer says nothing of it."""
+
     @abc.abstractmethod
     def deliver(self, receiver: IProtocol) -> None:
         """Deliver the body to a receiver, with back pressure."""
--- /dev/null
+++ b/waywell/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits that replicas name, which all nodes keep together."""
--- /dev/null
+++ b/waywell/limits/named_limits.py
@@ -0,0 +1,174 @@
+"""The limits that replicas have named, as one node knows them.
+
+A replica in need names in its answers how many requests a second it takes from
+all nodes together, for as long as it says so.  Answers overtake each other, so
+a word is ordered by the time between the send of its request and the arrival
+of its answer: it was said at some moment between the two.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from waywell.connection.named_limit import NO_LIMIT
+from waywell.telemetry.events import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from waywell.version.fleet import BoxLife
+    from waywell.version.lives import EndedLife
+
+KEPT_SECONDS = 600.0
+"""After which a limit that nothing was heard of is forgotten; a replica of
+which no request asks in that time takes one again as any other does."""
+
+MOST_KEPT = 4096
+"""Boxes whose limit is kept, some 300 bytes each: more than a fleet has."""
+
+
+@attrs.frozen
+class LimitWord:
+    """What one answer said of its replica's limit."""
+
+    limit: float
+    """Requests a second from all nodes; ``NO_LIMIT`` where it named none."""
+
+    sent_at: float
+    """When the request left, in seconds by this node's clock."""
+
+    heard_at: float
+    """When the answer came."""
+
+    named_at: float = 0.0
+    """When the replica was first heard to have a limit."""
+
+    def is_older(self, other: LimitWord) -> bool:
+        """Answer whether it was surely said before another word."""
+        return self.heard_at <= other.sent_at
+
+
+class NamedLimits:
+    """Keeps the newest word of each replica, by the life of its box."""
+
+    def __init__(self) -> None:
+        """Know of no limit."""
+        self._words: dict[BoxLife, LimitWord] = {}
+
+    def get(self, life: BoxLife) -> float:
+        """Return the requests a second that a box takes from all nodes."""
+        word = self._words.get(life)
+        return NO_LIMIT if word is None else word.limit
+
+    def is_limited(self, life: BoxLife) -> bool:
+        """Answer whether a box has named a limit that is in force."""
+        return self.get(life) < NO_LIMIT
+
+    def find(self, life: BoxLife) -> LimitWord | None:
+        """Return the newest word of a box that has ever named a limit."""
+        return self._words.get(life)
+
+    def list_limited(self) -> dict[BoxLife, LimitWord]:
+        """Return the limits in force."""
+        return {
+            life: word
+            for life, word in self._words.items()
+            if word.limit < NO_LIMIT
+        }
+
+    def list_words(self) -> dict[BoxLife, LimitWord]:
+        """Return all words, also those that ended a limit."""
+        return dict(self._words)
+
+    def note(self, life: BoxLife, word: LimitWord, by: str) -> bool:
+        """Take in a word; answer whether it changes the limit.
+
+        Parameters
+        ----------
+        life
+            The box that said it.
+        word
+            What it said.
+        by
+            The node that heard it, for the log.
+        """
+        known = self._words.get(life)
+        if known is None:
+            if word.limit < NO_LIMIT:
+                self._put(life, word, NO_LIMIT, by)
+            return word.limit < NO_LIMIT
+        if word.limit == known.limit:
+            self._refresh(life, known, word)
+            return False
+        if not _replaces(word, known):
+            return False
+        if known.limit < NO_LIMIT:
+            word = attrs.evolve(word, named_at=known.named_at)
+        self._put(life, word, known.limit, by)
+        return True
+
+    def forget_ended(self, ended: Iterable[EndedLife]) -> None:
+        """Forget what boxes named in lives that are over."""
+        for one in ended:
+            self._words.pop(one.life, None)
+
+    def forget_old(self, now: float) -> None:
+        """Forget the words that nothing has confirmed for long."""
+        for life, word in tuple(self._words.items()):
+            if now - word.heard_at > KEPT_SECONDS:
+                self._words.pop(life)
+
+    def dump(self, now: float) -> dict[str, dict[str, float]]:
+        """Return the limits in force as plain values."""
+        return {
+            life.box: {
+                'limit': word.limit,
+                'age_seconds': round(now - word.heard_at, 2),
+                'in_force_seconds': round(now - word.named_at, 2),
+            }
+            for life, word in self.list_limited().items()
+        }
+
+    def _refresh(
+        self,
+        life: BoxLife,
+        known: LimitWord,
+        word: LimitWord,
+    ) -> None:
+        if word.heard_at > known.heard_at:
+            self._words[life] = attrs.evolve(word, named_at=known.named_at)
+
+    def _put(
+        self,
+        life: BoxLife,
+        word: LimitWord,
+        before: float,
+        by: str,
+    ) -> None:
+        self._words[life] = word
+        if len(self._words) > MOST_KEPT:
+            oldest = min(
+                self._words, key=lambda one: self._words[one].heard_at
+            )
+            self._words.pop(oldest)
+        log_event(
+            'limit_named',
+            box=life.box,
+            limit=word.limit,
+            before=before,
+            by=by,
+            open_seconds=round(word.heard_at - word.sent_at, 3),
+        )
+
+
+def _replaces(word: LimitWord, known: LimitWord) -> bool:
+    """Answer whether a word is to be followed in place of another.
+
+    Which of two answers that were open at one time was said last is not
+    known: the lower limit holds until an answer to a later request.
+    """
+    if word.limit < known.limit:
+        return not word.is_older(known)
+    return known.is_older(word)
--- a/waywell/platform/messages.py
+++ b/waywell/platform/messages.py
@@ -7,6 +7,7 @@
 
 from waywell.codes import Code, Refusal
 from waywell.connection.hop_headers import HOP_HEADERS
+from waywell.connection.named_limit import LIMIT_HEADER, read_limit
 from waywell.connection.retry_after import REST_HEADER, read_rest
 from waywell.connection.wire import RawHeaders, Wire
 from waywell.ids import ModelName
@@ -121,12 +122,14 @@
             name.decode('latin-1').lower(): text.decode('latin-1')
             for name, text in headers
         }
+        misdirected = status == MISDIRECTED
         return AnswerMark(
             attempt=texts.get(ATTEMPT_HEADER, ''),
             is_rejected=REJECTED_HEADER in texts,
-            is_misdirected=status == MISDIRECTED,
+            is_misdirected=misdirected,
             rest_seconds=read_rest(status, texts.get(REST_HEADER, '')),
             is_leaving=texts.get(LEAVING_HEADER, '').strip() == LEAVING_TEXT,
+            limit=None if misdirected else read_limit(texts.get(LIMIT_HEADER)),
         )
 
 
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -304,7 +304,7 @@
             random=self._random,
             guard=self.quarantine,
         )
-        self.backpressure = parts.backpressure
+        self.parts = parts
         self._dispatcher = Dispatcher(parts, self.describe)
 
     def _show_metrics(self) -> None:
@@ -409,7 +409,9 @@
                 self._count_serving(),
                 self.clock.read(),
             )
-            self.backpressure.forget_old(self.clock.read())
+            now = self.clock.read()
+            self.parts.backpressure.forget_old(now)
+            self.parts.limits.forget_old(now)
             await asyncio.sleep(MEASURE_SECONDS)
 
     async def _close(self) -> None:
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -20,6 +20,7 @@
 from waywell.knowledge.paces import make_paces
 from waywell.knowledge.platform_watch import WatchParts
 from waywell.knowledge.route_watch import RouteWatch
+from waywell.limits.named_limits import NamedLimits
 from waywell.membership.gossip import Gossip, Numbers
 from waywell.membership.links import PeerLinks
 from waywell.membership.membership import (
@@ -103,6 +104,8 @@
         self.book = ReplicaBook()
         self.backpressure = Backpressure()
         self.outlook.listen_for_ends(self.backpressure.forget_ended)
+        self.limits = NamedLimits()
+        self.outlook.listen_for_ends(self.limits.forget_ended)
         self.loads = SharedLoads()
         self.demand = DemandGauge()
         self.incarnation = Incarnation(int(self.clock.read_wall() * 1000))
@@ -341,6 +344,7 @@
                 guard=self.quarantine.quarantine,
                 running=self.quarantine.running,
                 backpressure=self.backpressure,
+                limits=self.limits,
             ),
         )
 
@@ -433,6 +437,7 @@
             self._forget_replicas()
             now = self.clock.read()
             self.backpressure.forget_old(now)
+            self.limits.forget_old(now)
             for watch in (self.routes, self.fleet, self.quarantine.records):
                 watch.look_again(now)
             await asyncio.sleep(
--- a/waywell/process/operations.py
+++ b/waywell/process/operations.py
@@ -118,14 +118,16 @@
 
     async def _get_dump(self, _call: Call) -> Any:
         node = self._node
+        now = node.clock.read()
         return {
             'node': node.own.node,
             'incarnation': node.incarnation,
             'in_flight': node.admission.list_in_flight(),
             'claims': len(node.home_claimer.table),
-            'backpressure': node.backpressure.dump(node.clock.read()),
+            'backpressure': node.parts.backpressure.dump(now),
+            'limits': node.parts.limits.dump(now),
             'refuses_new': node.refuses_new,
-            'platform_age': node.gossip.get_platform_age(node.clock.read()),
+            'platform_age': node.gossip.get_platform_age(now),
             'tasks': {actor.name: actor.dump() for actor in node.actors},
         }
 
--- a/waywell/request/ask.py
+++ b/waywell/request/ask.py
@@ -89,3 +89,7 @@
 
     is_leaving: bool = False
     """Whether the replica says that it is about to end."""
+
+    limit: float | None = None
+    """Requests a second that the replica takes from all nodes together;
+    ``None`` where the answer says nothing of it."""
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -25,7 +25,7 @@
 
     from waywell.connection.wire import Wire
     from waywell.ids import Fingerprint
-    from waywell.version.fleet import BoxLife, Replica
+    from waywell.version.fleet import Replica
 
 CONNECT_SECONDS = 0.15
 """For a connection to come up: a few times the longest way between halls;
@@ -143,7 +143,7 @@
         number: int,
         inbox: Inbox,
         fingerprint: Fingerprint,
-        note_mark: Callable[[BoxLife, AnswerMark], None],
+        note_mark: Callable[[Attempt, AnswerMark], None],
     ) -> None:
         """Send nothing yet."""
         self._note_mark = note_mark
@@ -151,6 +151,7 @@
         self.fingerprint = fingerprint
         self.number = number
         self.started_at = 0.0
+        self.sent_at = 0.0
         self.has_begun = False
         self._inbox = inbox
         self._task: asyncio.Task[None] | None = None
@@ -191,7 +192,7 @@
         length: int | None,
     ) -> None:
         """Take in the head of the answer, and tell it."""
-        self._note_mark(self.replica.key.life, mark)
+        self._note_mark(self, mark)
         self.tell(self.Head(self, status, headers, mark, length))
 
     async def _run(
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -6,6 +6,7 @@
 
 from waywell.codes import Code, Refusal
 from waywell.connection.exchange import Outgoing
+from waywell.limits.named_limits import LimitWord
 from waywell.request.ask import Delivery
 from waywell.request.attempt import Attempt, Inbox
 from waywell.request.lack import Lack, explain_lack
@@ -15,7 +16,7 @@
 if TYPE_CHECKING:
     from waywell.request.ask import AnswerMark
     from waywell.request.errand import Errand, ForwarderParts
-    from waywell.version.fleet import BoxLife, Replica
+    from waywell.version.fleet import Replica
 
 
 class Attempts:
@@ -209,11 +210,18 @@
         attempt.start(
             self._make_outgoing(replica, now),
             self._parts.wire,
-            lambda: self._may_send(replica),
+            lambda: self._may_send(attempt),
             now,
         )
         rests = round(max(0.0, record.rests_until - now), 3)
-        self.log('attempt', attempt, now, load=record.in_flight, rests=rests)
+        self.log(
+            'attempt',
+            attempt,
+            now,
+            load=record.in_flight,
+            rests=rests,
+            limit=self._parts.limits.get(replica.key.life),
+        )
 
     def _list_replicas(self) -> list[Replica]:
         errand = self._errand
@@ -233,9 +241,13 @@
             now,
         )
 
-    def _note_mark(self, life: BoxLife, mark: AnswerMark) -> None:
+    def _note_mark(self, attempt: Attempt, mark: AnswerMark) -> None:
         now = self._parts.clock.read()
+        life = attempt.replica.key.life
         self._parts.backpressure.note(life, mark, now)
+        if mark.limit is not None:
+            word = LimitWord(mark.limit, attempt.sent_at, now, now)
+            self._parts.limits.note(life, word, 'own')
 
     def _may_risk(self, beside: int, now: float) -> bool:
         """Answer whether the request may put one more replica at risk."""
@@ -267,9 +279,10 @@
             errand.ask.body,
         )
 
-    def _may_send(self, replica: Replica) -> bool:
+    def _may_send(self, attempt: Attempt) -> bool:
         """Answer, in the turn of the write, whether it still may go out."""
         errand = self._errand
+        replica = attempt.replica
         now = self._parts.clock.read()
         if now >= errand.ends_at:
             return False
@@ -285,5 +298,6 @@
                 return False
         if not outlook.may_send_to(replica):
             return False
+        attempt.sent_at = now
         errand.sends += 1
         return True
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -15,6 +15,7 @@
 from waywell.connection.target import Dispatch, DispatchFault, Target
 from waywell.health.health import HealthTable
 from waywell.ids import Incarnation, ServiceName
+from waywell.limits.named_limits import LimitWord, NamedLimits
 from waywell.process.clock import Clock
 from waywell.process.documents import InForce
 from waywell.request.admission import Admission
@@ -127,6 +128,9 @@
     backpressure: Backpressure = attrs.Factory(Backpressure)
     """What targets have asked of this node."""
 
+    limits: NamedLimits = attrs.Factory(NamedLimits)
+    """Requests a second that targets take from all nodes."""
+
 
 class Dispatcher:
     """Serves requests by what is in force.
@@ -384,6 +388,9 @@
         if answer.rest_seconds:
             mark = AnswerMark(rest_seconds=answer.rest_seconds)
             self._parts.backpressure.note(_make_life(group), mark, now)
+        if answer.limit is not None:
+            word = LimitWord(answer.limit, started_at, now, now)
+            self._parts.limits.note(_make_life(group), word, 'own')
         self._parts.health.note_answer(group.group, now - started_at, now)
         return answer
 
--- a/waywell/request/errand.py
+++ b/waywell/request/errand.py
@@ -11,6 +11,7 @@
 from waywell.connection.wire import Wire
 from waywell.ids import Fingerprint, ServiceName
 from waywell.knowledge.outlook import Outlook
+from waywell.limits.named_limits import NamedLimits
 from waywell.process.clock import Clock
 from waywell.request.answer_times import AnswerTimes
 from waywell.request.ask import Ask
@@ -100,6 +101,9 @@
     backpressure: Backpressure = attrs.Factory(Backpressure)
     """What replicas have asked of this node."""
 
+    limits: NamedLimits = attrs.Factory(NamedLimits)
+    """Requests a second that replicas take from all nodes."""
+
     answer_times: AnswerTimes = attrs.Factory(AnswerTimes)
     """How long whole answers take."""
 
