--- a/tests/house.py
+++ b/tests/house.py
@@ -274,6 +274,7 @@
         self.came: list[tuple[float, str]] = []
         self.asked_rest: list[tuple[float, float, str]] = []
         self.rest_text = ''
+        self.limit_text = ''
         self.is_leaving = False
         self.orders: list[dict[str, Any]] = []
         self.script: deque[str] = deque()
@@ -431,6 +432,8 @@
                 super().send_response(*words)
                 if server.is_leaving:
                     self.send_header('Server-Leaving', '1')
+                if server.limit_text:
+                    self.send_header('Server-Limit', server.limit_text)
 
             def do_GET(self) -> None:
                 if self.path == '/api/report':
--- a/tests/test_resting_targets.py
+++ b/tests/test_resting_targets.py
@@ -51,7 +51,7 @@
 
     def ask() -> bool:
         caller.call(PATH)
-        return bench.count_turned_away(name) > 0
+        return bench.read_target(name)['turned_away'] > 0
 
     wait_until(ask, f'the wish of {name}')
 
@@ -62,7 +62,7 @@
     caller = bench.get_caller('entry-1')
     for _request in range(REQUESTS):
         assert caller.call(PATH).status == 200
-    assert bench.count_turned_away('app-1') == 1
+    assert bench.read_target('app-1')['turned_away'] == 1
 
 
 def test_where_all_ask_for_rest_callers_are_refused_at_once(
@@ -76,4 +76,4 @@
     assert refused.read_json()['code'] == Code.REPLICAS_REST
     assert refused.read_json()['ran'] == 'not_run'
     for name in ('app-1', 'app-2'):
-        assert bench.count_turned_away(name) == 1
+        assert bench.read_target(name)['turned_away'] == 1
--- a/waywell/standins/harness.py
+++ b/waywell/standins/harness.py
@@ -312,9 +312,9 @@
         """Set faults of a target; return its counts of runs."""
         return dict(self._call_faults(name, faults)['runs'])
 
-    def count_turned_away(self, name: str) -> int:
-        """Return how many requests a target has turned away."""
-        return int(self._call_faults(name, {})['turned_away'])
+    def read_target(self, name: str) -> dict[str, Any]:
+        """Return what a target counts: runs, turned away, arrivals."""
+        return dict(self._call_faults(name, {}))
 
     def count_serving(self, entry: str, group_set: str) -> int:
         """Return how many groups of a set an entry sees serving."""
--- a/waywell/standins/target.py
+++ b/waywell/standins/target.py
@@ -57,6 +57,9 @@
     """Seconds of rest that it asks for while it turns requests away; empty
     where it takes them."""
 
+    limit: str = ''
+    """Requests a second that it says it takes; empty for no limit."""
+
     ready: bool = True
     """What it says of itself to probes."""
 
@@ -85,6 +88,7 @@
         self.order: GroupOrder | None = None
         self.in_flight = 0
         self.turned_away = 0
+        self.arrived_at: list[float] = []
         self._fenced = fenced
         self._history = history
 
@@ -99,7 +103,11 @@
             now = msgspec.to_builtins(self.faults)
             raw = msgspec.json.decode(request.content.read() or b'{}')
             self.faults = msgspec.convert({**now, **raw}, TargetFaults)
-            shown = {'runs': self.runs, 'turned_away': self.turned_away}
+            shown = {
+                'runs': self.runs,
+                'turned_away': self.turned_away,
+                'arrived_at': self.arrived_at,
+            }
             _answer(request, 200, shown)
         elif self._is_fenced_off(request):
             request.setHeader(FENCE_HEADER.encode(), FENCE_REFUSED.encode())
@@ -138,6 +146,9 @@
         return int(text) != self.order.epoch
 
     def _run(self, request: Request, path: str) -> None:
+        self.arrived_at.append(time.monotonic())
+        if self.faults.limit:
+            request.setHeader(b'server-limit', self.faults.limit.encode())
         if self.faults.rest:
             self._turn_away(request)
             return
