Let all nodes together keep the limit that a replica names

What callers saw: replicas in need, which had named a limit of 1 request a second for all nodes together, went on to get 12 and 15 within 4 s, where 11 are allowed, so they stayed in need.

Cause: the word was read nowhere, and nothing here could have kept it: each node knows of its own requests only, so a part of the limit at each adds its burst to those of all others (one node alone sent 7 of 14).

The mend: before any send, first or later, a node asks one of two dealers for a turn; all that may be sent is in their two buckets. Within 4 s that is at most 4.6 L + 4 at a limit of L, 7.6 of 11 at L = 1, with 1 node or 350, and in the parts of a cut, whose dealers share by the nodes that they see. It holds as no node may send anything without hearing from a dealer, and turns lapse.

--- a/tests/forwarder_stage.py
+++ b/tests/forwarder_stage.py
@@ -12,7 +12,9 @@
 from tests.boxes import make_fleet, make_group
 from tests.held_clock import HeldClock
 from tests.lone_quarantine import LoneQuarantine
+from tests.lone_turns import LoneTurns
 from waywell.codes import Refusal
+from waywell.connection.exchange import SendFault
 from waywell.ids import (
     BoxId,
     HallName,
@@ -115,6 +117,7 @@
         )
         self.outlook = outlook
         self.quarantine = LoneQuarantine(self.clock)
+        self.turns = LoneTurns(self.clock)
         self.forwarder = Forwarder(
             ForwarderParts(
                 outlook=outlook,
@@ -128,6 +131,7 @@
                 raise_doubt=lambda _replica: None,
                 metrics=RequestMetrics(Metrics()),
                 guard=self.quarantine,
+                turns=self.turns,
                 running=self.quarantine._running,
             ),
         )
@@ -141,10 +145,21 @@
         now: float,
     ) -> None:
         attempt.started_at = now
+        if not self._has_turn(attempt):
+            attempt.tell(Attempt.Fault(attempt, SendFault.NO_TURN))
+            return
         assert not self.connects_at_once or may_send()
         self.may_send = may_send
         self.attempts.append(attempt)
 
+    def _has_turn(self, attempt: Attempt) -> bool:
+        """Take a turn as an attempt does; the node deals all itself."""
+        try:
+            attempt._take_turn(attempt).send(None)
+        except StopIteration as end:
+            return bool(end.value)
+        raise AssertionError('the node asked another one')
+
     async def begin(self) -> asyncio.Task:
         ask = Ask('a1', 'POST', '/x', 'h', (), b'', model=MODEL)
         self.answer = StageAnswer()
--- a/tests/lone_gossip.py
+++ b/tests/lone_gossip.py
@@ -12,5 +12,8 @@
     def __init__(self, name: str = 'a') -> None:
         self.table = MembershipTable(make_record(name), 2.0)
 
+    def keep_streams(self, *_words: object) -> None:
+        """Open no stream."""
+
     def post(self, _message: object) -> None:
         """Take no word."""
--- a/tests/lone_quarantine.py
+++ b/tests/lone_quarantine.py
@@ -25,6 +25,10 @@
     def subscribe(self, *_words: object) -> None:
         """Take no subscriber."""
 
+    def has_peer(self, _node: NodeId) -> bool:
+        """Answer that no stream stands."""
+        return False
+
     def spread(self, word: Any) -> None:
         """Note a word to all."""
         self.spread_words.append(word)
--- /dev/null
+++ b/waywell/bench/turns.py
@@ -0,0 +1,101 @@
+"""How much of a replica's limit is used, and by whom.
+
+A replica names a limit, and nodes have requests for it at random, as many as
+it takes or many more: evenly, or all at one node.  Figures: the part of the
+limit that is used (before: the share of one of n nodes that each keep an n-th
+of the limit, `alone`), the most requests within 4 s against what is allowed,
+and the part of urgent requests among those that were sent.
+"""
+
+from __future__ import annotations
+
+import itertools
+from random import Random
+from typing import Any
+
+from waywell.bench.figures import write_figures
+from waywell.bench.turn_fleet import TurnFleet
+from waywell.ids import HallName
+
+NODES = (2, 9, 69, 195, 350)
+"""Numbers of nodes."""
+
+LIMITS = (0.2, 1.0, 20.0)
+"""Requests a second that the replica takes."""
+
+DEMANDS = (1.0, 3.0)
+"""Requests that there are, as a part of the limit."""
+
+SECONDS = 120.0
+"""Length of a run."""
+
+HALLS = 5
+"""Data halls."""
+
+WINDOW = 4.0
+"""Seconds for which requests are added up."""
+
+URGENT = 0.5
+"""Part of the requests that are urgent."""
+
+
+def run(
+    nodes: int,
+    limit: float,
+    demand: float,
+    *,
+    is_even: bool,
+    seed: int,
+) -> dict[str, Any]:
+    """Return the figures of one run."""
+    random = Random(seed)
+    fleet = TurnFleet(random)
+    for number in range(nodes):
+        fleet.add(f'n{number}', HallName(f'hall-{number % HALLS}'))
+    fleet.see_all()
+    fleet.name_limit(limit, 0.0)
+    names = sorted(fleet.nodes)
+    urgent = 0
+    now = 0.0
+    while now < SECONDS:
+        now += random.expovariate(limit * demand)
+        fleet.tend(now)
+        name = random.choice(names) if is_even else names[0]
+        rank = int(random.random() >= URGENT)
+        urgent += fleet.ask(name, now, rank) and not rank
+    sent = len(fleet.sent)
+    return {
+        'nodes': nodes,
+        'limit': limit,
+        'demand': demand,
+        'at': 'all' if is_even else 'one',
+        'used': round(sent / (limit * now), 3),
+        'alone': 1.0 if is_even else round(1 / nodes, 3),
+        'most_in_4s': count_most(fleet.sent),
+        'allowed': 6 * limit + 5,
+        'urgent': round(urgent / max(1, sent), 3),
+    }
+
+
+def count_most(sent: list[float]) -> int:
+    """Return the most requests within a window."""
+    first, most = 0, 0
+    for last, moment in enumerate(sent):
+        while moment - sent[first] > WINDOW:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def main() -> None:
+    """Run the benchmark."""
+    cases = itertools.product(NODES, LIMITS, DEMANDS, (True, False))
+    rows = [
+        run(nodes, limit, demand, is_even=is_even, seed=1)
+        for nodes, limit, demand, is_even in cases
+    ]
+    write_figures('turns', rows)
+
+
+if __name__ == '__main__':
+    main()
--- a/waywell/codes.py
+++ b/waywell/codes.py
@@ -48,6 +48,7 @@
     ROUTES_STALE = 2008
     REQUEST_HELD_BACK = 2009
     REPLICAS_REST = 2010
+    REPLICAS_LIMITED = 2011
 
     TARGET_UNREACHABLE = 3001
     TARGET_FAILED = 3002
@@ -122,6 +123,9 @@
         Code.REPLICAS_REST: CodeFacts(
             503, 'All replicas have asked for rest.'
         ),
+        Code.REPLICAS_LIMITED: CodeFacts(
+            503, 'All replicas have had the requests that they take now.'
+        ),
         Code.TARGET_UNREACHABLE: CodeFacts(503, 'No target could be reached.'),
         Code.TARGET_FAILED: CodeFacts(502, 'The target broke off.'),
         Code.FENCE_REFUSED: CodeFacts(503, 'The target refused the epoch.'),
--- a/waywell/connection/exchange.py
+++ b/waywell/connection/exchange.py
@@ -50,6 +50,9 @@
     REPLICA_ENDED = 'replica_ended'
     """A box of the replica has started again; what ran there is lost."""
 
+    NO_TURN = 'no_turn'
+    """The replica has a limit, and other requests have its turns."""
+
     HELD_BACK = 'held_back'
     """Replicas ended under the request; this one is to be spared."""
 
--- a/waywell/connection/grpc_peer.py
+++ b/waywell/connection/grpc_peer.py
@@ -26,10 +26,14 @@
     Beat,
     Hello,
     KnownCrashes,
+    KnownLimits,
+    LimitTold,
     Records,
     ReplicaEnded,
     RequestCleared,
     RequestHeld,
+    TurnAnswer,
+    TurnAsk,
 )
 from waywell.connection.peer_stream import (
     PeerStream,
@@ -62,6 +66,10 @@
     RequestHeld,
     RequestCleared,
     KnownCrashes,
+    LimitTold,
+    KnownLimits,
+    TurnAsk,
+    TurnAnswer,
 ]
 """All messages of the exchange stream."""
 
--- a/waywell/connection/peer.py
+++ b/waywell/connection/peer.py
@@ -9,7 +9,14 @@
 
 import msgspec
 
-from waywell.ids import BoxId, Epoch, Fingerprint, GroupId, Incarnation
+from waywell.ids import (
+    BoxId,
+    Epoch,
+    Fingerprint,
+    GroupId,
+    HallName,
+    Incarnation,
+)
 from waywell.membership.membership import NodeRecord
 from waywell.version.fleet import UNTOLD, FleetBox
 from waywell.version.routes import RouteTable
@@ -155,6 +162,64 @@
     """Incarnation of that box."""
 
 
+class LimitTold(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """What an answer of a replica said of its limit."""
+
+    box: BoxId
+    """Box that takes its requests."""
+
+    incarnation: Incarnation
+    """Which of the box's lives."""
+
+    hall: HallName
+    """Its data hall."""
+
+    limit: float | None
+    """Requests a second from all nodes; ``None`` where it has no limit."""
+
+    sent_age: float
+    """Seconds since the request left."""
+
+    heard_age: float
+    """Seconds since the answer came."""
+
+    named_age: float
+    """Seconds since the replica was first heard to have a limit."""
+
+
+class KnownLimits(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """All limits that the sender knows, for a peer that may lack them."""
+
+    words: tuple[LimitTold, ...]
+    """Limits, and those that have ended not long ago."""
+
+
+class TurnAsk(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """May the sender send a request to a replica that has a limit?"""
+
+    ask: int
+    """Number of the question."""
+
+    told: LimitTold
+    """The limit, as the sender knows it."""
+
+    rank: int
+    """Urgency of the request, 0 first."""
+
+
+class TurnAnswer(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """A dealer's answer."""
+
+    ask: int
+    """Number of the question."""
+
+    turns: int
+    """Requests that may be sent; 0 for a refusal."""
+
+    wait: float
+    """Seconds after which it is worth asking again."""
+
+
 class FeedAsk(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """What do you know of routes and boxes, and how old is it?"""
 
@@ -238,6 +303,10 @@
     RequestHeld,
     RequestCleared,
     KnownCrashes,
+    LimitTold,
+    KnownLimits,
+    TurnAsk,
+    TurnAnswer,
     FeedAsk,
     FeedAnswer,
 ]
--- a/waywell/connection/target.py
+++ b/waywell/connection/target.py
@@ -54,6 +54,9 @@
     RESTING = 'resting'
     """The target asked for rest while the request connected; not sent."""
 
+    NO_TURN = 'no_turn'
+    """The target named a limit while the request connected; not sent."""
+
     FENCED = 'fenced'
     """The target refused the epoch and ran nothing."""
 
--- a/waywell/knowledge/feed.py
+++ b/waywell/knowledge/feed.py
@@ -163,10 +163,10 @@
         own_reader = readers.pop(self._own.hall)
         if own_reader.node == self._own.node:
             # Readers tell each other the loads of their halls.
-            self._gossip.keep_streams(tuple(readers.values()))
+            self._gossip.keep_streams(self.name, tuple(readers.values()))
             peers = {reader.node for reader in readers.values()}
         else:
-            self._gossip.keep_streams((own_reader,))
+            self._gossip.keep_streams(self.name, (own_reader,))
             peers = {own_reader.node}
         self._may_fetch = self._are_boxes_old(now)
         loads = self._list_loads()
--- a/waywell/limits/named_limits.py
+++ b/waywell/limits/named_limits.py
@@ -13,6 +13,7 @@
 import attrs
 
 from waywell.connection.named_limit import NO_LIMIT
+from waywell.ids import HallName
 from waywell.telemetry.events import log_event
 
 if TYPE_CHECKING:
@@ -25,6 +26,16 @@
 """After which a limit that nothing was heard of is forgotten; a replica of
 which no request asks in that time takes one again as any other does."""
 
+ORDER_SECONDS = 0.05
+"""By which an answer must have come before the request of another left, to
+have surely been said before: a word that went round the nodes looks later than
+it is by its way."""
+
+SAME_PART = 0.1
+"""Part of a limit by which another one differs that counts as the same: a
+replica that works its limit out for each answer would send a word round all
+nodes with each."""
+
 MOST_KEPT = 4096
 """Boxes whose limit is kept, some 300 bytes each: more than a fleet has."""
 
@@ -45,9 +56,18 @@
     named_at: float = 0.0
     """When the replica was first heard to have a limit."""
 
+    hall: HallName = HallName('')
+    """Data hall of the replica."""
+
     def is_older(self, other: LimitWord) -> bool:
         """Answer whether it was surely said before another word."""
-        return self.heard_at <= other.sent_at
+        return self.heard_at + ORDER_SECONDS <= other.sent_at
+
+    def says_the_same(self, other: LimitWord) -> bool:
+        """Answer whether another word names about the same limit."""
+        if NO_LIMIT in {self.limit, other.limit}:
+            return self.limit == other.limit
+        return abs(self.limit - other.limit) <= SAME_PART * other.limit
 
 
 class NamedLimits:
@@ -59,6 +79,8 @@
 
     def get(self, life: BoxLife) -> float:
         """Return the requests a second that a box takes from all nodes."""
+        if not self._words:
+            return NO_LIMIT
         word = self._words.get(life)
         return NO_LIMIT if word is None else word.limit
 
@@ -66,6 +88,11 @@
         """Answer whether a box has named a limit that is in force."""
         return self.get(life) < NO_LIMIT
 
+    def get_hall(self, life: BoxLife) -> HallName:
+        """Return the data hall of a box that has named a limit."""
+        word = self._words.get(life)
+        return HallName('') if word is None else word.hall
+
     def find(self, life: BoxLife) -> LimitWord | None:
         """Return the newest word of a box that has ever named a limit."""
         return self._words.get(life)
@@ -99,13 +126,14 @@
             if word.limit < NO_LIMIT:
                 self._put(life, word, NO_LIMIT, by)
             return word.limit < NO_LIMIT
-        if word.limit == known.limit:
+        if word.says_the_same(known):
             self._refresh(life, known, word)
             return False
         if not _replaces(word, known):
             return False
         if known.limit < NO_LIMIT:
-            word = attrs.evolve(word, named_at=known.named_at)
+            named_at = min(known.named_at, word.named_at)
+            word = attrs.evolve(word, named_at=named_at)
         self._put(life, word, known.limit, by)
         return True
 
@@ -137,8 +165,11 @@
         known: LimitWord,
         word: LimitWord,
     ) -> None:
-        if word.heard_at > known.heard_at:
-            self._words[life] = attrs.evolve(word, named_at=known.named_at)
+        newest = max(known, word, key=lambda one: one.heard_at)
+        named_at = min(known.named_at, word.named_at)
+        self._words[life] = attrs.evolve(
+            newest, limit=known.limit, named_at=named_at
+        )
 
     def _put(
         self,
--- a/waywell/membership/gossip.py
+++ b/waywell/membership/gossip.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from itertools import chain
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -104,7 +105,7 @@
         self._reached_at = -math.inf
         self._pending: dict[NodeId, tuple[NodeRecord, NodeId | None]] = {}
         self._watchers: list[Callable[[NodeRecord], None]] = []
-        self._kept: tuple[NodeRecord, ...] = ()
+        self._kept: dict[str, tuple[NodeRecord, ...]] = {}
         links.subscribe(
             self,
             PeerLinks.Opened,
@@ -117,10 +118,22 @@
         """Call a watcher with each record that changes."""
         self._watchers.append(watcher)
 
-    def keep_streams(self, records: tuple[NodeRecord, ...]) -> None:
-        """Keep streams to some nodes that need not be neighbours."""
-        if records != self._kept:
-            self._kept = records
+    def keep_streams(
+        self,
+        user: str,
+        records: tuple[NodeRecord, ...],
+    ) -> None:
+        """Keep streams to some nodes that need not be neighbours.
+
+        Parameters
+        ----------
+        user
+            Task that needs them, in place of those that it needed before.
+        records
+            The nodes.
+        """
+        if records != self._kept.get(user, ()):
+            self._kept[user] = records
             self._dial_neighbours(self._clock.read())
 
     def get_platform_age(self, now: float) -> float:
@@ -250,7 +263,8 @@
 
     def _dial_neighbours(self, now: float) -> None:
         wanted = set()
-        for record in (*self.table.list_neighbours(), *self._kept):
+        kept = chain.from_iterable(self._kept.values())
+        for record in (*self.table.list_neighbours(), *kept):
             address = (record.host, record.peer_port)
             wanted.add(address)
             self._links.dial(*address, record.node)
--- a/waywell/membership/links.py
+++ b/waywell/membership/links.py
@@ -150,6 +150,10 @@
         """Return the peers with a stream that stands."""
         return set(self._links)
 
+    def has_peer(self, node: NodeId) -> bool:
+        """Answer whether a stream to a node stands."""
+        return node in self._links
+
     def list_dialled(self) -> set[NodeId]:
         """Return the peers that this node opened a stream to."""
         return {
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -6,18 +6,16 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from returns.result import Failure
-
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.admin import AdminBackend
 from waywell.connection.caller import CallerBackend, CallerRequest
 from waywell.connection.grpc_peer import GrpcTransport, PeerService
 from waywell.connection.http_platform import HttpPlatform
 from waywell.connection.http_target import HttpTarget
-from waywell.connection.platform import Kind
 from waywell.health.health import HealthTable
 from waywell.health.prober import Prober
 from waywell.ids import HallName, Incarnation, NodeId
+from waywell.limits.turns import Turns
 from waywell.membership.gossip import Gossip
 from waywell.membership.links import PeerLinks
 from waywell.membership.membership import (
@@ -30,6 +28,7 @@
 from waywell.process.claims import HomeClaimer, PlatformClaimer
 from waywell.process.clock import SystemClock
 from waywell.process.documents import Documents, InForce
+from waywell.process.joiner import Joiner
 from waywell.process.loads import LoadTable
 from waywell.process.operations import Operations
 from waywell.process.ports import Ports
@@ -58,12 +57,6 @@
 MEASURE_SECONDS = 0.5
 """Seconds between two looks at the downtime."""
 
-JOIN_SECONDS = 1.0
-"""Seconds between two attempts to find other entry boxes."""
-
-JOIN_DIALS = 2
-"""Entry boxes that a new one calls at each attempt."""
-
 DRAIN_LOOK_SECONDS = 0.05
 """Seconds between two looks at the work in flight while stopping."""
 
@@ -116,7 +109,7 @@
             actor.start()
         self.gossip.repeat(self.settings.timing.beat, Gossip.Tick())
         self.prober.repeat(self.settings.timing.probe, Prober.ProbeTick())
-        for work in (self._join(), self._measure()):
+        for work in (self._joiner.run(), self._measure()):
             self._helpers.add(asyncio.get_running_loop().create_task(work))
         own = self.own
         log_event(
@@ -271,9 +264,25 @@
         self.quarantine = Quarantine(
             self.links, RunningAttempts(), self.clock, is_listening
         )
+        self._joiner = Joiner(
+            self.platform,
+            self.gossip,
+            self.links,
+            self.clock,
+            self.settings.seeds,
+            self._random,
+        )
+        self._turns = Turns(
+            self.gossip,
+            self.links,
+            self.clock,
+            self._random,
+            self._joiner.is_placed,
+        )
         self.actors = (
             self.links,
             self.quarantine,
+            self._turns,
             self.gossip,
             self.documents,
             self.hall_duty,
@@ -303,6 +312,7 @@
             history=history,
             random=self._random,
             guard=self.quarantine,
+            turns=self._turns,
         )
         self.parts = parts
         self._dispatcher = Dispatcher(parts, self.describe)
@@ -375,33 +385,6 @@
             ran=ran.value,
         )
 
-    async def _join(self) -> None:
-        """Look for other entry boxes until a stream stands."""
-        while True:
-            if not self.links.list_peers():
-                found = await self._find_others()
-                count = min(JOIN_DIALS, len(found))
-                for host, port in self._random.sample(found, count):
-                    self.links.dial(host, port)
-            await asyncio.sleep(JOIN_SECONDS)
-
-    async def _find_others(self) -> list[tuple[str, int]]:
-        """Return addresses from the settings and the platform."""
-        found = []
-        for seed in self.settings.seeds:
-            host, _, port = seed.rpartition(':')
-            found.append((host, int(port)))
-        answer = await self.platform.fetch_all(Kind.PRESENCE)
-        if not isinstance(answer, Failure):
-            self.gossip.post(Gossip.Reached())
-            for stored in answer.unwrap().objects:
-                found.extend(
-                    (listed['host'], listed['peer_port'])
-                    for listed in stored.body
-                    if listed['node'] != self.own.node
-                )
-        return found
-
     async def _measure(self) -> None:
         while True:
             self.meter.look(
@@ -411,7 +394,7 @@
             )
             now = self.clock.read()
             self.parts.backpressure.forget_old(now)
-            self.parts.limits.forget_old(now)
+            self._turns.tend(now)
             await asyncio.sleep(MEASURE_SECONDS)
 
     async def _close(self) -> None:
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -20,7 +20,7 @@
 from waywell.knowledge.paces import make_paces
 from waywell.knowledge.platform_watch import WatchParts
 from waywell.knowledge.route_watch import RouteWatch
-from waywell.limits.named_limits import NamedLimits
+from waywell.limits.turns import Turns
 from waywell.membership.gossip import Gossip, Numbers
 from waywell.membership.links import PeerLinks
 from waywell.membership.membership import (
@@ -104,8 +104,6 @@
         self.book = ReplicaBook()
         self.backpressure = Backpressure()
         self.outlook.listen_for_ends(self.backpressure.forget_ended)
-        self.limits = NamedLimits()
-        self.outlook.listen_for_ends(self.limits.forget_ended)
         self.loads = SharedLoads()
         self.demand = DemandGauge()
         self.incarnation = Incarnation(int(self.clock.read_wall() * 1000))
@@ -296,9 +294,18 @@
             self._make_watch_parts(self.feed.needs_routes),
             self.forming.is_held,
         )
+        self.turns = Turns(
+            self.gossip,
+            self.links,
+            self.clock,
+            self._random,
+            lambda: self.presence.count_nodes() > 0,
+        )
+        self.outlook.listen_for_ends(self.turns.forget_ended)
         self.actors = (
             self.links,
             self.doubts,
+            self.turns,
             self.quarantine.quarantine,
             self.quarantine.records,
             self.feed,
@@ -333,6 +340,7 @@
                     self.loads,
                     self._random,
                     self.presence.count_nodes,
+                    self.turns.get_limit,
                 ),
                 book=self.book,
                 budget=self.budget,
@@ -344,7 +352,7 @@
                 guard=self.quarantine.quarantine,
                 running=self.quarantine.running,
                 backpressure=self.backpressure,
-                limits=self.limits,
+                turns=self.turns,
             ),
         )
 
@@ -437,7 +445,7 @@
             self._forget_replicas()
             now = self.clock.read()
             self.backpressure.forget_old(now)
-            self.limits.forget_old(now)
+            self.turns.tend(now)
             for watch in (self.routes, self.fleet, self.quarantine.records):
                 watch.look_again(now)
             await asyncio.sleep(
--- a/waywell/process/front_operations.py
+++ b/waywell/process/front_operations.py
@@ -82,7 +82,7 @@
                     'boxes': node.fleet.foreign[:MOST_SHOWN],
                 },
                 'backpressure': node.backpressure.dump(now),
-                'limits': node.limits.dump(now),
+                'limits': node.turns.limits.dump(now),
                 'held_requests': node.quarantine.quarantine.list_held(),
                 'forms_groups': node.forming.is_held(),
                 'reads_platform': node.feed.is_reader(),
--- a/waywell/process/operations.py
+++ b/waywell/process/operations.py
@@ -125,7 +125,6 @@
             'in_flight': node.admission.list_in_flight(),
             'claims': len(node.home_claimer.table),
             'backpressure': node.parts.backpressure.dump(now),
-            'limits': node.parts.limits.dump(now),
             'refuses_new': node.refuses_new,
             'platform_age': node.gossip.get_platform_age(now),
             'tasks': {actor.name: actor.dump() for actor in node.actors},
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -21,10 +21,11 @@
 from waywell.request.stream_events import EventCutter, StreamEvent
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from waywell.connection.wire import Wire
     from waywell.ids import Fingerprint
+    from waywell.request.turn_source import Turn
     from waywell.version.fleet import Replica
 
 CONNECT_SECONDS = 0.15
@@ -90,6 +91,8 @@
     note_mark
         Takes in what the replica says of its answer, also where nobody waits
         for it any more.
+    take_turn
+        Returns whether the attempt has a turn at its replica.
     """
 
     class Head(msgspec.Struct, frozen=True):
@@ -144,14 +147,17 @@
         inbox: Inbox,
         fingerprint: Fingerprint,
         note_mark: Callable[[Attempt, AnswerMark], None],
+        take_turn: Callable[[Attempt], Awaitable[bool]],
     ) -> None:
         """Send nothing yet."""
         self._note_mark = note_mark
+        self._take_turn = take_turn
         self.replica = replica
         self.fingerprint = fingerprint
         self.number = number
         self.started_at = 0.0
         self.sent_at = 0.0
+        self.turn: Turn | None = None
         self.has_begun = False
         self._inbox = inbox
         self._task: asyncio.Task[None] | None = None
@@ -201,6 +207,9 @@
         wire: Wire,
         may_send: Callable[[], bool],
     ) -> None:
+        if not await self._take_turn(self):
+            self.tell(self.Fault(self, SendFault.NO_TURN))
+            return
         opened = await open_exchange(outgoing, CONNECT_SECONDS, may_send)
         if isinstance(opened, Failure):
             self.tell(self.Fault(self, opened.failure()))
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -6,7 +6,6 @@
 
 from waywell.codes import Code, Refusal
 from waywell.connection.exchange import Outgoing
-from waywell.limits.named_limits import LimitWord
 from waywell.request.ask import Delivery
 from waywell.request.attempt import Attempt, Inbox
 from waywell.request.lack import Lack, explain_lack
@@ -185,10 +184,16 @@
 
     def explain_lack(self, now: float) -> Lack:
         """Return why no replica is left for the request."""
-        release = self._parts.backpressure.find_release(
-            self._list_replicas(), now
+        backpressure = self._parts.backpressure
+        replicas = self._list_replicas()
+        wanting = backpressure.list_open(replicas, now)
+        return explain_lack(
+            backpressure.find_release(replicas, now),
+            self._parts.turns.find_wait(
+                [one.key.life for one in wanting], now
+            ),
+            self._errand.rejections,
         )
-        return explain_lack(release, self._errand.rejections)
 
     def _send(self, replica: Replica, now: float) -> None:
         errand = self._errand
@@ -199,6 +204,7 @@
             self._inbox,
             errand.fingerprint,
             self._note_mark,
+            self._take_turn,
         )
         self.running.append(attempt)
         self._parts.running.add(attempt)
@@ -220,7 +226,7 @@
             now,
             load=record.in_flight,
             rests=rests,
-            limit=self._parts.limits.get(replica.key.life),
+            limit=self._parts.turns.get_limit(replica.key.life),
         )
 
     def _list_replicas(self) -> list[Replica]:
@@ -233,9 +239,12 @@
         # A replica that has asked for rest is no last resort.  Without this a
         # node sent 4 requests to each of two that had asked it for 3 s of rest
         # (one day's log).
-        backpressure = self._parts.backpressure
+        replicas = self._parts.backpressure.list_open(
+            self._list_replicas(), now
+        )
+        missed = self._errand.turns_missed
         return self._parts.chooser.choose(
-            backpressure.list_open(self._list_replicas(), now),
+            self._parts.turns.list_open(replicas, missed, now),
             self._errand.tried,
             self._parts.book,
             now,
@@ -246,8 +255,19 @@
         life = attempt.replica.key.life
         self._parts.backpressure.note(life, mark, now)
         if mark.limit is not None:
-            word = LimitWord(mark.limit, attempt.sent_at, now, now)
-            self._parts.limits.note(life, word, 'own')
+            hall = attempt.replica.head.hall
+            self._parts.turns.note_answer(
+                life, hall, mark.limit, attempt.sent_at
+            )
+
+    async def _take_turn(self, attempt: Attempt) -> bool:
+        replica = attempt.replica
+        attempt.turn = await self._parts.turns.take_turn(
+            replica.key.life, replica.head.hall, self._errand.priority
+        )
+        if attempt.turn is None:
+            self._errand.turns_missed += 1
+        return attempt.turn is not None
 
     def _may_risk(self, beside: int, now: float) -> bool:
         """Answer whether the request may put one more replica at risk."""
@@ -288,7 +308,7 @@
             return False
         if self._parts.guard.find_release(errand.fingerprint, now):
             return False
-        if not self._parts.backpressure.may_send(replica.key.life, now):
+        if not self._is_wanted(attempt, now):
             return False
         outlook = self._parts.outlook
         if errand.holder is not None:
@@ -301,3 +321,10 @@
         attempt.sent_at = now
         errand.sends += 1
         return True
+
+    def _is_wanted(self, attempt: Attempt, now: float) -> bool:
+        """Answer whether the replica wants the request."""
+        life = attempt.replica.key.life
+        if not self._parts.backpressure.may_send(life, now):
+            return False
+        return self._parts.turns.may_send(life, attempt.turn, now)
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -15,7 +15,6 @@
 from waywell.connection.target import Dispatch, DispatchFault, Target
 from waywell.health.health import HealthTable
 from waywell.ids import Incarnation, ServiceName
-from waywell.limits.named_limits import LimitWord, NamedLimits
 from waywell.process.clock import Clock
 from waywell.process.documents import InForce
 from waywell.request.admission import Admission
@@ -37,6 +36,7 @@
     choose_less_loaded,
 )
 from waywell.request.submission import CallerPort, Submission, Work
+from waywell.request.turn_source import Turn, TurnSource
 from waywell.telemetry.history import History
 from waywell.version.fleet import BoxLife, FleetBox, Replica, ReplicaKey
 from waywell.version.roster import Group, GroupState
@@ -59,6 +59,7 @@
         DispatchFault.TIMED_OUT: Code.DEADLINE_PASSED,
         DispatchFault.FENCED: Code.FENCE_REFUSED,
         DispatchFault.RESTING: Code.REPLICAS_REST,
+        DispatchFault.NO_TURN: Code.REPLICAS_LIMITED,
     },
 )
 
@@ -68,10 +69,17 @@
         DispatchFault.TOO_LATE,
         DispatchFault.FENCED,
         DispatchFault.RESTING,
+        DispatchFault.NO_TURN,
     ),
 )
 
-_NO_FAILURES = frozenset((DispatchFault.TOO_LATE, DispatchFault.RESTING))
+_NO_FAILURES = frozenset(
+    (
+        DispatchFault.TOO_LATE,
+        DispatchFault.RESTING,
+        DispatchFault.NO_TURN,
+    ),
+)
 """Faults that say nothing against the health of a group."""
 
 _LAST_FAULTS = frozenset((DispatchFault.TOO_LATE, DispatchFault.TIMED_OUT))
@@ -125,12 +133,12 @@
     guard: RequestGuard
     """Knows which requests crash targets."""
 
+    turns: TurnSource
+    """Knows the limits of targets."""
+
     backpressure: Backpressure = attrs.Factory(Backpressure)
     """What targets have asked of this node."""
 
-    limits: NamedLimits = attrs.Factory(NamedLimits)
-    """Requests a second that targets take from all nodes."""
-
 
 class Dispatcher:
     """Serves requests by what is in force.
@@ -286,14 +294,27 @@
     async def _attempt_all(self, work: Work) -> bool:
         """Make attempts until one is answered."""
         for attempt in range(MOST_ATTEMPTS):
-            choice = self._choose(work)
-            answer = await self._attempt(work, choice)
+            choice, turn = await self._choose_with_turn(work)
+            answer = await self._attempt(work, choice, turn)
             if not isinstance(answer, DispatchFault):
                 return await self._relay(work, choice, answer)
             if not self._may_retry(work, answer, attempt):
                 raise self._refuse(work, answer)
         raise self._refuse(work, DispatchFault.NOT_SENT)
 
+    async def _choose_with_turn(self, work: Work) -> tuple[Choice, Turn]:
+        """Choose a group that has a turn for the request."""
+        while True:
+            choice = self._choose(work)
+            group = choice.group
+            turn = await self._parts.turns.take_turn(
+                _make_life(group), group.hall, -work.account.priority
+            )
+            if turn is not None:
+                return choice, turn
+            work.tried.add(group.group)
+            work.turns_missed += 1
+
     def _choose(self, work: Work) -> Choice:
         """Choose a group, or refuse where none can serve."""
         # The index may be a newer one than at the attempt before.
@@ -324,6 +345,11 @@
         rest = self._parts.backpressure.find_release(
             [_make_replica(work, group) for group in groups], now
         )
+        turn = self._find_turn(groups, now)
+        if turn is not None:
+            return Refusal(
+                Code.REPLICAS_LIMITED, _get_ran(work), retry_after=turn
+            )
         if rest is None:
             return Refusal(
                 Code.NO_WHOLE_GROUP,
@@ -332,6 +358,17 @@
             )
         return Refusal(Code.REPLICAS_REST, _get_ran(work), retry_after=rest)
 
+    def _find_turn(
+        self,
+        groups: Sequence[Group],
+        now: float,
+    ) -> float | None:
+        """Return when one of the groups that want requests has a turn."""
+        lives = [_make_life(group) for group in groups]
+        backpressure = self._parts.backpressure
+        wanting = [life for life in lives if backpressure.may_send(life, now)]
+        return self._parts.turns.find_wait(wanting, now)
+
     def _can_use(self, work: Work, group: Group) -> bool:
         if group.state is not GroupState.SERVING or group.group in work.tried:
             return False
@@ -340,7 +377,10 @@
             if not facts.may_route_unfenced:
                 return False
         now = self._parts.clock.read()
-        if not self._parts.backpressure.may_send(_make_life(group), now):
+        life = _make_life(group)
+        if not self._parts.backpressure.may_send(life, now):
+            return False
+        if not self._parts.turns.may_ask(life, work.turns_missed, now):
             return False
         return self._parts.health.is_usable(group.group, group.epoch, now)
 
@@ -348,6 +388,7 @@
         self,
         work: Work,
         choice: Choice,
+        turn: Turn,
     ) -> TargetAnswer | DispatchFault:
         """Send the request to a group; take in how that went."""
         clock = self._parts.clock
@@ -360,7 +401,7 @@
             answer = await self._parts.target.dispatch(
                 _make_dispatch(work, group),
                 work.deadline_at - started_at,
-                lambda: self._may_send(work, group),
+                lambda: self._may_send(work, group, turn),
             )
         except BaseException:
             # The caller has gone, and the attempt was cancelled.
@@ -370,7 +411,7 @@
         if not isinstance(answer, Failure):
             return self._take_answer(group, answer.unwrap(), started_at)
         health.note_end(group.group)
-        fault = self._name_fault(group, answer.failure(), now)
+        fault = self._name_fault(group, answer.failure(), turn, now)
         if fault is DispatchFault.TIMED_OUT:
             health.note_timeout(group.group, now - started_at, now)
         elif fault not in _NO_FAILURES:
@@ -389,8 +430,9 @@
             mark = AnswerMark(rest_seconds=answer.rest_seconds)
             self._parts.backpressure.note(_make_life(group), mark, now)
         if answer.limit is not None:
-            word = LimitWord(answer.limit, started_at, now, now)
-            self._parts.limits.note(_make_life(group), word, 'own')
+            self._parts.turns.note_answer(
+                _make_life(group), group.hall, answer.limit, started_at
+            )
         self._parts.health.note_answer(group.group, now - started_at, now)
         return answer
 
@@ -398,14 +440,18 @@
         self,
         group: Group,
         fault: DispatchFault,
+        turn: Turn,
         now: float,
     ) -> DispatchFault:
         """Tell a wish that came while it connected from a late request."""
         if fault is not DispatchFault.TOO_LATE:
             return fault
-        if self._parts.backpressure.may_send(_make_life(group), now):
-            return fault
-        return DispatchFault.RESTING
+        life = _make_life(group)
+        if not self._parts.backpressure.may_send(life, now):
+            return DispatchFault.RESTING
+        if not self._parts.turns.may_send(life, turn, now):
+            return DispatchFault.NO_TURN
+        return fault
 
     def _take_fault(
         self,
@@ -422,12 +468,15 @@
         self._note('attempt_failed', work, group, fault=fault.value)
         return fault
 
-    def _may_send(self, work: Work, group: Group) -> bool:
+    def _may_send(self, work: Work, group: Group, turn: Turn) -> bool:
         """Answer, right before the write, whether it is still wanted."""
         if work.caller.is_gone():
             return False
         now = self._parts.clock.read()
-        if not self._parts.backpressure.may_send(_make_life(group), now):
+        life = _make_life(group)
+        if not self._parts.backpressure.may_send(life, now):
+            return False
+        if not self._parts.turns.may_send(life, turn, now):
             return False
         return now < work.deadline_at
 
--- a/waywell/request/errand.py
+++ b/waywell/request/errand.py
@@ -11,7 +11,6 @@
 from waywell.connection.wire import Wire
 from waywell.ids import Fingerprint, ServiceName
 from waywell.knowledge.outlook import Outlook
-from waywell.limits.named_limits import NamedLimits
 from waywell.process.clock import Clock
 from waywell.request.answer_times import AnswerTimes
 from waywell.request.ask import Ask
@@ -22,6 +21,7 @@
 from waywell.request.replica_book import ReplicaBook
 from waywell.request.resend_budget import ResendBudget
 from waywell.request.running import RunningAttempts
+from waywell.request.turn_source import TurnSource
 from waywell.telemetry.request_metrics import RequestMetrics
 from waywell.version.fleet import Replica, ReplicaKey
 from waywell.version.routes import Engine, KeyHolder, Route
@@ -92,6 +92,9 @@
     guard: RequestGuard
     """Knows which requests crash replicas."""
 
+    turns: TurnSource
+    """Knows the limits of replicas."""
+
     pauses: PauseGauge = attrs.Factory(PauseGauge)
     """Pauses between events that are usual."""
 
@@ -101,9 +104,6 @@
     backpressure: Backpressure = attrs.Factory(Backpressure)
     """What replicas have asked of this node."""
 
-    limits: NamedLimits = attrs.Factory(NamedLimits)
-    """Requests a second that replicas take from all nodes."""
-
     answer_times: AnswerTimes = attrs.Factory(AnswerTimes)
     """How long whole answers take."""
 
@@ -145,6 +145,9 @@
     rejections: int = 0
     """Attempts of which a replica said that it ran nothing."""
 
+    turns_missed: int = 0
+    """Replicas with a limit that had no turn for it."""
+
     last_event: int | None = None
     """Last event that was passed on."""
 
--- a/waywell/request/lack.py
+++ b/waywell/request/lack.py
@@ -19,10 +19,14 @@
     """What decides when the caller should come back."""
 
     rest: float = 0.0
-    """Seconds until the first replica wants requests again."""
+    """Seconds until the first replica wants requests again, or has a turn."""
 
 
-def explain_lack(release: float | None, rejections: int) -> Lack:
+def explain_lack(
+    release: float | None,
+    turn: float | None,
+    rejections: int,
+) -> Lack:
     """Return why no replica is left.
 
     Parameters
@@ -30,10 +34,15 @@
     release
         Seconds until the first replica wants requests again; ``None`` unless
         all have asked for rest.
+    turn
+        Seconds until the first replica has a turn; ``None`` unless all that
+        want requests have a limit.
     rejections
         Replicas that have rejected the request.
     """
     if release is not None:
         return Lack(Code.REPLICAS_REST, ReturnReason.RESTING, release)
+    if turn is not None:
+        return Lack(Code.REPLICAS_LIMITED, ReturnReason.LIMITED, turn)
     reason = ReturnReason.FULL if rejections else ReturnReason.NO_GROUP
     return Lack(Code.NO_WHOLE_GROUP, reason)
--- a/waywell/request/placement.py
+++ b/waywell/request/placement.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from random import Random
 from typing import TYPE_CHECKING
@@ -16,7 +17,7 @@
 
 from waywell.ids import HallName
 from waywell.request.shared_loads import SharedLoads
-from waywell.version.fleet import Replica
+from waywell.version.fleet import BoxLife, Replica
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -44,6 +45,10 @@
 """Free places that a replica counts for whose places are just taken; one with
 requests waiting counts for less, so that the shortest queue gets most."""
 
+LEAST_ROOM = 0.05
+"""Free places that a replica counts for whose limit is lowest; one with a
+limit counts for no more than it takes in a second, whatever is free."""
+
 COMPARED_MOST = 3
 """Replicas that are drawn and compared where few nodes choose."""
 
@@ -63,6 +68,10 @@
     return 1
 
 
+def _get_no_limit(_life: BoxLife) -> float:
+    return math.inf
+
+
 class _Room(msgspec.Struct, frozen=True):
     """How many more requests a replica has room for, about."""
 
@@ -92,6 +101,9 @@
     count_nodes: Callable[[], int] = _count_one
     """Returns the nodes that choose among the same replicas."""
 
+    get_limit: Callable[[BoxLife], float] = _get_no_limit
+    """Returns the requests a second that a box takes from all nodes."""
+
     def choose(
         self,
         replicas: Sequence[Replica],
@@ -162,7 +174,8 @@
         taken = self._count_taken(replica, book)
         free = replica.head.places - taken
         room = free if free > FULL_ROOM else FULL_ROOM / (1.0 - free)
-        return room / max(1.0, record.slowness)
+        limit = max(LEAST_ROOM, self.get_limit(replica.key.life))
+        return min(room, limit) / max(1.0, record.slowness)
 
     def _count_taken(self, replica: Replica, book: ReplicaBook) -> float:
         others = self.loads.get(replica.key.life)
--- a/waywell/request/return_advice.py
+++ b/waywell/request/return_advice.py
@@ -22,6 +22,10 @@
 """From when to when after the first rest has ended: a replica that is just
 rested meets callers one after the other, not all that were refused."""
 
+TURN_SECONDS = (0.0, 1.2)
+"""From when to when after the next turn of a replica with a limit: one turn
+is for one caller, so those that were refused come one after the other."""
+
 MOST_OF_TIME_LEFT = 0.3
 """Part of the time that the caller has left: the rest is for the answer."""
 
@@ -38,12 +42,16 @@
     RESTING = 'resting'
     """All replicas have asked for rest."""
 
+    LIMITED = 'limited'
+    """All replicas have a limit, and other requests have their turns."""
+
 
 _SECONDS_BY_REASON = MappingProxyType(
     {
         ReturnReason.FULL: FULL_SECONDS,
         ReturnReason.NO_GROUP: NO_GROUP_SECONDS,
         ReturnReason.RESTING: RESTED_SECONDS,
+        ReturnReason.LIMITED: TURN_SECONDS,
     },
 )
 
@@ -67,7 +75,7 @@
     draw
         A number from 0 up to 1, drawn anew for each caller.
     rest
-        Seconds until the first replica wants requests again.
+        Seconds until the first replica wants requests again, or has a turn.
     """
     soonest, latest = _SECONDS_BY_REASON[reason]
     seconds = rest + soonest + draw * (latest - soonest)
--- a/waywell/request/submission.py
+++ b/waywell/request/submission.py
@@ -80,6 +80,9 @@
     tried: set[GroupId] = attrs.Factory(set)
     """Groups that failed it."""
 
+    turns_missed: int = 0
+    """Groups with a limit that had no turn for it."""
+
     may_have_run: bool = False
     """Whether a byte of it may have reached a target."""
 
--- a/waywell/telemetry/front_gauges.py
+++ b/waywell/telemetry/front_gauges.py
@@ -74,6 +74,15 @@
             'part',
             self._count_wishes,
         )
+        show(
+            'waywell_limits',
+            'Replicas that have a limit, and what this node dealt of it.',
+            'part',
+            self._count_turns,
+        )
+
+    def _count_turns(self) -> Mapping[str, float]:
+        return self._node.turns.count()
 
     def _count_wishes(self) -> Mapping[str, float]:
         node = self._node
