--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -149,3 +149,20 @@
     fresh = GroupLoad(in_flight=2, weight=0.2)
     settled = GroupLoad(in_flight=2)
     assert fresh.cost > settled.cost
+
+
+def test_a_group_that_rests_is_taken_only_where_all_rest() -> None:
+    """Half of the groups have just failed; the other half is sound.
+
+    Four groups are drawn and two of them compared.  Where both rested, a
+    request went to one that had ended, and after its retries were spent it was
+    refused though half of the groups were sound.
+    """
+    resting = GroupLoad(weight=0.0)
+    loads = FixedLoads(**{f'g{number}': resting for number in range(10)})
+    for seed in range(200):
+        choice = choose_less_loaded(GROUPS, is_usable, loads, Random(seed))
+        assert choice is not None
+        assert int(choice.group.group[1:]) >= 10
+    only = choose_less_loaded(GROUPS[:3], is_usable, loads, Random(1))
+    assert only is not None
