Take a group that rests only where all rest, before entry daemons

What callers saw: refused with code 3001 though half of the groups were sound. Cause: of four drawn groups the first two are compared, and both may have just failed; retries are soon spent. Groups that are awake are now compared first, and if none of the drawn is, one is looked for among all, so a resting one is only taken where nothing else is left.

--- a/waywell/request/routing.py
+++ b/waywell/request/routing.py
@@ -177,12 +177,22 @@
     drawn = [
         group for group in random.sample(groups, count) if is_usable(group)
     ]
-    if not drawn:
-        drawn = [group for group in groups if is_usable(group)]
+    if not any(_is_awake(group, loads) for group in drawn):
+        # Without this a request goes to a group that has just failed, or is
+        # refused, while others are sound.
+        usable = [group for group in groups if is_usable(group)]
+        awake = [group for group in usable if _is_awake(group, loads)]
+        drawn = awake or usable
         random.shuffle(drawn)
+    drawn.sort(key=lambda group: not _is_awake(group, loads))
     best = min(
         drawn[:2],
         key=lambda group: loads.get_load(group.group).cost,
         default=None,
     )
     return None if best is None else Choice(best, Reason.LESS_LOADED)
+
+
+def _is_awake(group: Group, loads: LoadSource) -> bool:
+    """Answer whether a group does not rest for a failure."""
+    return loads.get_load(group.group).weight > 0
