Let a group rest that ended under requests of another entry box

What callers saw: refused with code 3001 right after other requests had ended targets. Cause: an end that another entry box tells was only counted against the request; until the probers noticed it the dead group was drawn like any other, and the retries were spent there. Each end, whoever saw it, now lets its group rest, so the choice takes it only where nothing else is left.

The entry daemon's quarantine has a factory.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import Any
+from unittest.mock import AsyncMock
 
 import msgspec
 import pytest
@@ -212,7 +213,8 @@
             1,
             inbox,
             fingerprint,
-            lambda _life, _mark: None,
+            lambda _attempt, _mark: None,
+            AsyncMock(return_value=True),
         )
         for number, (inbox, fingerprint) in enumerate(
             zip(inboxes, (DEADLY, DEADLY, OTHER), strict=True)
@@ -271,6 +273,20 @@
     assert not bench.node.book.count_crashes(Fingerprint('caught'))
 
 
+@in_loop
+async def test_ends_are_told_to_who_chooses_replicas_also_those_of_others() -> (
+    None
+):
+    bench = Bench(nodes=2)
+    told: list[str] = []
+    bench.node.watch_ends(lambda key: told.append(key.box))
+    await bench.end('b1', 'deadly', node=1)
+    bench.carry_words()
+    assert told == ['b1']
+    await bench.end('b2', 'deadly')
+    assert told == ['b1', 'b2']
+
+
 @in_loop
 async def test_a_known_end_needs_no_question() -> None:
     """The list shows that the box has started again under its name."""
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -34,8 +34,7 @@
 from waywell.process.ports import Ports
 from waywell.process.release import may_route_unfenced
 from waywell.process.watch import HallDuty
-from waywell.quarantine.quarantine import Quarantine
-from waywell.quarantine.tasks import is_listening
+from waywell.quarantine.tasks import make_lone_quarantine
 from waywell.request.admission import Admission
 from waywell.request.balance import Balance
 from waywell.request.claim import ClaimTable, issue_prefix
@@ -43,7 +42,6 @@
 from waywell.request.facts import REQUEST_ID_HEADER
 from waywell.request.request_claims import RequestClaims
 from waywell.request.retry import RetryBudget
-from waywell.request.running import RunningAttempts
 from waywell.telemetry.events import log_event
 from waywell.telemetry.history import open_history
 from waywell.telemetry.measures import DowntimeMeter, count_serving
@@ -52,6 +50,7 @@
 if TYPE_CHECKING:
     from waywell.process.settings import Settings
     from waywell.version.document import DocumentKind
+    from waywell.version.fleet import ReplicaKey
     from waywell.version.roster import Group
 
 MEASURE_SECONDS = 0.5
@@ -261,9 +260,8 @@
             self.clock,
             timing,
         )
-        self.quarantine = Quarantine(
-            self.links, RunningAttempts(), self.clock, is_listening
-        )
+        self.quarantine = make_lone_quarantine(self.links, self.clock)
+        self.quarantine.watch_ends(self._let_rest)
         self._joiner = Joiner(
             self.platform,
             self.gossip,
@@ -290,6 +288,17 @@
             self.prober,
         )
 
+    def _let_rest(self, ended: ReplicaKey) -> None:
+        """Let a group rest whose head is known to have ended.
+
+        Until the probers have noticed, requests would spend their retries on
+        groups that ended under requests of other entry boxes.
+        """
+        roster = self.in_force.roster
+        holder = roster.find_holder(ended.box)
+        if holder and roster.groups[holder].epoch == ended.epoch:
+            self.health.note_failure(holder, self.clock.read())
+
     def _make_dispatcher(self) -> None:
         own = self.own
         history = open_history(self.settings.history, own.node, self.clock)
--- a/waywell/quarantine/quarantine.py
+++ b/waywell/quarantine/quarantine.py
@@ -95,6 +95,7 @@
         self._is_reachable = is_reachable
         self._witnessed: OrderedDict[Fingerprint, None] = OrderedDict()
         self._listeners: list[Actor] = []
+        self._watchers: list[Callable[[ReplicaKey], None]] = []
         self._checks: dict[ReplicaKey, dict[Fingerprint, bool]] = {}
         links.subscribe(
             self,
@@ -109,6 +110,10 @@
         """Tell a task of the requests that this node has witnessed."""
         self._listeners.append(listener)
 
+    def watch_ends(self, watcher: Callable[[ReplicaKey], None]) -> None:
+        """Call a watcher with each replica that ended, whoever saw it."""
+        self._watchers.append(watcher)
+
     def find_release(self, fingerprint: Fingerprint, now: float) -> float:
         """Return in how many seconds a request may be sent on; 0 for now."""
         hold = self.book.find_hold(fingerprint, now)
@@ -245,7 +250,7 @@
         now = self._clock.read()
         held = self.book.held
         self.book.forget_old(now)
-        if not self.book.note_crash(replica.key, runs, now):
+        if not self._note_end(replica.key, runs, now):
             return
         log_warning(
             'replica_ended',
@@ -258,6 +263,18 @@
         self._remember_witnessed(runs)
         self._compare(held, 'own')
 
+    def _note_end(
+        self,
+        replica: ReplicaKey,
+        runs: Mapping[Fingerprint, bool],
+        ended_at: float,
+    ) -> bool:
+        """Note an end; answer whether it is news."""
+        is_news = self.book.note_crash(replica, runs, ended_at)
+        for watcher in self._watchers if is_news else ():
+            watcher(replica)
+        return is_news
+
     def _remember_witnessed(self, runs: Iterable[Fingerprint]) -> None:
         self._witnessed.update(dict.fromkeys(runs))
         while len(self._witnessed) > MOST_WITNESSED:
@@ -280,7 +297,7 @@
         if isinstance(word, ReplicaEnded):
             key = ReplicaKey(word.box, word.epoch, word.incarnation)
             runs = {run.fingerprint: run.has_begun for run in word.runs}
-            return self.book.note_crash(key, runs, now - word.age)
+            return self._note_end(key, runs, now - word.age)
         if isinstance(word, RequestHeld):
             hold = Hold(word.crashes, now - word.age)
             return self.book.note_told(word.fingerprint, hold)
--- a/waywell/quarantine/tasks.py
+++ b/waywell/quarantine/tasks.py
@@ -18,6 +18,7 @@
 
     from waywell.knowledge.platform_watch import WatchParts
     from waywell.membership.links import PeerLinks
+    from waywell.process.clock import Clock
     from waywell.version.fleet import FleetBox
 
 
@@ -69,3 +70,16 @@
     """
     await asyncio.sleep(ENDING_SECONDS)
     return await is_reachable(box.host, box.port, CONNECT_SECONDS)
+
+
+def make_lone_quarantine(links: PeerLinks, clock: Clock) -> Quarantine:
+    """Return a quarantine that keeps nothing in the platform.
+
+    Parameters
+    ----------
+    links
+        Streams to other nodes.
+    clock
+        Where the time is read.
+    """
+    return Quarantine(links, RunningAttempts(), clock, is_listening)
