Tell refused callers of entry daemons when a turn or the end of a rest comes

Callers that were refused as all targets rest, or have a limit, all got one moment to come back at; they come one after the other now, no later than a third of their time left. One that asked for rest while the last attempt connected gave 2 s in place of the end of its rest (by reading). The way goes through the front daemon's explain_lack; what a group is to a request has a module of its own, and the end of the first rest is asked by lives.

--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -188,7 +188,7 @@
         replicas = self._list_replicas()
         wanting = backpressure.list_open(replicas, now)
         return explain_lack(
-            backpressure.find_release(replicas, now),
+            backpressure.find_release([one.key.life for one in replicas], now),
             self._parts.turns.find_wait(
                 [one.key.life for one in wanting], now
             ),
@@ -236,9 +236,7 @@
         )
 
     def _choose(self, now: float) -> Replica | None:
-        # A replica that has asked for rest is no last resort.  Without this a
-        # node sent 4 requests to each of two that had asked it for 3 s of rest
-        # (one day's log).
+        # A replica that has asked for rest, or has no turn, is no last resort.
         replicas = self._parts.backpressure.list_open(
             self._list_replicas(), now
         )
--- a/waywell/request/backpressure.py
+++ b/waywell/request/backpressure.py
@@ -73,10 +73,10 @@
 
     def find_release(
         self,
-        replicas: Sequence[Replica],
+        lives: Iterable[BoxLife],
         now: float,
     ) -> float | None:
-        """Return in how many seconds the first of some replicas is open.
+        """Return in how many seconds the first of some boxes is open.
 
         Returns
         -------
@@ -84,9 +84,9 @@
             ``None`` when one of them is open, or none of them will be.
         """
         rests = [
-            self.find_rest(one.key.life, now)
-            for one in replicas
-            if one.key.life not in self._leaving
+            self.find_rest(life, now)
+            for life in lives
+            if life not in self._leaving
         ]
         return min(rests, default=0.0) or None
 
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -12,9 +12,8 @@
 from returns.result import Failure, Result
 
 from waywell.codes import Code, Ran, Refusal
-from waywell.connection.target import Dispatch, DispatchFault, Target
+from waywell.connection.target import DispatchFault, Target
 from waywell.health.health import HealthTable
-from waywell.ids import Incarnation, ServiceName
 from waywell.process.clock import Clock
 from waywell.process.documents import InForce
 from waywell.request.admission import Admission
@@ -24,12 +23,19 @@
 from waywell.request.claim import ClaimKey, ClaimState
 from waywell.request.facts import read_facts
 from waywell.request.fingerprint import make_fingerprint
+from waywell.request.group_views import (
+    make_dispatch,
+    make_life,
+    make_replica,
+)
 from waywell.request.guard import RequestGuard
+from waywell.request.lack import explain_lack
 from waywell.request.request_claims import (
     NO_GROUP_RETRY_SECONDS,
     RequestClaims,
 )
 from waywell.request.retry import MOST_ATTEMPTS, RetryBudget
+from waywell.request.return_advice import advise_return
 from waywell.request.routing import (
     Choice,
     choose_for_session,
@@ -38,7 +44,6 @@
 from waywell.request.submission import CallerPort, Submission, Work
 from waywell.request.turn_source import Turn, TurnSource
 from waywell.telemetry.history import History
-from waywell.version.fleet import BoxLife, FleetBox, Replica, ReplicaKey
 from waywell.version.roster import Group, GroupState
 from waywell.version.serving import RequestShape
 
@@ -63,25 +68,14 @@
     },
 )
 
-_NOT_RUN_FAULTS = frozenset(
-    (
-        DispatchFault.NOT_SENT,
-        DispatchFault.TOO_LATE,
-        DispatchFault.FENCED,
-        DispatchFault.RESTING,
-        DispatchFault.NO_TURN,
-    ),
-)
+_WANTS_LESS = frozenset((DispatchFault.RESTING, DispatchFault.NO_TURN))
+"""Faults by which a group does not want the request for now."""
 
-_NO_FAILURES = frozenset(
-    (
-        DispatchFault.TOO_LATE,
-        DispatchFault.RESTING,
-        DispatchFault.NO_TURN,
-    ),
-)
+_NO_FAILURES = _WANTS_LESS | {DispatchFault.TOO_LATE}
 """Faults that say nothing against the health of a group."""
 
+_NOT_RUN_FAULTS = _NO_FAILURES | {DispatchFault.NOT_SENT, DispatchFault.FENCED}
+
 _LAST_FAULTS = frozenset((DispatchFault.TOO_LATE, DispatchFault.TIMED_OUT))
 
 
@@ -308,7 +302,7 @@
             choice = self._choose(work)
             group = choice.group
             turn = await self._parts.turns.take_turn(
-                _make_life(group), group.hall, -work.account.priority
+                make_life(group), group.hall, -work.account.priority
             )
             if turn is not None:
                 return choice, turn
@@ -342,32 +336,20 @@
         now: float,
     ) -> Refusal:
         """Return why no group can serve, and when one may."""
-        rest = self._parts.backpressure.find_release(
-            [_make_replica(work, group) for group in groups], now
-        )
-        turn = self._find_turn(groups, now)
-        if turn is not None:
-            return Refusal(
-                Code.REPLICAS_LIMITED, _get_ran(work), retry_after=turn
-            )
-        if rest is None:
-            return Refusal(
-                Code.NO_WHOLE_GROUP,
-                _get_ran(work),
-                retry_after=NO_GROUP_RETRY_SECONDS,
-            )
-        return Refusal(Code.REPLICAS_REST, _get_ran(work), retry_after=rest)
-
-    def _find_turn(
-        self,
-        groups: Sequence[Group],
-        now: float,
-    ) -> float | None:
-        """Return when one of the groups that want requests has a turn."""
-        lives = [_make_life(group) for group in groups]
+        lives = [make_life(group) for group in groups]
         backpressure = self._parts.backpressure
         wanting = [life for life in lives if backpressure.may_send(life, now)]
-        return self._parts.turns.find_wait(wanting, now)
+        lack = explain_lack(
+            backpressure.find_release(lives, now),
+            self._parts.turns.find_wait(wanting, now),
+            rejections=0,
+        )
+        seconds = NO_GROUP_RETRY_SECONDS
+        if lack.rest:
+            draw = self._parts.random.random()
+            left = work.deadline_at - now
+            seconds = advise_return(lack.reason, left, draw, lack.rest)
+        return Refusal(lack.code, _get_ran(work), retry_after=seconds)
 
     def _can_use(self, work: Work, group: Group) -> bool:
         if group.state is not GroupState.SERVING or group.group in work.tried:
@@ -377,7 +359,7 @@
             if not facts.may_route_unfenced:
                 return False
         now = self._parts.clock.read()
-        life = _make_life(group)
+        life = make_life(group)
         if not self._parts.backpressure.may_send(life, now):
             return False
         if not self._parts.turns.may_ask(life, work.turns_missed, now):
@@ -399,7 +381,7 @@
         health.note_start(group.group)
         try:
             answer = await self._parts.target.dispatch(
-                _make_dispatch(work, group),
+                make_dispatch(work, group),
                 work.deadline_at - started_at,
                 lambda: self._may_send(work, group, turn),
             )
@@ -428,10 +410,10 @@
         now = self._parts.clock.read()
         if answer.rest_seconds:
             mark = AnswerMark(rest_seconds=answer.rest_seconds)
-            self._parts.backpressure.note(_make_life(group), mark, now)
+            self._parts.backpressure.note(make_life(group), mark, now)
         if answer.limit is not None:
             self._parts.turns.note_answer(
-                _make_life(group), group.hall, answer.limit, started_at
+                make_life(group), group.hall, answer.limit, started_at
             )
         self._parts.health.note_answer(group.group, now - started_at, now)
         return answer
@@ -446,7 +428,7 @@
         """Tell a wish that came while it connected from a late request."""
         if fault is not DispatchFault.TOO_LATE:
             return fault
-        life = _make_life(group)
+        life = make_life(group)
         if not self._parts.backpressure.may_send(life, now):
             return DispatchFault.RESTING
         if not self._parts.turns.may_send(life, turn, now):
@@ -473,7 +455,7 @@
         if work.caller.is_gone():
             return False
         now = self._parts.clock.read()
-        life = _make_life(group)
+        life = make_life(group)
         if not self._parts.backpressure.may_send(life, now):
             return False
         if not self._parts.turns.may_send(life, turn, now):
@@ -507,7 +489,7 @@
     ) -> None:
         """Note what ran at a target that may have ended under it."""
         self._parts.guard.note_broken(
-            _make_replica(work, group),
+            make_replica(work, group),
             work.fingerprint,
             has_begun=has_begun,
             is_over=False,
@@ -529,14 +511,15 @@
         return self._parts.budget.spend(work.account.name)
 
     def _refuse(self, work: Work, fault: DispatchFault) -> Refusal:
-        retry_after = None
-        if fault not in _LAST_FAULTS:
-            retry_after = NO_GROUP_RETRY_SECONDS
-        return Refusal(
-            _CODE_BY_FAULT[fault],
-            _get_ran(work),
-            retry_after=retry_after,
-        )
+        code = _CODE_BY_FAULT[fault]
+        if fault in _LAST_FAULTS:
+            return Refusal(code, _get_ran(work))
+        seconds: float | None = NO_GROUP_RETRY_SECONDS
+        if fault in _WANTS_LESS:
+            groups = self._parts.in_force.index.list_groups(work.shape)
+            now = self._parts.clock.read()
+            seconds = self._explain_lack(work, groups, now).retry_after
+        return Refusal(code, _get_ran(work), retry_after=seconds)
 
     def _note(
         self,
@@ -564,38 +547,3 @@
 
 def _get_ran(work: Work) -> Ran:
     return Ran.MAY_HAVE_RUN if work.may_have_run else Ran.NOT_RUN
-
-
-def _make_dispatch(work: Work, group: Group) -> Dispatch:
-    return Dispatch(
-        member=group.head,
-        group=group.group,
-        epoch=group.epoch,
-        method=work.submission.method,
-        path=work.facts.path,
-        headers=work.submission.passed,
-        body=work.submission.body,
-        priority=work.account.priority,
-        # A kept connection may be closed by the target in the moment of
-        # the write, which leaves the outcome open.
-        fresh=not work.facts.repeatable,
-    )
-
-
-def _make_life(group: Group) -> BoxLife:
-    """Return the life of the box that a group was formed with."""
-    return BoxLife(group.head.box, Incarnation(group.head.boot))
-
-
-def _make_replica(work: Work, group: Group) -> Replica:
-    """Return a group as the guard knows replicas."""
-    head = group.head
-    box = FleetBox(
-        head.box,
-        ServiceName(work.service.name),
-        head.host,
-        head.port,
-        group.hall,
-    )
-    key = ReplicaKey(head.box, group.epoch, Incarnation(head.boot))
-    return Replica(key, box, group=group.group)
