--- a/tests/soak.py
+++ b/tests/soak.py
@@ -17,10 +17,12 @@
 from pathlib import Path
 from typing import Any
 
+import attrs
 import fire
 
 from tests.front_bench import WHOLE, Front
 from tests.house import KEY, Server, make_manifest
+from tests.limits import KNOWN_SECONDS, count_allowed, count_most
 from tests.relay import Relay, Way
 from waywell.standins.harness import Process, wait_until
 
@@ -65,6 +67,15 @@
 WISH_SHARE = 0.25
 """Part of the steps in which a server asks for something."""
 
+LIMIT_TEXTS = ('0', '0.5', '2')
+"""Requests a second that a server says it takes from all."""
+
+LIMIT_SHARE = 0.2
+"""Part of the steps in which a server names a limit, or has none any more."""
+
+LIMIT_TOLD_SECONDS = 0.5
+"""After a node has passed on a limit, from when on it is counted."""
+
 SLOW_SECONDS = (0.05, 0.6)
 """Least and most seconds by which a relay or the store delays."""
 
@@ -79,6 +90,17 @@
 """Model and whole answer by path."""
 
 
+@attrs.define
+class _Limited:
+    """A server that says that it takes few requests."""
+
+    server: Server
+    limit: float
+    ended_at: float = float('inf')
+    told: dict[Process, float] = attrs.Factory(dict)
+    excused: set[Process] = attrs.Factory(set)
+
+
 class Soak:
     """One run with one seed.
 
@@ -96,6 +118,8 @@
         self.random = random.Random(seed)
         # The seeds that ever failed go on to draw the faults that they drew.
         self._wishes = random.Random(seed + 1)
+        self._naming = random.Random(seed + 2)
+        self._limited: list[_Limited] = []
         self._leaving: dict[str, float] = {}
         self._told_leaving: dict[tuple[Process, str], float] = {}
         self._asked: dict[str, Process] = {}
@@ -162,6 +186,7 @@
         healing: list[threading.Timer] = []
         while time.monotonic() < ends_at:
             self._ask_wish()
+            self._name_limit()
             heal = self.random.choice(faults)()
             if heal is not None:
                 timer = threading.Timer(
@@ -198,11 +223,13 @@
 
     def _kill(self) -> Any:
         name, process = self._pick()
+        self._excuse(process)
         process.kill()
         return lambda: self._restart(name)
 
     def _pause(self) -> Any:
         _name, process = self._pick()
+        self._excuse(process)
         process.send_signal(signal.SIGSTOP)
         return lambda: process.send_signal(signal.SIGCONT)
 
@@ -276,6 +303,32 @@
             server.is_leaving = True
             self._leaving[name] = now + self._wishes.uniform(*LEAVES_AFTER)
 
+    def _name_limit(self) -> None:
+        """Let a server name a limit, or the one that has one end it."""
+        if self._naming.random() > LIMIT_SHARE:
+            return
+        if self._end_limits():
+            return
+        name = self._naming.choice(sorted(self.front.servers))
+        server = self.front.servers[name]
+        server.limit_text = self._naming.choice(LIMIT_TEXTS)
+        self._limited.append(_Limited(server, float(server.limit_text)))
+
+    def _end_limits(self) -> bool:
+        """Let servers take what they are sent; answer whether one did not."""
+        present = [
+            one for one in self._limited if one.ended_at == float('inf')
+        ]
+        for one in present:
+            one.server.limit_text = ''
+            one.ended_at = time.monotonic()
+        return bool(present)
+
+    def _excuse(self, process: Process) -> None:
+        """Count no more what a process sends that is ended or stands still."""
+        for one in self._limited:
+            one.excused.add(process)
+
     def _crash_server(self) -> None:
         self._replace(self.random.choice(sorted(self.front.servers)))
 
@@ -311,6 +364,7 @@
     def _heal(self) -> None:
         """Wait until the system serves as at the start."""
         self.front.store.is_down = False
+        self._end_limits()
         for relay in self._list_relays():
             relay.mend()
         # The first version does not know the key that is asked with.
@@ -363,10 +417,12 @@
             process, path, model, key, X_Request_Attempt_Id=attempt
         )
         self.ends[str(status)] += 1
+        stamp = answer.getheader('X-Replica-Stamp', '')
+        name = stamp.removeprefix('stamp-of-')
         if answer.getheader('Server-Leaving'):
-            stamp = answer.getheader('X-Replica-Stamp', '')
-            told = (process, stamp.removeprefix('stamp-of-'))
-            self._told_leaving.setdefault(told, time.monotonic())
+            self._told_leaving.setdefault((process, name), time.monotonic())
+        if answer.getheader('Server-Limit'):
+            self._note_told_limit(process, name)
         if status == 200 and body != whole:
             self.broken.append(f'{attempt}: not the whole answer: {body!r}')
         if answer.getheader('waywell-ran') == 'not_run':
@@ -374,6 +430,11 @@
         if status != 200:
             time.sleep(REST_SECONDS)
 
+    def _note_told_limit(self, process: Process, name: str) -> None:
+        for one in self._limited:
+            if one.server.name == name and one.ended_at == float('inf'):
+                one.told.setdefault(process, time.monotonic())
+
     def _check(self) -> None:
         """Hold what servers ran against what callers were told."""
         runs: Counter[str] = Counter()
@@ -394,6 +455,23 @@
             self._check_leaving(server)
             if server.get_port() not in self._spoiled:
                 self._check_rests(server)
+        for limited in self._limited:
+            if limited.server.get_port() not in self._spoiled:
+                self._check_limit(limited)
+
+    def _check_limit(self, limited: _Limited) -> None:
+        """Hold what came from nodes that were told against the limit."""
+        binds_at = min(limited.told.values(), default=0.0) + KNOWN_SECONDS
+        came = []
+        for at, attempt in limited.server.came:
+            process = self._asked.get(attempt)
+            told_at = limited.told.get(process, float('inf'))
+            counts = binds_at <= at <= limited.ended_at
+            if counts and at >= told_at + LIMIT_TOLD_SECONDS:
+                came.extend([at] * (process not in limited.excused))
+        if count_most(came) > count_allowed(limited.limit):
+            name = limited.server.name
+            self.broken.append(f'{name}: over its limit {limited.limit}')
 
     def _check_leaving(self, server: Server) -> None:
         """Hold what came against what nodes had passed on before."""
