--- a/tests/soak.py
+++ b/tests/soak.py
@@ -70,8 +70,11 @@
 LIMIT_TEXTS = ('0', '0.5', '2')
 """Requests a second that a server says it takes from all."""
 
-LIMIT_SHARE = 0.2
-"""Part of the steps in which a server names a limit, or has none any more."""
+LIMIT_SHARE = 0.5
+"""Part of the steps in which a server names a limit, where none has one."""
+
+LIMIT_LASTS = (6.0, 9.0)
+"""Least and most seconds for which a server has a limit."""
 
 LIMIT_TOLD_SECONDS = 0.5
 """After a node has passed on a limit, from when on it is counted."""
@@ -96,9 +99,29 @@
 
     server: Server
     limit: float
-    ended_at: float = float('inf')
+    ends_at: float
+    first_told_at: float = float('inf')
     told: dict[Process, float] = attrs.Factory(dict)
-    excused: set[Process] = attrs.Factory(set)
+    spans: list[tuple[Process, float, float]] = attrs.Factory(list)
+
+    def note_told(self, process: Process, now: float) -> None:
+        """Note that a process has passed the limit on."""
+        self.first_told_at = min(self.first_told_at, now)
+        self.told.setdefault(process, now)
+
+    def excuse(self, process: Process, now: float) -> None:
+        """Count a process no more until it has passed the limit on again."""
+        if process in self.told:
+            self.spans.append((process, self.told.pop(process), now))
+
+    def counts(self, process: Process | None, at: float) -> bool:
+        """Answer whether an arrival counts against the limit."""
+        if not self.first_told_at + KNOWN_SECONDS <= at <= self.ends_at:
+            return False
+        return any(
+            one is process and since + LIMIT_TOLD_SECONDS <= at <= until
+            for one, since, until in self.spans
+        )
 
 
 class Soak:
@@ -305,29 +328,32 @@
 
     def _name_limit(self) -> None:
         """Let a server name a limit, or the one that has one end it."""
-        if self._naming.random() > LIMIT_SHARE:
+        now = time.monotonic()
+        self._end_limits(now)
+        if any(one.server.limit_text for one in self._limited):
             return
-        if self._end_limits():
+        if self._naming.random() > LIMIT_SHARE:
             return
         name = self._naming.choice(sorted(self.front.servers))
         server = self.front.servers[name]
         server.limit_text = self._naming.choice(LIMIT_TEXTS)
-        self._limited.append(_Limited(server, float(server.limit_text)))
+        ends_at = now + self._naming.uniform(*LIMIT_LASTS)
+        limit = float(server.limit_text)
+        self._limited.append(_Limited(server, limit, ends_at))
 
-    def _end_limits(self) -> bool:
-        """Let servers take what they are sent; answer whether one did not."""
-        present = [
-            one for one in self._limited if one.ended_at == float('inf')
-        ]
-        for one in present:
-            one.server.limit_text = ''
-            one.ended_at = time.monotonic()
-        return bool(present)
+    def _end_limits(self, due_at: float = float('inf')) -> None:
+        """Let servers take what they are sent whose limit is to end by then."""
+        now = time.monotonic()
+        for one in self._limited:
+            is_gone = one.server.name not in self.front.servers
+            if one.server.limit_text and (is_gone or one.ends_at <= due_at):
+                one.server.limit_text = ''
+                one.ends_at = min(one.ends_at, now)
 
     def _excuse(self, process: Process) -> None:
         """Count no more what a process sends that is ended or stands still."""
         for one in self._limited:
-            one.excused.add(process)
+            one.excuse(process, time.monotonic())
 
     def _crash_server(self) -> None:
         self._replace(self.random.choice(sorted(self.front.servers)))
@@ -432,8 +458,8 @@
 
     def _note_told_limit(self, process: Process, name: str) -> None:
         for one in self._limited:
-            if one.server.name == name and one.ended_at == float('inf'):
-                one.told.setdefault(process, time.monotonic())
+            if one.server.name == name and one.server.limit_text:
+                one.note_told(process, time.monotonic())
 
     def _check(self) -> None:
         """Hold what servers ran against what callers were told."""
@@ -461,14 +487,13 @@
 
     def _check_limit(self, limited: _Limited) -> None:
         """Hold what came from nodes that were told against the limit."""
-        binds_at = min(limited.told.values(), default=0.0) + KNOWN_SECONDS
-        came = []
-        for at, attempt in limited.server.came:
-            process = self._asked.get(attempt)
-            told_at = limited.told.get(process, float('inf'))
-            counts = binds_at <= at <= limited.ended_at
-            if counts and at >= told_at + LIMIT_TOLD_SECONDS:
-                came.extend([at] * (process not in limited.excused))
+        for process in tuple(limited.told):
+            limited.excuse(process, time.monotonic())
+        came = [
+            at
+            for at, attempt in limited.server.came
+            if limited.counts(self._asked.get(attempt), at)
+        ]
         if count_most(came) > count_allowed(limited.limit):
             name = limited.server.name
             self.broken.append(f'{name}: over its limit {limited.limit}')
