--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,7 +14,7 @@
 from waywell.standins.harness import Bench, BoxSpec, make_configuration
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Sequence
 
 settings.register_profile(
     'fixed',
@@ -118,3 +118,25 @@
     for number in (1, 2):
         bench.wait_serving(f'entry-{number}', 'llm-main', 1)
         bench.wait_serving(f'entry-{number}', 'app-main', 1)
+
+
+def start_plain(
+    bench: Bench, entries: Sequence[str], targets: Sequence[str]
+) -> None:
+    """Start entry boxes before plain targets; wait until all serve."""
+    for name in entries:
+        bench.start_entry(name, timing=QUICK)
+    bench.start_boxes(
+        [
+            BoxSpec(name, fenced=False, labels={'pool': 'app'})
+            for name in targets
+        ],
+    )
+    configuration = make_configuration()
+    (apps,) = (
+        one for one in configuration['group_set'] if one['name'] == 'app-main'
+    )
+    apps['groups'] = len(targets)
+    assert bench.apply(entries[0], configuration).status == 200
+    for name in entries:
+        bench.wait_serving(name, 'app-main', len(targets))
--- a/tests/test_crashing_targets.py
+++ b/tests/test_crashing_targets.py
@@ -9,8 +9,8 @@
 
 from typing import TYPE_CHECKING
 
-from tests.conftest import QUICK
-from waywell.standins.harness import BoxSpec, make_configuration, wait_until
+from tests.conftest import start_plain
+from waywell.standins.harness import wait_until
 
 if TYPE_CHECKING:
     from waywell.standins.harness import Bench
@@ -27,24 +27,10 @@
 
 def start(bench: Bench) -> None:
     """Start two entry boxes before plain targets that the request ends."""
-    for name in ('entry-1', 'entry-2'):
-        bench.start_entry(name, timing=QUICK)
-    bench.start_boxes(
-        [
-            BoxSpec(f'app-{number}', fenced=False, labels={'pool': 'app'})
-            for number in range(TARGETS)
-        ],
-    )
-    configuration = make_configuration()
-    (apps,) = (
-        one for one in configuration['group_set'] if one['name'] == 'app-main'
-    )
-    apps['groups'] = TARGETS
-    assert bench.apply('entry-1', configuration).status == 200
-    for name in ('entry-1', 'entry-2'):
-        bench.wait_serving(name, 'app-main', TARGETS)
-    for number in range(TARGETS):
-        bench.set_target_faults(f'app-{number}', ends_under=DEADLY.decode())
+    names = [f'app-{number}' for number in range(TARGETS)]
+    start_plain(bench, ('entry-1', 'entry-2'), names)
+    for name in names:
+        bench.set_target_faults(name, ends_under=DEADLY.decode())
 
 
 def count_ended(bench: Bench) -> int:
--- a/tests/test_limited_targets.py
+++ b/tests/test_limited_targets.py
@@ -11,9 +11,8 @@
 import time
 from typing import TYPE_CHECKING
 
-from tests.conftest import QUICK
+from tests.conftest import start_plain
 from tests.limits import KNOWN_SECONDS, count_allowed, count_most
-from waywell.standins.harness import BoxSpec, make_configuration
 
 if TYPE_CHECKING:
     from waywell.standins.harness import Bench
@@ -30,26 +29,6 @@
 TARGETS = ('app-1', 'app-2')
 
 
-def start(bench: Bench) -> None:
-    """Start two entry boxes before two plain targets."""
-    for name in ENTRIES:
-        bench.start_entry(name, timing=QUICK)
-    bench.start_boxes(
-        [
-            BoxSpec(name, fenced=False, labels={'pool': 'app'})
-            for name in TARGETS
-        ],
-    )
-    configuration = make_configuration()
-    (apps,) = (
-        one for one in configuration['group_set'] if one['name'] == 'app-main'
-    )
-    apps['groups'] = len(TARGETS)
-    assert bench.apply('entry-1', configuration).status == 200
-    for name in ENTRIES:
-        bench.wait_serving(name, 'app-main', len(TARGETS))
-
-
 def tell_limit(bench: Bench, names: tuple[str, ...]) -> float:
     """Let every entry box hear of the limits; return when they bind."""
     for name in names:
@@ -77,7 +56,7 @@
 
 
 def test_all_entry_boxes_together_keep_a_targets_limit(bench: Bench) -> None:
-    start(bench)
+    start_plain(bench, ENTRIES, TARGETS)
     bound_at = tell_limit(bench, ('app-1',))
     assert set(ask_in_turn(bench)) == {200}
     assert count_after(bench, 'app-1', bound_at) <= count_allowed(LIMIT)
@@ -86,7 +65,7 @@
 def test_where_all_have_a_limit_the_rest_is_refused_at_once(
     bench: Bench,
 ) -> None:
-    start(bench)
+    start_plain(bench, ENTRIES, TARGETS)
     bound_at = tell_limit(bench, TARGETS)
     answers = ask_in_turn(bench)
     for name in TARGETS:
--- a/tests/test_resting_targets.py
+++ b/tests/test_resting_targets.py
@@ -9,9 +9,9 @@
 
 from typing import TYPE_CHECKING
 
-from tests.conftest import QUICK
+from tests.conftest import start_plain
 from waywell.codes import Code
-from waywell.standins.harness import BoxSpec, make_configuration, wait_until
+from waywell.standins.harness import wait_until
 
 if TYPE_CHECKING:
     from waywell.standins.harness import Bench
@@ -25,25 +25,6 @@
 PATH = '/services/app/price'
 
 
-def start(bench: Bench) -> None:
-    """Start an entry box before two plain targets."""
-    bench.start_entry('entry-1', timing=QUICK)
-    names = ('app-1', 'app-2')
-    bench.start_boxes(
-        [
-            BoxSpec(name, fenced=False, labels={'pool': 'app'})
-            for name in names
-        ],
-    )
-    configuration = make_configuration()
-    (apps,) = (
-        one for one in configuration['group_set'] if one['name'] == 'app-main'
-    )
-    apps['groups'] = len(names)
-    assert bench.apply('entry-1', configuration).status == 200
-    bench.wait_serving('entry-1', 'app-main', len(names))
-
-
 def let_rest(bench: Bench, name: str) -> None:
     """Ask until a target has turned a request away for its rest."""
     bench.set_target_faults(name, rest=LONG_REST)
@@ -57,7 +38,7 @@
 
 
 def test_a_target_that_asked_for_rest_gets_nothing_more(bench: Bench) -> None:
-    start(bench)
+    start_plain(bench, ('entry-1',), ('app-1', 'app-2'))
     let_rest(bench, 'app-1')
     caller = bench.get_caller('entry-1')
     for _request in range(REQUESTS):
@@ -68,7 +49,7 @@
 def test_where_all_ask_for_rest_callers_are_refused_at_once(
     bench: Bench,
 ) -> None:
-    start(bench)
+    start_plain(bench, ('entry-1',), ('app-1', 'app-2'))
     for name in ('app-1', 'app-2'):
         let_rest(bench, name)
     refused = bench.get_caller('entry-1').call(PATH)
