--- a/tests/soak.py
+++ b/tests/soak.py
@@ -520,7 +520,8 @@
                 for at, other in server.came
             )
             if came > MOST_DURING_REST:
-                self.broken.append(f'{server.name}: {came} in its rest')
+                told = f'{seconds} s of rest told to {attempt}'
+                self.broken.append(f'{server.name}: {came} in {told}')
 
     def _note_second(self, attempt: str, run: dict[str, str]) -> None:
         if run.get('X-Path') == '/match/1':
