--- a/waywell/connection/http_calls.py
+++ b/waywell/connection/http_calls.py
@@ -18,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+_NO_HEADERS = Headers()
+
 
 class CallAnswer(msgspec.Struct, frozen=True):
     """A whole answer."""
@@ -28,6 +30,14 @@
     raw: bytes
     """Body."""
 
+    headers: Headers = _NO_HEADERS
+    """Headers."""
+
+    def find_header(self, name: str) -> str | None:
+        """Return the last value of a header, or ``None`` without one."""
+        texts = self.headers.getRawHeaders(name) or []
+        return texts[-1] if texts else None
+
 
 class HttpCalls:
     """Makes calls at a base address over kept connections.
@@ -110,4 +120,5 @@
             ),
             limit,
         )
-        return CallAnswer(response.code, await read_whole(response, limit))
+        raw = await read_whole(response, limit)
+        return CallAnswer(response.code, raw, response.headers)
--- a/waywell/connection/peer.py
+++ b/waywell/connection/peer.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from waywell.connection.store_era import UNTOLD_ERA, StoreEra
 from waywell.ids import (
     BoxId,
     Epoch,
@@ -250,6 +251,9 @@
     platform has its own, and whole lists were half of all bytes between
     halls."""
 
+    era: StoreEra = UNTOLD_ERA
+    """Era of the platform's store, as the asker knows it."""
+
     def wants_newer(self, version: int) -> bool:
         """Answer whether the asker needs the routes of a version."""
         return self.wants_routes and version > self.version
@@ -292,6 +296,9 @@
     """Requests in flight of all nodes that the answerer knows of but those
     that the asker has told."""
 
+    era: StoreEra = UNTOLD_ERA
+    """Era of the platform's store, as the answerer knows it."""
+
 
 FrontWire = Union[  # noqa: UP007 - evaluated by the decoder
     Hello,
--- a/waywell/connection/platform.py
+++ b/waywell/connection/platform.py
@@ -104,6 +104,9 @@
     REFUSED = 'refused'
     """The platform answered with an error; nothing was written."""
 
+    FORMER_ERA = 'former_era'
+    """The answer is older than the store's return from a copy."""
+
 
 class Platform(abc.ABC):
     """The calls of the object API; another protocol is another subclass."""
--- a/waywell/knowledge/feed.py
+++ b/waywell/knowledge/feed.py
@@ -178,6 +178,7 @@
 
     def on_received(self, received: PeerLinks.Received) -> None:
         """Answer a question, or take in an answer."""
+        self._outlook.eras.observe_peer(received.message.era)
         if isinstance(received.message, FeedAsk):
             self._answer(received.node, received.message)
         else:
@@ -249,6 +250,7 @@
             hall=self._own.hall,
             loads=loads,
             wants_boxes=wants_boxes,
+            era=self._outlook.eras.current,
         )
         self._links.send(peer, ask)
 
@@ -284,6 +286,7 @@
             boxes_age=_bound(self._outlook.get_boxes_age(now)),
             is_whole=False,
             routes=table if ask.wants_newer(table.version) else None,
+            era=self._outlook.eras.current,
         )
         if ask.wants_boxes:
             return self._add_boxes(answer, peer, ask)
--- a/waywell/knowledge/outlook.py
+++ b/waywell/knowledge/outlook.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from waywell.codes import Code, Refusal
+from waywell.connection.store_era import EraTracker
 from waywell.ids import ModelName
 from waywell.telemetry.events import log_event
 from waywell.version.fleet import (
@@ -46,10 +47,17 @@
     ----------
     promises
         Bounds that the operators were promised.
+    eras
+        Era of the platform's store.
     """
 
-    def __init__(self, promises: PromiseSettings) -> None:
+    def __init__(
+        self,
+        promises: PromiseSettings,
+        eras: EraTracker | None = None,
+    ) -> None:
         """Know nothing yet."""
+        self.eras = eras or EraTracker()
         self.index = RouteIndex(RouteTable(0))
         self.fleet = Fleet({})
         self.fleet_serial = 0
--- a/waywell/platform/adapter.py
+++ b/waywell/platform/adapter.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from waywell.connection.store_era import EraTracker
 from waywell.platform.desk import (
     make_directory_handlers,
     make_ready_handlers,
@@ -19,8 +20,11 @@
 
 def make_adapter(settings: FrontSettings) -> FrontAdapter:
     """Return what speaks the platform's language."""
+    eras = EraTracker()
+    store = settings.store
     return FrontAdapter(
-        platform=ObjectStore(settings.store.address, settings.store.timeout),
+        platform=ObjectStore(store.address, store.timeout, eras),
+        eras=eras,
         wire=ServerWire(),
         orders=ServerOrders(),
         make_ready=make_ready_handlers,
--- a/waywell/platform/store.py
+++ b/waywell/platform/store.py
@@ -21,6 +21,7 @@
     PlatformFault,
     Stored,
 )
+from waywell.connection.store_era import UNTOLD_ERA, EraTracker, StoreEra
 from waywell.platform.manifest import decode_manifest
 from waywell.platform.objects import (
     ForeignObject,
@@ -38,6 +39,11 @@
 WATCH_MARGIN = 1.0
 """Seconds beyond a watch's own wait until it counts as unanswered."""
 
+ERA_HEADER = 'store-era'
+
+ERA_TEXT_LENGTH = 32
+"""Characters of an unreadable era that are logged."""
+
 STALE = MappingProxyType({'serializable': '1'})
 """Query of a read that may be seconds old; it costs a tenth."""
 
@@ -93,10 +99,18 @@
         ``IP:PORT``.
     timeout
         Seconds until a call counts as unanswered.
+    eras
+        Tracks the era that each answer tells.
     """
 
-    def __init__(self, address: str, timeout: float) -> None:
+    def __init__(
+        self,
+        address: str,
+        timeout: float,
+        eras: EraTracker | None = None,
+    ) -> None:
         """Open no connection yet."""
+        self._eras = eras or EraTracker()
         self._calls = HttpCalls(
             f'http://{address}',
             timeout,
@@ -113,7 +127,7 @@
         """Return an object, or ``None`` where there is none."""
         query = {} if fresh else STALE
         path = _make_path(kind, name, **query)
-        called = await self._calls.call('GET', path)
+        called = await self._call('GET', path)
         if isinstance(called, Success):
             if called.unwrap().status == HTTPStatus.NOT_FOUND:
                 return Success(None)
@@ -129,11 +143,16 @@
         """Return all objects of a kind and where a watch goes on."""
         pages: list[StorePage] = []
         query = {} if fresh else dict(STALE)
+        era = self._eras.current
         while len(pages) < MOST_PAGES:
-            called = await self._calls.call('GET', _make_path(kind, **query))
+            called = await self._call('GET', _make_path(kind, **query))
             decoded = called.bind(_take_body).bind(_decode_page)
             if isinstance(decoded, Failure):
                 return decoded
+            if pages and self._eras.current != era:
+                # Pages of two eras are no list of either.
+                return Failure(PlatformFault.FORMER_ERA)
+            era = self._eras.current
             page = decoded.unwrap()
             pages.append(page)
             if not page.has_more:
@@ -163,7 +182,7 @@
         if not expected:
             meta.pop('revision')
         raw = msgspec.json.encode({'metadata': meta, 'spec': body})
-        called = await self._calls.call(method, path, raw)
+        called = await self._call(method, path, raw)
         return called.bind(_take_body).bind(
             partial(self._reader.decode_one, kind)
         )
@@ -174,7 +193,7 @@
         name: str,
     ) -> Result[None, PlatformFault]:
         """Delete an object."""
-        called = await self._calls.call('DELETE', _make_path(kind, name))
+        called = await self._call('DELETE', _make_path(kind, name))
         return called.bind(_take_body).map(lambda _raw: None)
 
     async def watch(
@@ -193,7 +212,7 @@
         if len(kinds) != 1:
             raise ValueError('the store watches one kind a call')
         query = {'watch': str(after), 'wait_ms': str(round(seconds * 1000))}
-        called = await self._calls.call(
+        called = await self._call(
             'GET',
             _make_path(kinds[0], **query),
             extra=seconds + WATCH_MARGIN,
@@ -207,6 +226,36 @@
             msgspec.structs.replace(changes, revision=page.revision),
         )
 
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        extra: float = 0,
+    ) -> Result[CallAnswer, PlatformFault]:
+        """Return an answer of the present era."""
+        called = await self._calls.call(method, path, body, extra)
+        return called.bind(self._check_era)
+
+    def _check_era(
+        self,
+        answer: CallAnswer,
+    ) -> Result[CallAnswer, PlatformFault]:
+        era = _read_era(answer.find_header(ERA_HEADER))
+        if self._eras.observe(era):
+            return Success(answer)
+        return Failure(PlatformFault.FORMER_ERA)
+
+
+def _read_era(text: str | None) -> StoreEra:
+    """Return the era that an answer tells, if it tells a readable one."""
+    if text is None:
+        return UNTOLD_ERA
+    if text.isascii() and text.isdecimal():
+        return StoreEra(int(text))
+    log_warning('store_era_unreadable', text=text[:ERA_TEXT_LENGTH])
+    return UNTOLD_ERA
+
 
 def _make_path(kind: Kind, name: str = '', **query: str) -> str:
     path = f'/api/objects/{_WORD_BY_KIND[kind]}'
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -100,7 +100,7 @@
         self.settings = settings
         self.clock = SystemClock()
         self.metrics = Metrics()
-        self.outlook = Outlook(settings.promises)
+        self.outlook = Outlook(settings.promises, adapter.eras)
         self.book = ReplicaBook()
         self.backpressure = Backpressure()
         self.outlook.listen_for_ends(self.backpressure.forget_ended)
--- a/waywell/process/front_adapter.py
+++ b/waywell/process/front_adapter.py
@@ -9,6 +9,7 @@
 from waywell.connection.box_orders import BoxOrders
 from waywell.connection.desk import DeskHandler
 from waywell.connection.platform import Platform
+from waywell.connection.store_era import EraTracker
 from waywell.connection.wire import Wire
 
 Handlers = Mapping[str, DeskHandler]
@@ -31,6 +32,9 @@
     platform: Platform
     """The platform's store."""
 
+    eras: EraTracker
+    """Era of the platform's store."""
+
     wire: Wire
     """Requests and answers."""
 
--- a/waywell/process/front_operations.py
+++ b/waywell/process/front_operations.py
@@ -77,6 +77,8 @@
                 'boxes': len(outlook.fleet.boxes),
                 'boxes_age_seconds': outlook.get_boxes_age(now),
                 'serving': outlook.count_serving(),
+                'store_era': outlook.eras.current,
+                'store_era_changes': outlook.eras.changes,
                 'foreign': {
                     'routes': node.routes.foreign[:MOST_SHOWN],
                     'boxes': node.fleet.foreign[:MOST_SHOWN],
--- a/waywell/telemetry/front_gauges.py
+++ b/waywell/telemetry/front_gauges.py
@@ -80,6 +80,16 @@
             'part',
             self._count_turns,
         )
+        show(
+            'waywell_store_era',
+            'Era of the store, and the changes of it that this node saw.',
+            'part',
+            self._read_era,
+        )
+
+    def _read_era(self) -> Mapping[str, float]:
+        eras = self._node.outlook.eras
+        return {'era': eras.current, 'changes': eras.changes}
 
     def _count_turns(self) -> Mapping[str, float]:
         return self._node.turns.count()
