--- a/waywell/knowledge/fleet_watch.py
+++ b/waywell/knowledge/fleet_watch.py
@@ -99,7 +99,7 @@
             # What another writer wrote names no box to use.
             listed.pop(BoxId(foreign), None)
             self._kept.pop(BoxId(foreign), None)
-        self._revision = changes.revision
+        self.advance(changes)
         if changes.nameless and not changes.complete:
             # It may have been any box.
             self.forget_revision()
@@ -174,7 +174,7 @@
     ) -> None:
         log_event(
             'boxes_changed',
-            revision=self._revision,
+            revision=self._cursor.number,
             boxes=len(boxes),
             kept=len(self._kept),
             gone=','.join(sorted(known.keys() - boxes.keys())),
--- a/waywell/knowledge/platform_watch.py
+++ b/waywell/knowledge/platform_watch.py
@@ -10,7 +10,8 @@
 import attrs
 from returns.result import Failure
 
-from waywell.connection.platform import Kind, Platform
+from waywell.connection.platform import Kind, Platform, PlatformFault
+from waywell.connection.store_era import Revision, StoreEra
 from waywell.knowledge.outlook import Outlook
 from waywell.knowledge.paces import choose_failed_wait
 from waywell.process.actor import Actor
@@ -20,7 +21,7 @@
 if TYPE_CHECKING:
     from returns.result import Result
 
-    from waywell.connection.platform import Changes, PlatformFault
+    from waywell.connection.platform import Changes
 
 
 @attrs.frozen
@@ -89,7 +90,7 @@
         super().__init__(name)
         self._scope = scope
         self._parts = parts
-        self._revision = 0
+        self._cursor = Revision()
         self._failures = 0
         self._wanted = asyncio.Event()
         self._foreign: set[str] = set()
@@ -108,7 +109,8 @@
         """Return the state as plain values."""
         return {
             **super().dump(),
-            'revision': self._revision,
+            'revision': self._cursor.number,
+            'era': self._cursor.era,
             'foreign': self.foreign,
         }
 
@@ -138,13 +140,22 @@
         """Read all, or what has changed since."""
         platform = self._parts.platform
         kind = self._scope.kind
-        if not self._revision:
+        cursor = self._cursor
+        if not cursor.is_in(self._get_era()):
             return await platform.fetch_all(kind)
-        return await platform.watch((kind,), self._revision, self._scope.wait)
+        answer = await platform.watch((kind,), cursor.number, self._scope.wait)
+        if not cursor.is_in(self._get_era()):
+            # Revisions of another era name other changes.
+            return Failure(PlatformFault.HISTORY_GONE)
+        return answer
+
+    def advance(self, changes: Changes) -> None:
+        """Let the next look go on after some changes."""
+        self._cursor = Revision(self._get_era(), changes.revision)
 
     def forget_revision(self) -> None:
         """Read all anew at the next look: changes may have been missed."""
-        self._revision = 0
+        self._cursor = Revision()
 
     def look_again(self, now: float) -> None:
         """Begin to read where no other node reads for this one."""
@@ -177,6 +188,9 @@
         self.take(changes, asked_at, now)
         await asyncio.sleep(max(0.0, asked_at + self.get_pace() - now))
 
+    def _get_era(self) -> StoreEra:
+        return self._parts.outlook.eras.current
+
     def _choose_wait(self) -> float:
         parts = self._parts
         return choose_failed_wait(
--- a/waywell/knowledge/route_watch.py
+++ b/waywell/knowledge/route_watch.py
@@ -6,7 +6,7 @@
 
 from waywell.connection.platform import Kind
 from waywell.knowledge.platform_watch import PlatformWatch, WatchScope
-from waywell.telemetry.events import log_event
+from waywell.telemetry.events import log_event, log_warning
 
 if TYPE_CHECKING:
     from waywell.connection.platform import Changes, PlatformFault, Stored
@@ -35,7 +35,7 @@
         scope = WatchScope('routes', Kind.CONFIGURATION, wait)
         super().__init__('routes', scope, parts)
         self._outlook = parts.outlook
-        self._is_behind = False
+        self._stored_version = 0
 
     def dump(self) -> dict[str, object]:
         """Return the state as plain values."""
@@ -47,14 +47,16 @@
         }
 
     def take(self, changes: Changes, asked_at: float, now: float) -> None:
-        """Put a newer version in force; confirm the one in force."""
+        """Put a newer version in force; confirm the one that is stored."""
+        if changes.complete:
+            self._stored_version = 0
         for stored in changes.objects:
             self._take_stored(stored)
-        self._revision = max(self._revision, changes.revision)
+        self.advance(changes)
         if ROUTES_NAME in changes.unreadable:
             # The newest version is not in force until a readable one comes.
-            self._is_behind = True
-        if not self._is_behind:
+            self._stored_version = 0
+        if self._stored_version == self._outlook.index.table.version:
             self._outlook.confirm_routes(asked_at)
 
     def take_fault(self, fault: PlatformFault, now: float) -> None:
@@ -64,7 +66,16 @@
     def _take_stored(self, stored: Stored) -> None:
         if stored.name != ROUTES_NAME or stored.body is None:
             return
-        self._is_behind = False
+        in_force = self._outlook.index.table.version
+        self._stored_version = stored.body.version
+        if self._stored_version < in_force:
+            # A store that came back from a copy lacks the later versions.
+            log_warning(
+                'routes_outdated',
+                stored=self._stored_version,
+                in_force=in_force,
+                revision=stored.version,
+            )
         if self._outlook.take_routes(stored.body):
             log_event(
                 'routes_in_force',
