--- /dev/null
+++ b/tests/test_restored_entries.py
@@ -0,0 +1,97 @@
+"""Box lists of a store that came back from an older copy.
+
+A box's earlier entry counted as a later incarnation: its requests were broken
+off with 502, at the node that read it and at all that it told.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from tests.boxes import make_box, make_fleet
+from tests.test_feed import Bench as FeedBench
+from waywell.connection.store_era import StoreEra
+from waywell.ids import Incarnation
+from waywell.knowledge.outlook import Outlook
+from waywell.knowledge.restored_entries import COPY_SECONDS
+from waywell.process.front_settings import PromiseSettings
+from waywell.version.fleet import FleetBox
+from waywell.version.lives import EndedLife
+
+
+def make_run(name: str, incarnation: int) -> FleetBox:
+    return msgspec.structs.replace(
+        make_box(name), incarnation=Incarnation(incarnation)
+    )
+
+
+class Bench:
+    """What a node knows of boxes, and which incarnations it heard to end."""
+
+    def __init__(self) -> None:
+        self.outlook = Outlook(PromiseSettings())
+        self.ended: list[EndedLife] = []
+        self.outlook.listen_for_ends(self.ended.extend)
+
+    def list(self, now: float, *boxes: FleetBox) -> dict[str, FleetBox]:
+        self.outlook.update_fleet(make_fleet(*boxes), now, now)
+        return dict(self.outlook.fleet.boxes)
+
+
+def make_restarted() -> Bench:
+    """Return a node that saw box a begin its second run."""
+    bench = Bench()
+    bench.list(1.0, make_run('a', 1))
+    bench.list(2.0, make_run('a', 2))
+    bench.ended.clear()
+    return bench
+
+
+def test_an_ended_incarnation_does_not_begin_again() -> None:
+    bench = make_restarted()
+    bench.outlook.note_restored(3.0)
+    assert bench.list(3.1, make_run('a', 1))['a'].incarnation == 2
+    # The box may be cut off from the store, until its entry lapses.
+    later = 3.0 + COPY_SECONDS - 0.1
+    assert bench.list(later, make_run('a', 1))['a'].incarnation == 2
+    assert not bench.ended
+
+
+def test_a_store_that_comes_back_twice_is_held_against_from_the_later() -> (
+    None
+):
+    bench = make_restarted()
+    bench.outlook.note_restored(3.0)
+    bench.outlook.note_restored(9.0)
+    later = 9.0 + COPY_SECONDS - 0.1
+    assert bench.list(later, make_run('a', 1))['a'].incarnation == 2
+
+
+def test_a_box_that_restarts_after_the_return_has_a_new_incarnation() -> None:
+    bench = make_restarted()
+    bench.outlook.note_restored(3.0)
+    bench.list(3.1, make_run('a', 1))
+    assert bench.list(3.2, make_run('a', 3))['a'].incarnation == 3
+    assert [one.life.incarnation for one in bench.ended] == [2]
+
+
+def test_an_ended_incarnation_of_a_box_that_is_gone_is_no_box() -> None:
+    bench = make_restarted()
+    bench.list(2.5)
+    bench.outlook.note_restored(3.0)
+    assert not bench.list(3.1, make_run('a', 1))
+
+
+def test_a_node_that_is_told_by_another_one_holds_what_it_knows() -> None:
+    bench = FeedBench()
+    bench.outlook.eras.observe(StoreEra(1))
+    bench.outlook.eras.listen(
+        lambda _change: bench.outlook.note_restored(bench.clock.now)
+    )
+    for run in (1, 2):
+        bench.clock.now += 1.0
+        bench.answer(bench.ask(), boxes=(make_run('a', run),))
+    bench.clock.now += 1.0
+    # The reader has started since, and knows of no second run.
+    bench.answer(bench.ask(), boxes=(make_run('a', 1),), era=StoreEra(2))
+    assert bench.outlook.fleet.boxes['a'].incarnation == 2
--- a/waywell/knowledge/feed.py
+++ b/waywell/knowledge/feed.py
@@ -375,12 +375,7 @@
             fleet = _apply(base.fleet, answer)
         self._followed = _Followed(peer, answer.run, answer.serial, fleet)
         seen_at = asked.at - answer.boxes_age
-        if not self._outlook.is_newer_fleet(seen_at):
-            return
-        if fleet.boxes == self._outlook.fleet.boxes:
-            self._outlook.confirm_fleet(seen_at)
-        else:
-            self._outlook.take_fleet(fleet, seen_at)
+        self._outlook.update_fleet(fleet, seen_at, self._clock.read())
 
 
 def _apply(base: Fleet, answer: FeedAnswer) -> Fleet:
--- a/waywell/knowledge/fleet_watch.py
+++ b/waywell/knowledge/fleet_watch.py
@@ -110,16 +110,10 @@
         known = self._outlook.fleet.boxes
         kept = {name: known[name] for name in self._kept if name in known}
         boxes = {**kept, **listed}
-        if boxes == known:
-            self._outlook.confirm_fleet(asked_at)
-            return
-        if not self._outlook.is_newer_fleet(asked_at):
-            # A reader's later list came first: put in force by its answer of
-            # before, a box's present life counted as over.  What this answer
-            # has beyond that list is taken with the next look.
-            return
-        self._log_changes(boxes, known)
-        self._outlook.take_fleet(Fleet(boxes), asked_at)
+        # A reader's later list may have come first: what this answer has
+        # beyond that list is taken with the next look.
+        if self._outlook.update_fleet(Fleet(boxes), asked_at, now):
+            self._log_changes(self._outlook.fleet.boxes, known)
 
     def take_fault(self, fault: PlatformFault, now: float) -> None:
         """Note when boxes may have vanished; read anew unless refused."""
--- a/waywell/knowledge/outlook.py
+++ b/waywell/knowledge/outlook.py
@@ -9,6 +9,7 @@
 from waywell.codes import Code, Refusal
 from waywell.connection.store_era import EraTracker
 from waywell.ids import ModelName
+from waywell.knowledge.restored_entries import RestoredEntries
 from waywell.telemetry.events import log_event
 from waywell.version.fleet import (
     BoxLife,
@@ -64,6 +65,7 @@
         self.kept: frozenset[BoxId] = frozenset()
         self.last_models: dict[BoxLife, ModelName] = {}
         self.lives = LifeBook(promises.group_stall)
+        self.restored = RestoredEntries()
         self._end_listeners: list[EndListener] = []
         self._promises = promises
         self._confirmed_at = -math.inf
@@ -93,6 +95,38 @@
         """
         self._confirmed_at = max(self._confirmed_at, asked_at)
 
+    def note_restored(self, now: float) -> None:
+        """Take in that the store has come back from an older copy."""
+        self.restored.begin(now)
+
+    def update_fleet(self, fleet: Fleet, asked_at: float, now: float) -> bool:
+        """Put a box list in force, or confirm the one that is.
+
+        Parameters
+        ----------
+        fleet
+            The list.
+        asked_at
+            When it was asked for, in seconds.
+        now
+            The present time, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the list is a new one, and in force.
+        """
+        known = self.fleet.boxes
+        boxes = self.restored.resolve(fleet.boxes, known, self.lives, now)
+        if boxes == known:
+            self.confirm_fleet(asked_at)
+            return False
+        if not self.is_newer_fleet(asked_at):
+            return False
+        is_as_listed = boxes is fleet.boxes
+        self.take_fleet(fleet if is_as_listed else Fleet(boxes), asked_at)
+        return True
+
     def take_fleet(self, fleet: Fleet, asked_at: float) -> None:
         """Put a box list in force that was asked for at a moment."""
         change = compare_fleets(self.fleet, fleet)
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -104,6 +104,9 @@
         self.book = ReplicaBook()
         self.backpressure = Backpressure()
         self.outlook.listen_for_ends(self.backpressure.forget_ended)
+        adapter.eras.listen(
+            lambda _change: self.outlook.note_restored(self.clock.read())
+        )
         self.loads = SharedLoads()
         self.demand = DemandGauge()
         self.incarnation = Incarnation(int(self.clock.read_wall() * 1000))
--- a/waywell/version/lives.py
+++ b/waywell/version/lives.py
@@ -31,6 +31,10 @@
 """Seconds by which the list may show a new life later than it began, and a
 head may break later than it should."""
 
+ENDED_SECONDS = 60.0
+"""Seconds for which an incarnation that has ended is remembered: no entry of
+it is shown later, also by a store that came back from an older copy."""
+
 KEPT_SECONDS = 15.0
 """For which a box that is off the list is remembered: it may return, and no
 order to it is carried out later than that."""
@@ -81,6 +85,7 @@
         self._listed: dict[BoxId, FleetBox] = {}
         self._gone: dict[BoxId, _Gone] = {}
         self._former: dict[BoxLife, FormerPlace] = {}
+        self._ended_lives: dict[BoxLife, float] = {}
         self._ended_groups: dict[GroupId, float] = {}
         self._first_list_at: float | None = None
 
@@ -120,6 +125,10 @@
         former = self._former.get(box.life)
         return former.standing if former else None
 
+    def has_ended_life(self, life: BoxLife) -> bool:
+        """Return whether a later incarnation of the box has been listed."""
+        return life in self._ended_lives
+
     def has_ended(self, group: GroupId) -> bool:
         """Answer whether the head of a group has left it, or started anew."""
         return group in self._ended_groups
@@ -157,6 +166,8 @@
                 self._ended_groups[standing.group] = now
         if is_same:
             return []
+        self._ended_lives.pop(box.life, None)
+        self._ended_lives[known.life] = now
         if standing is not None:
             self._former[box.life] = FormerPlace(standing, now)
         return [EndedLife(known.life, standing)]
@@ -165,6 +176,9 @@
         for name, gone in tuple(self._gone.items()):
             if now - gone.since > KEPT_SECONDS:
                 self._gone.pop(name)
+        for life, ended_at in tuple(self._ended_lives.items()):
+            if now - ended_at > ENDED_SECONDS:
+                self._ended_lives.pop(life)
         for life, former in tuple(self._former.items()):
             if now - former.ended_at > self._bound_seconds:
                 self._former.pop(life)
