--- a/tests/test_restored_entries.py
+++ b/tests/test_restored_entries.py
@@ -1,7 +1,8 @@
 """Box lists of a store that came back from an older copy.
 
 A box's earlier entry counted as a later incarnation: its requests were broken
-off with 502, at the node that read it and at all that it told.
+off with 502, at the node that read it and at all that it told.  An entry of
+before the box said that it leaves took that back, and it got requests again.
 """
 
 from __future__ import annotations
@@ -82,6 +83,19 @@
     assert not bench.list(3.1, make_run('a', 1))
 
 
+def test_a_box_that_leaves_goes_on_to_leave() -> None:
+    bench = Bench()
+    box = make_run('a', 1)
+    leaving = msgspec.structs.replace(box, leaving=True)
+    bench.list(1.0, box)
+    bench.list(2.0, leaving)
+    bench.outlook.note_restored(3.0)
+    assert bench.list(3.1, box)['a'].leaving
+    assert bench.list(5.0, leaving)['a'].leaving
+    # The next run of the box is another one.
+    assert not bench.list(5.1, make_run('a', 2))['a'].leaving
+
+
 def test_a_node_that_is_told_by_another_one_holds_what_it_knows() -> None:
     bench = FeedBench()
     bench.outlook.eras.observe(StoreEra(1))
--- a/waywell/knowledge/restored_entries.py
+++ b/waywell/knowledge/restored_entries.py
@@ -10,6 +10,8 @@
 import math
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from waywell.telemetry.events import log_warning
 
 if TYPE_CHECKING:
@@ -67,19 +69,16 @@
         """
         if now >= self.restored_at + COPY_SECONDS:
             return listed
+        resolved = {}
+        for name, box in listed.items():
+            current = _resolve_entry(box, known.get(name), lives)
+            if current is not None:
+                resolved[name] = current
         outdated = frozenset(
-            name
-            for name, box in listed.items()
-            if lives.has_ended_life(box.life)
+            name for name, box in listed.items() if resolved.get(name) != box
         )
         self._log_outdated(outdated, now)
-        if not outdated:
-            return listed
-        current = {
-            name: box for name, box in listed.items() if name not in outdated
-        }
-        held = {name: known[name] for name in outdated if name in known}
-        return {**current, **held}
+        return resolved if outdated else listed
 
     def _log_outdated(self, outdated: frozenset[BoxId], now: float) -> None:
         added = outdated - self._outdated
@@ -90,3 +89,19 @@
                 boxes=','.join(sorted(added)),
                 age=round(now - self.restored_at, 3),
             )
+
+
+def _resolve_entry(
+    box: FleetBox,
+    known: FleetBox | None,
+    lives: LifeBook,
+) -> FleetBox | None:
+    """Return what is true of a box, or ``None`` where it is gone."""
+    if lives.has_ended_life(box.life):
+        return known
+    if known is None or known.life != box.life:
+        return box
+    if known.leaving and not box.leaving:
+        # A box that leaves does not come back in this incarnation.
+        return msgspec.structs.replace(box, leaving=True)
+    return box
