--- a/tests/test_restored_entries.py
+++ b/tests/test_restored_entries.py
@@ -3,6 +3,7 @@
 A box's earlier entry counted as a later incarnation: its requests were broken
 off with 502, at the node that read it and at all that it told.  An entry of
 before the box said that it leaves took that back, and it got requests again.
+Boxes that the copy lacked were dropped at once, and callers were refused.
 """
 
 from __future__ import annotations
@@ -11,10 +12,11 @@
 
 from tests.boxes import make_box, make_fleet
 from tests.test_feed import Bench as FeedBench
+from tests.test_fleet_watch import Bench as WatchBench
 from waywell.connection.store_era import StoreEra
 from waywell.ids import Incarnation
 from waywell.knowledge.outlook import Outlook
-from waywell.knowledge.restored_entries import COPY_SECONDS
+from waywell.knowledge.restored_entries import COPY_SECONDS, REWRITE_SECONDS
 from waywell.process.front_settings import PromiseSettings
 from waywell.version.fleet import FleetBox
 from waywell.version.lives import EndedLife
@@ -96,6 +98,25 @@
     assert not bench.list(5.1, make_run('a', 2))['a'].leaving
 
 
+def test_boxes_that_the_copy_lacks_are_held_until_they_have_written() -> None:
+    bench = Bench()
+    leaving = msgspec.structs.replace(make_run('b', 1), leaving=True)
+    bench.list(1.0, make_run('a', 1), leaving)
+    bench.outlook.note_restored(3.0)
+    assert set(bench.list(3.1, make_run('c', 1))) == {'a', 'c'}
+    later = 3.0 + REWRITE_SECONDS
+    assert set(bench.list(later, make_run('c', 1))) == {'c'}
+
+
+def test_a_watch_tells_which_boxes_the_store_does_not_list() -> None:
+    bench = WatchBench(make_box('a'), make_box('b'))
+    bench.outlook.note_restored(3.0)
+    assert bench.list(3.1, make_box('a')) == {'a', 'b'}
+    assert bench.outlook.kept == {'b'}
+    assert bench.list(3.5, make_box('a'), make_box('b')) == {'a', 'b'}
+    assert not bench.outlook.kept
+
+
 def test_a_node_that_is_told_by_another_one_holds_what_it_knows() -> None:
     bench = FeedBench()
     bench.outlook.eras.observe(StoreEra(1))
--- a/waywell/knowledge/fleet_watch.py
+++ b/waywell/knowledge/fleet_watch.py
@@ -105,15 +105,17 @@
             self.forget_revision()
         self._keep_vanished(listed, set(changes.unreadable), now)
         self._drop_kept(listed, now)
-        self._outlook.kept = frozenset(self._kept)
         self._listed = listed
         known = self._outlook.fleet.boxes
         kept = {name: known[name] for name in self._kept if name in known}
         boxes = {**kept, **listed}
         # A reader's later list may have come first: what this answer has
         # beyond that list is taken with the next look.
-        if self._outlook.update_fleet(Fleet(boxes), asked_at, now):
-            self._log_changes(self._outlook.fleet.boxes, known)
+        is_new = self._outlook.update_fleet(Fleet(boxes), asked_at, now)
+        in_force = self._outlook.fleet.boxes
+        self._outlook.kept = frozenset(in_force.keys() - listed.keys())
+        if is_new:
+            self._log_changes(in_force, known)
 
     def take_fault(self, fault: PlatformFault, now: float) -> None:
         """Note when boxes may have vanished; read anew unless refused."""
--- a/waywell/knowledge/restored_entries.py
+++ b/waywell/knowledge/restored_entries.py
@@ -69,14 +69,10 @@
         """
         if now >= self.restored_at + COPY_SECONDS:
             return listed
-        resolved = {}
-        for name, box in listed.items():
-            current = _resolve_entry(box, known.get(name), lives)
-            if current is not None:
-                resolved[name] = current
-        outdated = frozenset(
-            name for name, box in listed.items() if resolved.get(name) != box
-        )
+        resolved = _resolve_listed(listed, known, lives)
+        if now < self.restored_at + REWRITE_SECONDS:
+            resolved.update(_find_missing(listed, known))
+        outdated = _find_differing(listed, resolved)
         self._log_outdated(outdated, now)
         return resolved if outdated else listed
 
@@ -91,6 +87,41 @@
             )
 
 
+def _resolve_listed(
+    listed: Mapping[BoxId, FleetBox],
+    known: Mapping[BoxId, FleetBox],
+    lives: LifeBook,
+) -> dict[BoxId, FleetBox]:
+    current = {
+        name: _resolve_entry(box, known.get(name), lives)
+        for name, box in listed.items()
+    }
+    return {name: box for name, box in current.items() if box is not None}
+
+
+def _find_missing(
+    listed: Mapping[BoxId, FleetBox],
+    known: Mapping[BoxId, FleetBox],
+) -> dict[BoxId, FleetBox]:
+    """Return the boxes that the copy may lack though they live."""
+    return {
+        name: box
+        for name, box in known.items()
+        if name not in listed and not box.leaving
+    }
+
+
+def _find_differing(
+    listed: Mapping[BoxId, FleetBox],
+    resolved: Mapping[BoxId, FleetBox],
+) -> frozenset[BoxId]:
+    return frozenset(
+        name
+        for name in listed.keys() | resolved.keys()
+        if listed.get(name) != resolved.get(name)
+    )
+
+
 def _resolve_entry(
     box: FleetBox,
     known: FleetBox | None,
