--- a/tests/test_restored_entries.py
+++ b/tests/test_restored_entries.py
@@ -3,18 +3,20 @@
 A box's earlier entry counted as a later incarnation: its requests were broken
 off with 502, at the node that read it and at all that it told.  An entry of
 before the box said that it leaves took that back, and it got requests again.
-Boxes that the copy lacked were dropped at once, and callers were refused.
+Boxes that the copy lacked were dropped at once, and callers were refused.  A
+group whose head the copy showed before it opened was taken for ended: it got no
+requests, and its members could be joined to others while it served.
 """
 
 from __future__ import annotations
 
 import msgspec
 
-from tests.boxes import make_box, make_fleet
+from tests.boxes import make_box, make_fleet, make_group
 from tests.test_feed import Bench as FeedBench
 from tests.test_fleet_watch import Bench as WatchBench
 from waywell.connection.store_era import StoreEra
-from waywell.ids import Incarnation
+from waywell.ids import GroupId, Incarnation
 from waywell.knowledge.outlook import Outlook
 from waywell.knowledge.restored_entries import COPY_SECONDS, REWRITE_SECONDS
 from waywell.process.front_settings import PromiseSettings
@@ -108,6 +110,21 @@
     assert set(bench.list(later, make_run('c', 1))) == {'c'}
 
 
+def test_a_group_that_the_copy_shows_before_it_opened_serves_on() -> None:
+    bench = Bench()
+    head, member = make_group('small.7', 'a', 'b')
+    joining = msgspec.structs.replace(head, standing=None, entry_number=3)
+    head = msgspec.structs.replace(head, entry_number=4)
+    bench.list(1.0, joining, member)
+    bench.list(2.0, head, member)
+    bench.outlook.note_restored(3.0)
+    assert bench.list(3.1, joining, member)['a'].standing == head.standing
+    assert not bench.outlook.lives.has_ended(GroupId('small.7'))
+    # The box has left its group since, and says so.
+    left = msgspec.structs.replace(joining, entry_number=5)
+    assert bench.list(3.2, left, member)['a'].standing is None
+
+
 def test_a_watch_tells_which_boxes_the_store_does_not_list() -> None:
     bench = WatchBench(make_box('a'), make_box('b'))
     bench.outlook.note_restored(3.0)
--- a/waywell/knowledge/restored_entries.py
+++ b/waywell/knowledge/restored_entries.py
@@ -132,6 +132,8 @@
         return known
     if known is None or known.life != box.life:
         return box
+    if box.entry_number < known.entry_number:
+        return known
     if known.leaving and not box.leaving:
         # A box that leaves does not come back in this incarnation.
         return msgspec.structs.replace(box, leaving=True)
--- a/waywell/platform/servers.py
+++ b/waywell/platform/servers.py
@@ -63,8 +63,6 @@
 
 
 class _Server(msgspec.Struct):
-    # Its ``seq_no`` is left out: here it numbers the entries that the server
-    # has written, while in a report the same name counts orders taken.
     service: _Word
     address: str
     zone: str
@@ -75,6 +73,8 @@
     # Of the box's planned end, not of its group.
     state: Literal['ready', 'draining']
     cold_left_ms: float
+    # Numbers the entries that the server has written, while in a report the
+    # same name counts orders taken.
     seq_no: int
     staged: list[Any] = []
     domain: str = ''
@@ -105,6 +105,7 @@
         staged=tuple(_decode_staged(staged) for staged in server.staged),
         standing=None if server.group is None else decode_group(server.group),
         incarnation=decode_life(server.born),
+        entry_number=server.seq_no,
     )
 
 
--- a/waywell/version/fleet.py
+++ b/waywell/version/fleet.py
@@ -113,6 +113,9 @@
     incarnation: Incarnation = UNTOLD
     """Which of its lives this is."""
 
+    entry_number: int = 0
+    """Number of the entry among those that the box wrote in this life."""
+
     @property
     def life(self) -> BoxLife:
         """Return what beliefs about the box are kept by."""
