--- /dev/null
+++ b/tests/test_lease_eras.py
@@ -0,0 +1,351 @@
+"""A lease in a store that comes back from an older copy has one holder.
+
+A lease that the copy lacked was taken at once while its holder trusted it, and
+so was one that the copy showed as given back, or as held by a former run of the
+contender: two nodes gave orders to boxes.  A holder whose earlier term the copy
+showed went on under that term's epoch.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import msgspec
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from returns.result import Failure, Result, Success
+
+from tests.held_clock import HeldClock
+from tests.lone_gossip import LoneGossip
+from tests.loops import in_loop
+from waywell.connection.platform import PlatformFault, Stored
+from waywell.connection.store_era import EraTracker, StoreEra
+from waywell.duties.duty import Duty
+from waywell.duties.lease import (
+    LOST_EPOCHS,
+    LeaseMove,
+    LeaseRecord,
+    LeaseState,
+)
+from waywell.ids import Incarnation, NodeId
+
+if TYPE_CHECKING:
+    from waywell.connection.platform import Kind
+
+TERM = 6.0
+FORMER, PRESENT = StoreEra(4), StoreEra(5)
+
+
+def make_state(name: str, run: int = 1) -> LeaseState:
+    return LeaseState(NodeId(name), Incarnation(run), TERM)
+
+
+def make_record(holder: str, era: StoreEra, run: int = 1) -> LeaseRecord:
+    return LeaseRecord(NodeId(holder), Incarnation(run), 3, era=era)
+
+
+@pytest.mark.parametrize(
+    'record',
+    [
+        None,
+        make_record('', FORMER),
+        make_record('b', FORMER, run=7),
+        make_record('b', FORMER),
+    ],
+    ids=['missing', 'given_back', 'of_a_former_run', 'own'],
+)
+def test_nobody_takes_a_lease_in_the_first_term_of_an_era(
+    record: LeaseRecord | None,
+) -> None:
+    state = make_state('b')
+    state.observe(record, 10.0, PRESENT)
+    assert state.choose_move(10.0 + TERM) is LeaseMove.WAIT
+    assert state.choose_move(10.1 + TERM) is LeaseMove.TAKE
+    epoch = state.make_next(LeaseMove.TAKE, 'op').epoch
+    assert epoch == (record.epoch if record else 0) + LOST_EPOCHS
+
+
+def test_a_lease_that_was_given_back_in_this_era_is_taken_at_once() -> None:
+    state = make_state('b')
+    state.observe(make_record('', PRESENT), 10.0, PRESENT)
+    assert state.choose_move(10.0) is LeaseMove.TAKE
+    assert state.make_next(LeaseMove.TAKE, 'op').epoch == 4
+
+
+def test_nothing_is_waited_for_at_the_first_start() -> None:
+    state = make_state('b')
+    state.is_first_start = True
+    state.observe(None, 10.0, PRESENT)
+    assert state.choose_move(10.0) is LeaseMove.TAKE
+
+
+def test_the_term_is_waited_for_again_where_the_store_goes_back_twice() -> (
+    None
+):
+    state = make_state('b')
+    state.observe(None, 10.0, FORMER)
+    state.observe(None, 10.0 + TERM / 2, PRESENT)
+    assert state.choose_move(10.1 + TERM) is LeaseMove.WAIT
+    assert state.choose_move(10.1 + TERM * 1.5) is LeaseMove.TAKE
+
+
+def test_a_record_that_was_seen_before_is_waited_for_anew() -> None:
+    """The holder has renewed since, and trusts what the copy lacks."""
+    state = make_state('b')
+    state.observe(make_record('a', FORMER), 10.0, FORMER)
+    state.observe(make_record('a', FORMER), 10.0 + TERM, PRESENT)
+    assert state.choose_move(10.1 + TERM) is LeaseMove.WAIT
+
+
+def test_a_holder_renews_in_a_new_era_and_keeps_its_term() -> None:
+    state = make_state('a')
+    state.observe(None, 10.0, FORMER)
+    record = state.make_next(LeaseMove.TAKE, 'op')
+    state.confirm(record, 17.0, 17.0)
+    state.observe(record, 17.1, PRESENT)
+    assert state.is_held(17.1)
+    assert state.choose_move(17.1) is LeaseMove.RENEW
+    renewed = state.make_next(LeaseMove.RENEW, 'op2')
+    assert (renewed.era, renewed.epoch) == (PRESENT, record.epoch)
+
+
+def test_no_term_goes_on_under_the_epoch_of_an_earlier_one() -> None:
+    state = make_state('a')
+    state.observe(make_record('', FORMER), 10.0, FORMER)
+    first = state.make_next(LeaseMove.TAKE, 'op')
+    state.confirm(first, 10.0, 10.0)
+    second = state.make_next(LeaseMove.TAKE, 'op2')
+    state.confirm(second, 17.0, 17.0)
+    state.observe(first, 17.1, PRESENT)
+    assert not state.is_held(17.1)
+
+
+class _Store:
+    """One lease in a store that begins a new era with its next answer."""
+
+    def __init__(self) -> None:
+        self.eras = EraTracker()
+        self.eras.observe(FORMER)
+        self.stored: Stored | None = None
+        self.next_era = self.fetch_era = FORMER
+        self.is_silent = False
+        self.writes = 0
+
+    async def fetch(
+        self, _kind: Kind, _name: str, fresh: bool = True
+    ) -> Result[Stored | None, PlatformFault]:
+        if self.is_silent:
+            return Failure(PlatformFault.UNANSWERED)
+        self.eras.observe(self.fetch_era)
+        return Success(self.stored)
+
+    async def write(
+        self, kind: Kind, name: str, body: Any, expected: int
+    ) -> Result[Stored, PlatformFault]:
+        self.writes += 1
+        self.eras.observe(self.next_era)
+        assert expected == (self.stored.version if self.stored else 0)
+        self.stored = Stored(kind.value, name, expected + 1, body)
+        return Success(self.stored)
+
+
+async def tick(duty: Duty, clock: HeldClock, seconds: float = 0.0) -> bool:
+    clock.now += seconds
+    await duty.on_lease_tick(Duty.LeaseTick())
+    return duty.is_held()
+
+
+def make_duty(store: _Store, clock: HeldClock) -> Duty:
+    return Duty('forming', store, LoneGossip('a'), clock, TERM, store.eras)
+
+
+@in_loop
+async def test_no_lease_is_written_by_a_version_of_a_former_era() -> None:
+    store, clock = _Store(), HeldClock()
+    duty = make_duty(store, clock)
+    assert not await tick(duty, clock)
+    # A call of another task tells the era; the next look fails.
+    store.eras.observe(PRESENT)
+    store.is_silent = True
+    assert not await tick(duty, clock, TERM + 1)
+    assert not store.writes
+
+
+@in_loop
+async def test_a_write_that_an_era_overtakes_is_looked_up() -> None:
+    store, clock = _Store(), HeldClock()
+    duty = make_duty(store, clock)
+    assert not await tick(duty, clock)
+    # The store goes back while the write is under way.
+    store.next_era = PRESENT
+    write = store.write
+
+    async def write_and_lose(*words: Any) -> Any:
+        answer = await write(*words)
+        body = msgspec.to_builtins(make_record('b', PRESENT))
+        store.stored = Stored('lease', 'forming', 9, body)
+        return answer
+
+    store.write = write_and_lose  # type: ignore[method-assign]
+    store.fetch_era = FORMER
+    assert not await tick(duty, clock, TERM + 1)
+    assert store.writes == 1
+    assert duty.lease.state.record.holder == 'b'
+
+
+@in_loop
+async def test_a_write_that_is_carried_out_in_a_later_era_is_none() -> None:
+    """Its version was given out again: another holder may trust its term."""
+    store, clock = _Store(), HeldClock()
+    duty = make_duty(store, clock)
+    assert not await tick(duty, clock)
+    # The store goes back while the write is under way.
+    store.next_era = PRESENT
+    assert not await tick(duty, clock, TERM + 1)
+    assert store.writes == 1
+    assert duty.lease.state.record.holder == 'a'
+
+
+@in_loop
+async def test_a_holder_that_the_copy_lacks_waits_like_others() -> None:
+    store, clock = _Store(), HeldClock()
+    duty = make_duty(store, clock)
+    await tick(duty, clock)
+    assert await tick(duty, clock, TERM + 0.1)
+    first = duty.epoch
+    store.stored = None
+    store.next_era = store.fetch_era = PRESENT
+    store.eras.observe(PRESENT)
+    assert not await tick(duty, clock, 0.1)
+    assert not await tick(duty, clock, TERM)
+    assert await tick(duty, clock, 0.1)
+    assert duty.epoch > first
+
+
+class _Write(NamedTuple):
+    """A write that was sent and not carried out yet."""
+
+    which: int
+    run: int
+    record: LeaseRecord
+    expected: int
+    sent_at: float
+
+
+class _Content(NamedTuple):
+    """What the store holds."""
+
+    record: LeaseRecord | None
+    revision: int
+
+
+class LeaseEraMachine(RuleBasedStateMachine):
+    """Three contenders; the store comes back from copies, writes come late."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.era = StoreEra(1)
+        self.content = _Content(None, 0)
+        # Revisions of the whole store; others write as well.
+        self.counter = 0
+        self.copies = [(self.content, 0)]
+        self.states = [make_state(name) for name in 'abc']
+        self.runs = [1, 1, 1]
+        self.seen = [(StoreEra(0), 0)] * 3
+        self.writes: list[_Write] = []
+        self.sent: dict[str, tuple[int, int, float]] = {}
+        self.terms: dict[int, tuple[int, int]] = {}
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 3.0, TERM + 0.1]))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule()
+    def copy(self) -> None:
+        self.copies.append((self.content, self.counter))
+
+    @rule(back=st.integers(1, 3))
+    def go_back(self, back: int) -> None:
+        self.era = StoreEra(self.era + 1)
+        self.copies = self.copies[: max(1, len(self.copies) - back + 1)]
+        self.content, self.counter = self.copies[-1]
+
+    @rule()
+    def write_elsewhere(self) -> None:
+        self.counter += 1
+
+    @rule(which=st.integers(0, 2))
+    def look(self, which: int) -> None:
+        self.states[which].observe(self.content.record, self.now, self.era)
+        self.seen[which] = (self.era, self.content.revision)
+
+    @rule(which=st.integers(0, 2))
+    def restart(self, which: int) -> None:
+        self.runs[which] += 1
+        self.states[which] = make_state('abc'[which], self.runs[which])
+        self.seen[which] = (StoreEra(0), 0)
+
+    @rule(which=st.integers(0, 2))
+    def send(self, which: int) -> None:
+        """Send what the last look leads to; it may come at any time."""
+        state, (era, revision) = self.states[which], self.seen[which]
+        move = state.choose_move(self.now)
+        if era and move is not LeaseMove.WAIT:
+            run = self.runs[which]
+            operation = f'op-{len(self.sent)}'
+            record = state.make_next(move, operation)
+            self.sent[operation] = (which, run, self.now)
+            self.writes.append(_Write(which, run, record, revision, self.now))
+
+    @rule(which=st.integers(0, 2))
+    def act(self, which: int) -> None:
+        """Look, and do at once what follows."""
+        self.look(which)
+        sent = len(self.writes)
+        self.send(which)
+        if len(self.writes) > sent:
+            self.carry_out(is_answered=True, last=True)
+
+    @rule(is_answered=st.booleans(), last=st.booleans())
+    def carry_out(self, is_answered: bool, last: bool) -> None:
+        if not self.writes:
+            return
+        write = self.writes.pop(-1 if last else 0)
+        if write.expected != self.content.revision:
+            return
+        self.counter += 1
+        self.content = _Content(write.record, self.counter)
+        which = write.which
+        is_running = self.runs[which] == write.run
+        # An answer of another era than the write's confirms nothing.
+        if is_answered and is_running and write.record.era == self.era:
+            self.states[which].confirm(write.record, write.sent_at, self.now)
+            self.seen[which] = (self.era, self.counter)
+
+    @rule(which=st.integers(0, 2))
+    def settle(self, which: int) -> None:
+        """Look whether a write without an answer was carried out."""
+        self.look(which)
+        record = self.content.record
+        if record is None or record.era != self.era:
+            return
+        sender, run, sent_at = self.sent[record.operation]
+        if (sender, run) == (which, self.runs[which]):
+            self.states[which].confirm(record, sent_at, self.now)
+
+    @invariant()
+    def at_most_one_holder(self) -> None:
+        held = [state for state in self.states if state.is_held(self.now)]
+        assert len(held) <= 1
+
+    @invariant()
+    def no_two_terms_share_an_epoch(self) -> None:
+        for which, state in enumerate(self.states):
+            if state.is_held(self.now):
+                own = (which, self.runs[which])
+                assert self.terms.setdefault(state.epoch, own) == own
+
+
+TestLeaseEraMachine = LeaseEraMachine.TestCase
--- a/waywell/connection/store_era.py
+++ b/waywell/connection/store_era.py
@@ -55,14 +55,27 @@
 
 
 class EraTracker:
-    """Tracks the era of the store by its answers and by what peers tell."""
+    """Tracks the era of the store by its answers and by what peers tell.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    is_first_start
+        Whether the whole system starts for the first time, so that no earlier
+        run has written anything that a copy could lack.
+    """
+
+    def __init__(self, is_first_start: bool = False) -> None:
         """Start before the first answer."""
         self.current = UNSEEN_ERA
         self.changes = 0
+        self._starts_first = is_first_start
         self._listeners: list[Callable[[EraChange], None]] = []
 
+    @property
+    def is_first_start(self) -> bool:
+        """Return whether no earlier write can be missing from the store."""
+        return self._starts_first and not self.changes
+
     def listen(self, listener: Callable[[EraChange], None]) -> None:
         """Call a listener at each change of the era."""
         self._listeners.append(listener)
--- a/waywell/duties/duty.py
+++ b/waywell/duties/duty.py
@@ -9,6 +9,7 @@
 from returns.result import Failure
 
 from waywell.connection.platform import Kind, PlatformFault
+from waywell.connection.store_era import EraTracker
 from waywell.duties.lease import LeaseMove, LeaseRecord, LeaseState
 from waywell.membership.gossip import Gossip
 from waywell.membership.membership import NodeState, rank_contenders
@@ -17,6 +18,7 @@
 
 if TYPE_CHECKING:
     from waywell.connection.platform import Platform, Stored
+    from waywell.connection.store_era import StoreEra
     from waywell.ids import NodeId
     from waywell.membership.membership import NodeRecord
     from waywell.process.clock import Clock
@@ -48,6 +50,8 @@
         Where the time is read.
     term
         Term of the lease, in seconds.
+    eras
+        Era of the platform's store.
     """
 
     def __init__(
@@ -57,10 +61,13 @@
         gossip: Gossip,
         clock: Clock,
         term: float,
+        eras: EraTracker,
     ) -> None:
         """Start without a look at the lease."""
         own = gossip.table.own
         self.state = LeaseState(own.node, own.incarnation, term)
+        self._eras = eras
+        self._seen_era: StoreEra | None = None
         self._name = name
         self._platform = platform
         self._gossip = gossip
@@ -73,8 +80,10 @@
 
     async def tend(self) -> None:
         """Look at the lease, renew it or take it."""
-        if not self.is_held():
+        if not self.is_held() or not self._has_seen_era():
             await self._look()
+        if not self._has_seen_era():
+            return
         now = self._clock.read()
         move = self.state.choose_move(now)
         if move is not LeaseMove.WAIT:
@@ -82,7 +91,7 @@
 
     async def retire(self) -> None:
         """Give the lease back, so that nobody waits for its end."""
-        if not self.is_held():
+        if not self.is_held() or not self._has_seen_era():
             return
         record = self.state.make_vacant(make_operation())
         self.state.distrust()
@@ -104,7 +113,8 @@
         has ended since: with answers of up to 6 s before, a duty lay idle for
         8.0 s in place of the term of 2 s.
         """
-        fresh = self._doubts_holder()
+        has_era_changed = self._seen_era not in {None, self._eras.current}
+        fresh = self._doubts_holder() or has_era_changed
         answer = await self._platform.fetch(
             Kind.LEASE, self._name, fresh=fresh
         )
@@ -127,11 +137,21 @@
             return True
         return known.state is not NodeState.LIVE
 
+    def _has_seen_era(self) -> bool:
+        """Return whether the lease was read in the store's present era.
+
+        Its version is one of that era, and may name another write later.
+        """
+        return self._seen_era == self._eras.current
+
     def _take_in(self, stored: Stored | None) -> None:
+        era = self._eras.current
+        self._seen_era = era
+        self.state.is_first_start = self._eras.is_first_start
         self._version = stored.version if stored else 0
         now = self._clock.read()
         if stored is None:
-            self.state.observe(None, now)
+            self.state.observe(None, now, era)
             return
         try:
             record = msgspec.convert(stored.body, LeaseRecord)
@@ -142,9 +162,9 @@
                 version=stored.version,
                 error=str(error),
             )
-            self.state.observe_unreadable(stored.version, now)
+            self.state.observe_unreadable(stored.version, now, era)
             return
-        self.state.observe(record, now)
+        self.state.observe(record, now, era)
 
     async def _write(self, move: LeaseMove, sent_at: float) -> None:
         record = self.state.make_next(move, make_operation())
@@ -158,6 +178,10 @@
             await self._settle(record, sent_at, answer.failure())
             return
         self._gossip.post(Gossip.Reached())
+        if not self._has_seen_era():
+            # The version that was expected may name another write by now.
+            await self._settle(record, sent_at, PlatformFault.FORMER_ERA)
+            return
         self._version = answer.unwrap().version
         self.state.confirm(record, sent_at, self._clock.read())
 
@@ -176,7 +200,9 @@
         stored = answer.unwrap()
         self._take_in(stored)
         current = self.state.record
-        if current is not None and current.operation == record.operation:
+        # One that was carried out in a later era than it was sent in met a
+        # version that was given out again.
+        if current == record and current.era == self._eras.current:
             self.state.confirm(current, sent_at, self._clock.read())
 
 
@@ -195,6 +221,8 @@
         Where the time is read.
     term
         Term of the lease, in seconds.
+    eras
+        Era of the platform's store; one that never changes by default.
     """
 
     class LeaseTick(Message, frozen=True):
@@ -207,10 +235,13 @@
         gossip: Gossip,
         clock: Clock,
         term: float,
+        eras: EraTracker | None = None,
     ) -> None:
         """Start without the lease."""
         super().__init__(name)
-        self.lease = LeaseKeeper(name, platform, gossip, clock, term)
+        self.lease = LeaseKeeper(
+            name, platform, gossip, clock, term, eras or EraTracker()
+        )
         self.platform = platform
         self.gossip = gossip
         self.clock = clock
--- a/waywell/duties/forming.py
+++ b/waywell/duties/forming.py
@@ -146,7 +146,9 @@
         count_requests: Callable[[BoxLife], int],
     ) -> None:
         """Start without the lease."""
-        super().__init__('forming', platform, gossip, clock, term)
+        super().__init__(
+            'forming', platform, gossip, clock, term, outlook.eras
+        )
         self._outlook = outlook
         self._orders = orders
         self._read_demand = read_demand
--- a/waywell/duties/lease.py
+++ b/waywell/duties/lease.py
@@ -13,6 +13,10 @@
 lease takes it anew with the next epoch, also where nobody took it meanwhile.
 What it forgot at the end of one term is so never numbered like that of the
 next.
+
+A store that comes back from an older copy may lack the lease of a holder that
+still trusts it.  So a contender waits for a whole term after a new era began,
+also for a lease that is vacant or its own, unless that was written in the era.
 """
 
 from __future__ import annotations
@@ -21,6 +25,12 @@
 
 import msgspec
 
+from waywell.connection.store_era import (
+    UNSEEN_ERA,
+    UNTOLD_ERA,
+    StoreEra,
+    is_told,
+)
 from waywell.ids import Incarnation, NodeId
 
 HOLDER_SHARE = 0.8
@@ -29,6 +39,8 @@
 RENEW_SHARE = 0.25
 """Part of the term after which a holder renews."""
 
+LOST_EPOCHS = 100
+"""Epochs that the first term of an era skips; a copy lacks fewer terms."""
 
 NOBODY = NodeId('')
 """Holder of a lease that was given back."""
@@ -56,6 +68,9 @@
     operation: str = ''
     """Id of the write, to recognise it when its answer was lost."""
 
+    era: StoreEra = UNTOLD_ERA
+    """Era of the store in which it was written."""
+
 
 class LeaseMove(enum.Enum):
     """What a contender should do now."""
@@ -94,6 +109,10 @@
         self._node = node
         self._incarnation = incarnation
         self._term = term
+        self.is_first_start = False
+        """Whether a lease that is not there was never held."""
+        self._era = UNSEEN_ERA
+        self._has_seen_record = False
         self._seen_at = 0.0
         self._least_epoch = 0
         self._held_from = float('-inf')
@@ -108,14 +127,38 @@
         """Let the next term have a higher epoch than one that was in use."""
         self._least_epoch = max(self._least_epoch, epoch)
 
-    def observe(self, record: LeaseRecord | None, now: float) -> None:
-        """Take in what the platform shows at ``now``."""
-        if record != self.record:
-            self.raise_least(self.epoch)
-            self.record = record
-            self._seen_at = now
+    def observe(
+        self,
+        record: LeaseRecord | None,
+        now: float,
+        era: StoreEra | None = None,
+    ) -> None:
+        """Take in what the platform shows at ``now``.
 
-    def observe_unreadable(self, version: int, now: float) -> None:
+        Parameters
+        ----------
+        record
+            The lease, or ``None`` where there is none.
+        now
+            The present time, in seconds.
+        era
+            Era of the store; that of the last look by default.
+        """
+        era = self._era if era is None else era
+        if record == self.record and era == self._era:
+            return
+        self.raise_least(self.epoch)
+        self.record = record
+        self._has_seen_record |= record is not None
+        self._era = era
+        self._seen_at = now
+
+    def observe_unreadable(
+        self,
+        version: int,
+        now: float,
+        era: StoreEra | None = None,
+    ) -> None:
         """Take in that another writer has written over the lease.
 
         Parameters
@@ -124,9 +167,11 @@
             Version of what is there.
         now
             The present time, in seconds.
+        era
+            Era of the store; that of the last look by default.
         """
         unknown = LeaseRecord(UNKNOWN_HOLDER, Incarnation(0), 0, version)
-        self.observe(unknown, now)
+        self.observe(unknown, now, era)
 
     def confirm(self, record: LeaseRecord, sent_at: float, now: float) -> None:
         """Take in that an own write, sent at ``sent_at``, took effect.
@@ -146,15 +191,15 @@
 
     def is_held(self, now: float) -> bool:
         """Answer whether this node holds the lease at ``now``."""
-        return self._is_mine() and now < self._held_from + self._trusted
+        # A copy may show a record of an earlier term of this holder.
+        is_present_term = self._is_mine() and self.epoch == self._term_epoch
+        return is_present_term and now < self._held_from + self._trusted
 
     def choose_move(self, now: float) -> LeaseMove:
         """Return what to do at ``now``."""
-        if self.record is None or self._is_of_former_run():
-            return LeaseMove.TAKE
-        if self.record.holder == NOBODY:
+        if self._is_free():
             return LeaseMove.TAKE
-        if self._is_mine():
+        if self.is_held(now) or self._is_mine() and self._is_of_this_era():
             return self._choose_own_move(now)
         if now - self._seen_at > self._term:
             return LeaseMove.TAKE
@@ -167,26 +212,53 @@
                 self.record,
                 beat=self.record.beat + 1,
                 operation=operation,
+                era=self._era,
             )
         return LeaseRecord(
             self._node,
             self._incarnation,
-            max(self.epoch, self._least_epoch) + 1,
+            max(self.epoch, self._least_epoch) + self._choose_epoch_step(),
             operation=operation,
+            era=self._era,
         )
 
     def make_vacant(self, operation: str) -> LeaseRecord:
         """Return the record that gives the own lease back."""
-        return LeaseRecord(NOBODY, self._incarnation, self.epoch, 0, operation)
+        return LeaseRecord(
+            NOBODY, self._incarnation, self.epoch, 0, operation, self._era
+        )
 
     def _choose_own_move(self, now: float) -> LeaseMove:
         """Return what to do about an own record."""
         if not self.is_held(now) or self._least_epoch > self.epoch:
             return LeaseMove.TAKE
-        if now >= self._held_from + self._term * RENEW_SHARE:
+        is_due = now >= self._held_from + self._term * RENEW_SHARE
+        if is_due or not self._is_of_this_era():
             return LeaseMove.RENEW
         return LeaseMove.WAIT
 
+    def _is_free(self) -> bool:
+        """Return whether nobody can trust the lease."""
+        if self.record is None:
+            return not self._has_seen_record and self._is_of_this_era()
+        if not self._is_of_this_era():
+            return False
+        return self.record.holder == NOBODY or self._is_of_former_run()
+
+    def _is_of_this_era(self) -> bool:
+        """Return whether the store has kept all since the record's writing.
+
+        A store that tells no era is taken to lose nothing.
+        """
+        if not is_told(self._era):
+            return True
+        if self.record is None:
+            return self.is_first_start
+        return self.record.era == self._era
+
+    def _choose_epoch_step(self) -> int:
+        return 1 if self._is_of_this_era() else LOST_EPOCHS
+
     def _is_of_former_run(self) -> bool:
         """Answer whether an earlier run of this node holds the lease."""
         record = self.record
--- a/waywell/platform/adapter.py
+++ b/waywell/platform/adapter.py
@@ -20,7 +20,7 @@
 
 def make_adapter(settings: FrontSettings) -> FrontAdapter:
     """Return what speaks the platform's language."""
-    eras = EraTracker()
+    eras = EraTracker(settings.node.first_start)
     store = settings.store
     return FrontAdapter(
         platform=ObjectStore(store.address, store.timeout, eras),
