--- a/tests/holder.py
+++ b/tests/holder.py
@@ -14,6 +14,7 @@
 
 from tests.lone_gossip import LoneGossip
 from waywell.connection.box_orders import BoxOrders
+from waywell.connection.store_era import EraTracker
 from waywell.duties.forming import FormingDuty
 from waywell.ids import BoxId, GroupId, ModelName
 from waywell.platform.orders import (
@@ -124,6 +125,7 @@
         engines = [('llm', engine)]
         self._outlook = SimpleNamespace(
             index=SimpleNamespace(list_engines=lambda: engines),
+            eras=EraTracker(),
             fleet=Fleet({}),
             last_models=self.last_models,
             lives=LifeBook(),
--- a/waywell/duties/lease.py
+++ b/waywell/duties/lease.py
@@ -40,7 +40,7 @@
 """Part of the term after which a holder renews."""
 
 LOST_EPOCHS = 100
-"""Epochs that the first term of an era skips; a copy lacks fewer terms."""
+"""Epochs that each era skips; a copy lacks fewer terms."""
 
 NOBODY = NodeId('')
 """Holder of a lease that was given back."""
@@ -217,7 +217,7 @@
         return LeaseRecord(
             self._node,
             self._incarnation,
-            max(self.epoch, self._least_epoch) + self._choose_epoch_step(),
+            self._choose_epoch(),
             operation=operation,
             era=self._era,
         )
@@ -256,8 +256,16 @@
             return self.is_first_start
         return self.record.era == self._era
 
-    def _choose_epoch_step(self) -> int:
-        return 1 if self._is_of_this_era() else LOST_EPOCHS
+    def _choose_epoch(self) -> int:
+        """Return an epoch above those that were or may have been in use."""
+        used = max(self.epoch, self._least_epoch)
+        if not is_told(self._era):
+            return used + 1
+        # Where the copy lacks any lease, the era alone tells the terms apart.
+        used = max(used, (self._era - 1) * LOST_EPOCHS)
+        if self.record is not None and not self._is_of_this_era():
+            return used + LOST_EPOCHS
+        return used + 1
 
     def _is_of_former_run(self) -> bool:
         """Answer whether an earlier run of this node holds the lease."""
