--- a/tests/house.py
+++ b/tests/house.py
@@ -463,7 +463,9 @@
                 if act == 'reject':
                     self.answer(503, {}, {**own, 'X-Not-Executed': '1'})
                     return
-                if act == 'rest':
+                if act == 'late-rest':
+                    server.goes_on.wait(20)
+                if act in {'rest', 'late-rest'}:
                     server.asked_rest.append(
                         (time.monotonic(), float(server.rest_text), attempt)
                     )
--- a/waywell/connection/exchange.py
+++ b/waywell/connection/exchange.py
@@ -139,6 +139,26 @@
         super().connectionLost(reason)
 
 
+class OpenRequest:
+    """A request that was sent and has no answer yet.
+
+    Parameters
+    ----------
+    protocol
+        The connection.
+    """
+
+    def __init__(self, protocol: Any) -> None:
+        """Keep the connection."""
+        self._protocol = protocol
+
+    def close_write(self) -> None:
+        """Close the sending direction; an answer can still be read."""
+        transport: Any = self._protocol.transport
+        if transport is not None:
+            transport.loseWriteConnection()
+
+
 class Exchange:
     """A request that was sent, and its answer.
 
@@ -184,6 +204,7 @@
     outgoing: Outgoing,
     connect_seconds: float,
     may_send: Callable[[], bool],
+    on_sent: Callable[[OpenRequest], None],
 ) -> Result[Exchange, SendFault]:
     """Connect, send a request and wait for the head of its answer.
 
@@ -197,6 +218,8 @@
         Seconds for the connection to come up.
     may_send
         Asked in the turn of the event loop that writes the first byte.
+    on_sent
+        Called with the request once its bytes are written.
     """
     connected = await _connect(outgoing.host, outgoing.port, connect_seconds)
     if isinstance(connected, Failure):
@@ -205,7 +228,7 @@
     if not may_send():
         protocol.transport.abortConnection()
         return Failure(SendFault.TOO_LATE)
-    return await _request(protocol, outgoing)
+    return await _request(protocol, outgoing, on_sent)
 
 
 async def is_reachable(host: str, port: int, connect_seconds: float) -> bool:
@@ -236,6 +259,7 @@
 async def _request(
     protocol: Any,
     outgoing: Outgoing,
+    on_sent: Callable[[OpenRequest], None],
 ) -> Result[Exchange, SendFault]:
     headers = Headers()
     for name, text in outgoing.headers:
@@ -247,8 +271,10 @@
         BytesBody(outgoing.body) if outgoing.body else None,
         persistent=False,
     )
+    answered = protocol.request(request)
+    on_sent(OpenRequest(protocol))
     try:
-        response: Any = await await_deferred(protocol.request(request), None)
+        response: Any = await await_deferred(answered, None)
     except Exception:
         return Failure(SendFault.BROKEN)
     return Success(Exchange(protocol, response))
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -12,6 +12,7 @@
 from waywell.connection.exchange import (
     BodySink,
     Exchange,
+    OpenRequest,
     Outgoing,
     SendFault,
     open_exchange,
@@ -161,9 +162,11 @@
         self.has_begun = False
         self._inbox = inbox
         self._task: asyncio.Task[None] | None = None
+        self._open_request: OpenRequest | None = None
         self._exchange: Exchange | None = None
         self.head: Attempt.Head | None = None
         self._is_over = False
+        self._is_released = False
 
     def start(
         self,
@@ -178,12 +181,27 @@
         self._task = asyncio.get_running_loop().create_task(work)
 
     def stop(self) -> None:
-        """Break it off; nothing more is told of it."""
+        """Break it off, unless only the head of its answer is waited for."""
+        if not self._is_released:
+            self._abort()
+
+    def release(self, seconds: float) -> None:
+        """Give up the answer, but for what its head says of the replica.
+
+        Parameters
+        ----------
+        seconds
+            For how long the head is waited for.
+        """
+        if self._open_request is None or self._exchange is not None:
+            return
+        if self._task is None or self._task.done():
+            return
         self._is_over = True
-        if self._task is not None:
-            self._task.cancel()
-        if self._exchange is not None:
-            self._exchange.abort()
+        self._is_released = True
+        self._open_request.close_write()
+        end = asyncio.get_running_loop().call_later(seconds, self._abort)
+        self._task.add_done_callback(lambda _task: end.cancel())
 
     def tell(self, message: object) -> None:
         """Put a message into the inbox, unless it was broken off."""
@@ -201,6 +219,16 @@
         self._note_mark(self, mark)
         self.tell(self.Head(self, status, headers, mark, length))
 
+    def _abort(self) -> None:
+        self._is_over = True
+        if self._task is not None:
+            self._task.cancel()
+        if self._exchange is not None:
+            self._exchange.abort()
+
+    def _keep_open_request(self, request: OpenRequest) -> None:
+        self._open_request = request
+
     async def _run(
         self,
         outgoing: Outgoing,
@@ -210,7 +238,9 @@
         if not await self._take_turn(self):
             self.tell(self.Fault(self, SendFault.NO_TURN))
             return
-        opened = await open_exchange(outgoing, CONNECT_SECONDS, may_send)
+        opened = await open_exchange(
+            outgoing, CONNECT_SECONDS, may_send, self._keep_open_request
+        )
         if isinstance(opened, Failure):
             self.tell(self.Fault(self, opened.failure()))
             return
@@ -222,6 +252,9 @@
             wire.read_mark(exchange.status, exchange.headers),
             exchange.length,
         )
+        if self._is_over:
+            exchange.abort()
+            return
         exchange.deliver(_make_reader(self, exchange, self._inbox))
 
 
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -82,13 +82,19 @@
         if attempt in self.running:
             self.running.remove(attempt)
             self._parts.running.discard(attempt)
-            attempt.stop()
             self._parts.book.note_end(attempt.replica.key)
+            attempt.stop()
 
     def drop_others(self, attempt: Attempt) -> None:
-        """Break all off but one."""
+        """Give all up but one.
+
+        A replica that is asked no more may still answer that it wants no
+        requests for a while, or that it leaves.
+        """
+        seconds = self._errand.ends_at - self._parts.clock.read()
         for other in tuple(self.running):
             if other is not attempt:
+                other.release(seconds)
                 self.drop(other)
 
     def drop_all(self) -> None:
