--- a/waywell/membership/presence.py
+++ b/waywell/membership/presence.py
@@ -18,6 +18,7 @@
     from random import Random
 
     from waywell.connection.platform import Platform, Stored
+    from waywell.connection.store_era import EraChange
     from waywell.membership.links import PeerLinks
     from waywell.membership.membership import MembershipTable
 
@@ -30,6 +31,9 @@
 FIRST_LOOKS = 8
 """Looks in quick order after the start, while all others may start as well."""
 
+SPREAD_SECONDS = 2.0
+"""Seconds over which nodes spread their writes after the store's return."""
+
 LOOK_AGAIN_SECONDS = 5.0
 """Seconds between two looks for entry boxes that this one does not know."""
 
@@ -74,6 +78,7 @@
         self._random = random
         self._listed_nodes = 0
         self._is_listed = False
+        self._wait_seconds = 0.0
 
     async def run(self) -> None:
         """Be found by others, and go on looking for those not known.
@@ -84,6 +89,8 @@
         looks = 0
         while True:
             looks += 1
+            await asyncio.sleep(self._wait_seconds)
+            self._wait_seconds = 0.0
             if not self._is_listed:
                 self._is_listed = await self._list_self()
             if self._may_look():
@@ -93,6 +100,11 @@
                 LOOK_AGAIN_SECONDS if is_settled else JOIN_SECONDS
             )
 
+    def list_again(self, _change: EraChange) -> None:
+        """Write this node again, as a copy of the store may lack it."""
+        self._is_listed = False
+        self._wait_seconds = self._random.uniform(0, SPREAD_SECONDS)
+
     async def withdraw(self, seconds: float) -> None:
         """Take this node off the platform's list, if that is done in time.
 
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -254,6 +254,7 @@
             self.settings.seeds,
             self._random,
         )
+        self.outlook.eras.listen(self.presence.list_again)
         self.feed = Feed(
             self.links,
             self.gossip,
--- a/waywell/quarantine/held_records.py
+++ b/waywell/quarantine/held_records.py
@@ -23,6 +23,7 @@
     from collections.abc import Callable
 
     from waywell.connection.platform import Changes, Stored
+    from waywell.connection.store_era import EraChange
     from waywell.knowledge.platform_watch import WatchParts
     from waywell.quarantine.quarantine import Quarantine
 
@@ -34,6 +35,9 @@
 WRITE_AGAIN_SECONDS = 1.0
 """Seconds until a write that failed is tried again, doubled each time."""
 
+SPREAD_SECONDS = 1.0
+"""Seconds over which nodes spread writes after the store's return."""
+
 MOST_WRITE_WAIT = 10.0
 """Longest wait between two tries, in seconds."""
 
@@ -82,6 +86,7 @@
         self._written: set[Fingerprint] = set()
         self._has_read = False
         quarantine.tell(self)
+        parts.outlook.eras.listen(self._write_again)
 
     def take(self, changes: Changes, asked_at: float, now: float) -> None:
         """Put the holds that are listed in force."""
@@ -110,6 +115,18 @@
             Kind.HELD_REQUEST, fresh=not self._has_read
         )
 
+    def _write_again(self, _change: EraChange) -> None:
+        """Write what a copy of the store may lack, unless it is over."""
+        self._has_read = False
+        for fingerprint in self._written:
+            hold = self._quarantine.book.held.get(fingerprint)
+            if hold is not None:
+                self.spawn(self._write_later(fingerprint, hold))
+
+    async def _write_later(self, fingerprint: Fingerprint, hold: Hold) -> None:
+        await asyncio.sleep(self._parts.draw() * SPREAD_SECONDS)
+        await self._write(fingerprint, hold)
+
     def _take_record(self, stored: Stored, now: float) -> None:
         try:
             record = msgspec.convert(stored.body, HeldRecord)
