--- a/tests/soak.py
+++ b/tests/soak.py
@@ -21,7 +21,7 @@
 import fire
 
 from tests.front_bench import WHOLE, Front
-from tests.house import KEY, Server, make_manifest
+from tests.house import KEY, Server, StoreCopy, make_manifest
 from tests.limits import KNOWN_SECONDS, count_allowed, count_most
 from tests.relay import Relay, Way
 from waywell.standins.harness import Process, wait_until
@@ -82,6 +82,19 @@
 SLOW_SECONDS = (0.05, 0.6)
 """Least and most seconds by which a relay or the store delays."""
 
+RETURN_SHARE = 0.15
+"""Part of the steps in which the store comes back from an older copy, in runs
+that have such returns."""
+
+COPIES = 6
+"""Copies of the last steps, each of which the store may come back from."""
+
+WRITTEN_AGAIN_WITHIN = (0.1, 2.0)
+"""Least and most seconds until operators and servers have written again."""
+
+LAPSE_SECONDS = 4.0
+"""After the store's return, until entries that no server renews lapse."""
+
 REFUSALS = (429, 503)
 """HTTP statuses with which the store turns a call away."""
 
@@ -134,11 +147,19 @@
         threads take turns by chance, so no seed would repeat a run exactly.
     folder
         Folder for settings and logs.
+    return_share
+        Part of the steps in which the store comes back from an older copy.
     """
 
-    def __init__(self, seed: int, folder: Path) -> None:
+    def __init__(
+        self, seed: int, folder: Path, return_share: float = 0.0
+    ) -> None:
         """Start everything."""
         self.random = random.Random(seed)
+        self._returns = random.Random(seed + 3)
+        self._return_share = return_share
+        self._copies: list[StoreCopy] = []
+        self._manifest = make_manifest()
         # The seeds that ever failed go on to draw the faults that they drew.
         self._wishes = random.Random(seed + 1)
         self._naming = random.Random(seed + 2)
@@ -210,6 +231,7 @@
         while time.monotonic() < ends_at:
             self._ask_wish()
             self._name_limit()
+            healing.extend(self._return_store())
             heal = self.random.choice(faults)()
             if heal is not None:
                 timer = threading.Timer(
@@ -221,6 +243,37 @@
         for timer in healing:
             timer.join()
 
+    def _return_store(self) -> list[threading.Timer]:
+        """Let the store come back from a copy; return what is done later."""
+        if not self._return_share:
+            return []
+        self._copies = [*self._copies, self.front.store.take_copy()][-COPIES:]
+        if self._returns.random() >= self._return_share:
+            return []
+        kept = self._returns.randrange(len(self._copies)) + 1
+        self._copies = self._copies[:kept]
+        self.front.store.go_back(self._copies[-1])
+        later = [(LAPSE_SECONDS, self._let_entries_lapse)]
+        for write in (
+            self._write_routes,
+            *(server.write_entry for server in self.front.servers.values()),
+        ):
+            later.append((self._returns.uniform(*WRITTEN_AGAIN_WITHIN), write))
+        timers = [threading.Timer(*one) for one in later]
+        for timer in timers:
+            timer.start()
+        return timers
+
+    def _let_entries_lapse(self) -> None:
+        """Remove what the copy shows of servers that are gone."""
+        store = self.front.store
+        for name in store.list_names('servers') - self.front.servers.keys():
+            with contextlib.suppress(KeyError):
+                store.remove('servers', name)
+
+    def _write_routes(self) -> None:
+        self.front.store.put('config', 'main', self._manifest)
+
     def _pick(self) -> tuple[str, Process]:
         return self.random.choice(sorted(self.fronts.items()))
 
@@ -378,9 +431,8 @@
         self._version += 1
         keys = [] if self._removed_at < time.monotonic() else [KEY]
         tenants = [{'name': 'shop', 'api_keys': ['another', *keys]}]
-        self.front.store.put(
-            'config', 'main', make_manifest(self._version, tenants=tenants)
-        )
+        self._manifest = make_manifest(self._version, tenants=tenants)
+        self._write_routes()
 
     def _remove_key(self) -> None:
         if self._version > VERSIONS_WITH_KEY:
@@ -528,10 +580,12 @@
             self.broken.append(f'{attempt}: ran twice')
 
 
-def play_seed(seed: int, seconds: float) -> list[str]:
+def play_seed(
+    seed: int, seconds: float, return_share: float = 0.0
+) -> list[str]:
     """Play one seed; keep its folder only where a promise was broken."""
     folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-    soak = Soak(seed, folder)
+    soak = Soak(seed, folder, return_share)
     broken = soak.run(seconds)
     print(f'seed={seed} ends={dict(soak.ends)} broken={broken or "none"}')  # noqa: T201
     if broken:
@@ -541,12 +595,18 @@
     return broken
 
 
-def main(seeds: int = 50, first: int = 1, seconds: float = 20.0) -> None:
+def main(
+    seeds: int = 50,
+    first: int = 1,
+    seconds: float = 20.0,
+    returns: bool = False,
+) -> None:
     """Play many seeds and tell which broke a promise."""
+    return_share = RETURN_SHARE if returns else 0.0
     failed = [
         seed
         for seed in range(first, first + seeds)
-        if play_seed(seed, seconds)
+        if play_seed(seed, seconds, return_share)
     ]
     print(f'{seeds} seeds, failed: {failed or "none"}')  # noqa: T201
 
