--- a/tests/test_restored_entries.py
+++ b/tests/test_restored_entries.py
@@ -54,7 +54,7 @@
 
 def test_an_ended_incarnation_does_not_begin_again() -> None:
     bench = make_restarted()
-    bench.outlook.note_restored(3.0)
+    bench.outlook.begin_recovery(3.0)
     assert bench.list(3.1, make_run('a', 1))['a'].incarnation == 2
     # The box may be cut off from the store, until its entry lapses.
     later = 3.0 + COPY_SECONDS - 0.1
@@ -66,15 +66,15 @@
     None
 ):
     bench = make_restarted()
-    bench.outlook.note_restored(3.0)
-    bench.outlook.note_restored(9.0)
+    bench.outlook.begin_recovery(3.0)
+    bench.outlook.begin_recovery(9.0)
     later = 9.0 + COPY_SECONDS - 0.1
     assert bench.list(later, make_run('a', 1))['a'].incarnation == 2
 
 
 def test_a_box_that_restarts_after_the_return_has_a_new_incarnation() -> None:
     bench = make_restarted()
-    bench.outlook.note_restored(3.0)
+    bench.outlook.begin_recovery(3.0)
     bench.list(3.1, make_run('a', 1))
     assert bench.list(3.2, make_run('a', 3))['a'].incarnation == 3
     assert [one.life.incarnation for one in bench.ended] == [2]
@@ -83,7 +83,7 @@
 def test_an_ended_incarnation_of_a_box_that_is_gone_is_no_box() -> None:
     bench = make_restarted()
     bench.list(2.5)
-    bench.outlook.note_restored(3.0)
+    bench.outlook.begin_recovery(3.0)
     assert not bench.list(3.1, make_run('a', 1))
 
 
@@ -93,7 +93,7 @@
     leaving = msgspec.structs.replace(box, leaving=True)
     bench.list(1.0, box)
     bench.list(2.0, leaving)
-    bench.outlook.note_restored(3.0)
+    bench.outlook.begin_recovery(3.0)
     assert bench.list(3.1, box)['a'].leaving
     assert bench.list(5.0, leaving)['a'].leaving
     # The next run of the box is another one.
@@ -104,7 +104,7 @@
     bench = Bench()
     leaving = msgspec.structs.replace(make_run('b', 1), leaving=True)
     bench.list(1.0, make_run('a', 1), leaving)
-    bench.outlook.note_restored(3.0)
+    bench.outlook.begin_recovery(3.0)
     assert set(bench.list(3.1, make_run('c', 1))) == {'a', 'c'}
     later = 3.0 + REWRITE_SECONDS
     assert set(bench.list(later, make_run('c', 1))) == {'c'}
@@ -117,7 +117,7 @@
     head = msgspec.structs.replace(head, entry_number=4)
     bench.list(1.0, joining, member)
     bench.list(2.0, head, member)
-    bench.outlook.note_restored(3.0)
+    bench.outlook.begin_recovery(3.0)
     assert bench.list(3.1, joining, member)['a'].standing == head.standing
     assert not bench.outlook.lives.has_ended(GroupId('small.7'))
     # The box has left its group since, and says so.
@@ -127,7 +127,7 @@
 
 def test_a_watch_tells_which_boxes_the_store_does_not_list() -> None:
     bench = WatchBench(make_box('a'), make_box('b'))
-    bench.outlook.note_restored(3.0)
+    bench.outlook.begin_recovery(3.0)
     assert bench.list(3.1, make_box('a')) == {'a', 'b'}
     assert bench.outlook.kept == {'b'}
     assert bench.list(3.5, make_box('a'), make_box('b')) == {'a', 'b'}
@@ -138,7 +138,7 @@
     bench = FeedBench()
     bench.outlook.eras.observe(StoreEra(1))
     bench.outlook.eras.listen(
-        lambda _change: bench.outlook.note_restored(bench.clock.now)
+        lambda _change: bench.outlook.begin_recovery(bench.clock.now)
     )
     for run in (1, 2):
         bench.clock.now += 1.0
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -34,6 +34,7 @@
         self.eras.listen(self.changes.append)
         self.store = ObjectStore('127.0.0.1:1', 1.0, self.eras)
         self.answers: list[tuple[bytes, str | None]] = []
+        self.status = 200
         monkeypatch.setattr(HttpCalls, 'call', self._call)
 
     def list(self, *answers: tuple[bytes, str | None]) -> Any:
@@ -43,7 +44,7 @@
     async def _call(self, *_words: Any, **_named: Any) -> Any:
         raw, era = self.answers.pop(0)
         headers = Headers({} if era is None else {'store-era': [era]})
-        return Success(CallAnswer(200, raw, headers))
+        return Success(CallAnswer(self.status, raw, headers))
 
 
 @pytest.fixture
@@ -76,6 +77,13 @@
     assert [change.era for change in store.changes] == [UNTOLD_ERA, 0]
 
 
+def test_a_call_that_is_turned_away_tells_no_era(store: Store) -> None:
+    store.list((PAGE, '3'))
+    store.status = 503
+    assert store.list((b'', None)) == Failure(PlatformFault.REFUSED)
+    assert store.eras.current == 3
+
+
 def test_pages_of_two_eras_are_no_list(store: Store) -> None:
     outcome = store.list((MORE, '3'), (PAGE, '4'))
     assert outcome == Failure(PlatformFault.FORMER_ERA)
--- a/waywell/knowledge/outlook.py
+++ b/waywell/knowledge/outlook.py
@@ -95,8 +95,8 @@
         """
         self._confirmed_at = max(self._confirmed_at, asked_at)
 
-    def note_restored(self, now: float) -> None:
-        """Take in that the store has come back from an older copy."""
+    def begin_recovery(self, now: float) -> None:
+        """Hold what is known of boxes against a store that has come back."""
         self.restored.begin(now)
 
     def update_fleet(self, fleet: Fleet, asked_at: float, now: float) -> bool:
--- a/waywell/platform/store.py
+++ b/waywell/platform/store.py
@@ -73,6 +73,16 @@
     },
 )
 
+_REFUSALS = frozenset(
+    (
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.BAD_GATEWAY,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.GATEWAY_TIMEOUT,
+    ),
+)
+"""HTTP statuses of calls that were turned away, with no content."""
+
 BodyDecoder = Callable[[str, Any], Any]
 """Turns the name and the plain body of an object into the project's type."""
 
@@ -242,6 +252,9 @@
         answer: CallAnswer,
     ) -> Result[CallAnswer, PlatformFault]:
         era = _read_era(answer.find_header(ERA_HEADER))
+        if era == UNTOLD_ERA and answer.status in _REFUSALS:
+            # What turned the call away need not be the store itself.
+            return Success(answer)
         if self._eras.observe(era):
             return Success(answer)
         return Failure(PlatformFault.FORMER_ERA)
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -105,7 +105,7 @@
         self.backpressure = Backpressure()
         self.outlook.listen_for_ends(self.backpressure.forget_ended)
         adapter.eras.listen(
-            lambda _change: self.outlook.note_restored(self.clock.read())
+            lambda _change: self.outlook.begin_recovery(self.clock.read())
         )
         self.loads = SharedLoads()
         self.demand = DemandGauge()
