--- a/tests/soak.py
+++ b/tests/soak.py
@@ -518,7 +518,10 @@
         runs: Counter[str] = Counter()
         for server in (*self.front.servers.values(), *self.front.gone):
             for run in list(server.runs):
-                attempt = run['X-Request-Attempt-Id']
+                attempt = run.get('X-Request-Attempt-Id', '')
+                if not attempt:
+                    self.broken.append(f'{server.name} ran without id: {run}')
+                    continue
                 runs[attempt] += 1
                 if 'X-Model' not in run and runs[attempt] > 1:
                     self._note_second(attempt, run)
