--- /dev/null
+++ b/tests/test_started_after_return.py
@@ -0,0 +1,36 @@
+"""A node that starts just after the store came back from an older copy.
+
+It reads the earlier version of the routes and serves keys by it, though other
+nodes know a later version from which they were removed.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from tests.house import KEY, make_manifest
+from waywell.standins.harness import wait_until
+
+if TYPE_CHECKING:
+    from tests.front_bench import Front
+
+
+def test_a_node_that_starts_serves_no_key_that_others_know_to_be_removed(
+    front: Front,
+) -> None:
+    first = front.start()
+    front.wait_serving(first)
+    copy = front.store.take_copy()
+    tenants = [{'name': 'shop', 'api_keys': ['another']}]
+    front.store.put('config', 'main', make_manifest(2, tenants=tenants))
+
+    def has_removed() -> bool:
+        _status, raw = front.get(first, 'metrics_port', '/v1/status')
+        return bool(json.loads(raw)['routes_version'] == 2)
+
+    wait_until(has_removed, 'the version without the key')
+    front.store.go_back(copy)
+    second = front.start('front-2')
+    wait_until(lambda: front.is_ready(second), 'the second node')
+    assert front.ask(second, '/stock/1', key=KEY)[0] != 200
