Log which boxes a node can't connect to, and who told what it believes

The logs of the incident could not tell the hypotheses apart: which replicas a node reached at a moment, and whether a doubt or a crash that it believed came from a node without links to replicas.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -215,6 +215,7 @@
             fingerprint,
             lambda _attempt, _mark: None,
             AsyncMock(return_value=True),
+            lambda _is_connected: None,
         )
         for number, (inbox, fingerprint) in enumerate(
             zip(inboxes, (DEADLY, DEADLY, OTHER), strict=True)
--- a/waywell/health/doubts.py
+++ b/waywell/health/doubts.py
@@ -125,7 +125,15 @@
         if not self._is_news(key, now):
             return
         self._links.pass_on(word, received.node)
-        if now - self._book.get(key).heard_at > RECENT_SECONDS:
+        is_believed = now - self._book.get(key).heard_at > RECENT_SECONDS
+        log_event(
+            'doubt_received',
+            group=word.group,
+            box=word.box,
+            sender=received.node,
+            believed=is_believed,
+        )
+        if is_believed:
             self._book.note_failure(key, now)
         self._begin(key, word.group, now)
 
--- /dev/null
+++ b/waywell/health/reachability.py
@@ -0,0 +1,77 @@
+"""Latest outcome of this node's own connections to each box."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import attrs
+
+from waywell.telemetry.events import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from waywell.ids import ServiceName
+    from waywell.version.fleet import BoxLife, FleetBox
+
+RECENT_SECONDS = 2.0
+"""Age, in seconds, beyond which an outcome says nothing any more."""
+
+
+@attrs.frozen
+class ConnectOutcome:
+    """Outcome of the latest attempt to connect to a box."""
+
+    service: ServiceName
+    """Service that the box answers for."""
+
+    is_connected: bool
+    """Whether the connection came up."""
+
+    at: float
+    """When the attempt ended, in seconds."""
+
+
+class ReachabilityTable:
+    """Keeps one outcome for each incarnation of a box."""
+
+    def __init__(self) -> None:
+        """Start without outcomes."""
+        self._outcomes: dict[BoxLife, ConnectOutcome] = {}
+
+    def record(self, box: FleetBox, now: float, *, is_connected: bool) -> None:
+        """Record how an attempt to connect to a box ended.
+
+        Parameters
+        ----------
+        box
+            The box.
+        now
+            The present time, in seconds.
+        is_connected
+            Whether the connection came up.
+        """
+        known = self._outcomes.get(box.life)
+        was_connected = known is None or known.is_connected
+        self._outcomes[box.life] = ConnectOutcome(
+            box.service, is_connected, now
+        )
+        if is_connected != was_connected:
+            event = 'box_reachable' if is_connected else 'box_unreachable'
+            log_event(event, box=box.box, service=box.service)
+
+    def count_unreachable(self, now: float) -> dict[str, float]:
+        """Return by service how many boxes recently refused a connection."""
+        counts: Counter[str] = Counter(
+            outcome.service
+            for outcome in self._outcomes.values()
+            if not outcome.is_connected and now - outcome.at < RECENT_SECONDS
+        )
+        return {service: float(count) for service, count in counts.items()}
+
+    def retain(self, lives: Iterable[BoxLife]) -> None:
+        """Evict the outcomes of all boxes but some."""
+        present = set(lives)
+        for life in self._outcomes.keys() - present:
+            self._outcomes.pop(life)
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -13,6 +13,7 @@
 from waywell.connection.peer import FrontWire
 from waywell.duties.forming import FormingDuty
 from waywell.health.doubts import DoubtListeners, Doubts
+from waywell.health.reachability import ReachabilityTable
 from waywell.ids import GroupId, HallName, Incarnation, NodeId
 from waywell.knowledge.feed import Feed
 from waywell.knowledge.fleet_watch import FleetWatch
@@ -102,6 +103,7 @@
         self.metrics = Metrics()
         self.outlook = Outlook(settings.promises, adapter.eras)
         self.book = ReplicaBook()
+        self.reachability = ReachabilityTable()
         self.backpressure = Backpressure()
         self.outlook.listen_for_ends(self.backpressure.forget_ended)
         adapter.eras.listen(
@@ -347,6 +349,7 @@
                     self.turns.get_limit,
                 ),
                 book=self.book,
+                reachability=self.reachability,
                 budget=self.budget,
                 clock=self.clock,
                 draw=self._random.random,
@@ -475,3 +478,6 @@
         if self.outlook.fleet_serial != self._tended_serial:
             self._tended_serial = self.outlook.fleet_serial
             self.book.forget_others(self.outlook.list_keys())
+            self.reachability.retain(
+                box.life for box in self.outlook.fleet.boxes.values()
+            )
--- a/waywell/quarantine/quarantine.py
+++ b/waywell/quarantine/quarantine.py
@@ -297,7 +297,10 @@
         if isinstance(word, ReplicaEnded):
             key = ReplicaKey(word.box, word.epoch, word.incarnation)
             runs = {run.fingerprint: run.has_begun for run in word.runs}
-            return self._note_end(key, runs, now - word.age)
+            is_news = self._note_end(key, runs, now - word.age)
+            if is_news:
+                log_event('end_received', box=word.box, requests=len(runs))
+            return is_news
         if isinstance(word, RequestHeld):
             hold = Hold(word.crashes, now - word.age)
             return self.book.note_told(word.fingerprint, hold)
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -94,6 +94,8 @@
         for it any more.
     take_turn
         Returns whether the attempt has a turn at its replica.
+    note_connect
+        Takes in whether the connection came up.
     """
 
     class Head(msgspec.Struct, frozen=True):
@@ -149,9 +151,11 @@
         fingerprint: Fingerprint,
         note_mark: Callable[[Attempt, AnswerMark], None],
         take_turn: Callable[[Attempt], Awaitable[bool]],
+        note_connect: Callable[[bool], None],
     ) -> None:
         """Send nothing yet."""
         self._note_mark = note_mark
+        self._note_connect = note_connect
         self._take_turn = take_turn
         self.replica = replica
         self.fingerprint = fingerprint
@@ -227,6 +231,7 @@
             self._exchange.abort()
 
     def _keep_open_request(self, request: OpenRequest) -> None:
+        self._note_connect(True)  # noqa: WPS425
         self._open_request = request
 
     async def _run(
@@ -242,6 +247,8 @@
             outgoing, CONNECT_SECONDS, may_send, self._keep_open_request
         )
         if isinstance(opened, Failure):
+            if opened.failure() is SendFault.NOT_SENT:
+                self._note_connect(False)  # noqa: WPS425
             self.tell(self.Fault(self, opened.failure()))
             return
         exchange = opened.unwrap()
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -211,6 +211,11 @@
             errand.fingerprint,
             self._note_mark,
             self._take_turn,
+            lambda is_connected: self._parts.reachability.record(
+                replica.head,
+                self._parts.clock.read(),
+                is_connected=is_connected,
+            ),
         )
         self.running.append(attempt)
         self._parts.running.add(attempt)
--- a/waywell/request/errand.py
+++ b/waywell/request/errand.py
@@ -9,6 +9,7 @@
 import attrs
 
 from waywell.connection.wire import Wire
+from waywell.health.reachability import ReachabilityTable
 from waywell.ids import Fingerprint, ServiceName
 from waywell.knowledge.outlook import Outlook
 from waywell.process.clock import Clock
@@ -95,6 +96,9 @@
     turns: TurnSource
     """Knows the limits of replicas."""
 
+    reachability: ReachabilityTable = attrs.Factory(ReachabilityTable)
+    """How this node's connections to boxes ended."""
+
     pauses: PauseGauge = attrs.Factory(PauseGauge)
     """Pauses between events that are usual."""
 
--- a/waywell/telemetry/front_gauges.py
+++ b/waywell/telemetry/front_gauges.py
@@ -80,6 +80,12 @@
             'part',
             self._count_turns,
         )
+        show(
+            'waywell_unreachable_boxes',
+            'Boxes that recently refused this node a connection, by service.',
+            'service',
+            self._count_unreachable,
+        )
         show(
             'waywell_store_era',
             'Era of the store, and the changes of it that this node saw.',
@@ -87,6 +93,10 @@
             self._read_era,
         )
 
+    def _count_unreachable(self) -> Mapping[str, float]:
+        node = self._node
+        return node.reachability.count_unreachable(node.clock.read())
+
     def _read_era(self) -> Mapping[str, float]:
         eras = self._node.outlook.eras
         return {'era': eras.current, 'changes': eras.changes}
