Test that a node without links to replicas serves its callers, and harms no other

All fail on this code: 503 in place of 200 where links are reset, hang or live on while new ones are refused; the node stays on the address list and keeps the duty of forming groups; streams that run when the links go end cut.

The relays of the tests can refuse new connections, or let them hang, while those that stand go on.

--- a/tests/front_bench.py
+++ b/tests/front_bench.py
@@ -52,6 +52,7 @@
         self,
         name: str = 'front-1',
         store: str = '',
+        hall: str = 'hall-a',
         **promises: float,
     ) -> Process:
         """Start a front daemon, with other promises where they are given.
@@ -61,7 +62,7 @@
         lines = [
             '[node]',
             f'name = "{name}"',
-            'hall = "hall-a"',
+            f'hall = "{hall}"',
             *(
                 f'{port} = "127.0.0.1:0"'
                 for port in ('callers', 'readiness', 'directory', 'peers')
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -13,6 +13,10 @@
 """Makes a close of a socket a reset."""
 
 
+FILL_SECONDS = 0.2
+"""After which a connection that does not stand met a full queue."""
+
+
 class Way(enum.Enum):
     """Direction in which a piece goes."""
 
@@ -32,15 +36,18 @@
 
     def __init__(self, target: int = 0) -> None:
         """Listen; forward to a port, or to a free one that is to be used."""
-        self._socket = socket.create_server(('127.0.0.1', 0))
-        self.port = self._socket.getsockname()[1]
+        # Only a port that is named is kept while nothing listens on it.
+        self.port = reserve_port()
+        self._socket = socket.create_server(('127.0.0.1', self.port))
         self.target = target or reserve_port()
         self.is_cut = False
         self.delay = 0.0
         self._silenced: set[Way] = set()
         self._changed = threading.Condition()
         self._open: set[socket.socket] = set()
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._is_listening = True
+        self._unaccepted: list[socket.socket] = []
+        self._accepting = self._start_accepting()
 
     def cut(self) -> None:
         """Break all connections and let none stand."""
@@ -58,6 +65,20 @@
                 )
                 connection.shutdown(socket.SHUT_RD)
 
+    def refuse_new(self) -> None:
+        """Refuse new connections; what stands goes on."""
+        self._is_listening = False
+        self._socket.shutdown(socket.SHUT_RDWR)
+        self._accepting.join()
+
+    def stall_new(self) -> None:
+        """Let new connections neither stand nor fail; what stands goes on."""
+        self.refuse_new()
+        # A queue without room drops the packets that open a connection.
+        self._socket.listen(0)
+        while self._add_unaccepted():
+            continue
+
     def silence(self, *ways: Way) -> None:
         """Hold what goes in some directions."""
         with self._changed:
@@ -70,14 +91,45 @@
         with self._changed:
             self._silenced.clear()
             self._changed.notify_all()
+        if not self._is_listening:
+            self._listen_again()
 
     def close(self) -> None:
         """Forward nothing any more."""
         self.cut()
         self.mend()
         self.is_cut = True
+        # Closing alone does not wake the thread that accepts.
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
 
+    def _add_unaccepted(self) -> bool:
+        """Fill the queue of connections by one; answer whether it had room."""
+        filler = socket.socket()
+        self._unaccepted.append(filler)
+        filler.settimeout(FILL_SECONDS)
+        try:
+            filler.connect(('127.0.0.1', self.port))
+        except TimeoutError:
+            return False
+        return True
+
+    def _listen_again(self) -> None:
+        if self._unaccepted:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        for filler in self._unaccepted:
+            filler.close()
+        self._unaccepted.clear()
+        self._is_listening = True
+        self._socket.listen()
+        self._accepting = self._start_accepting()
+
+    def _start_accepting(self) -> threading.Thread:
+        thread = threading.Thread(target=self._accept, daemon=True)
+        thread.start()
+        return thread
+
     def _accept(self) -> None:
         while True:
             try:
--- /dev/null
+++ b/tests/test_partitioned_nodes.py
@@ -0,0 +1,171 @@
+"""Front daemons that have lost their links to replicas, not to each other."""
+
+from __future__ import annotations
+
+import json
+import threading
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from tests.front_bench import WHOLE, Front
+from tests.house import HOST
+from tests.replica_paths import Cut, ReplicaPaths
+from waywell.standins.harness import Process, wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+REQUESTS = 8
+"""Requests of each kind; by chance alone none goes another way."""
+
+
+class Fleet:
+    """Two nodes with links to all servers, and one whose links can be cut."""
+
+    def __init__(self, front: Front) -> None:
+        self.front = front
+        self.paths = ReplicaPaths(front)
+        # Its own hall, so that it reads the box list from the store's view.
+        self.cut = front.start('front-3', self.paths.store, 'hall-b')
+        front.wait_serving(self.cut)
+        self.sound = [front.start(f'front-{number}') for number in (1, 2)]
+        for process in self.sound:
+            front.wait_serving(process)
+        self.wait_listed(3)
+
+    def wait_listed(self, count: int) -> None:
+        """Wait until all nodes tell callers of so many."""
+        for process in (self.cut, *self.sound):
+            wait_until(
+                lambda node=process: len(self.list_addresses(node)) == count,
+                f'{count} addresses at {process.ports}',
+            )
+
+    def list_addresses(self, process: Process) -> list[str]:
+        status, raw = self.front.get(
+            process, 'directory_port', '/api/resolve?name=x&zone=hall-b'
+        )
+        return json.loads(raw)['addresses'] if status == 200 else []
+
+    def count_runs(self) -> int:
+        return len(self.front.list_runs(*self.front.servers))
+
+    def read_dump(self, process: Process) -> dict[str, Any]:
+        _status, raw = self.front.get(process, 'metrics_port', '/dump')
+        return dict(json.loads(raw))
+
+    def read_lease(self) -> str:
+        """Return the node that holds the duty of forming groups."""
+        found = self.front.store._objects['waywell-leases', 'forming']
+        return str(found['spec']['holder'])
+
+
+@pytest.fixture
+def fleet(front: Front) -> Iterator[Fleet]:
+    made = Fleet(front)
+    yield made
+    made.paths.close()
+
+
+@pytest.mark.parametrize('how', Cut)
+def test_callers_of_a_node_without_links_to_replicas_are_served(
+    fleet: Fleet, how: Cut
+) -> None:
+    front = fleet.front
+    fleet.paths.cut(how)
+    for number in range(REQUESTS):
+        before = fleet.count_runs()
+        for path, model in (('match', ''), ('stock', ''), ('notes', 'small')):
+            status, body, answer = front.ask(
+                fleet.cut, f'/{path}/{number}', model
+            )
+            assert (status, path) == (200, path)
+            assert answer.getheader('X-Replica-Stamp')
+            assert body == (WHOLE if model else b'the whole answer')
+        assert fleet.count_runs() == before + 3
+    run = front.list_runs('a1', 'a2')[-1]
+    assert run['X-Tenant'] == 'shop'
+    assert run['Host'] == HOST
+    assert 'Authorization' not in run
+    assert int(run['X-Deadline-Ms']) <= 8000
+    fleet.paths.mend()
+
+
+@pytest.mark.parametrize('how', Cut)
+def test_callers_are_told_of_nodes_with_links_to_replicas_only(
+    fleet: Fleet, how: Cut
+) -> None:
+    port = fleet.cut.ports['caller_port']
+    fleet.paths.cut(how)
+    fleet.front.ask(fleet.cut, '/stock/1')
+    fleet.wait_listed(2)
+    assert f'127.0.0.1:{port}' not in fleet.list_addresses(fleet.sound[0])
+    assert fleet.front.is_ready(fleet.cut)
+    fleet.paths.mend()
+    fleet.wait_listed(3)
+
+
+def test_a_node_serves_by_its_own_links_when_they_are_back(
+    fleet: Fleet,
+) -> None:
+    fleet.paths.cut(Cut.RESET)
+    fleet.front.ask(fleet.cut, '/stock/1')
+    fleet.wait_listed(2)
+    fleet.paths.mend()
+    fleet.wait_listed(3)
+    for process in fleet.sound:
+        process.kill()
+    assert fleet.front.ask(fleet.cut, '/stock/2')[0] == 200
+
+
+@pytest.mark.parametrize('how', Cut)
+def test_a_node_without_links_to_replicas_lets_another_form_groups(
+    fleet: Fleet, how: Cut
+) -> None:
+    assert fleet.read_lease() == 'front-3'
+    fleet.paths.cut(how)
+    fleet.front.ask(fleet.cut, '/notes/1', 'small')
+    wait_until(
+        lambda: fleet.read_lease() in {'front-1', 'front-2'},
+        'another holder of the duty',
+    )
+    assert len(fleet.front.list_heads()) == 2
+    assert not fleet.front.store.broken
+
+
+@pytest.mark.parametrize('how', [Cut.RESET, Cut.HANG])
+def test_streams_cut_at_one_node_take_no_replica_from_the_others(
+    fleet: Fleet, how: Cut
+) -> None:
+    front = fleet.front
+    servers = front.servers.values()
+    for server in servers:
+        server.goes_on.clear()
+        # A second attempt beside a silent one waits as well.
+        server.script.extend(['wait-3'] * 4)
+    answers: list[tuple[int, bytes]] = []
+
+    def ask(number: int) -> None:
+        status, body, _answer = front.ask(
+            fleet.cut, f'/notes/{number}', 'small'
+        )
+        answers.append((status, body))
+
+    callers = [threading.Thread(target=ask, args=(one,)) for one in range(2)]
+    for caller in callers:
+        caller.start()
+    wait_until(
+        lambda: len(front.list_runs('m1', 'm2', 'm3', 'm4')) >= 2,
+        'streams that run',
+    )
+    fleet.paths.cut(how)
+    for server in servers:
+        server.script.clear()
+    for caller in callers:
+        caller.join()
+    assert answers == [(200, WHOLE)] * 2
+    for process in (*fleet.sound, fleet.cut):
+        assert fleet.read_dump(process)['quarantine']['ends'] == 0
+    for server in servers:
+        server.goes_on.set()
--- a/waywell/health/reachability.py
+++ b/waywell/health/reachability.py
@@ -7,12 +7,12 @@
 
 import attrs
 
+from waywell.ids import ServiceName
 from waywell.telemetry.events import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from waywell.ids import ServiceName
     from waywell.version.fleet import BoxLife, FleetBox
 
 RECENT_SECONDS = 2.0
