--- a/tests/forwarder_stage.py
+++ b/tests/forwarder_stage.py
@@ -139,8 +139,6 @@
     def note_start(
         self,
         attempt: Attempt,
-        _outgoing: object,
-        _wire: object,
         may_send: Any,
         now: float,
     ) -> None:
@@ -155,7 +153,7 @@
     def _has_turn(self, attempt: Attempt) -> bool:
         """Take a turn as an attempt does; the node deals all itself."""
         try:
-            attempt._take_turn(attempt).send(None)
+            attempt.destination.take_turn().send(None)
         except StopIteration as end:
             return bool(end.value)
         raise AssertionError('the node asked another one')
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -178,7 +178,7 @@
         await stage.head(first, status=503, mark=REST)
         (_first, second) = stage.attempts
         # Another request got the wish of the second one meanwhile.
-        second._note_mark(second, REST)
+        second.destination.on_mark(REST, second.sent_at, stage.clock.now)
         assert not stage.may_send()
         second.tell(Attempt.Fault(second, SendFault.TOO_LATE))
         await stage.settle()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from typing import Any
-from unittest.mock import AsyncMock
+from unittest.mock import Mock
 
 import msgspec
 import pytest
@@ -209,13 +209,11 @@
     inboxes = [Inbox() for _attempt in range(3)]
     attempts = [
         Attempt(
-            make_replica(f'r{number}'),
+            Mock(replica=make_replica(f'r{number}')),
             1,
             inbox,
             fingerprint,
-            lambda _attempt, _mark: None,
-            AsyncMock(return_value=True),
-            lambda _is_connected: None,
+            bench.clock,
         )
         for number, (inbox, fingerprint) in enumerate(
             zip(inboxes, (DEADLY, DEADLY, OTHER), strict=True)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -228,7 +228,7 @@
         await stage.begin()
         (attempt,) = stage.attempts
         # Another request was answered with the limit meanwhile.
-        attempt._note_mark(attempt, LIMITED)
+        attempt.destination.on_mark(LIMITED, attempt.sent_at, stage.clock.now)
         assert not stage.may_send()
         attempt.tell(Attempt.Fault(attempt, SendFault.TOO_LATE))
         await stage.settle()
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -22,11 +22,11 @@
 from waywell.request.stream_events import EventCutter, StreamEvent
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable
 
-    from waywell.connection.wire import Wire
     from waywell.ids import Fingerprint
-    from waywell.request.turn_source import Turn
+    from waywell.process.clock import Clock
+    from waywell.request.destination import Destination
     from waywell.version.fleet import Replica
 
 CONNECT_SECONDS = 0.15
@@ -77,11 +77,11 @@
 
 
 class Attempt:
-    """Sends a request to one replica.
+    """Sends a request to one destination.
 
     Parameters
     ----------
-    replica
+    destination
         Where it goes.
     number
         Place among the attempts at the request, from 1.
@@ -89,13 +89,8 @@
         Where what comes is put.
     fingerprint
         What tells the request again.
-    note_mark
-        Takes in what the replica says of its answer, also where nobody waits
-        for it any more.
-    take_turn
-        Returns whether the attempt has a turn at its replica.
-    note_connect
-        Takes in whether the connection came up.
+    clock
+        Where the time is read.
     """
 
     class Head(msgspec.Struct, frozen=True):
@@ -145,25 +140,20 @@
 
     def __init__(
         self,
-        replica: Replica,
+        destination: Destination,
         number: int,
         inbox: Inbox,
         fingerprint: Fingerprint,
-        note_mark: Callable[[Attempt, AnswerMark], None],
-        take_turn: Callable[[Attempt], Awaitable[bool]],
-        note_connect: Callable[[bool], None],
+        clock: Clock,
     ) -> None:
         """Send nothing yet."""
-        self._note_mark = note_mark
-        self._note_connect = note_connect
-        self._take_turn = take_turn
-        self.replica = replica
+        self.destination = destination
         self.fingerprint = fingerprint
         self.number = number
         self.started_at = 0.0
         self.sent_at = 0.0
-        self.turn: Turn | None = None
         self.has_begun = False
+        self._clock = clock
         self._inbox = inbox
         self._task: asyncio.Task[None] | None = None
         self._open_request: OpenRequest | None = None
@@ -172,16 +162,16 @@
         self._is_over = False
         self._is_released = False
 
-    def start(
-        self,
-        outgoing: Outgoing,
-        wire: Wire,
-        may_send: Callable[[], bool],
-        now: float,
-    ) -> None:
+    @property
+    def replica(self) -> Replica | None:
+        """Return the replica; ``None`` where a peer chooses it."""
+        return self.destination.replica
+
+    def start(self, may_send: Callable[[], bool], now: float) -> None:
         """Begin to send."""
         self.started_at = now
-        work = self._run(outgoing, wire, may_send)
+        outgoing = self.destination.make_outgoing(now)
+        work = self._run(outgoing, may_send)
         self._task = asyncio.get_running_loop().create_task(work)
 
     def stop(self) -> None:
@@ -220,7 +210,7 @@
         length: int | None,
     ) -> None:
         """Take in the head of the answer, and tell it."""
-        self._note_mark(self, mark)
+        self.destination.on_mark(mark, self.sent_at, self._clock.read())
         self.tell(self.Head(self, status, headers, mark, length))
 
     def _abort(self) -> None:
@@ -231,16 +221,15 @@
             self._exchange.abort()
 
     def _keep_open_request(self, request: OpenRequest) -> None:
-        self._note_connect(True)  # noqa: WPS425
+        self.destination.on_connected(self._clock.read())
         self._open_request = request
 
     async def _run(
         self,
         outgoing: Outgoing,
-        wire: Wire,
         may_send: Callable[[], bool],
     ) -> None:
-        if not await self._take_turn(self):
+        if not await self.destination.take_turn():
             self.tell(self.Fault(self, SendFault.NO_TURN))
             return
         opened = await open_exchange(
@@ -248,7 +237,7 @@
         )
         if isinstance(opened, Failure):
             if opened.failure() is SendFault.NOT_SENT:
-                self._note_connect(False)  # noqa: WPS425
+                self.destination.on_unreachable(self._clock.read())
             self.tell(self.Fault(self, opened.failure()))
             return
         exchange = opened.unwrap()
@@ -256,7 +245,7 @@
         self.take_head(
             exchange.status,
             exchange.headers,
-            wire.read_mark(exchange.status, exchange.headers),
+            self.destination.read_mark(exchange.status, exchange.headers),
             exchange.length,
         )
         if self._is_over:
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -5,15 +5,13 @@
 from typing import TYPE_CHECKING
 
 from waywell.codes import Code, Refusal
-from waywell.connection.exchange import Outgoing
-from waywell.request.ask import Delivery
 from waywell.request.attempt import Attempt, Inbox
+from waywell.request.destination import Destination, ReplicaDestination
 from waywell.request.lack import Lack, explain_lack
 from waywell.request.patience import measure_patience
 from waywell.telemetry.events import log_event
 
 if TYPE_CHECKING:
-    from waywell.request.ask import AnswerMark
     from waywell.request.errand import Errand, ForwarderParts
     from waywell.version.fleet import Replica
 
@@ -52,10 +50,10 @@
     def start(self) -> bool:
         """Start an attempt at the best replica left; answer whether so."""
         now = self._parts.clock.read()
-        replica = self._choose(now) if self._may_risk(0, now) else None
-        if replica is None:
+        destination = self._choose(now) if self._may_risk(0, now) else None
+        if destination is None:
             return False
-        self._send(replica, now)
+        self._send(destination, now)
         return True
 
     def start_paid(self, now: float, beside: int = 0) -> bool:
@@ -70,11 +68,11 @@
         """
         if not self.has_sends_left() or not self._may_risk(beside, now):
             return False
-        replica = self._choose(now)
+        destination = self._choose(now)
         # Nothing is paid for an attempt that no replica is left for.
-        if replica is None or not self._spend(now):
+        if destination is None or not self._spend(now):
             return False
-        self._send(replica, now)
+        self._send(destination, now)
         return True
 
     def drop(self, attempt: Attempt) -> None:
@@ -82,7 +80,8 @@
         if attempt in self.running:
             self.running.remove(attempt)
             self._parts.running.discard(attempt)
-            self._parts.book.note_end(attempt.replica.key)
+            destination = attempt.destination
+            destination.book.note_end(destination.key)
             attempt.stop()
 
     def drop_others(self, attempt: Attempt) -> None:
@@ -118,7 +117,8 @@
     def get_hedge_at(self) -> float:
         """Return when the one attempt has been silent for too long."""
         attempt = self.running[0]
-        heard_at = self._parts.book.get(attempt.replica.key).heard_at
+        destination = attempt.destination
+        heard_at = destination.book.get(destination.key).heard_at
         if attempt.has_begun:
             return heard_at + self.patience.gap
         return attempt.started_at + self.patience.first
@@ -131,16 +131,17 @@
             self.log('hedged', attempt, now)
             return
         attempt.started_at = now
-        self._parts.book.get(attempt.replica.key).heard_at = now
+        destination = attempt.destination
+        destination.book.get(destination.key).heard_at = now
 
     def note_silence(self, now: float) -> None:
         """Let a replica rest from which nothing at all comes any more."""
-        book = self._parts.book
         for attempt in self.running:
-            key = attempt.replica.key
+            destination = attempt.destination
+            book, key = destination.book, destination.key
             if book.is_silent(key, self.patience.gap, now):
                 book.note_failure(key, now)
-                self._parts.raise_doubt(attempt.replica)
+                destination.on_silent()
                 self.log('silent', attempt, now)
 
     def check_unsent(self, now: float) -> None:
@@ -179,8 +180,7 @@
             fingerprint=errand.fingerprint,
             route=errand.route.name,
             attempt=attempt.number,
-            box=attempt.replica.key.box,
-            group=attempt.replica.group,
+            **attempt.destination.describe(),
             last_event=errand.last_event,
             routes_age=outlook.get_routes_age(now),
             boxes_age=outlook.get_boxes_age(now),
@@ -201,35 +201,24 @@
             self._errand.rejections,
         )
 
-    def _send(self, replica: Replica, now: float) -> None:
+    def _send(self, destination: Destination, now: float) -> None:
         errand = self._errand
-        errand.tried |= {replica.key}
+        errand.tried |= {destination.key}
         attempt = Attempt(
-            replica,
+            destination,
             len(errand.tried),
             self._inbox,
             errand.fingerprint,
-            self._note_mark,
-            self._take_turn,
-            lambda is_connected: self._parts.reachability.record(
-                replica.head,
-                self._parts.clock.read(),
-                is_connected=is_connected,
-            ),
+            self._parts.clock,
         )
         self.running.append(attempt)
         self._parts.running.add(attempt)
-        record = self._parts.book.get(replica.key)
+        record = destination.book.get(destination.key)
         if not record.in_flight:
             # Silence is counted from when it has work.
             record.heard_at = now
-        self._parts.book.note_start(replica.key)
-        attempt.start(
-            self._make_outgoing(replica, now),
-            self._parts.wire,
-            lambda: self._may_send(attempt),
-            now,
-        )
+        destination.book.note_start(destination.key)
+        attempt.start(lambda: self._may_send(attempt), now)
         rests = round(max(0.0, record.rests_until - now), 3)
         self.log(
             'attempt',
@@ -237,7 +226,7 @@
             now,
             load=record.in_flight,
             rests=rests,
-            limit=self._parts.turns.get_limit(replica.key.life),
+            limit=self._parts.turns.get_limit(destination.key.life),
         )
 
     def _list_replicas(self) -> list[Replica]:
@@ -246,37 +235,21 @@
             errand.service, errand.ask.model
         )
 
-    def _choose(self, now: float) -> Replica | None:
+    def _choose(self, now: float) -> Destination | None:
         # A replica that has asked for rest, or has no turn, is no last resort.
         replicas = self._parts.backpressure.list_open(
             self._list_replicas(), now
         )
         missed = self._errand.turns_missed
-        return self._parts.chooser.choose(
+        replica = self._parts.chooser.choose(
             self._parts.turns.list_open(replicas, missed, now),
             self._errand.tried,
             self._parts.book,
             now,
         )
-
-    def _note_mark(self, attempt: Attempt, mark: AnswerMark) -> None:
-        now = self._parts.clock.read()
-        life = attempt.replica.key.life
-        self._parts.backpressure.note(life, mark, now)
-        if mark.limit is not None:
-            hall = attempt.replica.head.hall
-            self._parts.turns.note_answer(
-                life, hall, mark.limit, attempt.sent_at
-            )
-
-    async def _take_turn(self, attempt: Attempt) -> bool:
-        replica = attempt.replica
-        attempt.turn = await self._parts.turns.take_turn(
-            replica.key.life, replica.head.hall, self._errand.priority
-        )
-        if attempt.turn is None:
-            self._errand.turns_missed += 1
-        return attempt.turn is not None
+        if replica is None:
+            return None
+        return ReplicaDestination(self._parts, self._errand, replica)
 
     def _may_risk(self, beside: int, now: float) -> bool:
         """Answer whether the request may put one more replica at risk."""
@@ -289,51 +262,16 @@
             self._errand.service, self._parts.count_nodes(), now
         )
 
-    def _make_outgoing(self, replica: Replica, now: float) -> Outgoing:
-        errand = self._errand
-        holder = errand.holder
-        delivery = Delivery(
-            account=None if holder is None else holder.account,
-            seconds=errand.ends_at - now,
-            resume_after=errand.last_event,
-            priority=errand.priority if errand.engine else None,
-        )
-        head = replica.head
-        return Outgoing(
-            head.host,
-            head.port,
-            errand.ask.method,
-            errand.ask.target,
-            self._parts.wire.make_headers(errand.ask, delivery, head),
-            errand.ask.body,
-        )
-
     def _may_send(self, attempt: Attempt) -> bool:
         """Answer, in the turn of the write, whether it still may go out."""
         errand = self._errand
-        replica = attempt.replica
         now = self._parts.clock.read()
         if now >= errand.ends_at:
             return False
         if self._parts.guard.find_release(errand.fingerprint, now):
             return False
-        if not self._is_wanted(attempt, now):
-            return False
-        outlook = self._parts.outlook
-        if errand.holder is not None:
-            if not outlook.are_keys_fresh(now):
-                return False
-            if outlook.index.find_holder(errand.ask.key) is None:
-                return False
-        if not outlook.may_send_to(replica):
+        if not attempt.destination.may_send(now):
             return False
         attempt.sent_at = now
-        errand.sends += 1
+        errand.sends += attempt.destination.count_sends()
         return True
-
-    def _is_wanted(self, attempt: Attempt, now: float) -> bool:
-        """Answer whether the replica wants the request."""
-        life = attempt.replica.key.life
-        if not self._parts.backpressure.may_send(life, now):
-            return False
-        return self._parts.turns.may_send(life, attempt.turn, now)
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -70,7 +70,7 @@
             return
         now = self._parts.clock.read()
         self._note_pause(attempt, now)
-        self._parts.book.note_event(attempt.replica.key, now)
+        attempt.destination.book.note_event(attempt.destination.key, now)
         if not self._is_next(piece):
             # Another attempt was ahead of this one, or it skips an event.
             self._fail(attempt, now, f'event_{piece.event.number}')
@@ -97,9 +97,9 @@
             # Its body is no rest of the answer that the caller has begun.
             self._fail(attempt, now, f'status_{head.status}')
             return
-        self._parts.book.note_heard(attempt.replica.key, now)
+        attempt.destination.book.note_heard(attempt.destination.key, now)
         if head.status >= SERVER_ERROR:
-            self._parts.book.note_failure(attempt.replica.key, now)
+            _note_failure(attempt, now)
             if self._retry(attempt, now, f'status_{head.status}'):
                 return
         attempt.head = head
@@ -111,7 +111,9 @@
             return
         now = self._parts.clock.read()
         if not end.is_whole:
-            self._note_broken(attempt, is_over=False)
+            attempt.destination.on_broken(
+                has_begun=attempt.has_begun, is_over=False
+            )
             self._fail(attempt, now, 'cut')
             return
         self._attempts.drop_others(attempt)
@@ -136,11 +138,13 @@
             return
         if self._may_have_reached(fault):
             is_over = fault.fault is SendFault.REPLICA_ENDED
-            self._note_broken(attempt, is_over=is_over)
+            attempt.destination.on_broken(
+                has_begun=attempt.has_begun, is_over=is_over
+            )
             self._fail(attempt, now, fault.fault.value)
             return
         if fault.fault is SendFault.NOT_SENT:
-            self._parts.book.note_failure(attempt.replica.key, now)
+            _note_failure(attempt, now)
         self._attempts.log('not_sent', attempt, now, fault=fault.fault.value)
         self._attempts.drop(attempt)
         if self._attempts.running:
@@ -199,9 +203,9 @@
         """Go on after a replica that says that it ran nothing."""
         attempt = head.attempt
         self._errand.rejections += 1
-        self._parts.book.note_failure(attempt.replica.key, now)
+        _note_failure(attempt, now)
         if head.mark.is_misdirected:
-            self._parts.outlook.doubt(attempt.replica)
+            attempt.destination.on_misdirected()
         self._attempts.log(
             'rejected',
             attempt,
@@ -224,8 +228,9 @@
     def _note_pause(self, attempt: Attempt, now: float) -> None:
         """Note for how long a replica was silent that has work."""
         if attempt.has_begun:
-            heard_at = self._parts.book.get(attempt.replica.key).heard_at
-            self._parts.pauses.note(attempt.replica.model, now - heard_at)
+            destination = attempt.destination
+            heard_at = destination.book.get(destination.key).heard_at
+            destination.on_pause(now - heard_at)
 
     def _settle_on(self, attempt: Attempt, now: float) -> None:
         """Go on with the attempt that brought a piece, and no other."""
@@ -236,7 +241,7 @@
         expected = self._attempts.patience.expected_first
         if expected > 0 and self._errand.engine is not None:
             ratio = (now - attempt.started_at) / expected
-            self._parts.book.note_first(attempt.replica.key, ratio)
+            attempt.destination.on_first_piece(ratio)
 
     def _begin(self, head: Attempt.Head) -> None:
         if not self._errand.is_begun:
@@ -254,15 +259,6 @@
         """Return the seconds since the request arrived."""
         return self._parts.clock.read() - self._errand.arrived_at
 
-    def _note_broken(self, attempt: Attempt, *, is_over: bool) -> None:
-        """Note what ran at a replica that may have ended under it."""
-        self._parts.guard.note_broken(
-            attempt.replica,
-            self._errand.fingerprint,
-            has_begun=attempt.has_begun,
-            is_over=is_over,
-        )
-
     def _spare(self, attempt: Attempt, now: float) -> None:
         """Drop an attempt whose replica would end under it as others did."""
         if attempt.has_begun:
@@ -275,7 +271,7 @@
 
     def _fail(self, attempt: Attempt, now: float, why: str) -> None:
         """Drop an attempt that broke; go on elsewhere where that is safe."""
-        self._parts.book.note_failure(attempt.replica.key, now)
+        _note_failure(attempt, now)
         if self._retry(attempt, now, why):
             return
         self._attempts.log('failed', attempt, now, why=why)
@@ -333,3 +329,8 @@
 
 class _Answered(Exception):  # noqa: N818 - not an error: the way out
     """The request has its answer, whole or cut."""
+
+
+def _note_failure(attempt: Attempt, now: float) -> None:
+    """Let the destination of an attempt get nothing new for a while."""
+    attempt.destination.book.note_failure(attempt.destination.key, now)
--- a/waywell/request/running.py
+++ b/waywell/request/running.py
@@ -44,6 +44,8 @@
         groups = {one.standing.group for one in ended if one.standing}
         for attempt in tuple(self._attempts):
             replica = attempt.replica
+            if replica is None:
+                continue
             if replica.key.life in lives or _is_in(replica, groups):
                 fault = SendFault.REPLICA_ENDED
                 attempt.tell(Attempt.Fault(attempt, fault))
