Forward requests through a peer where the links to replicas are lost

The box kept each failed connection as a fault of that replica, tried them one after the other, and had no other way.

Two boxes in a row that take no connection now begin a diagnosis: test connections to six, and where fewer than two stand, a query to three peers. Where one of them reaches what this node does not, the node is partitioned from that service, and its requests go through peers: over their port for callers, with the time and the sends that are left. A peer that is partitioned itself refuses at once (code 2012), so there is no chain of two.

--- a/tests/test_front_channel.py
+++ b/tests/test_front_channel.py
@@ -7,7 +7,7 @@
 from twisted.internet.testing import StringTransport
 
 from waywell.codes import Code
-from waywell.connection.caller_base import CODE_HEADER
+from waywell.connection.forwarding import CODE_HEADER
 from waywell.connection.front import FrontBackend, FrontSite
 from waywell.platform.messages import ServerWire
 from waywell.request.ask import Ask
--- a/tests/test_partitioned_nodes.py
+++ b/tests/test_partitioned_nodes.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tests.front_bench import WHOLE, Front
-from tests.house import HOST
+from tests.house import HOST, make_manifest
 from tests.replica_paths import Cut, ReplicaPaths
 from waywell.standins.harness import Process, wait_until
 
@@ -20,11 +20,20 @@
 """Requests of each kind; by chance alone none goes another way."""
 
 
+def make_patient_manifest() -> dict[str, Any]:
+    """Return routes that leave a stream attempts after a few pauses."""
+    manifest = make_manifest(2)
+    for route in manifest['routes']:
+        route['max_attempts'] = 6
+    return manifest
+
+
 class Fleet:
     """Two nodes with links to all servers, and one whose links can be cut."""
 
     def __init__(self, front: Front) -> None:
         self.front = front
+        front.store.put('config', 'main', make_patient_manifest())
         self.paths = ReplicaPaths(front)
         # Its own hall, so that it reads the box list from the store's view.
         self.cut = front.start('front-3', self.paths.store, 'hall-b')
@@ -55,6 +64,15 @@
         _status, raw = self.front.get(process, 'metrics_port', '/dump')
         return dict(json.loads(raw))
 
+    def read_log(self) -> str:
+        """Return the log of the node whose links are cut."""
+        path = self.front.folder / 'front-3.log'
+        return path.read_text(encoding='utf-8')
+
+    def wait_logged(self, event: str) -> None:
+        """Wait for an event at the node whose links are cut."""
+        wait_until(lambda: f'event={event} ' in self.read_log(), event)
+
     def read_lease(self) -> str:
         """Return the node that holds the duty of forming groups."""
         found = self.front.store._objects['waywell-leases', 'forming']
@@ -134,10 +152,8 @@
     assert not fleet.front.store.broken
 
 
-@pytest.mark.parametrize('how', [Cut.RESET, Cut.HANG])
-def test_streams_cut_at_one_node_take_no_replica_from_the_others(
-    fleet: Fleet, how: Cut
-) -> None:
+def cut_streams(fleet: Fleet, how: Cut) -> list[tuple[int, bytes]]:
+    """Return the answers of streams that run when the links go."""
     front = fleet.front
     servers = front.servers.values()
     for server in servers:
@@ -164,8 +180,26 @@
         server.script.clear()
     for caller in callers:
         caller.join()
-    assert answers == [(200, WHOLE)] * 2
-    for process in (*fleet.sound, fleet.cut):
-        assert fleet.read_dump(process)['quarantine']['ends'] == 0
     for server in servers:
         server.goes_on.set()
+    return answers
+
+
+@pytest.mark.parametrize('how', [Cut.RESET, Cut.HANG])
+def test_streams_that_run_when_links_are_lost_go_on_elsewhere(
+    fleet: Fleet, how: Cut
+) -> None:
+    assert cut_streams(fleet, how) == [(200, WHOLE)] * 2
+
+
+@pytest.mark.parametrize('how', [Cut.RESET, Cut.HANG])
+def test_streams_cut_at_one_node_take_no_replica_from_the_others(
+    fleet: Fleet, how: Cut
+) -> None:
+    cut_streams(fleet, how)
+    if how is Cut.RESET:
+        fleet.wait_logged('crash_unconfirmed')
+    fleet.wait_listed(2)
+    for process in (*fleet.sound, fleet.cut):
+        assert fleet.read_dump(process)['quarantine']['ends'] == 0
+    assert 'event=replica_ended' not in fleet.read_log()
--- a/waywell/codes.py
+++ b/waywell/codes.py
@@ -49,6 +49,7 @@
     REQUEST_HELD_BACK = 2009
     REPLICAS_REST = 2010
     REPLICAS_LIMITED = 2011
+    NODE_PARTITIONED = 2012
 
     TARGET_UNREACHABLE = 3001
     TARGET_FAILED = 3002
@@ -126,6 +127,9 @@
         Code.REPLICAS_LIMITED: CodeFacts(
             503, 'All replicas have had the requests that they take now.'
         ),
+        Code.NODE_PARTITIONED: CodeFacts(
+            503, 'This entry box has lost its links to the replicas.'
+        ),
         Code.TARGET_UNREACHABLE: CodeFacts(503, 'No target could be reached.'),
         Code.TARGET_FAILED: CodeFacts(502, 'The target broke off.'),
         Code.FENCE_REFUSED: CodeFacts(503, 'The target refused the epoch.'),
--- a/waywell/connection/caller.py
+++ b/waywell/connection/caller.py
@@ -9,11 +9,10 @@
 
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.caller_base import (
-    CODE_HEADER,
-    RAN_HEADER,
     BaseCallerRequest,
     BaseCallerSite,
 )
+from waywell.connection.forwarding import CODE_HEADER, RAN_HEADER
 from waywell.connection.hop_headers import HOP_HEADERS
 from waywell.connection.relay import AnswerRelay
 from waywell.connection.target import (
--- a/waywell/connection/caller_base.py
+++ b/waywell/connection/caller_base.py
@@ -11,14 +11,9 @@
 
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.deferreds import start_task
+from waywell.connection.forwarding import CODE_HEADER, RAN_HEADER
 from waywell.telemetry.events import log_warning
 
-CODE_HEADER = 'waywell-code'
-"""Number of the result code, on refusals."""
-
-RAN_HEADER = 'waywell-ran'
-"""Whether the request ran, on refusals."""
-
 IDLE_SECONDS = 120
 """Seconds after which an idle caller connection is closed."""
 
--- a/waywell/connection/front.py
+++ b/waywell/connection/front.py
@@ -13,12 +13,15 @@
 
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.caller_base import (
-    CODE_HEADER,
-    RAN_HEADER,
     BaseCallerRequest,
     BaseCallerSite,
     CallerChannel,
 )
+from waywell.connection.forwarding import (
+    CODE_HEADER,
+    FORWARDED_BYTES,
+    RAN_HEADER,
+)
 from waywell.connection.wire import Wire
 from waywell.request.ask import Ask
 from waywell.request.errand import CallerAnswer
@@ -200,7 +203,7 @@
         limits = self.site.backend.get_limits()
         self._idle_limit = limits.idle_seconds
         self.timeOut = limits.idle_seconds
-        self.totalHeadersSize = limits.header_bytes
+        self.totalHeadersSize = limits.header_bytes + FORWARDED_BYTES
         super().connectionMade()
 
     def requestDone(self, request: Any) -> None:  # noqa: N802
--- a/waywell/connection/peer.py
+++ b/waywell/connection/peer.py
@@ -221,6 +221,30 @@
     """Seconds after which it is worth asking again."""
 
 
+class ReachabilityQuery(
+    msgspec.Struct, frozen=True, tag=True, array_like=True
+):
+    """Which of these boxes does the receiver reach?"""
+
+    query: int
+    """Number of the query at the sender."""
+
+    boxes: tuple[BoxId, ...]
+    """Boxes that the sender does not reach."""
+
+
+class ReachabilityReport(
+    msgspec.Struct, frozen=True, tag=True, array_like=True
+):
+    """Answer to a query."""
+
+    query: int
+    """Number of the query at its sender."""
+
+    reached: tuple[BoxId, ...]
+    """Boxes that took a connection of the answerer."""
+
+
 class FeedAsk(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """What do you know of routes and boxes, and how old is it?"""
 
@@ -316,5 +340,7 @@
     TurnAnswer,
     FeedAsk,
     FeedAnswer,
+    ReachabilityQuery,
+    ReachabilityReport,
 ]
 """All messages between front daemons."""
--- a/waywell/connection/wire.py
+++ b/waywell/connection/wire.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from waywell.connection.forwarding import ForwardMark
     from waywell.request.ask import AnswerMark, Ask, Delivery
     from waywell.version.fleet import FleetBox
 
@@ -41,6 +42,28 @@
     ) -> RawHeaders:
         """Return the headers of a request to a replica's head."""
 
+    @abc.abstractmethod
+    def make_forward_headers(
+        self,
+        ask: Ask,
+        mark: ForwardMark,
+        seconds: float,
+        resume_after: int | None,
+    ) -> RawHeaders:
+        """Return the headers of a request to another entry box.
+
+        Parameters
+        ----------
+        ask
+            What the caller asks.
+        mark
+            Who forwards it.
+        seconds
+            For which the caller will still wait.
+        resume_after
+            Last event that the caller has by now.
+        """
+
     @abc.abstractmethod
     def read_mark(self, status: int, headers: RawHeaders) -> AnswerMark:
         """Return what a replica says of its answer."""
--- a/waywell/health/reachability.py
+++ b/waywell/health/reachability.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -15,6 +15,9 @@
 
     from waywell.version.fleet import BoxLife, FleetBox
 
+CONFIRMED_SECONDS = 1.0
+"""Age, in seconds, up to which a connection shows that a box is reached."""
+
 RECENT_SECONDS = 2.0
 """Age, in seconds, beyond which an outcome says nothing any more."""
 
@@ -39,6 +42,7 @@
     def __init__(self) -> None:
         """Start without outcomes."""
         self._outcomes: dict[BoxLife, ConnectOutcome] = {}
+        self._failed: dict[ServiceName, set[BoxLife]] = defaultdict(set)
 
     def record(self, box: FleetBox, now: float, *, is_connected: bool) -> None:
         """Record how an attempt to connect to a box ended.
@@ -57,10 +61,25 @@
         self._outcomes[box.life] = ConnectOutcome(
             box.service, is_connected, now
         )
+        if is_connected:
+            self._failed.pop(box.service, None)
+        else:
+            self._failed[box.service].add(box.life)
         if is_connected != was_connected:
             event = 'box_reachable' if is_connected else 'box_unreachable'
             log_event(event, box=box.box, service=box.service)
 
+    def count_failed(self, service: ServiceName) -> int:
+        """Return the boxes that failed since the last connection came up."""
+        return len(self._failed.get(service, ()))
+
+    def is_connected(self, life: BoxLife, now: float) -> bool:
+        """Answer whether a box took a connection a moment ago."""
+        outcome = self._outcomes.get(life)
+        if outcome is None or now - outcome.at > CONFIRMED_SECONDS:
+            return False
+        return outcome.is_connected
+
     def count_unreachable(self, now: float) -> dict[str, float]:
         """Return by service how many boxes recently refused a connection."""
         counts: Counter[str] = Counter(
@@ -75,3 +94,5 @@
         present = set(lives)
         for life in self._outcomes.keys() - present:
             self._outcomes.pop(life)
+        for failed in self._failed.values():
+            failed &= present
--- /dev/null
+++ b/waywell/health/reachability_queries.py
@@ -0,0 +1,128 @@
+"""Queries to peers about boxes that this node does not reach."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import attrs
+
+from waywell.connection.peer import ReachabilityQuery, ReachabilityReport
+from waywell.ids import NodeId
+from waywell.membership.membership import ReplicaAccess
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from random import Random
+
+    from waywell.ids import BoxId
+    from waywell.membership.gossip import Gossip
+    from waywell.membership.links import PeerLinks
+
+REPORT_SECONDS = 0.3
+"""For a peer to report: twice the time that it gives a connection."""
+
+PEERS_ASKED = 3
+"""Peers that get a query; half of a data hall may have lost its links."""
+
+MOST_OPEN = 64
+"""Queries without a report that are remembered."""
+
+STREAM_USER = 'reachability'
+"""Name under which streams to other halls are kept."""
+
+
+@attrs.define
+class _Query:
+    """A query whose reports are waited for."""
+
+    needed: int
+    awaited: int
+    witness: asyncio.Future[NodeId | None]
+
+
+class ReachabilityQueries:
+    """Finds a peer that reaches what this node does not.
+
+    Parameters
+    ----------
+    gossip
+        Membership.
+    links
+        Streams to peers.
+    random
+        Draws the peers that are asked.
+    """
+
+    def __init__(
+        self,
+        gossip: Gossip,
+        links: PeerLinks,
+        random: Random,
+    ) -> None:
+        """Ask nobody yet."""
+        self._gossip = gossip
+        self._links = links
+        self._random = random
+        self._serial = 0
+        self._open: OrderedDict[int, _Query] = OrderedDict()
+
+    async def find_witness(self, boxes: Iterable[BoxId]) -> NodeId | None:
+        """Return a peer that reaches nearly all of some boxes.
+
+        One box may have failed by itself, so it need not reach all of many.
+        """
+        asked = tuple(boxes)
+        peers = self._draw_peers()
+        if not peers:
+            return None
+        witness: asyncio.Future[NodeId | None]
+        witness = asyncio.get_running_loop().create_future()
+        self._serial += 1
+        needed = max(1, len(asked) - len(asked) // 3)
+        self._open[self._serial] = _Query(needed, len(peers), witness)
+        while len(self._open) > MOST_OPEN:
+            self._open.popitem(last=False)
+        for peer in peers:
+            self._links.send(peer, ReachabilityQuery(self._serial, asked))
+        try:
+            async with asyncio.timeout(REPORT_SECONDS):
+                return await witness
+        except TimeoutError:
+            return None
+
+    def take_report(self, report: ReachabilityReport, sender: NodeId) -> None:
+        """Take in a peer's report."""
+        query = self._open.get(report.query)
+        if query is None or query.witness.done():
+            return
+        query.awaited -= 1
+        if len(report.reached) >= query.needed:
+            query.witness.set_result(sender)
+        elif not query.awaited:
+            query.witness.set_result(None)
+
+    def _draw_peers(self) -> list[NodeId]:
+        """Return peers to ask, those of other data halls first.
+
+        A cut often takes the links of a whole data hall.
+        """
+        table = self._gossip.table
+        peers = [
+            record
+            for record in table.list_live()
+            if record.replica_access is not ReplicaAccess.UNTOLD
+            and record.node != table.own_name
+        ]
+        self._random.shuffle(peers)
+        peers.sort(
+            key=lambda record: (
+                record.replica_access,
+                record.hall == table.own.hall,
+            )
+        )
+        # Streams that are not there yet serve the next query.
+        self._gossip.keep_streams(STREAM_USER, tuple(peers[:PEERS_ASKED]))
+        near = [one.node for one in peers if self._links.has_peer(one.node)]
+        return near[:PEERS_ASKED]
--- a/waywell/membership/gossip.py
+++ b/waywell/membership/gossip.py
@@ -16,6 +16,7 @@
     MembershipTable,
     NodeRecord,
     NodeState,
+    ReplicaAccess,
     may_call,
 )
 from waywell.process.actor import Actor, Message
@@ -81,6 +82,9 @@
         numbers: Numbers | None = None
         """New versions."""
 
+        replica_access: ReplicaAccess | None = None
+        """Whether this node reaches replicas by links of its own."""
+
     class Reached(Message, frozen=True):
         """This node has reached the platform."""
 
@@ -174,6 +178,7 @@
             advance.state,
             numbers.configuration,
             numbers.roster,
+            advance.replica_access,
         )
         self._report([record])
 
--- a/waywell/membership/membership.py
+++ b/waywell/membership/membership.py
@@ -44,6 +44,19 @@
     LOST = 3
 
 
+class ReplicaAccess(enum.IntEnum):
+    """Whether an entry box reaches replicas by links of its own."""
+
+    UNTOLD = 0
+    """It does not say so; it forwards nothing for others either."""
+
+    OPEN = 1
+    """It does."""
+
+    LOST = 2
+    """It reaches hardly any replica of a service that others reach."""
+
+
 class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
     """What is known of one entry box."""
 
@@ -93,6 +106,9 @@
     """Processor that it may use, in cores of an ordinary box; 0 where it is
     not told."""
 
+    replica_access: ReplicaAccess = ReplicaAccess.UNTOLD
+    """Whether it reaches replicas by links of its own."""
+
     @property
     def rank(self) -> tuple[int, int, int]:
         """Return what decides between two records of one node."""
@@ -184,6 +200,7 @@
         state: NodeState | None = None,
         configuration: int | None = None,
         roster: int | None = None,
+        replica_access: ReplicaAccess | None = None,
     ) -> NodeRecord:
         """Change this node's record and return it."""
         own = self.own
@@ -193,6 +210,11 @@
             state=own.state if state is None else state,
             configuration=_pick(configuration, own.configuration),
             roster=_pick(roster, own.roster),
+            replica_access=(
+                own.replica_access
+                if replica_access is None
+                else replica_access
+            ),
         )
         self._store(changed)
         return changed
--- a/waywell/platform/messages.py
+++ b/waywell/platform/messages.py
@@ -6,6 +6,11 @@
 from typing import TYPE_CHECKING
 
 from waywell.codes import Code, Refusal
+from waywell.connection.forwarding import (
+    FORWARDED_HEADER,
+    ForwardMark,
+    read_forward_mark,
+)
 from waywell.connection.hop_headers import HOP_HEADERS
 from waywell.connection.named_limit import LIMIT_HEADER, read_limit
 from waywell.connection.retry_after import REST_HEADER, read_rest
@@ -53,7 +58,7 @@
     ),
 )
 
-_DROPPED = HOP_HEADERS | _SET_BY_US | {'expect'}
+_DROPPED = HOP_HEADERS | _SET_BY_US | {'expect', FORWARDED_HEADER}
 
 
 class ServerWire(Wire):
@@ -89,6 +94,7 @@
             prompt_tokens=prompt,
             answer_tokens=answer,
             likely_tokens=_read_number(texts, HINT_HEADER) or 0,
+            forwarded=read_forward_mark(texts.get(FORWARDED_HEADER, '')),
         )
 
     def make_headers(
@@ -99,7 +105,7 @@
     ) -> RawHeaders:
         """Return the headers of a request to a server."""
         own = {
-            DEADLINE_HEADER: str(max(1, int(delivery.seconds * 1000))),
+            DEADLINE_HEADER: _write_seconds(delivery.seconds),
             BOX_HEADER: box.box,
         }
         if delivery.account is not None:
@@ -108,13 +114,25 @@
             own[PRIORITY_HEADER] = str(delivery.priority)
         if delivery.resume_after is not None:
             own[RESUME_HEADER] = str(delivery.resume_after)
-        return (
-            *ask.headers,
-            *(
-                (name.encode(), text.encode('latin-1'))
-                for name, text in own.items()
-            ),
-        )
+        return _add_headers(ask.headers, own)
+
+    def make_forward_headers(
+        self,
+        ask: Ask,
+        mark: ForwardMark,
+        seconds: float,
+        resume_after: int | None,
+    ) -> RawHeaders:
+        """Return the headers of a request to another entry box."""
+        own = {
+            DEADLINE_HEADER: _write_seconds(seconds),
+            FORWARDED_HEADER: mark.encode(),
+        }
+        if ask.key:
+            own[KEY_HEADER] = f'{KEY_SCHEME} {ask.key}'
+        if resume_after is not None:
+            own[RESUME_HEADER] = str(resume_after)
+        return _add_headers(ask.headers, own)
 
     def read_mark(self, status: int, headers: RawHeaders) -> AnswerMark:
         """Return what a server says of its answer."""
@@ -133,6 +151,21 @@
         )
 
 
+def _add_headers(headers: RawHeaders, own: dict[str, str]) -> RawHeaders:
+    return (
+        *headers,
+        *(
+            (name.encode(), text.encode('latin-1'))
+            for name, text in own.items()
+        ),
+    )
+
+
+def _write_seconds(seconds: float) -> str:
+    """Return a time limit in whole milliseconds, one at least."""
+    return str(max(1, int(seconds * 1000)))
+
+
 def _pass_on(headers: RawHeaders) -> RawHeaders:
     """Return the headers that concern more than one connection.
 
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -13,7 +13,7 @@
 from waywell.connection.peer import FrontWire
 from waywell.duties.forming import FormingDuty
 from waywell.health.doubts import DoubtListeners, Doubts
-from waywell.health.reachability import ReachabilityTable
+from waywell.health.node_paths import make_node_paths
 from waywell.ids import GroupId, HallName, Incarnation, NodeId
 from waywell.knowledge.feed import Feed
 from waywell.knowledge.fleet_watch import FleetWatch
@@ -28,6 +28,7 @@
     MembershipTable,
     NodeRecord,
     NodeState,
+    ReplicaAccess,
 )
 from waywell.membership.presence import Presence
 from waywell.process.clock import SystemClock
@@ -103,7 +104,6 @@
         self.metrics = Metrics()
         self.outlook = Outlook(settings.promises, adapter.eras)
         self.book = ReplicaBook()
-        self.reachability = ReachabilityTable()
         self.backpressure = Backpressure()
         self.outlook.listen_for_ends(self.backpressure.forget_ended)
         adapter.eras.listen(
@@ -240,6 +240,7 @@
             admin_port=self._ports.metrics.port,
             link_mbps=int(node.link_mbps),
             cores=round(node.cores, 2),
+            replica_access=ReplicaAccess.OPEN,
         )
 
     def _make_tasks(self) -> None:
@@ -308,8 +309,17 @@
             lambda: self.presence.count_nodes() > 0,
         )
         self.outlook.listen_for_ends(self.turns.forget_ended)
+        self.paths = make_node_paths(
+            self.gossip,
+            self.links,
+            self.clock,
+            self.outlook,
+            self._random,
+            self.book.end_rests,
+        )
         self.actors = (
             self.links,
+            self.paths.watch,
             self.doubts,
             self.turns,
             self.quarantine.quarantine,
@@ -349,7 +359,9 @@
                     self.turns.get_limit,
                 ),
                 book=self.book,
-                reachability=self.reachability,
+                paths=self.paths.watch,
+                peer_book=self.paths.peer_book,
+                node=node.name,
                 budget=self.budget,
                 clock=self.clock,
                 draw=self._random.random,
@@ -478,6 +490,6 @@
         if self.outlook.fleet_serial != self._tended_serial:
             self._tended_serial = self.outlook.fleet_serial
             self.book.forget_others(self.outlook.list_keys())
-            self.reachability.retain(
+            self.paths.watch.table.retain(
                 box.life for box in self.outlook.fleet.boxes.values()
             )
--- a/waywell/request/ask.py
+++ b/waywell/request/ask.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from waywell.connection.forwarding import ForwardMark, PeerRefusal
 from waywell.connection.wire import RawHeaders
 from waywell.ids import AccountName, ModelName
 
@@ -50,6 +51,9 @@
     likely_tokens: int = 0
     """Tokens that the caller expects; 0 where it does not say."""
 
+    forwarded: ForwardMark | None = None
+    """Set where another entry box forwards it."""
+
     @property
     def path(self) -> str:
         """Return the path without the query."""
@@ -93,3 +97,6 @@
     limit: float | None = None
     """Requests a second that the replica takes from all nodes together;
     ``None`` where the answer says nothing of it."""
+
+    refusal: PeerRefusal | None = None
+    """Set where a peer has refused the request that it was to forward."""
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -9,6 +9,8 @@
 from waywell.request.destination import Destination, ReplicaDestination
 from waywell.request.lack import Lack, explain_lack
 from waywell.request.patience import measure_patience
+from waywell.request.peer_destination import PeerDestination
+from waywell.request.return_advice import ReturnReason
 from waywell.telemetry.events import log_event
 
 if TYPE_CHECKING:
@@ -56,6 +58,20 @@
         self._send(destination, now)
         return True
 
+    async def start_anywhere(self) -> bool:
+        """Start an attempt; where none is left, find out about the links."""
+        if self.start():
+            return True
+        return await self._check_links() and self.start()
+
+    async def start_paid_anywhere(self, now: float) -> bool:
+        """Start a second attempt; where none is left, find out about links."""
+        if self.start_paid(now):
+            return True
+        if not self.has_sends_left() or not await self._check_links():
+            return False
+        return self.start_paid(self._parts.clock.read())
+
     def start_paid(self, now: float, beside: int = 0) -> bool:
         """Start a second attempt within the budget; answer whether so.
 
@@ -70,7 +86,11 @@
             return False
         destination = self._choose(now)
         # Nothing is paid for an attempt that no replica is left for.
-        if destination is None or not self._spend(now):
+        nodes = self._parts.count_nodes()
+        service = self._errand.service
+        if destination is None:
+            return False
+        if not self._parts.budget.spend(service, nodes, now):
             return False
         self._send(destination, now)
         return True
@@ -112,7 +132,7 @@
 
     def has_sends_left(self) -> bool:
         """Answer whether the route allows one more replica."""
-        return self._errand.sends < self._errand.route.most_targets
+        return self._errand.sends < self._errand.most_sends
 
     def get_hedge_at(self) -> float:
         """Return when the one attempt has been silent for too long."""
@@ -190,6 +210,8 @@
 
     def explain_lack(self, now: float) -> Lack:
         """Return why no replica is left for the request."""
+        if self._is_partitioned() and self._errand.ask.forwarded is not None:
+            return Lack(Code.NODE_PARTITIONED, ReturnReason.NO_GROUP)
         backpressure = self._parts.backpressure
         replicas = self._list_replicas()
         wanting = backpressure.list_open(replicas, now)
@@ -235,7 +257,29 @@
             errand.service, errand.ask.model
         )
 
+    async def _check_links(self) -> bool:
+        """Answer whether a peer may reach replicas that this node can't."""
+        if self._errand.ask.forwarded is not None:
+            return False
+        await self._parts.paths.await_diagnosis(self._errand.service)
+        return self._is_partitioned()
+
+    def _is_partitioned(self) -> bool:
+        """Answer whether this node has lost its links to the service."""
+        return self._parts.paths.is_partitioned(self._errand.service)
+
     def _choose(self, now: float) -> Destination | None:
+        if not self._is_partitioned():
+            return self._choose_replica(now)
+        if self._errand.ask.forwarded is not None:
+            # Its sender has other peers.
+            return None
+        peer = self._parts.paths.choose_peer(self._errand.tried, now)
+        if peer is None:
+            return self._choose_replica(now)
+        return PeerDestination(self._parts, self._errand, peer)
+
+    def _choose_replica(self, now: float) -> ReplicaDestination | None:
         # A replica that has asked for rest, or has no turn, is no last resort.
         replicas = self._parts.backpressure.list_open(
             self._list_replicas(), now
@@ -257,11 +301,6 @@
             self._errand.fingerprint, beside, now
         )
 
-    def _spend(self, now: float) -> bool:
-        return self._parts.budget.spend(
-            self._errand.service, self._parts.count_nodes(), now
-        )
-
     def _may_send(self, attempt: Attempt) -> bool:
         """Answer, in the turn of the write, whether it still may go out."""
         errand = self._errand
--- a/waywell/request/destination.py
+++ b/waywell/request/destination.py
@@ -62,6 +62,9 @@
     def on_mark(self, mark: AnswerMark, sent_at: float, now: float) -> None:
         """Take in what an answer says, also where nobody waits for it."""
 
+    def on_failed(self, now: float) -> None:
+        """Take in that an answer failed, broke off or was refused."""
+
     def on_silent(self) -> None:
         """Take in that nothing comes although it has work."""
 
@@ -163,15 +166,11 @@
 
     def on_connected(self, now: float) -> None:
         """Take in that a connection came up."""
-        self._parts.reachability.record(
-            self.replica.head, now, is_connected=True
-        )
+        self._parts.paths.record(self.replica.head, now, is_connected=True)
 
     def on_unreachable(self, now: float) -> None:
         """Take in that no connection came up."""
-        self._parts.reachability.record(
-            self.replica.head, now, is_connected=False
-        )
+        self._parts.paths.record(self.replica.head, now, is_connected=False)
 
     def on_mark(self, mark: AnswerMark, sent_at: float, now: float) -> None:
         """Take in what an answer says, also where nobody waits for it."""
@@ -181,6 +180,10 @@
             hall = self.replica.head.hall
             self._parts.turns.note_answer(life, hall, mark.limit, sent_at)
 
+    def on_failed(self, now: float) -> None:
+        """Take in that an answer failed, broke off or was refused."""
+        self.book.note_failure(self.key, now)
+
     def on_silent(self) -> None:
         """Take in that nothing comes although it has work."""
         self._parts.raise_doubt(self.replica)
--- a/waywell/request/errand.py
+++ b/waywell/request/errand.py
@@ -9,7 +9,6 @@
 import attrs
 
 from waywell.connection.wire import Wire
-from waywell.health.reachability import ReachabilityTable
 from waywell.ids import Fingerprint, ServiceName
 from waywell.knowledge.outlook import Outlook
 from waywell.process.clock import Clock
@@ -17,6 +16,7 @@
 from waywell.request.ask import Ask
 from waywell.request.backpressure import Backpressure
 from waywell.request.guard import RequestGuard
+from waywell.request.paths import DirectPaths, ReplicaPaths
 from waywell.request.pauses import PauseGauge
 from waywell.request.placement import Chooser
 from waywell.request.replica_book import ReplicaBook
@@ -96,8 +96,14 @@
     turns: TurnSource
     """Knows the limits of replicas."""
 
-    reachability: ReachabilityTable = attrs.Factory(ReachabilityTable)
-    """How this node's connections to boxes ended."""
+    paths: ReplicaPaths = attrs.Factory(DirectPaths)
+    """This node's links to replicas, and peers that forward requests."""
+
+    peer_book: ReplicaBook = attrs.Factory(ReplicaBook)
+    """What this node has seen of those peers."""
+
+    node: str = ''
+    """Name of this node."""
 
     pauses: PauseGauge = attrs.Factory(PauseGauge)
     """Pauses between events that are usual."""
@@ -143,8 +149,11 @@
     tried: frozenset[ReplicaKey] = frozenset()
     """Replicas that it was sent to."""
 
+    most_sends: int = 1
+    """Replicas that it may be sent to."""
+
     sends: int = 0
-    """Attempts of which a byte may have left."""
+    """Replicas that a byte of it may have reached."""
 
     rejections: int = 0
     """Attempts of which a replica said that it ran nothing."""
--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -51,7 +51,9 @@
         errand = self._identify(ask)
         self._parts.guard.check(errand.fingerprint, errand.arrived_at)
         self._check_end(errand)
-        self._parts.budget.note_request(errand.service, errand.arrived_at)
+        if ask.forwarded is None:
+            # A forwarded request counts at the node that its caller asked.
+            self._parts.budget.note_request(errand.service, errand.arrived_at)
         await Journey(self._parts, errand, answer).run()
 
     def _check_end(self, errand: Errand) -> None:
@@ -98,6 +100,7 @@
             ),
             engine=service.engine,
             last_event=ask.resume_after,
+            most_sends=_count_sends(ask, route),
         )
 
     def _find_holder(
@@ -114,3 +117,10 @@
         if holder is None:
             raise Refusal(Code.UNKNOWN_KEY)
         return holder
+
+
+def _count_sends(ask: Ask, route: Route) -> int:
+    """Return how many replicas this node may send a request to."""
+    if ask.forwarded is None:
+        return route.most_targets
+    return min(route.most_targets, ask.forwarded.sends)
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -15,12 +15,25 @@
 from waywell.version.routes import RouteKind
 
 if TYPE_CHECKING:
+    from waywell.connection.forwarding import PeerRefusal
     from waywell.request.errand import CallerAnswer, Errand, ForwarderParts
 
 SERVER_ERROR = 500
 """Lowest HTTP status that speaks against the replica."""
 
 
+_UNFIT_PEER_CODES = frozenset(
+    (
+        Code.NODE_PARTITIONED,
+        Code.NODE_LEAVING,
+        Code.NODE_STARTING,
+        Code.NODE_BUSY,
+        Code.ROUTES_STALE,
+    ),
+)
+"""Refusals by which another peer may serve what one does not."""
+
+
 class Journey:
     """Takes in what attempts bring, until the request is answered.
 
@@ -73,7 +86,7 @@
         attempt.destination.book.note_event(attempt.destination.key, now)
         if not self._is_next(piece):
             # Another attempt was ahead of this one, or it skips an event.
-            self._fail(attempt, now, f'event_{piece.event.number}')
+            await self._fail(attempt, now, f'event_{piece.event.number}')
             return
         self._settle_on(attempt, now)
         if piece.event.number is not None:
@@ -81,30 +94,33 @@
         self._begin(attempt.head)
         await self._answer.write(piece.event.raw)
 
-    def on_head(self, head: Attempt.Head) -> None:
+    async def on_head(self, head: Attempt.Head) -> None:
         """Accept an answer's head, or try elsewhere."""
         attempt = head.attempt
         if attempt not in self._attempts.running:
             return
         now = self._parts.clock.read()
+        if head.mark.refusal is not None:
+            self._take_refusal(attempt, head.mark.refusal, now)
+            return
         if head.mark.attempt != self._errand.ask.attempt:
-            self._fail(attempt, now, 'foreign_answer')
+            await self._fail(attempt, now, 'foreign_answer')
             return
         if head.mark.is_rejected or head.mark.is_misdirected:
             self._take_rejection(head, now)
             return
         if self._errand.is_begun and head.status != self._begun_status:
             # Its body is no rest of the answer that the caller has begun.
-            self._fail(attempt, now, f'status_{head.status}')
+            await self._fail(attempt, now, f'status_{head.status}')
             return
         attempt.destination.book.note_heard(attempt.destination.key, now)
         if head.status >= SERVER_ERROR:
-            _note_failure(attempt, now)
-            if self._retry(attempt, now, f'status_{head.status}'):
+            attempt.destination.on_failed(now)
+            if await self._retry(attempt, now, f'status_{head.status}'):
                 return
         attempt.head = head
 
-    def on_end(self, end: Attempt.End) -> None:
+    async def on_end(self, end: Attempt.End) -> None:
         """End the answer, or go on elsewhere where it was cut."""
         attempt = end.attempt
         if attempt not in self._attempts.running or attempt.head is None:
@@ -114,7 +130,7 @@
             attempt.destination.on_broken(
                 has_begun=attempt.has_begun, is_over=False
             )
-            self._fail(attempt, now, 'cut')
+            await self._fail(attempt, now, 'cut')
             return
         self._attempts.drop_others(attempt)
         self._begin(attempt.head)
@@ -127,7 +143,7 @@
         self._parts.metrics.time_answer(self._errand.service, self._get_age())
         raise _Answered
 
-    def on_fault(self, fault: Attempt.Fault) -> None:
+    async def on_fault(self, fault: Attempt.Fault) -> None:
         """Go on after an attempt that brought no answer."""
         attempt = fault.attempt
         if attempt not in self._attempts.running:
@@ -141,18 +157,21 @@
             attempt.destination.on_broken(
                 has_begun=attempt.has_begun, is_over=is_over
             )
-            self._fail(attempt, now, fault.fault.value)
+            await self._fail(attempt, now, fault.fault.value)
             return
         if fault.fault is SendFault.NOT_SENT:
-            _note_failure(attempt, now)
+            destination = attempt.destination
+            destination.book.note_failure(destination.key, now)
         self._attempts.log('not_sent', attempt, now, fault=fault.fault.value)
         self._attempts.drop(attempt)
         if self._attempts.running:
             return
         self._attempts.check_unsent(now)
-        if not self._attempts.start():
-            lack = self._attempts.explain_lack(now)
-            self._give_up(lack.code if lack.rest else Code.TARGET_UNREACHABLE)
+        if not await self._attempts.start_anywhere():
+            code = self._attempts.explain_lack(now).code
+            if code is Code.NO_WHOLE_GROUP:
+                code = Code.TARGET_UNREACHABLE
+            self._give_up(code)
 
     async def _run(self) -> None:
         if not self._attempts.start():
@@ -203,7 +222,7 @@
         """Go on after a replica that says that it ran nothing."""
         attempt = head.attempt
         self._errand.rejections += 1
-        _note_failure(attempt, now)
+        attempt.destination.on_failed(now)
         if head.mark.is_misdirected:
             attempt.destination.on_misdirected()
         self._attempts.log(
@@ -219,6 +238,32 @@
             if not self._attempts.start_paid(now):
                 self._give_up(self._attempts.explain_lack(now).code)
 
+    def _take_refusal(
+        self,
+        attempt: Attempt,
+        refusal: PeerRefusal,
+        now: float,
+    ) -> None:
+        """Go on after a peer that has refused to forward the request."""
+        self._attempts.log(
+            'peer_refused',
+            attempt,
+            now,
+            code=int(refusal.code),
+            ran=refusal.ran.value,
+        )
+        destination = attempt.destination
+        if refusal.ran is Ran.NOT_RUN:
+            self._errand.sends -= destination.count_sends()
+        is_fit = refusal.code not in _UNFIT_PEER_CODES
+        if not is_fit:
+            destination.book.note_failure(destination.key, now)
+        self._attempts.drop(attempt)
+        if self._attempts.running:
+            return
+        if is_fit or not self._attempts.start():
+            self._give_up(refusal.code, refusal.retry_after)
+
     def _is_next(self, piece: Attempt.Piece) -> bool:
         """Answer whether a piece goes on where the answer stands."""
         last = self._errand.last_event
@@ -269,24 +314,24 @@
         if not self._attempts.running:
             self._give_up(Code.TARGET_FAILED)
 
-    def _fail(self, attempt: Attempt, now: float, why: str) -> None:
+    async def _fail(self, attempt: Attempt, now: float, why: str) -> None:
         """Drop an attempt that broke; go on elsewhere where that is safe."""
-        _note_failure(attempt, now)
-        if self._retry(attempt, now, why):
+        attempt.destination.on_failed(now)
+        if await self._retry(attempt, now, why):
             return
         self._attempts.log('failed', attempt, now, why=why)
         self._attempts.drop(attempt)
         if not self._attempts.running:
             self._give_up(Code.TARGET_FAILED)
 
-    def _retry(self, attempt: Attempt, now: float, why: str) -> bool:
+    async def _retry(self, attempt: Attempt, now: float, why: str) -> bool:
         """Replace an attempt where the request may run again."""
         if not self._errand.route.may_repeat:
             return False
         if self._errand.is_begun and not self._can_resume():
             return False
         is_alone = len(self._attempts.running) == 1
-        if is_alone and not self._attempts.start_paid(now):
+        if is_alone and not await self._attempts.start_paid_anywhere(now):
             return False
         self._attempts.log('retried', attempt, now, why=why)
         self._attempts.drop(attempt)
@@ -299,7 +344,7 @@
             and self._errand.last_event is not None
         )
 
-    def _give_up(self, code: Code) -> None:
+    def _give_up(self, code: Code, retry_after: float | None = None) -> None:
         """End a request that has no whole answer."""
         errand = self._errand
         now = self._parts.clock.read()
@@ -316,7 +361,9 @@
             raise _Answered
         if errand.may_have_run:
             raise Refusal(code, Ran.MAY_HAVE_RUN)
-        raise Refusal(code, retry_after=self._advise(now))
+        if retry_after is None:
+            retry_after = self._advise(now)
+        raise Refusal(code, retry_after=retry_after)
 
     def _advise(self, now: float) -> float:
         """Return when the caller should come back, in seconds."""
@@ -329,8 +376,3 @@
 
 class _Answered(Exception):  # noqa: N818 - not an error: the way out
     """The request has its answer, whole or cut."""
-
-
-def _note_failure(attempt: Attempt, now: float) -> None:
-    """Let the destination of an attempt get nothing new for a while."""
-    attempt.destination.book.note_failure(attempt.destination.key, now)
--- a/waywell/request/replica_book.py
+++ b/waywell/request/replica_book.py
@@ -105,6 +105,12 @@
         record.rests_until = 0.0
         record.streak = max(0, record.streak - 1)
 
+    def end_rests(self) -> None:
+        """Let no replica rest any longer: the failures were this node's."""
+        for record in self._records.values():
+            record.rests_until = 0.0
+            record.streak = 0
+
     def note_first(self, key: ReplicaKey, ratio: float) -> None:
         """Note how long an answer's beginning took.
 
--- a/waywell/telemetry/front_gauges.py
+++ b/waywell/telemetry/front_gauges.py
@@ -95,7 +95,7 @@
 
     def _count_unreachable(self) -> Mapping[str, float]:
         node = self._node
-        return node.reachability.count_unreachable(node.clock.read())
+        return node.paths.watch.table.count_unreachable(node.clock.read())
 
     def _read_era(self) -> Mapping[str, float]:
         eras = self._node.outlook.eras
