Raise no doubt of a replica whose silence is this node's own

Links are verified before a doubt is raised, which also finds the loss where streams hang and no connection fails.

--- a/tests/test_doubts.py
+++ b/tests/test_doubts.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
+from unittest.mock import AsyncMock
 
 from tests.boxes import make_box
 from tests.held_clock import HeldClock
+from tests.loops import in_loop
 from waywell.connection.peer import ReplicaDoubt, ReplicaHeard
 from waywell.health.doubts import (
     LISTEN_LOOKS,
@@ -43,7 +46,7 @@
 class Bench:
     """A task with links that only count."""
 
-    def __init__(self) -> None:
+    def __init__(self, are_links_sound: bool = True) -> None:
         self.clock = HeldClock()
         self.links = _Links()
         self.book = ReplicaBook()
@@ -58,6 +61,7 @@
             lambda seconds, act: self.due.append(
                 (self.clock.now + seconds, act)
             ),
+            AsyncMock(return_value=are_links_sound),
         )
 
     def pass_time(self, seconds: float) -> None:
@@ -157,3 +161,15 @@
     assert bench.told == [REPLICA.group, REPLICA.group]
     bench.doubts.on_received(PeerLinks.Received(NodeId('n2'), word))
     assert bench.heard == [REPLICA.group, REPLICA.group]
+
+
+@in_loop
+async def test_silence_behind_lost_links_raises_no_doubt() -> None:
+    for is_sound in (False, True):
+        bench = Bench(is_sound)
+        bench.doubts.note_silence(REPLICA)
+        bench.doubts.note_silence(REPLICA)
+        for _turn in range(5):
+            await asyncio.sleep(0)
+        assert len(bench.links.words) == int(is_sound)
+        assert len(bench.told) == int(is_sound)
--- a/waywell/health/doubts.py
+++ b/waywell/health/doubts.py
@@ -10,14 +10,14 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
 
 from waywell.connection.peer import ReplicaDoubt, ReplicaHeard
-from waywell.ids import GroupId
+from waywell.ids import GroupId, ServiceName
 from waywell.process.actor import Actor
 from waywell.telemetry.events import log_event
 from waywell.version.fleet import ReplicaKey
@@ -56,6 +56,14 @@
     """Called with a doubted group that goes on."""
 
 
+LinkCheck = Callable[[ServiceName], Awaitable[bool]]
+"""Answers whether this node's links to a service are sound."""
+
+
+async def _trust_links(_service: ServiceName) -> bool:
+    return True
+
+
 def _call_later(seconds: float, act: Callable[[], None]) -> object:
     return asyncio.get_running_loop().call_later(seconds, act)
 
@@ -75,6 +83,8 @@
         Who is told.
     call_later
         Calls something after some seconds.
+    verify
+        Answers whether this node's links to a service are sound.
     """
 
     def __init__(
@@ -84,9 +94,12 @@
         clock: Clock,
         listeners: DoubtListeners,
         call_later: Scheduler = _call_later,
+        verify: LinkCheck = _trust_links,
     ) -> None:
         """Start without doubts."""
         super().__init__('doubts')
+        self._verify = verify
+        self._verifying: set[ReplicaKey] = set()
         self._links = links
         self._book = book
         self._clock = clock
@@ -96,6 +109,18 @@
         self._open: set[ReplicaKey] = set()
         links.subscribe(self, ReplicaDoubt, ReplicaHeard)
 
+    def note_silence(self, replica: Replica) -> None:
+        """Raise a doubt, unless this node's own links are lost.
+
+        Streams that all fall silent with the links of one node speak against
+        no replica.
+        """
+        if replica.key in self._verifying or replica.key in self._raised_at:
+            self._forget_old(self._clock.read())
+            return
+        self._verifying.add(replica.key)
+        self.spawn(self._raise_verified(replica))
+
     def raise_doubt(self, replica: Replica) -> None:
         """Tell the others that nothing comes from a replica."""
         now = self._clock.read()
@@ -137,6 +162,14 @@
             self._book.note_failure(key, now)
         self._begin(key, word.group, now)
 
+    async def _raise_verified(self, replica: Replica) -> None:
+        try:
+            is_sound = await self._verify(replica.head.service)
+        finally:
+            self._verifying.discard(replica.key)
+        if is_sound:
+            self.raise_doubt(replica)
+
     def _begin(self, key: ReplicaKey, group: GroupId, now: float) -> None:
         """Tell of a doubt here, and listen for what speaks against it."""
         self._open.add(key)
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -258,6 +258,14 @@
             self._random,
         )
         self.outlook.eras.listen(self.presence.list_again)
+        self.paths = make_node_paths(
+            self.gossip,
+            self.links,
+            self.clock,
+            self.outlook,
+            self._random,
+            self.book.end_rests,
+        )
         self.feed = Feed(
             self.links,
             self.gossip,
@@ -295,6 +303,7 @@
                 partial(self._tell_forming, FormingDuty.Doubted),
                 partial(self._tell_forming, FormingDuty.Heard),
             ),
+            verify=self.paths.watch.verify,
         )
         self.quarantine = make_quarantine(
             self.links,
@@ -309,14 +318,6 @@
             lambda: self.presence.count_nodes() > 0,
         )
         self.outlook.listen_for_ends(self.turns.forget_ended)
-        self.paths = make_node_paths(
-            self.gossip,
-            self.links,
-            self.clock,
-            self.outlook,
-            self._random,
-            self.book.end_rests,
-        )
         self.actors = (
             self.links,
             self.paths.watch,
@@ -366,7 +367,7 @@
                 clock=self.clock,
                 draw=self._random.random,
                 count_nodes=self.presence.count_nodes,
-                raise_doubt=self.doubts.raise_doubt,
+                raise_doubt=self.doubts.note_silence,
                 metrics=RequestMetrics(self.metrics),
                 guard=self.quarantine.quarantine,
                 running=self.quarantine.running,
