Name only entry boxes with links to replicas to callers, where there are any

Callers went on to be sent to boxes that had lost their links, and each of their requests took a way over two boxes. It goes on to be ready, and where all are partitioned all are named.

--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -182,11 +182,16 @@
         """Return the addresses of entry boxes that are ready."""
         if not self._is_started:
             return []
-        live = [
+        ready = [
             record
             for record in self.members.list_live()
             if record.state is NodeState.LIVE and record.configuration
         ]
+        lost = ReplicaAccess.LOST
+        # Callers do better where no second box is on the way; with no such
+        # box left, all of them are told.
+        live = [one for one in ready if one.replica_access is not lost]
+        live = live or ready
         own = self.members.own.node
         # Callers may take notice of the first ones only, so each node begins
         # with those that follow it.
