Take no replica for crashed that a node without links can't reach

Where the links of one node are reset, every attempt breaks and no replica takes a new connection: the node told all others that each of its replicas had crashed, and under which requests. Links are verified before a crash is recorded; what broke meanwhile is logged as crash_unconfirmed.

--- a/waywell/health/doubts.py
+++ b/waywell/health/doubts.py
@@ -10,15 +10,16 @@
 
 import asyncio
 import secrets
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
 
 from waywell.connection.peer import ReplicaDoubt, ReplicaHeard
-from waywell.ids import GroupId, ServiceName
+from waywell.ids import GroupId
 from waywell.process.actor import Actor
+from waywell.request.paths import LinkCheck, trust_links
 from waywell.telemetry.events import log_event
 from waywell.version.fleet import ReplicaKey
 
@@ -56,14 +57,6 @@
     """Called with a doubted group that goes on."""
 
 
-LinkCheck = Callable[[ServiceName], Awaitable[bool]]
-"""Answers whether this node's links to a service are sound."""
-
-
-async def _trust_links(_service: ServiceName) -> bool:
-    return True
-
-
 def _call_later(seconds: float, act: Callable[[], None]) -> object:
     return asyncio.get_running_loop().call_later(seconds, act)
 
@@ -94,7 +87,7 @@
         clock: Clock,
         listeners: DoubtListeners,
         call_later: Scheduler = _call_later,
-        verify: LinkCheck = _trust_links,
+        verify: LinkCheck = trust_links,
     ) -> None:
         """Start without doubts."""
         super().__init__('doubts')
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -314,6 +314,7 @@
             self.links,
             self._make_watch_parts(self.feed.needs_routes),
             self.forming.is_held,
+            self.paths.watch.verify,
         )
         self.turns = Turns(
             self.gossip,
--- a/waywell/quarantine/quarantine.py
+++ b/waywell/quarantine/quarantine.py
@@ -29,6 +29,7 @@
     Hold,
 )
 from waywell.request.guard import RequestGuard
+from waywell.request.paths import LinkCheck, trust_links
 from waywell.telemetry.events import log_detail, log_event, log_warning
 from waywell.version.fleet import ReplicaKey
 
@@ -62,6 +63,8 @@
         Where the time is read.
     is_reachable
         Answers whether a box takes a new connection.
+    verify
+        Answers whether this node's links to a service are sound.
     """
 
     class Held(Message, frozen=True):
@@ -85,6 +88,7 @@
         running: RunningAttempts,
         clock: Clock,
         is_reachable: Callable[[FleetBox], Awaitable[bool]],
+        verify: LinkCheck = trust_links,
     ) -> None:
         """Hold nothing back."""
         super().__init__('quarantine')
@@ -93,6 +97,7 @@
         self._running = running
         self._clock = clock
         self._is_reachable = is_reachable
+        self._verify = verify
         self._witnessed: OrderedDict[Fingerprint, None] = OrderedDict()
         self._listeners: list[Actor] = []
         self._watchers: list[Callable[[ReplicaKey], None]] = []
@@ -232,14 +237,20 @@
     async def _check(self, replica: Replica) -> None:
         """Note an end where the replica takes no new connection either.
 
-        An answer that was lost, spoilt or reset breaks an attempt as well.
+        An answer that was lost, spoilt or reset breaks an attempt as well,
+        and a node without links to replicas reaches none of them.
         """
         is_there = await self._is_reachable(replica.head)
+        is_sure = is_there or await self._verify(replica.head.service)
         runs = self._checks.pop(replica.key)
         if is_there:
             log_detail('replica_goes_on', box=replica.key.box)
-        else:
+        elif is_sure:
             self._take_end(replica, runs)
+        else:
+            log_event(
+                'crash_unconfirmed', box=replica.key.box, requests=len(runs)
+            )
 
     def _take_end(
         self,
--- a/waywell/quarantine/tasks.py
+++ b/waywell/quarantine/tasks.py
@@ -19,6 +19,7 @@
     from waywell.knowledge.platform_watch import WatchParts
     from waywell.membership.links import PeerLinks
     from waywell.process.clock import Clock
+    from waywell.request.paths import LinkCheck
     from waywell.version.fleet import FleetBox
 
 
@@ -45,6 +46,7 @@
     links: PeerLinks,
     watch_parts: WatchParts,
     is_cleaner: Callable[[], bool],
+    verify: LinkCheck,
 ) -> QuarantineTasks:
     """Return the tasks of one node.
 
@@ -56,9 +58,13 @@
         What reading the platform works with.
     is_cleaner
         Answers whether this node removes records that are over.
+    verify
+        Answers whether this node's links to a service are sound.
     """
     running = RunningAttempts()
-    quarantine = Quarantine(links, running, watch_parts.clock, is_listening)
+    quarantine = Quarantine(
+        links, running, watch_parts.clock, is_listening, verify
+    )
     records = HeldRecords(watch_parts, quarantine, is_cleaner)
     return QuarantineTasks(running, quarantine, records)
 
--- a/waywell/request/paths.py
+++ b/waywell/request/paths.py
@@ -3,14 +3,25 @@
 from __future__ import annotations
 
 import abc
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
+from waywell.ids import ServiceName
+
 if TYPE_CHECKING:
-    from waywell.ids import ServiceName
     from waywell.membership.membership import NodeRecord
     from waywell.version.fleet import FleetBox, ReplicaKey
 
 
+LinkCheck = Callable[[ServiceName], Awaitable[bool]]
+"""Answers whether this node's links to a service are sound."""
+
+
+async def trust_links(_service: ServiceName) -> bool:
+    """Answer that links are sound, for a node that can't find out."""
+    return True
+
+
 class ReplicaPaths(abc.ABC):
     """Knows whether links work, and which peers forward requests."""
 
@@ -22,6 +33,13 @@
     def is_partitioned(self, service: ServiceName) -> bool:
         """Answer whether this node has lost its links to a service."""
 
+    @abc.abstractmethod
+    async def verify(self, service: ServiceName) -> bool:
+        """Answer whether this node's links to a service are sound.
+
+        Asked before a failure that this node sees is told of a box.
+        """
+
     @abc.abstractmethod
     async def await_diagnosis(self, service: ServiceName) -> None:
         """Wait while this node finds out whether its links are lost."""
@@ -53,6 +71,10 @@
         """Answer that this node has its links."""
         return False
 
+    async def verify(self, service: ServiceName) -> bool:
+        """Answer that this node has its links."""
+        return True
+
     async def await_diagnosis(self, service: ServiceName) -> None:
         """Wait for nothing."""
 
