Leave the forming of groups to a node that reaches boxes

A holder that is partitioned from boxes that form groups gives the lease back and gives no orders, contenders are nodes with links, and the lack of a report counts against a box only where the links were verified.

--- a/tests/holder.py
+++ b/tests/holder.py
@@ -15,7 +15,7 @@
 from tests.lone_gossip import LoneGossip
 from waywell.connection.box_orders import BoxOrders
 from waywell.connection.store_era import EraTracker
-from waywell.duties.forming import FormingDuty
+from waywell.duties.forming import FormingDuty, FormingSources
 from waywell.ids import BoxId, GroupId, ModelName
 from waywell.platform.orders import (
     decode_report,
@@ -268,8 +268,10 @@
             self._outlook,
             self.orders,
             2.0,
-            lambda _now: self.demand,
-            lambda life: self.count_requests.get(life.box, 0),
+            FormingSources(
+                lambda _now: self.demand,
+                lambda life: self.count_requests.get(life.box, 0),
+            ),
         )
         duty.held_term = self._term
         return duty
--- a/waywell/duties/box_survey.py
+++ b/waywell/duties/box_survey.py
@@ -78,6 +78,10 @@
             self._asking.add(box.life)
             self._begin(box)
 
+    def give_up(self, box: FleetBox) -> None:
+        """Take in that a question says nothing of its box."""
+        self._asking.discard(box.life)
+
     def take(
         self,
         memory: FormingMemory,
--- a/waywell/duties/duty.py
+++ b/waywell/duties/duty.py
@@ -285,6 +285,10 @@
             )
         return table.own.node in self._candidates
 
+    def may_hold(self) -> bool:
+        """Answer whether this node can do the work of the duty."""
+        return True
+
     def find_least_epoch(self) -> int:
         """Return the highest epoch that is known to have been in use."""
         return 0
@@ -301,7 +305,9 @@
 
     async def on_lease_tick(self, _tick: LeaseTick) -> None:
         """Renew, take or watch the lease."""
-        if self.is_candidate() or self.lease.is_held():
+        if self.lease.is_held() and not self.may_hold():
+            await self.retire()
+        elif self.is_candidate() or self.lease.is_held():
             self.lease.state.raise_least(self.find_least_epoch())
             await self.lease.tend()
         epoch = self.epoch if self.lease.is_held() else None
--- a/waywell/duties/forming.py
+++ b/waywell/duties/forming.py
@@ -4,14 +4,19 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
+import attrs
+
 from waywell.duties.box_questions import ask_box
 from waywell.duties.box_survey import BoxSurvey
 from waywell.duties.duty import Duty
 from waywell.duties.forming_log import log_groups, log_order
-from waywell.ids import GroupId, ServiceName
+from waywell.ids import GroupId, ModelName, ServiceName
+from waywell.membership.membership import ReplicaAccess
 from waywell.process.actor import Message
+from waywell.request.paths import DirectPaths, ReplicaPaths
 from waywell.telemetry.events import log_warning
 from waywell.version.box_report import BoxReport
 from waywell.version.fleet import (
@@ -33,13 +38,11 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
-
     from waywell.connection.box_orders import BoxOrders
     from waywell.connection.platform import Platform
-    from waywell.ids import ModelName
     from waywell.knowledge.outlook import Outlook
     from waywell.membership.gossip import Gossip
+    from waywell.membership.membership import NodeRecord
     from waywell.process.clock import Clock
 
 PLAN_SECONDS = 0.15
@@ -60,6 +63,20 @@
 groups are formed, so that whole domains are there."""
 
 
+@attrs.frozen
+class FormingSources:
+    """What a holder of the duty knows of requests and of its own links."""
+
+    read_demand: Callable[[float], Mapping[ModelName, float]]
+    """Returns the places that callers take, by model."""
+
+    count_requests: Callable[[BoxLife], int]
+    """Returns the requests in flight at a box, of all nodes."""
+
+    links: ReplicaPaths = attrs.Factory(DirectPaths)
+    """This node's links to boxes."""
+
+
 class FormingDuty(Duty):
     """Plans groups and gives the orders while it holds the lease.
 
@@ -77,10 +94,8 @@
         Calls to boxes.
     term
         Term of the lease, in seconds.
-    read_demand
-        Returns the places that callers take, by model.
-    count_requests
-        Returns the requests in flight at a box, of all nodes.
+    sources
+        What this node knows of requests and of its own links.
     """
 
     class PlanTick(Message, frozen=True):
@@ -107,6 +122,9 @@
         report: BoxReport | None
         """What it told; ``None`` where nothing came."""
 
+        is_conclusive: bool = True
+        """Whether the lack of a report speaks against the box."""
+
     class Ordered(Message, frozen=True):
         """A box has answered an order, or has not."""
 
@@ -142,24 +160,39 @@
         outlook: Outlook,
         orders: BoxOrders,
         term: float,
-        read_demand: Callable[[float], Mapping[ModelName, float]],
-        count_requests: Callable[[BoxLife], int],
+        sources: FormingSources,
     ) -> None:
         """Start without the lease."""
         super().__init__(
             'forming', platform, gossip, clock, term, outlook.eras
         )
         self._outlook = outlook
+        self._links = sources.links
         self._orders = orders
-        self._read_demand = read_demand
+        self._read_demand = sources.read_demand
         self._memories: dict[ServiceName, FormingMemory] = {}
         self._summaries: dict[ServiceName, FormingSummary] = {}
-        self._survey = BoxSurvey(outlook, self._begin_probe, count_requests)
+        self._survey = BoxSurvey(
+            outlook, self._begin_probe, sources.count_requests
+        )
         self._box_count = 0
         self._counted_at = 0.0
         self._outdated_at = float('-inf')
         self._planning: asyncio.Task[object] | None = None
 
+    def list_eligible(self) -> list[NodeRecord]:
+        """Return the nodes that reach boxes, where any does."""
+        live = super().list_eligible()
+        lost = ReplicaAccess.LOST
+        return [one for one in live if one.replica_access is not lost] or live
+
+    def may_hold(self) -> bool:
+        """Answer whether this node reaches the boxes that form groups."""
+        return not any(
+            self._links.is_partitioned(name)
+            for name, _engine in self._outlook.index.list_engines()
+        )
+
     def find_least_epoch(self) -> int:
         """Return the term of the latest group that is listed.
 
@@ -182,6 +215,8 @@
         now = self.clock.read()
         if not self.is_held() or not self._may_plan(now):
             return
+        if not self.may_hold():
+            return
         for name, engine in self._outlook.index.list_engines():
             memory = self._get_memory(name)
             self._survey.ask_troubled(memory, now)
@@ -233,6 +268,9 @@
 
     def on_probed(self, probed: Probed) -> None:
         """Count a life of a box as lost, or as back."""
+        if not probed.is_conclusive:
+            self._survey.give_up(probed.box)
+            return
         memory = self._get_memory(probed.box.service)
         now = self.clock.read()
         self._survey.take(memory, probed.box, probed.report, now)
@@ -271,7 +309,10 @@
     async def _probe(self, box: FleetBox) -> BoxReport | None:
         """Ask a box for a sign of life; note and return what it told."""
         report = await ask_box(self._orders, box)
-        self.post(self.Probed(box, report))
+        is_conclusive = report is not None
+        if not is_conclusive:
+            is_conclusive = await self._links.verify(box.service)
+        self.post(self.Probed(box, report, is_conclusive))
         return report
 
     def _may_plan(self, now: float) -> bool:
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -11,7 +11,7 @@
 from waywell.connection.frames import FrameTransport
 from waywell.connection.front import FrontBackend, FrontRequest
 from waywell.connection.peer import FrontWire
-from waywell.duties.forming import FormingDuty
+from waywell.duties.forming import FormingDuty, FormingSources
 from waywell.health.doubts import DoubtListeners, Doubts
 from waywell.health.node_paths import make_node_paths
 from waywell.ids import GroupId, HallName, Incarnation, NodeId
@@ -297,8 +297,11 @@
             self.outlook,
             self._adapter.orders,
             timing.lease,
-            self._read_demand,
-            partial(count_at, self.book, self.loads),
+            FormingSources(
+                self._read_demand,
+                partial(count_at, self.book, self.loads),
+                self.paths.watch,
+            ),
         )
         self.doubts = Doubts(
             self.links,
