--- a/tests/forwarder_stage.py
+++ b/tests/forwarder_stage.py
@@ -15,6 +15,7 @@
 from tests.lone_turns import LoneTurns
 from waywell.codes import Refusal
 from waywell.connection.exchange import SendFault
+from waywell.connection.forwarding import FORWARDED_HEADER, ForwardMark
 from waywell.ids import (
     BoxId,
     HallName,
@@ -23,11 +24,14 @@
     ServiceName,
 )
 from waywell.knowledge.outlook import Outlook
+from waywell.membership.membership import NodeRecord
 from waywell.process.front_settings import PromiseSettings
 from waywell.request.ask import AnswerMark, Ask
 from waywell.request.attempt import Attempt
 from waywell.request.errand import CallerAnswer, ForwarderParts
 from waywell.request.forwarder import Forwarder
+from waywell.request.paths import DirectPaths
+from waywell.request.peer_chooser import make_peer_key
 from waywell.request.placement import Chooser
 from waywell.request.replica_book import ReplicaBook
 from waywell.request.resend_budget import ResendBudget, ResendLimits
@@ -74,6 +78,32 @@
     def make_headers(self, *_words: object) -> tuple:
         return ()
 
+    def make_forward_headers(
+        self, _ask: Ask, mark: ForwardMark, *_words: object
+    ) -> tuple:
+        return ((FORWARDED_HEADER.encode(), mark.encode().encode()),)
+
+
+class HeldPaths(DirectPaths):
+    """Links that a test takes away, with peers that it names."""
+
+    def __init__(self) -> None:
+        self.is_lost = False
+        self.is_found_lost = False
+        self.peers: list[NodeRecord] = []
+
+    def is_partitioned(self, service: ServiceName) -> bool:
+        return self.is_lost
+
+    async def await_diagnosis(self, service: ServiceName) -> None:
+        self.is_lost = self.is_found_lost
+
+    def choose_peer(
+        self, service: ServiceName, tried: Any, now: float
+    ) -> NodeRecord | None:
+        left = [one for one in self.peers if make_peer_key(one) not in tried]
+        return left[0] if left else None
+
 
 class Stage:
     """A forwarder whose attempts are driven by hand."""
@@ -118,13 +148,17 @@
         self.outlook = outlook
         self.quarantine = LoneQuarantine(self.clock)
         self.turns = LoneTurns(self.clock)
+        self.paths = HeldPaths()
+        self.budget = ResendBudget(ResendLimits(0.2, 90.0, 10.0), 0.0)
         self.forwarder = Forwarder(
             ForwarderParts(
                 outlook=outlook,
                 wire=_Wire(),
                 chooser=Chooser(HallName('port'), SharedLoads(), Random(1)),
                 book=self.book,
-                budget=ResendBudget(ResendLimits(0.2, 90.0, 10.0), 0.0),
+                budget=self.budget,
+                paths=self.paths,
+                node='own',
                 clock=self.clock,
                 draw=lambda: 0.0,
                 count_nodes=lambda: 1,
@@ -158,8 +192,12 @@
             return bool(end.value)
         raise AssertionError('the node asked another one')
 
-    async def begin(self) -> asyncio.Task:
-        ask = Ask('a1', 'POST', '/x', 'h', (), b'', model=MODEL)
+    async def begin(
+        self, forwarded: ForwardMark | None = None
+    ) -> asyncio.Task:
+        ask = Ask(
+            'a1', 'POST', '/x', 'h', (), b'', model=MODEL, forwarded=forwarded
+        )
         self.answer = StageAnswer()
         task = asyncio.create_task(self._serve(ask, self.answer))
         await self.settle()
