--- a/tests/test_partition.py
+++ b/tests/test_partition.py
@@ -37,6 +37,11 @@
 HEADS = tuple(f'h{number}' for number in range(GROUPS))
 
 
+@pytest.fixture(autouse=True)
+def probe_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(partition, 'PROBE_STAGGER', 0)
+
+
 def make_outlook() -> Outlook:
     engine = Engine(9, (EngineModel(ModelName('notes'), 2),))
     outlook = Outlook(PromiseSettings())
@@ -94,6 +99,7 @@
         self.outlook = make_outlook()
         self.reached: set[str] = set(HEADS)
         self.restored = 0
+        self.connections = 0
         table = MembershipTable(make_node(name), 2.0)
         for other in names:
             table.merge(make_node(other), 0.0)
@@ -119,6 +125,7 @@
             self.watch.record(box, self.clock.now, is_connected=False)
 
     async def _connect(self, box: FleetBox) -> bool:
+        self.connections += 1
         return box.box in self.reached
 
     def _note_restored(self) -> None:
@@ -250,6 +257,16 @@
     assert own.links.queries > asked
 
 
+@in_loop
+async def test_sound_links_cost_few_connections(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(partition, 'PROBE_STAGGER', 10.0)
+    own = make_nodes()['a']
+    assert await own.watch.verify(LLM)
+    assert own.connections == partition.LEAST_REACHED
+
+
 @in_loop
 async def test_a_report_names_only_boxes_that_take_a_connection() -> None:
     nodes = make_nodes('ab')
--- a/waywell/health/partition.py
+++ b/waywell/health/partition.py
@@ -40,6 +40,10 @@
 PROBED_BOXES = 6
 """Boxes of a service that are probed with test connections."""
 
+PROBE_STAGGER = 0.03
+"""Seconds after which boxes beyond the first ones are probed: where the links
+are sound the first have taken a connection by then."""
+
 LEAST_REACHED = 2
 """Probed boxes that must take a connection for the links to be sound."""
 
@@ -218,7 +222,12 @@
         as not reached.
         """
         unreached = list(boxes)
-        tests = [asyncio.ensure_future(self._test(box)) for box in boxes]
+        tests = [
+            asyncio.ensure_future(
+                self._test(box, 0.0 if place < needed else PROBE_STAGGER)
+            )
+            for place, box in enumerate(boxes)
+        ]
         try:
             for test in asyncio.as_completed(tests):
                 box, is_connected = await test
@@ -231,7 +240,12 @@
                 test.cancel()
         return unreached
 
-    async def _test(self, box: FleetBox) -> tuple[FleetBox, bool]:
+    async def _test(
+        self,
+        box: FleetBox,
+        delay: float,
+    ) -> tuple[FleetBox, bool]:
+        await asyncio.sleep(delay)
         is_connected = await self._parts.connect(box)
         self.table.record(
             box, self._parts.clock.read(), is_connected=is_connected
