Let peers test anew which boxes they reach

Where all replicas of a service are lost at one moment, or all nodes lose their links, a connection of up to a second before would have witnessed that they are reached; and a request that is not sent for a limit or a rest waited for a diagnosis.

tests/test_partition.py::test_what_a_peer_reached_before_witnesses_nothing.

--- a/tests/test_partition.py
+++ b/tests/test_partition.py
@@ -280,3 +280,15 @@
     await settle()
     assert reports == [ReachabilityReport(7, ('h1',))]
     assert msgspec.msgpack.encode(reports[0])
+
+
+@in_loop
+async def test_what_a_peer_reached_before_witnesses_nothing() -> None:
+    nodes = make_nodes('ab')
+    for box in nodes['b'].outlook.fleet.boxes.values():
+        nodes['b'].watch.record(box, 10.0, is_connected=True)
+    for node in nodes.values():
+        node.reached.clear()
+    nodes['a'].fail('h0', 'h1')
+    await settle()
+    assert not nodes['a'].watch.list_partitioned()
--- a/waywell/health/partition.py
+++ b/waywell/health/partition.py
@@ -296,14 +296,11 @@
 
     async def _answer(self, query: ReachabilityQuery, sender: NodeId) -> None:
         """Report which boxes of a query this node reaches."""
-        now = self._parts.clock.read()
         known = self._parts.outlook.fleet.boxes
         asked = [known[box] for box in query.boxes if box in known]
-        fresh = [
-            box for box in asked if not self.table.is_connected(box.life, now)
-        ]
-        unreached = {box.box for box in await self._probe(fresh, len(fresh))}
-        reached = tuple(box.box for box in asked if box.box not in unreached)
+        # What it reached before may have been lost since, as the sender has.
+        unreached = await self._probe(asked, len(asked))
+        reached = tuple(box.box for box in asked if box not in unreached)
         report = ReachabilityReport(query.query, reached)
         self._parts.links.send(sender, report)
 
--- a/waywell/health/reachability.py
+++ b/waywell/health/reachability.py
@@ -15,9 +15,6 @@
 
     from waywell.version.fleet import BoxLife, FleetBox
 
-CONFIRMED_SECONDS = 1.0
-"""Age, in seconds, up to which a connection shows that a box is reached."""
-
 RECENT_SECONDS = 2.0
 """Age, in seconds, beyond which an outcome says nothing any more."""
 
@@ -73,13 +70,6 @@
         """Return the boxes that failed since the last connection came up."""
         return len(self._failed.get(service, ()))
 
-    def is_connected(self, life: BoxLife, now: float) -> bool:
-        """Answer whether a box took a connection a moment ago."""
-        outcome = self._outcomes.get(life)
-        if outcome is None or now - outcome.at > CONFIRMED_SECONDS:
-            return False
-        return outcome.is_connected
-
     def count_unreachable(self, now: float) -> dict[str, float]:
         """Return by service how many boxes recently refused a connection."""
         counts: Counter[str] = Counter(
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -58,10 +58,8 @@
         self._send(destination, now)
         return True
 
-    async def start_anywhere(self) -> bool:
-        """Start an attempt; where none is left, find out about the links."""
-        if self.start():
-            return True
+    async def start_at_peer(self) -> bool:
+        """Start an attempt at a peer, where this node's links are lost."""
         return await self._check_links() and self.start()
 
     async def start_paid_anywhere(self, now: float) -> bool:
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -167,7 +167,10 @@
         if self._attempts.running:
             return
         self._attempts.check_unsent(now)
-        if not await self._attempts.start_anywhere():
+        is_started = self._attempts.start()
+        if not is_started and fault.fault is SendFault.NOT_SENT:
+            is_started = await self._attempts.start_at_peer()
+        if not is_started:
             code = self._attempts.explain_lack(now).code
             if code is Code.NO_WHOLE_GROUP:
                 code = Code.TARGET_UNREACHABLE
