--- a/tests/test_forwarded_requests.py
+++ b/tests/test_forwarded_requests.py
@@ -27,14 +27,27 @@
 LLM = ServiceName('llm')
 
 
-@pytest.fixture
-def lost(stage: Stage) -> Stage:
-    """Return a forwarder without links, with two peers that have theirs."""
+def lose_links(stage: Stage) -> Stage:
+    """Take a forwarder's links; two peers keep theirs."""
     stage.paths.is_lost = True
     stage.paths.peers = [make_node('b'), make_node('c')]
     return stage
 
 
+@pytest.fixture
+def lost(stage: Stage) -> Stage:
+    """Return a forwarder of streams without links."""
+    return lose_links(stage)
+
+
+@pytest.fixture
+def lost_once(monkeypatch: pytest.MonkeyPatch) -> Stage:
+    """Return one without links whose requests run at most once."""
+    stage = Stage(RouteKind.UNSAFE)
+    drive(stage, monkeypatch)
+    return lose_links(stage)
+
+
 def name_peers(stage: Stage) -> list[str]:
     return [one.destination.key.box for one in stage.attempts]
 
@@ -96,41 +109,34 @@
 
 
 def test_not_run_is_not_said_where_a_peer_does_not_say_so(
-    monkeypatch: pytest.MonkeyPatch,
+    lost_once: Stage,
 ) -> None:
-    stage = Stage(RouteKind.UNSAFE)
-    drive(stage, monkeypatch)
-    stage.paths.is_lost = True
-    stage.paths.peers = [make_node('b'), make_node('c')]
-
     async def play() -> None:
-        await stage.begin()
+        await lost_once.begin()
         await refuse(
-            stage, stage.attempts[0], Code.TARGET_FAILED, Ran.MAY_HAVE_RUN
+            lost_once,
+            lost_once.attempts[0],
+            Code.TARGET_FAILED,
+            Ran.MAY_HAVE_RUN,
         )
-        assert stage.refusal is not None
-        assert stage.refusal.ran is Ran.MAY_HAVE_RUN
-        assert len(stage.attempts) == 1
+        assert lost_once.refusal is not None
+        assert lost_once.refusal.ran is Ran.MAY_HAVE_RUN
+        assert len(lost_once.attempts) == 1
 
     run(play)
 
 
 def test_what_runs_at_most_once_goes_to_no_second_peer(
-    monkeypatch: pytest.MonkeyPatch,
+    lost_once: Stage,
 ) -> None:
-    stage = Stage(RouteKind.UNSAFE)
-    drive(stage, monkeypatch)
-    stage.paths.is_lost = True
-    stage.paths.peers = [make_node('b'), make_node('c')]
-
     async def play() -> None:
-        await stage.begin()
-        attempt = stage.attempts[0]
+        await lost_once.begin()
+        attempt = lost_once.attempts[0]
         attempt.tell(Attempt.Fault(attempt, SendFault.BROKEN))
-        await stage.settle()
-        assert stage.refusal is not None
-        assert stage.refusal.ran is Ran.MAY_HAVE_RUN
-        assert len(stage.attempts) == 1
+        await lost_once.settle()
+        assert lost_once.refusal is not None
+        assert lost_once.refusal.ran is Ran.MAY_HAVE_RUN
+        assert len(lost_once.attempts) == 1
 
     run(play)
 
