Log how the body of an answer ended, and within an event or not

The log of a stream that broke off and was passed on as complete had only 'answered': neither how it was framed nor how it ended, so the hypotheses could not be told apart. The line now has what ended the body (announced, closed, reset, cut) and the bytes after the last whole event; an attempt that broke off has a line of its own. No verdict changes.

--- a/waywell/connection/exchange.py
+++ b/waywell/connection/exchange.py
@@ -16,15 +16,11 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, Protocol, connectionDone
-from twisted.web.client import (
-    HTTP11ClientProtocol,
-    PotentialDataLoss,
-    Request,
-    ResponseDone,
-)
+from twisted.web.client import HTTP11ClientProtocol, Request
 from twisted.web.http_headers import Headers
 
 from waywell.connection.bodies import BytesBody
+from waywell.connection.body_end import BodyEnd, read_body_end
 from waywell.connection.deferreds import await_deferred
 from waywell.connection.hop_headers import HOP_HEADERS
 from waywell.connection.wire import RawHeaders
@@ -86,8 +82,8 @@
         """Take in a piece."""
         raise NotImplementedError
 
-    def on_end(self, is_whole: bool) -> None:
-        """Take in the end."""
+    def on_end(self, end: BodyEnd) -> None:
+        """Handle the end."""
         raise NotImplementedError
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
@@ -98,14 +94,8 @@
         self,
         reason: TwistedFailure = connectionDone,
     ) -> None:
-        """Pass the end on, with whether the body is whole."""
-        if reason.check(ResponseDone):
-            self.on_end(is_whole=True)
-        elif reason.check(PotentialDataLoss):
-            # The body has no length: only an orderly close ends it.
-            self.on_end(is_whole=not self.was_reset())
-        else:
-            self.on_end(is_whole=False)
+        """Pass the end on."""
+        self.on_end(read_body_end(reason, self.was_reset()))
 
     def was_reset(self) -> bool:
         """Answer whether the connection ended without an orderly close."""
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -130,6 +130,7 @@
             attempt.destination.on_broken(
                 has_begun=attempt.has_begun, is_over=False
             )
+            self._attempts.log('truncated', attempt, now, **end.describe())
             await self._fail(attempt, now, 'cut')
             return
         self._attempts.drop_others(attempt)
@@ -138,7 +139,9 @@
         status = attempt.head.status
         if status < SERVER_ERROR:
             self._parts.guard.note_served(self._errand.fingerprint)
-        self._attempts.log('answered', attempt, now, status=status)
+        self._attempts.log(
+            'answered', attempt, now, status=status, **end.describe()
+        )
         self._parts.answer_times.note(self._errand, now)
         self._parts.metrics.time_answer(self._errand.service, self._get_age())
         raise _Answered
