--- a/tests/house.py
+++ b/tests/house.py
@@ -12,6 +12,8 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from tests.broken_bodies import BodyScript
+
 HOST = 'shop.example'
 """Host that the routes are for."""
 
@@ -277,7 +279,7 @@
         self.limit_text = ''
         self.is_leaving = False
         self.orders: list[dict[str, Any]] = []
-        self.script: deque[str] = deque()
+        self.script: deque[str | BodyScript] = deque()
         self.members: list[str] = []
         self.fence = 0
         self.orders_begun = 0
@@ -462,6 +464,10 @@
                     'X-Request-Attempt-Id': attempt,
                     'X-Replica-Stamp': f'stamp-of-{server.name}',
                 }
+                if isinstance(act, BodyScript):
+                    server.runs.append({**self.headers, 'X-Path': self.path})
+                    act.play(self, own)
+                    return
                 if act == 'reject':
                     self.answer(503, {}, {**own, 'X-Not-Executed': '1'})
                     return
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -8,7 +8,7 @@
 import pytest
 from twisted.internet.error import ConnectionLost
 from twisted.python.failure import Failure
-from twisted.web.client import ResponseDone
+from twisted.web.client import PotentialDataLoss, ResponseDone
 
 from waywell.connection.bodies import read_whole
 
@@ -26,6 +26,7 @@
     def __init__(self) -> None:
         self.transport = _Transport()
         self.body: Any = None
+        self.was_reset = False
 
     def deliverBody(self, body: Any) -> None:  # noqa: N802
         self.body = body
@@ -68,3 +69,22 @@
         return response
 
     assert asyncio.run(play()).transport.is_closed
+
+
+def test_a_body_without_a_length_ends_with_an_orderly_close() -> None:
+    assert asyncio.run(_read_closed(was_reset=False)) == b'a'
+
+
+def test_a_body_without_a_length_that_is_reset_is_an_error() -> None:
+    with pytest.raises(PotentialDataLoss):
+        asyncio.run(_read_closed(was_reset=True))
+
+
+async def _read_closed(was_reset: bool) -> bytes:
+    response = _Response()
+    response.was_reset = was_reset
+    reading = asyncio.ensure_future(read_whole(response, 20.0))
+    await asyncio.sleep(0)
+    response.body.dataReceived(b'a')
+    response.body.connectionLost(Failure(PotentialDataLoss()))
+    return await reading
