Count a stream that ends within an event as broken off

Callers got 200 with a short stream, framed as complete. An answer with neither a length nor chunks ends with its connection, and an orderly close counted as its end wherever it came; the bytes of the unfinished event were passed on as the rest of the answer. A length that was reached and a last chunk within an event were taken in the same way.

The verdict is one typed value now, which knows what ended the body and whether an event had begun; the bytes of an unfinished event are never passed on.

--- a/tests/forwarder_stage.py
+++ b/tests/forwarder_stage.py
@@ -14,6 +14,7 @@
 from tests.lone_quarantine import LoneQuarantine
 from tests.lone_turns import LoneTurns
 from waywell.codes import Refusal
+from waywell.connection.body_end import BodyEnd, BodyOutcome
 from waywell.connection.exchange import SendFault
 from waywell.connection.forwarding import FORWARDED_HEADER, ForwardMark
 from waywell.ids import (
@@ -225,7 +226,8 @@
         await self.settle()
 
     async def end(self, attempt: Attempt, is_whole: bool = True) -> None:
-        attempt.tell(Attempt.End(attempt, is_whole))
+        end = BodyEnd.ANNOUNCED if is_whole else BodyEnd.CUT
+        attempt.tell(Attempt.End(attempt, BodyOutcome(end)))
         await self.settle()
 
     async def _serve(self, ask: Ask, answer: StageAnswer) -> None:
--- a/waywell/connection/body_end.py
+++ b/waywell/connection/body_end.py
@@ -1,10 +1,11 @@
-"""How the body of a response ended."""
+"""How the body of a response ended, and whether all of it came."""
 
 from __future__ import annotations
 
 import enum
 from typing import TYPE_CHECKING
 
+import msgspec
 from twisted.web.client import PotentialDataLoss, ResponseDone
 
 if TYPE_CHECKING:
@@ -27,6 +28,9 @@
     """The connection ended before the length or the last chunk."""
 
 
+_COMPLETE_ENDS = frozenset((BodyEnd.ANNOUNCED, BodyEnd.CLOSED))
+
+
 def read_body_end(reason: Failure, was_reset: bool) -> BodyEnd:
     """Return what ended a body.
 
@@ -42,3 +46,30 @@
     if reason.check(PotentialDataLoss):
         return BodyEnd.RESET if was_reset else BodyEnd.CLOSED
     return BodyEnd.CUT
+
+
+class BodyOutcome(msgspec.Struct, frozen=True):
+    """Whether a body is complete: the one verdict for every reader."""
+
+    end: BodyEnd = BodyEnd.ANNOUNCED
+    """What ended it."""
+
+    unfinished_bytes: int = 0
+    """Bytes of an event that had begun; 0 outside of event streams."""
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether all of it came.
+
+        A stream that ends within an event was broken off, however it ends.
+        """
+        if self.unfinished_bytes:
+            return False
+        return self.end in _COMPLETE_ENDS
+
+    def describe(self) -> dict[str, object]:
+        """Return what log lines tell of it."""
+        return {
+            'ended': self.end.value,
+            'unfinished_bytes': self.unfinished_bytes,
+        }
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -9,7 +9,7 @@
 import msgspec
 from returns.result import Failure
 
-from waywell.connection.body_end import BodyEnd
+from waywell.connection.body_end import BodyEnd, BodyOutcome
 from waywell.connection.exchange import (
     BodySink,
     Exchange,
@@ -41,8 +41,6 @@
 """Most bytes of a plain answer that wait for its end, so that an answer that
 breaks off can be asked for again; a longer one is passed on as it comes."""
 
-_WHOLE_ENDS = frozenset((BodyEnd.ANNOUNCED, BodyEnd.CLOSED))
-
 MOST_WAITING = 64
 """Pieces that wait for the caller until the replica is read no further."""
 
@@ -129,22 +127,9 @@
         attempt: Attempt
         """Sender."""
 
-        is_whole: bool
+        outcome: BodyOutcome
         """Whether all of it came."""
 
-        end: BodyEnd = BodyEnd.ANNOUNCED
-        """What ended it."""
-
-        unfinished_bytes: int = 0
-        """Bytes after the last whole event of a stream."""
-
-        def describe(self) -> dict[str, object]:
-            """Return what log lines tell of it."""
-            return {
-                'ended': self.end.value,
-                'unfinished_bytes': self.unfinished_bytes,
-            }
-
     class Fault(msgspec.Struct, frozen=True):
         """No answer came."""
 
@@ -287,13 +272,18 @@
         return self._exchange.was_reset
 
     def on_end(self, end: BodyEnd) -> None:
-        self._finish(end)
+        outcome = self._judge(end)
+        if outcome.is_complete:
+            self._flush()
+        self._attempt.tell(Attempt.End(self._attempt, outcome))
 
-    def _finish(self, end: BodyEnd, unfinished_bytes: int = 0) -> None:
-        is_whole = end in _WHOLE_ENDS
-        self._attempt.tell(
-            Attempt.End(self._attempt, is_whole, end, unfinished_bytes)
-        )
+    def _judge(self, end: BodyEnd) -> BodyOutcome:
+        """Return whether the body is complete."""
+        return BodyOutcome(end)
+
+    def _flush(self) -> None:
+        """Tell what was held back."""
+        raise NotImplementedError
 
     def _tell(self, event: StreamEvent) -> None:
         self._attempt.tell(Attempt.Piece(self._attempt, event))
@@ -311,11 +301,13 @@
         for event in self._cutter.feed(raw):
             self._tell(event)
 
-    def on_end(self, end: BodyEnd) -> None:
-        rest = self._cutter.rest
-        if rest and end in _WHOLE_ENDS:
-            self._tell(StreamEvent(rest, None))
-        self._finish(end, len(rest))
+    def _judge(self, end: BodyEnd) -> BodyOutcome:
+        return BodyOutcome(end, self._cutter.count_unfinished())
+
+    def _flush(self) -> None:
+        # Comments and empty lines: no event that a caller could take up.
+        if self._cutter.rest:
+            self._tell(StreamEvent(self._cutter.rest, None))
 
 
 @attrs.define(eq=False, repr=False, slots=False)
@@ -330,14 +322,10 @@
         if len(self._gathered) > GATHERED_BYTES:
             self._flush()
 
-    def on_end(self, end: BodyEnd) -> None:
-        if end in _WHOLE_ENDS and self._gathered:
-            self._flush()
-        super().on_end(end)
-
     def _flush(self) -> None:
-        self._tell(StreamEvent(bytes(self._gathered), None))
-        self._gathered.clear()
+        if self._gathered:
+            self._tell(StreamEvent(bytes(self._gathered), None))
+            self._gathered.clear()
 
 
 def _is_stream(headers: RawHeaders) -> bool:
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -126,11 +126,13 @@
         if attempt not in self._attempts.running or attempt.head is None:
             return
         now = self._parts.clock.read()
-        if not end.is_whole:
+        if not end.outcome.is_complete:
             attempt.destination.on_broken(
                 has_begun=attempt.has_begun, is_over=False
             )
-            self._attempts.log('truncated', attempt, now, **end.describe())
+            self._attempts.log(
+                'truncated', attempt, now, **end.outcome.describe()
+            )
             await self._fail(attempt, now, 'cut')
             return
         self._attempts.drop_others(attempt)
@@ -140,7 +142,7 @@
         if status < SERVER_ERROR:
             self._parts.guard.note_served(self._errand.fingerprint)
         self._attempts.log(
-            'answered', attempt, now, status=status, **end.describe()
+            'answered', attempt, now, status=status, **end.outcome.describe()
         )
         self._parts.answer_times.note(self._errand, now)
         self._parts.metrics.time_answer(self._errand.service, self._get_age())
--- a/waywell/request/stream_events.py
+++ b/waywell/request/stream_events.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from waywell.connection.event_boundary import EventBoundary
+
 EVENT_END = b'\n\n'
 """Bytes that end an event."""
 
@@ -33,6 +35,12 @@
         """Return the bytes after the last whole event."""
         return self._rest
 
+    def count_unfinished(self) -> int:
+        """Return the bytes of an event that has begun; 0 between events."""
+        boundary = EventBoundary()
+        boundary.feed(self._rest)
+        return len(self._rest) if boundary.is_inside_event else 0
+
     def feed(self, raw: bytes) -> list[StreamEvent]:
         """Return the events that are whole now."""
         *whole, rest = (self._rest + raw).split(EVENT_END)
