Know the events of a stream by each line end of the format

A stream with CR LF had no event until its end: nothing of it was passed on before, its pauses were not measured, and it could not be resumed. The format ends a line with CR LF, LF or CR.

--- a/waywell/request/stream_events.py
+++ b/waywell/request/stream_events.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 
 from waywell.connection.event_boundary import EventBoundary
 
-EVENT_END = b'\n\n'
-"""Bytes that end an event."""
+EVENT_END = re.compile(rb'(?>\r\n|\n|\r){2}')
+"""A line end and an empty line, each of CR LF, LF or CR."""
+
+OPEN_END_BYTES = 2
+"""Most bytes of an event's end that may have come without the rest of it."""
 
 ID_FIELD = b'id:'
 """Field with an event's number."""
@@ -43,16 +48,20 @@
 
     def feed(self, raw: bytes) -> list[StreamEvent]:
         """Return the events that are whole now."""
-        *whole, rest = (self._rest + raw).split(EVENT_END)
-        self._rest = rest
-        return [
-            StreamEvent(piece + EVENT_END, _read_number(piece))
-            for piece in whole
-        ]
+        searched = max(0, len(self._rest) - OPEN_END_BYTES)
+        pending = self._rest + raw
+        begin = 0
+        events = []
+        for end in EVENT_END.finditer(pending, searched):
+            piece = pending[begin : end.end()]
+            events.append(StreamEvent(piece, _read_number(piece)))
+            begin = end.end()
+        self._rest = pending[begin:]
+        return events
 
 
 def _read_number(piece: bytes) -> int | None:
-    for line in piece.split(b'\n'):
+    for line in piece.splitlines():
         if line.startswith(ID_FIELD):
             text = line[len(ID_FIELD) :].strip()
             return int(text) if text.isdigit() else None
