Compare content types without regard to case

A stream whose type was written with capitals was gathered like a plain answer: it came late, could not be resumed, and one that broke off within an event passed as whole. Both daemons use one comparison now, without case and parameters.

--- a/waywell/connection/relay.py
+++ b/waywell/connection/relay.py
@@ -10,15 +10,14 @@
 from twisted.web.client import ResponseDone
 from zope.interface import implementer
 
+from waywell.connection.content_type import is_event_stream
+
 if TYPE_CHECKING:
     from twisted.python.failure import Failure as TwistedFailure
     from twisted.web.http import Request
 
     from waywell.connection.target import TargetAnswer
 
-STREAM_TYPE = b'text/event-stream'
-"""Content type of a streamed answer."""
-
 STREAM_END = b'data: [DONE]'
 """End marker of a streamed answer of a model."""
 
@@ -105,12 +104,8 @@
             getattr(transport, name)()
 
     def _has_end(self) -> bool:
-        texts = self._request.responseHeaders.getRawHeaders(
-            b'content-type',
-            [],
-        )
-        streamed = any(text.startswith(STREAM_TYPE) for text in texts)
-        if not streamed or not self._wants_marker:
+        is_stream = is_event_stream(self._answer.headers)
+        if not is_stream or not self._wants_marker:
             return True
         return STREAM_END in self._tail
 
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -10,6 +10,7 @@
 from returns.result import Failure
 
 from waywell.connection.body_end import BodyEnd, BodyOutcome
+from waywell.connection.content_type import is_event_stream
 from waywell.connection.exchange import (
     BodySink,
     Exchange,
@@ -34,9 +35,6 @@
 """For a connection to come up: a few times the longest way between halls;
 a box without power says nothing at all."""
 
-STREAM_TYPE = b'text/event-stream'
-"""Content type of a stream of events."""
-
 GATHERED_BYTES = 262_144
 """Most bytes of a plain answer that wait for its end, so that an answer that
 breaks off can be asked for again; a longer one is passed on as it comes."""
@@ -328,18 +326,11 @@
             self._gathered.clear()
 
 
-def _is_stream(headers: RawHeaders) -> bool:
-    """Answer whether an answer is a stream of events."""
-    return any(
-        name.lower() == b'content-type' and text.startswith(STREAM_TYPE)
-        for name, text in headers
-    )
-
-
 def _make_reader(
     attempt: Attempt,
     exchange: Exchange,
     inbox: Inbox,
 ) -> _BodyReader:
-    maker = _EventReader if _is_stream(exchange.headers) else _PlainReader
+    is_stream = is_event_stream(exchange.headers)
+    maker = _EventReader if is_stream else _PlainReader
     return maker(attempt, exchange, inbox)
