Count a stream that closes without any event as broken off

A stream with neither a length nor chunks whose replica stopped between the head and the first event looked like an empty answer. A stream of no events holds no answer, and nothing of it has reached the caller, so it goes on at another replica where that is safe.

--- a/waywell/connection/body_end.py
+++ b/waywell/connection/body_end.py
@@ -28,9 +28,6 @@
     """The connection ended before the length or the last chunk."""
 
 
-_COMPLETE_ENDS = frozenset((BodyEnd.ANNOUNCED, BodyEnd.CLOSED))
-
-
 def read_body_end(reason: Failure, was_reset: bool) -> BodyEnd:
     """Return what ended a body.
 
@@ -57,15 +54,22 @@
     unfinished_bytes: int = 0
     """Bytes of an event that had begun; 0 outside of event streams."""
 
+    has_events: bool = True
+    """Whether an event has come, of an event stream."""
+
     @property
     def is_complete(self) -> bool:
         """Return whether all of it came.
 
         A stream that ends within an event was broken off, however it ends.
+        One that closes without any event holds no answer; only a length or
+        a last chunk says that there is none.
         """
         if self.unfinished_bytes:
             return False
-        return self.end in _COMPLETE_ENDS
+        if self.end is BodyEnd.CLOSED:
+            return self.has_events
+        return self.end is BodyEnd.ANNOUNCED
 
     def describe(self) -> dict[str, object]:
         """Return what log lines tell of it."""
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -295,12 +295,17 @@
     _cutter: EventCutter = attrs.field(factory=EventCutter, init=False)
     """Where the events are cut from the bytes."""
 
+    _has_events: bool = attrs.field(default=False, init=False)
+    """Whether an event has come."""
+
     def on_bytes(self, raw: bytes) -> None:
         for event in self._cutter.feed(raw):
+            self._has_events = True
             self._tell(event)
 
     def _judge(self, end: BodyEnd) -> BodyOutcome:
-        return BodyOutcome(end, self._cutter.count_unfinished())
+        unfinished = self._cutter.count_unfinished()
+        return BodyOutcome(end, unfinished, self._has_events)
 
     def _flush(self) -> None:
         # Comments and empty lines: no event that a caller could take up.
