Read bodies without a length in calls to the store, boxes and peers

A call whose answer had neither a length nor chunks failed, though all of it had come: a box's report or an object of the store counted as unanswered. The connections of all HTTP clients know now whether they were reset, and the body readers share one verdict.

--- a/waywell/connection/bodies.py
+++ b/waywell/connection/bodies.py
@@ -7,14 +7,17 @@
 
 from twisted.internet import defer
 from twisted.internet.protocol import Protocol, connectionDone
-from twisted.web.client import ResponseDone
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
+from waywell.connection.body_end import BodyOutcome, read_body_end
+
 if TYPE_CHECKING:
     from twisted.internet.interfaces import IConsumer
     from twisted.python.failure import Failure
 
+    from waywell.connection.client_connection import ClientResponse
+
 
 @implementer(IBodyProducer)
 class BytesBody:
@@ -43,7 +46,10 @@
 class _WholeBody(Protocol):
     """Gathers a body; what comes after its reader has gone is dropped."""
 
-    def __init__(self, whole: asyncio.Future[bytes]) -> None:
+    def __init__(
+        self, response: ClientResponse, whole: asyncio.Future[bytes]
+    ) -> None:
+        self._response = response
         self._whole = whole
         self._gathered = bytearray()
 
@@ -58,13 +64,14 @@
         """Tell the body, or why it is not whole."""
         if self._whole.done():
             return
-        if reason.check(ResponseDone):
+        end = read_body_end(reason, self._response.was_reset)
+        if BodyOutcome(end).is_complete:
             self._whole.set_result(bytes(self._gathered))
         else:
             self._whole.set_exception(reason.value)
 
 
-async def read_whole(response: Any, seconds: float) -> bytes:
+async def read_whole(response: ClientResponse, seconds: float) -> bytes:
     """Return the body of an answer.
 
     Twisted's own reader fails with a traceback when a body that was given up
@@ -83,7 +90,7 @@
         When it has not come in time; its connection is closed then.
     """
     whole: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-    gathering = _WholeBody(whole)
+    gathering = _WholeBody(response, whole)
     response.deliverBody(gathering)
     try:
         return await asyncio.wait_for(whole, seconds)
--- a/waywell/connection/exchange.py
+++ b/waywell/connection/exchange.py
@@ -14,13 +14,16 @@
 from returns.result import Failure, Result, Success
 from twisted.internet import reactor
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, Protocol, connectionDone
-from twisted.web.client import HTTP11ClientProtocol, Request
+from twisted.web.client import Request
 from twisted.web.http_headers import Headers
 
 from waywell.connection.bodies import BytesBody
 from waywell.connection.body_end import BodyEnd, read_body_end
+from waywell.connection.client_connection import (
+    ClientConnection,
+    ClientResponse,
+)
 from waywell.connection.deferreds import await_deferred
 from waywell.connection.hop_headers import HOP_HEADERS
 from waywell.connection.wire import RawHeaders
@@ -114,21 +117,6 @@
             transport.resumeProducing()
 
 
-class _OnceProtocol(HTTP11ClientProtocol):
-    """A client connection that remembers how it ended."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.was_reset = False
-
-    def connectionLost(  # noqa: N802
-        self,
-        reason: TwistedFailure = connectionDone,
-    ) -> None:
-        self.was_reset = reason.check(ConnectionDone) is None
-        super().connectionLost(reason)
-
-
 class OpenRequest:
     """A request that was sent and has no answer yet.
 
@@ -160,24 +148,23 @@
         The head of the answer.
     """
 
-    def __init__(self, protocol: Any, response: Any) -> None:
+    def __init__(self, protocol: Any, response: ClientResponse) -> None:
         """Read the head."""
         self._protocol = protocol
         self._response = response
-        self.status = int(response.code)
+        self.status = response.code
         self.headers: RawHeaders = tuple(
             (name, text)
             for name, texts in response.headers.getAllRawHeaders()
             for text in texts
             if name.lower().decode('latin-1') not in HOP_HEADERS
         )
-        known = isinstance(response.length, int)
-        self.length: int | None = response.length if known else None
+        self.length = response.length
 
     @property
     def was_reset(self) -> bool:
         """Return whether the connection ended without an orderly close."""
-        return bool(self._protocol.was_reset)
+        return self._response.was_reset
 
     def deliver(self, sink: BodySink) -> None:
         """Let the body come."""
@@ -238,7 +225,7 @@
     endpoint = TCP4ClientEndpoint(reactor, host, port, timeout=connect_seconds)
     try:
         protocol: Any = await await_deferred(
-            endpoint.connect(Factory.forProtocol(_OnceProtocol)),
+            endpoint.connect(Factory.forProtocol(ClientConnection)),
             connect_seconds,
         )
     except Exception:
@@ -264,7 +251,7 @@
     answered = protocol.request(request)
     on_sent(OpenRequest(protocol))
     try:
-        response: Any = await await_deferred(answered, None)
+        response: ClientResponse = await await_deferred(answered, None)
     except Exception:
         return Failure(SendFault.BROKEN)
     return Success(Exchange(protocol, response))
--- a/waywell/connection/http_calls.py
+++ b/waywell/connection/http_calls.py
@@ -8,10 +8,11 @@
 from returns.result import Failure, Result, Success
 from twisted.internet import reactor
 from twisted.internet.error import ConnectError, ConnectionRefusedError
-from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.client import Agent
 from twisted.web.http_headers import Headers
 
 from waywell.connection.bodies import BytesBody, read_whole
+from waywell.connection.client_connection import make_client_pool
 from waywell.connection.deferreds import await_deferred
 from waywell.connection.platform import PlatformFault
 
@@ -67,9 +68,7 @@
         self._headers = Headers(
             {name: [text] for name, text in (headers or {}).items()},
         )
-        pool = HTTPConnectionPool(reactor, keeps_connections)
-        # The pool would repeat requests by itself.
-        pool.retryAutomatically = False
+        pool = make_client_pool(keeps_connections)
         self._agent = Agent(reactor, connectTimeout=timeout, pool=pool)
 
     async def call(
--- a/waywell/connection/http_target.py
+++ b/waywell/connection/http_target.py
@@ -21,10 +21,14 @@
     readBody,
 )
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IAgentEndpointFactory, IResponse
+from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
 from waywell.connection.bodies import BytesBody, read_whole
+from waywell.connection.client_connection import (
+    ClientResponse,
+    make_client_pool,
+)
 from waywell.connection.deferreds import await_deferred
 from waywell.connection.hop_headers import HOP_HEADERS
 from waywell.connection.named_limit import LIMIT_HEADER, read_limit
@@ -111,7 +115,7 @@
 class HttpTargetAnswer(TargetAnswer):
     """An answer over HTTP."""
 
-    def __init__(self, response: IResponse) -> None:
+    def __init__(self, response: ClientResponse) -> None:
         """Read the head of the answer."""
         self._response = response
         self._receiver: IProtocol | None = None
@@ -122,14 +126,18 @@
             for text in texts
             if name.lower().decode('latin-1') not in HOP_HEADERS
         ]
-        known = isinstance(response.length, int)
-        self.length = response.length if known else None
+        self.length = response.length
         self.load = self._read_load()
         rests = response.headers.getRawHeaders(REST_HEADER, [''])
         self.rest_seconds = read_rest(self.status, rests[0])
         limits = response.headers.getRawHeaders(LIMIT_HEADER, [None])
         self.limit = read_limit(limits[0])
 
+    @property
+    def was_reset(self) -> bool:
+        """Return whether the connection ended without an orderly close."""
+        return self._response.was_reset
+
     def deliver(self, receiver: IProtocol) -> None:
         """Deliver the body to a receiver, with back pressure."""
         self._receiver = receiver
@@ -150,7 +158,7 @@
         return int(text) if text.isdecimal() else None
 
 
-def _drop_body(response: IResponse) -> None:
+def _drop_body(response: ClientResponse) -> None:
     reading = readBody(response)
     reading.addErrback(lambda _failure: None)
     reading.cancel()
@@ -168,9 +176,7 @@
     def __init__(self, connect_seconds: float) -> None:
         """Open no connection yet."""
         self._connect_seconds = connect_seconds
-        self._pool = HTTPConnectionPool(reactor)
-        # The pool would repeat requests by itself.
-        self._pool.retryAutomatically = False
+        self._pool = make_client_pool(keeps_connections=True)
         self._pool.maxPersistentPerHost = IDLE_CONNECTIONS
         self._pool.cachedConnectionTimeout = IDLE_SECONDS
 
@@ -191,7 +197,7 @@
             BytesBody(dispatch.body) if dispatch.body else None,
         )
         try:
-            response: Any = await await_deferred(requested, seconds)
+            response: ClientResponse = await await_deferred(requested, seconds)
         except TimeoutError:
             return Failure(self._explain(endpoint, timed_out=True))
         except Exception:
@@ -273,7 +279,12 @@
         return Agent.usingEndpointFactory(
             reactor,
             _OneEndpoint(endpoint),
-            pool=None if fresh else self._pool,
+            pool=self._make_pool(fresh),
+        )
+
+    def _make_pool(self, fresh: bool) -> HTTPConnectionPool:
+        return (
+            make_client_pool(keeps_connections=False) if fresh else self._pool
         )
 
     def _explain(
@@ -308,6 +319,6 @@
     return headers
 
 
-def _is_fenced(response: IResponse) -> bool:
+def _is_fenced(response: ClientResponse) -> bool:
     marks = response.headers.getRawHeaders(FENCE_HEADER, [])
     return response.code == HTTPStatus.CONFLICT and FENCE_REFUSED in marks
--- a/waywell/connection/target.py
+++ b/waywell/connection/target.py
@@ -114,6 +114,11 @@
     """Requests a second that it takes from all nodes together; ``None``
     where the answer says nothing of it."""
 
+    @property
+    @abc.abstractmethod
+    def was_reset(self) -> bool:
+        """Return whether the connection ended without an orderly close."""
+
     @abc.abstractmethod
     def deliver(self, receiver: IProtocol) -> None:
         """Deliver the body to a receiver, with back pressure."""
