Pass no length on with a stream in the entry daemon

A stream with a length that ended without its end marker, or within an event, was broken off only after its last byte: its caller had a length that fits and took the stream for complete. Streams go on in chunks, whose last one is missing then.

--- a/waywell/connection/relay.py
+++ b/waywell/connection/relay.py
@@ -64,7 +64,9 @@
         request.setResponseCode(self._answer.status)
         for name, text in self._answer.headers:
             request.responseHeaders.addRawHeader(name, text)
-        if self._answer.length is not None:
+        is_stream = is_event_stream(self._answer.headers)
+        if self._answer.length is not None and not is_stream:
+            # A stream that breaks off must not reach a length that fits.
             length = str(self._answer.length).encode()
             request.setHeader(b'content-length', length)
         request.notifyFinish().addErrback(self._give_up)
