Judge answers in the entry daemon by the same verdict as elsewhere

The entry daemon broke each answer off that had neither a length nor chunks, whole ones too, and passed a stream that ended within an event on as complete. It uses the verdict of the other readers now: an orderly close ends a body without a length, a reset and an unfinished event do not.

--- a/waywell/connection/relay.py
+++ b/waywell/connection/relay.py
@@ -7,15 +7,17 @@
 
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol, connectionDone
-from twisted.web.client import ResponseDone
 from zope.interface import implementer
 
+from waywell.connection.body_end import BodyOutcome, read_body_end
 from waywell.connection.content_type import is_event_stream
+from waywell.connection.event_boundary import EventBoundary
 
 if TYPE_CHECKING:
     from twisted.python.failure import Failure as TwistedFailure
     from twisted.web.http import Request
 
+    from waywell.connection.body_end import BodyEnd
     from waywell.connection.target import TargetAnswer
 
 STREAM_END = b'data: [DONE]'
@@ -55,6 +57,8 @@
         self._request = request
         self._answer = answer
         self._wants_marker = wants_marker
+        self._is_stream = is_event_stream(answer.headers)
+        self._boundary = EventBoundary()
         self._tail = b''
         self._given_up = False
 
@@ -64,8 +68,7 @@
         request.setResponseCode(self._answer.status)
         for name, text in self._answer.headers:
             request.responseHeaders.addRawHeader(name, text)
-        is_stream = is_event_stream(self._answer.headers)
-        if self._answer.length is not None and not is_stream:
+        if self._answer.length is not None and not self._is_stream:
             # A stream that breaks off must not reach a length that fits.
             length = str(self._answer.length).encode()
             request.setHeader(b'content-length', length)
@@ -76,7 +79,7 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
         """Write a piece of the body."""
         if not self._given_up:
-            self._tail = (self._tail + data)[-TAIL_BYTES:]
+            self._follow(data)
             self._request.write(data)
 
     def connectionLost(  # noqa: N802
@@ -86,8 +89,8 @@
         """End the answer, or break it where it is not whole."""
         if self._given_up:
             return
-        complete = reason.check(ResponseDone) is not None
-        self._end(complete and self._has_end())
+        end = read_body_end(reason, self._answer.was_reset)
+        self._end(self._judge(end).is_complete and self._has_end())
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Stop reading: the caller is slow."""
@@ -105,9 +108,21 @@
         if transport is not None:
             getattr(transport, name)()
 
+    def _follow(self, raw: bytes) -> None:
+        """Keep what the verdict on a stream needs."""
+        if self._is_stream:
+            self._tail = (self._tail + raw)[-TAIL_BYTES:]
+            self._boundary.feed(raw)
+
+    def _judge(self, end: BodyEnd) -> BodyOutcome:
+        """Return whether the body is complete."""
+        if not self._is_stream:
+            return BodyOutcome(end)
+        unfinished = len(self._tail) if self._boundary.is_inside_event else 0
+        return BodyOutcome(end, unfinished, has_events=bool(self._tail))
+
     def _has_end(self) -> bool:
-        is_stream = is_event_stream(self._answer.headers)
-        if not is_stream or not self._wants_marker:
+        if not self._is_stream or not self._wants_marker:
             return True
         return STREAM_END in self._tail
 
