Count a part of a store's answer as no answer in the entry daemon

An answer without a length that closes early, or any that is no JSON, raised an error out of the store's client in place of a fault. Tests cut an object and a list at each byte; both failed with DecodeError before. A page of the front daemon's store that is cut at any byte was and is refused whole.

--- /dev/null
+++ b/tests/test_truncated_calls.py
@@ -0,0 +1,77 @@
+"""Calls to the store take no part of an answer for the whole."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+from returns.result import Failure, Result, Success
+
+from waywell.connection.http_calls import CallAnswer
+from waywell.connection.http_platform import HttpPlatform
+from waywell.connection.platform import Kind, PlatformFault
+from waywell.platform.objects import decode_page
+
+STORED = json.dumps(
+    {'kind': 'box', 'name': 'a', 'version': 3, 'body': {'x': 1}}
+).encode()
+
+CHANGES = json.dumps(
+    {'revision': 7, 'objects': [json.loads(STORED)], 'complete': True}
+).encode()
+
+PAGE = json.dumps(
+    {
+        'items': [
+            {'metadata': {'name': name, 'revision': 5}, 'spec': {}}
+            for name in ('a', 'b')
+        ],
+        'has_more': False,
+        'current_rev': 9,
+    }
+).encode()
+
+
+class _Calls:
+    """Answers each call with the same bytes."""
+
+    def __init__(self, raw: bytes) -> None:
+        self._raw = raw
+
+    async def call(self, *_words: Any, **_named: Any) -> Result:
+        return Success(CallAnswer(200, self._raw))
+
+
+def make_platform(monkeypatch: pytest.MonkeyPatch, raw: bytes) -> HttpPlatform:
+    platform = HttpPlatform('http://127.0.0.1:1', 1.0)
+    monkeypatch.setattr(platform, '_calls', _Calls(raw))
+    return platform
+
+
+def test_a_part_of_an_object_is_no_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for end in range(len(STORED)):
+        platform = make_platform(monkeypatch, STORED[:end])
+        fetched = asyncio.run(platform.fetch(Kind.BOX, 'a'))
+        assert fetched == Failure(PlatformFault.UNANSWERED)
+        written = asyncio.run(platform.write(Kind.BOX, 'a', {}, 2))
+        assert written == Failure(PlatformFault.UNANSWERED)
+
+
+def test_a_part_of_a_list_is_no_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for end in range(len(CHANGES)):
+        platform = make_platform(monkeypatch, CHANGES[:end])
+        listed = asyncio.run(platform.fetch_all(Kind.BOX))
+        assert listed == Failure(PlatformFault.UNANSWERED)
+
+
+def test_a_part_of_a_page_is_no_page() -> None:
+    assert len(decode_page(PAGE).objects) == 2
+    for end in range(len(PAGE)):
+        with pytest.raises(ValueError, match='.'):
+            decode_page(PAGE[:end])
--- a/waywell/connection/http_platform.py
+++ b/waywell/connection/http_platform.py
@@ -4,7 +4,7 @@
 
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -18,10 +18,14 @@
     PlatformFault,
     Stored,
 )
+from waywell.telemetry.events import log_warning
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+Decoded = TypeVar('Decoded', Stored, Changes)
+"""What an answer holds."""
+
 WATCH_MARGIN = 3.0
 """Seconds beyond a watch's own wait until it counts as unanswered."""
 
@@ -62,7 +66,7 @@
         raw = answer.unwrap()
         if raw is None:
             return Success(None)
-        return Success(msgspec.json.decode(raw, type=Stored))
+        return _decode(raw, Stored)
 
     async def fetch_all(
         self,
@@ -84,8 +88,10 @@
         answer = await self._call('PUT', path, msgspec.json.encode(body))
         if isinstance(answer, Failure):
             return answer
-        stored = msgspec.json.decode(answer.unwrap() or b'', type=Stored)
-        return Success(msgspec.structs.replace(stored, body=body))
+        stored = _decode(answer.unwrap(), Stored)
+        return stored.map(
+            lambda found: msgspec.structs.replace(found, body=body)
+        )
 
     async def delete(
         self,
@@ -115,9 +121,7 @@
         answer = await self._call('GET', path, extra=extra)
         if isinstance(answer, Failure):
             return answer
-        return Success(
-            msgspec.json.decode(answer.unwrap() or b'', type=Changes),
-        )
+        return _decode(answer.unwrap(), Changes)
 
     async def _call(
         self,
@@ -143,5 +147,16 @@
     return Success(answer.raw)
 
 
+def _decode(
+    raw: bytes | None, wanted: type[Decoded]
+) -> Result[Decoded, PlatformFault]:
+    """Return what an answer holds; a part of one counts as none."""
+    try:
+        return Success(msgspec.json.decode(raw or b'', type=wanted))
+    except msgspec.MsgspecError as error:
+        log_warning('platform_answer_unreadable', error=str(error))
+        return Failure(PlatformFault.UNANSWERED)
+
+
 def _make_path(kind: Kind, name: str) -> str:
     return f'/objects/{kind.value}/{quote(name, safe="")}'
