Read no number of an event that is over 18 digits long

An event whose number has over 4,300 digits raised an error in the reader of the answer; the connection was given up and the stream, where it had neither a length nor chunks, counted as ended in order. Such an event has no number now. The test raised ValueError before.

--- a/tests/test_stream_events.py
+++ b/tests/test_stream_events.py
@@ -74,3 +74,8 @@
     assert event.number is None
     (odd,) = EventCutter().feed(b'id: x1\n\n')
     assert odd.number is None
+
+
+def test_a_number_that_no_counter_reaches_is_none() -> None:
+    (event,) = EventCutter().feed(b'id: ' + b'9' * 5000 + b'\n\n')
+    assert event.number is None
--- a/waywell/request/stream_events.py
+++ b/waywell/request/stream_events.py
@@ -17,6 +17,9 @@
 ID_FIELD = b'id:'
 """Field with an event's number."""
 
+NUMBER_DIGITS = 18
+"""Most digits of an event's number; longer ones are no numbers."""
+
 
 class StreamEvent(msgspec.Struct, frozen=True):
     """One whole event."""
@@ -64,5 +67,6 @@
     for line in piece.splitlines():
         if line.startswith(ID_FIELD):
             text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= NUMBER_DIGITS
+            return int(text) if is_number else None
     return None
