Let only a close that was seen end a body without a length

A connection that this node gave up by itself, since reading its body had failed, counted as closed in order: the answer passed as complete. The connection tells now that it was closed, in place of that it was reset; a failed read is logged.

--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -26,7 +26,7 @@
     def __init__(self) -> None:
         self.transport = _Transport()
         self.body: Any = None
-        self.was_reset = False
+        self.was_closed = True
 
     def deliverBody(self, body: Any) -> None:  # noqa: N802
         self.body = body
@@ -72,17 +72,17 @@
 
 
 def test_a_body_without_a_length_ends_with_an_orderly_close() -> None:
-    assert asyncio.run(_read_closed(was_reset=False)) == b'a'
+    assert asyncio.run(_read_closed(was_closed=True)) == b'a'
 
 
 def test_a_body_without_a_length_that_is_reset_is_an_error() -> None:
     with pytest.raises(PotentialDataLoss):
-        asyncio.run(_read_closed(was_reset=True))
+        asyncio.run(_read_closed(was_closed=False))
 
 
-async def _read_closed(was_reset: bool) -> bytes:
+async def _read_closed(was_closed: bool) -> bytes:
     response = _Response()
-    response.was_reset = was_reset
+    response.was_closed = was_closed
     reading = asyncio.ensure_future(read_whole(response, 20.0))
     await asyncio.sleep(0)
     response.body.dataReceived(b'a')
--- a/waywell/connection/bodies.py
+++ b/waywell/connection/bodies.py
@@ -64,7 +64,7 @@
         """Tell the body, or why it is not whole."""
         if self._whole.done():
             return
-        end = read_body_end(reason, self._response.was_reset)
+        end = read_body_end(reason, self._response.was_closed)
         if BodyOutcome(end).is_complete:
             self._whole.set_result(bytes(self._gathered))
         else:
--- a/waywell/connection/body_end.py
+++ b/waywell/connection/body_end.py
@@ -28,20 +28,20 @@
     """The connection ended before the length or the last chunk."""
 
 
-def read_body_end(reason: Failure, was_reset: bool) -> BodyEnd:
+def read_body_end(reason: Failure, was_closed: bool) -> BodyEnd:
     """Return what ended a body.
 
     Parameters
     ----------
     reason
         What twisted's HTTP client gives as the reason.
-    was_reset
-        Whether the connection ended without an orderly close.
+    was_closed
+        Whether the connection ended with an orderly close.
     """
     if reason.check(ResponseDone):
         return BodyEnd.ANNOUNCED
     if reason.check(PotentialDataLoss):
-        return BodyEnd.RESET if was_reset else BodyEnd.CLOSED
+        return BodyEnd.CLOSED if was_closed else BodyEnd.RESET
     return BodyEnd.CUT
 
 
--- a/waywell/connection/client_connection.py
+++ b/waywell/connection/client_connection.py
@@ -46,9 +46,9 @@
         return length if isinstance(length, int) else None
 
     @property
-    def was_reset(self) -> bool:
-        """Return whether the connection ended without an orderly close."""
-        return self._connection.was_reset
+    def was_closed(self) -> bool:
+        """Return whether the connection ended with an orderly close."""
+        return self._connection.was_closed
 
     def deliverBody(self, protocol: Protocol) -> None:  # noqa: N802
         """Deliver the body to a protocol, with back pressure."""
@@ -61,7 +61,7 @@
     def __init__(self, *quiescent: Callable[[Any], None]) -> None:
         """Start before the connection stands."""
         super().__init__(*quiescent)
-        self.was_reset = False
+        self.was_closed = False
 
     def request(self, request: Any) -> Deferred[ClientResponse]:
         """Send a request and return its response's head."""
@@ -73,7 +73,7 @@
         reason: Failure = connectionDone,
     ) -> None:
         """Remember the end before the response is told of it."""
-        self.was_reset = reason.check(ConnectionDone) is None
+        self.was_closed = reason.check(ConnectionDone) is not None
         super().connectionLost(reason)
 
     def _make_response(self, response: Any) -> ClientResponse:
--- a/waywell/connection/exchange.py
+++ b/waywell/connection/exchange.py
@@ -27,6 +27,7 @@
 from waywell.connection.deferreds import await_deferred
 from waywell.connection.hop_headers import HOP_HEADERS
 from waywell.connection.wire import RawHeaders
+from waywell.telemetry.events import log_warning
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -91,17 +92,21 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
         """Pass a piece on."""
-        self.on_bytes(data)
+        try:
+            self.on_bytes(data)
+        except Exception as error:
+            log_warning('body_unreadable', error=repr(error))
+            raise
 
     def connectionLost(  # noqa: N802
         self,
         reason: TwistedFailure = connectionDone,
     ) -> None:
         """Pass the end on."""
-        self.on_end(read_body_end(reason, self.was_reset()))
+        self.on_end(read_body_end(reason, self.was_closed()))
 
-    def was_reset(self) -> bool:
-        """Answer whether the connection ended without an orderly close."""
+    def was_closed(self) -> bool:
+        """Answer whether the connection ended with an orderly close."""
         return False
 
     def pause(self) -> None:
@@ -162,9 +167,9 @@
         self.length = response.length
 
     @property
-    def was_reset(self) -> bool:
-        """Return whether the connection ended without an orderly close."""
-        return self._response.was_reset
+    def was_closed(self) -> bool:
+        """Return whether the connection ended with an orderly close."""
+        return self._response.was_closed
 
     def deliver(self, sink: BodySink) -> None:
         """Let the body come."""
--- a/waywell/connection/http_target.py
+++ b/waywell/connection/http_target.py
@@ -134,9 +134,9 @@
         self.limit = read_limit(limits[0])
 
     @property
-    def was_reset(self) -> bool:
-        """Return whether the connection ended without an orderly close."""
-        return self._response.was_reset
+    def was_closed(self) -> bool:
+        """Return whether the connection ended with an orderly close."""
+        return self._response.was_closed
 
     def deliver(self, receiver: IProtocol) -> None:
         """Deliver the body to a receiver, with back pressure."""
--- a/waywell/connection/relay.py
+++ b/waywell/connection/relay.py
@@ -89,7 +89,7 @@
         """End the answer, or break it where it is not whole."""
         if self._given_up:
             return
-        end = read_body_end(reason, self._answer.was_reset)
+        end = read_body_end(reason, self._answer.was_closed)
         self._end(self._judge(end).is_complete and self._has_end())
 
     def pauseProducing(self) -> None:  # noqa: N802
--- a/waywell/connection/target.py
+++ b/waywell/connection/target.py
@@ -116,8 +116,8 @@
 
     @property
     @abc.abstractmethod
-    def was_reset(self) -> bool:
-        """Return whether the connection ended without an orderly close."""
+    def was_closed(self) -> bool:
+        """Return whether the connection ended with an orderly close."""
 
     @abc.abstractmethod
     def deliver(self, receiver: IProtocol) -> None:
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -266,8 +266,8 @@
     _inbox: Inbox
     """Where what comes is put."""
 
-    def was_reset(self) -> bool:
-        return self._exchange.was_reset
+    def was_closed(self) -> bool:
+        return self._exchange.was_closed
 
     def on_end(self, end: BodyEnd) -> None:
         outcome = self._judge(end)
