--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -7,10 +7,10 @@
 from waywell.codes import Code, Refusal
 from waywell.request.attempt import Attempt, Inbox
 from waywell.request.destination import Destination, ReplicaDestination
-from waywell.request.lack import Lack, explain_lack
 from waywell.request.patience import measure_patience
 from waywell.request.peer_destination import PeerDestination
 from waywell.request.return_advice import ReturnReason
+from waywell.request.unroutable import Unroutable, explain_unroutable
 from waywell.telemetry.events import log_event
 
 if TYPE_CHECKING:
@@ -206,14 +206,14 @@
             **pairs,
         )
 
-    def explain_lack(self, now: float) -> Lack:
+    def explain_unroutable(self, now: float) -> Unroutable:
         """Return why no replica is left for the request."""
         if self._is_partitioned() and self._errand.ask.forwarded is not None:
-            return Lack(Code.NODE_PARTITIONED, ReturnReason.NO_GROUP)
+            return Unroutable(Code.NODE_PARTITIONED, ReturnReason.NO_GROUP)
         backpressure = self._parts.backpressure
         replicas = self._list_replicas()
         wanting = backpressure.list_open(replicas, now)
-        return explain_lack(
+        return explain_unroutable(
             backpressure.find_release([one.key.life for one in replicas], now),
             self._parts.turns.find_wait(
                 [one.key.life for one in wanting], now
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -29,7 +29,6 @@
     make_replica,
 )
 from waywell.request.guard import RequestGuard
-from waywell.request.lack import explain_lack
 from waywell.request.request_claims import (
     NO_GROUP_RETRY_SECONDS,
     RequestClaims,
@@ -43,6 +42,7 @@
 )
 from waywell.request.submission import CallerPort, Submission, Work
 from waywell.request.turn_source import Turn, TurnSource
+from waywell.request.unroutable import explain_unroutable
 from waywell.telemetry.history import History
 from waywell.version.roster import Group, GroupState
 from waywell.version.serving import RequestShape
@@ -326,10 +326,10 @@
         else:
             choice = choose_for_session(work.session, groups, is_usable, loads)
         if choice is None:
-            raise self._explain_lack(work, groups, now)
+            raise self._explain_unroutable(work, groups, now)
         return choice
 
-    def _explain_lack(
+    def _explain_unroutable(
         self,
         work: Work,
         groups: Sequence[Group],
@@ -339,17 +339,19 @@
         lives = [make_life(group) for group in groups]
         backpressure = self._parts.backpressure
         wanting = [life for life in lives if backpressure.may_send(life, now)]
-        lack = explain_lack(
+        unroutable = explain_unroutable(
             backpressure.find_release(lives, now),
             self._parts.turns.find_wait(wanting, now),
             rejections=0,
         )
         seconds = NO_GROUP_RETRY_SECONDS
-        if lack.rest:
+        if unroutable.rest:
             draw = self._parts.random.random()
             left = work.deadline_at - now
-            seconds = advise_return(lack.reason, left, draw, lack.rest)
-        return Refusal(lack.code, _get_ran(work), retry_after=seconds)
+            seconds = advise_return(
+                unroutable.reason, left, draw, unroutable.rest
+            )
+        return Refusal(unroutable.code, _get_ran(work), retry_after=seconds)
 
     def _can_use(self, work: Work, group: Group) -> bool:
         if group.state is not GroupState.SERVING or group.group in work.tried:
@@ -518,7 +520,7 @@
         if fault in _WANTS_LESS:
             groups = self._parts.in_force.index.list_groups(work.shape)
             now = self._parts.clock.read()
-            seconds = self._explain_lack(work, groups, now).retry_after
+            seconds = self._explain_unroutable(work, groups, now).retry_after
         return Refusal(code, _get_ran(work), retry_after=seconds)
 
     def _note(
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -176,7 +176,7 @@
         if not is_started and fault.fault is SendFault.NOT_SENT:
             is_started = await self._attempts.start_at_peer()
         if not is_started:
-            code = self._attempts.explain_lack(now).code
+            code = self._attempts.explain_unroutable(now).code
             if code is Code.NO_WHOLE_GROUP:
                 code = Code.TARGET_UNREACHABLE
             self._give_up(code)
@@ -184,8 +184,8 @@
     async def _run(self) -> None:
         if not self._attempts.start():
             now = self._parts.clock.read()
-            lack = self._attempts.explain_lack(now)
-            raise Refusal(lack.code, retry_after=self._advise(now))
+            unroutable = self._attempts.explain_unroutable(now)
+            raise Refusal(unroutable.code, retry_after=self._advise(now))
         while self._attempts.running:
             await self._step()
         self._give_up(Code.TARGET_FAILED)
@@ -244,7 +244,7 @@
         self._attempts.drop(attempt)
         if not self._attempts.running:
             if not self._attempts.start_paid(now):
-                self._give_up(self._attempts.explain_lack(now).code)
+                self._give_up(self._attempts.explain_unroutable(now).code)
 
     def _take_refusal(
         self,
@@ -375,10 +375,13 @@
 
     def _advise(self, now: float) -> float:
         """Return when the caller should come back, in seconds."""
-        lack = self._attempts.explain_lack(now)
+        unroutable = self._attempts.explain_unroutable(now)
         seconds_left = self._errand.ends_at - now
         return advise_return(
-            lack.reason, seconds_left, self._parts.draw(), lack.rest
+            unroutable.reason,
+            seconds_left,
+            self._parts.draw(),
+            unroutable.rest,
         )
 
 
--- a/waywell/request/lack.py
+++ b/waywell/request/unroutable.py
@@ -1,4 +1,4 @@
-"""Why no replica is left for a request."""
+"""Reasons a request can't be routed to any replica."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 
 
 @attrs.frozen
-class Lack:
-    """Why there is no replica to send a request to."""
+class Unroutable:
+    """Why no replica can take a request."""
 
     code: Code
     """What the caller is told."""
@@ -22,12 +22,12 @@
     """Seconds until the first replica wants requests again, or has a turn."""
 
 
-def explain_lack(
+def explain_unroutable(
     release: float | None,
     turn: float | None,
     rejections: int,
-) -> Lack:
-    """Return why no replica is left.
+) -> Unroutable:
+    """Return why no replica can take a request.
 
     Parameters
     ----------
@@ -41,8 +41,8 @@
         Replicas that have rejected the request.
     """
     if release is not None:
-        return Lack(Code.REPLICAS_REST, ReturnReason.RESTING, release)
+        return Unroutable(Code.REPLICAS_REST, ReturnReason.RESTING, release)
     if turn is not None:
-        return Lack(Code.REPLICAS_LIMITED, ReturnReason.LIMITED, turn)
+        return Unroutable(Code.REPLICAS_LIMITED, ReturnReason.LIMITED, turn)
     reason = ReturnReason.FULL if rejections else ReturnReason.NO_GROUP
-    return Lack(Code.NO_WHOLE_GROUP, reason)
+    return Unroutable(Code.NO_WHOLE_GROUP, reason)
