--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -8,10 +8,10 @@
 
 from waywell.ids import ModelName
 from waywell.request.ask import Ask
-from waywell.request.patience import (
+from waywell.request.hedge_timeouts import (
     LEAST_GAP_PART,
     MOST_GAP_PART,
-    measure_patience,
+    measure_hedge_timeouts,
 )
 from waywell.request.pauses import FIRST_GUESS, USUAL_PART, PauseGauge
 from waywell.version.routes import Route, RouteKind
@@ -43,7 +43,7 @@
 
 def test_patience_follows_usual_pauses_within_the_goal() -> None:
     gaps = [
-        measure_patience(ROUTE, None, ASK, pause).gap
+        measure_hedge_timeouts(ROUTE, None, ASK, pause).gap
         for pause in (0.0, 0.2, 5.0)
     ]
     assert gaps == [
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -7,7 +7,7 @@
 from waywell.codes import Code, Refusal
 from waywell.request.attempt import Attempt, Inbox
 from waywell.request.destination import Destination, ReplicaDestination
-from waywell.request.patience import measure_patience
+from waywell.request.hedge_timeouts import measure_hedge_timeouts
 from waywell.request.peer_destination import PeerDestination
 from waywell.request.return_advice import ReturnReason
 from waywell.request.unroutable import Unroutable, explain_unroutable
@@ -39,7 +39,7 @@
     ) -> None:
         """Start none yet."""
         self.running: list[Attempt] = []
-        self.patience = measure_patience(
+        self.hedge_timeouts = measure_hedge_timeouts(
             errand.route,
             errand.engine,
             errand.ask,
@@ -138,8 +138,8 @@
         destination = attempt.destination
         heard_at = destination.book.get(destination.key).heard_at
         if attempt.has_begun:
-            return heard_at + self.patience.gap
-        return attempt.started_at + self.patience.first
+            return heard_at + self.hedge_timeouts.gap
+        return attempt.started_at + self.hedge_timeouts.first
 
     def hedge(self, now: float) -> None:
         """Start a second attempt beside a silent one, or wait once more."""
@@ -157,7 +157,7 @@
         for attempt in self.running:
             destination = attempt.destination
             book, key = destination.book, destination.key
-            if book.is_silent(key, self.patience.gap, now):
+            if book.is_silent(key, self.hedge_timeouts.gap, now):
                 book.note_failure(key, now)
                 destination.on_silent()
                 self.log('silent', attempt, now)
--- a/waywell/request/patience.py
+++ b/waywell/request/hedge_timeouts.py
@@ -38,8 +38,8 @@
 
 
 @attrs.frozen
-class Patience:
-    """Silences that are borne, in seconds."""
+class HedgeTimeouts:
+    """Seconds of silence until an attempt is hedged."""
 
     first: float
     """From the sending to the first event, or the whole plain answer."""
@@ -51,12 +51,12 @@
     """What the first event takes on an idle replica; 0 where unknown."""
 
 
-def measure_patience(
+def measure_hedge_timeouts(
     route: Route,
     engine: Engine | None,
     ask: Ask,
     usual_pause: float = 0.0,
-) -> Patience:
+) -> HedgeTimeouts:
     """Return the silences that an attempt is granted.
 
     Parameters
@@ -74,11 +74,11 @@
     """
     goal = route.goal or DEFAULT_GOAL
     if route.kind is not RouteKind.STREAM:
-        return Patience(goal * PLAIN_PART, goal * PLAIN_PART, 0.0)
+        return HedgeTimeouts(goal * PLAIN_PART, goal * PLAIN_PART, 0.0)
     longest = route.gap_goal or goal
     gap = max(LEAST_GAP, longest * LEAST_GAP_PART, usual_pause)
     gap = max(LEAST_GAP, min(gap, longest * MOST_GAP_PART))
-    return Patience(goal * FIRST_PART, gap, _expect_first(engine, ask))
+    return HedgeTimeouts(goal * FIRST_PART, gap, _expect_first(engine, ask))
 
 
 def _expect_first(engine: Engine | None, ask: Ask) -> float:
--- a/waywell/request/journey.py
+++ b/waywell/request/journey.py
@@ -291,7 +291,7 @@
         if attempt.has_begun:
             return
         attempt.has_begun = True
-        expected = self._attempts.patience.expected_first
+        expected = self._attempts.hedge_timeouts.expected_first
         if expected > 0 and self._errand.engine is not None:
             ratio = (now - attempt.started_at) / expected
             attempt.destination.on_first_piece(ratio)
