--- a/tests/forwarder_stage.py
+++ b/tests/forwarder_stage.py
@@ -29,12 +29,12 @@
 from waywell.process.front_settings import PromiseSettings
 from waywell.request.ask import AnswerMark, Ask
 from waywell.request.attempt import Attempt
-from waywell.request.errand import CallerAnswer, ForwarderParts
 from waywell.request.forwarder import Forwarder
 from waywell.request.paths import DirectPaths
 from waywell.request.peer_chooser import make_peer_key
 from waywell.request.placement import Chooser
 from waywell.request.replica_book import ReplicaBook
+from waywell.request.request_context import CallerAnswer, ForwarderParts
 from waywell.request.resend_budget import ResendBudget, ResendLimits
 from waywell.request.shared_loads import SharedLoads
 from waywell.request.stream_events import StreamEvent
--- a/tests/test_answer_times.py
+++ b/tests/test_answer_times.py
@@ -17,7 +17,7 @@
 )
 
 
-def make_errand(
+def make_context(
     arrived_at: float,
     seconds: float = 8.0,
     route: str = 'r',
@@ -33,8 +33,8 @@
 
 def test_a_route_without_an_answer_may_take_all_its_time() -> None:
     times = AnswerTimes()
-    times.note(make_errand(10.0, route='other'), 12.0)
-    assert times.estimate_end(make_errand(20.0), 20.0) == 28.0
+    times.note(make_context(10.0, route='other'), 12.0)
+    assert times.estimate_end(make_context(20.0), 20.0) == 28.0
 
 
 def test_a_longer_answer_takes_longer() -> None:
@@ -44,27 +44,27 @@
     that the stream had more tokens is inferred, its head was not looked at.
     """
     times = AnswerTimes()
-    times.note(make_errand(10.0, tokens=300), 13.0)
-    times.note(make_errand(10.0, tokens=20), 11.0)
-    longest = make_errand(20.0, tokens=500)
+    times.note(make_context(10.0, tokens=300), 13.0)
+    times.note(make_context(10.0, tokens=20), 11.0)
+    longest = make_context(20.0, tokens=500)
     assert times.estimate_end(longest, 20.0) == 20.0 + 5.0 * MARGIN
-    short = make_errand(20.0, tokens=20)
+    short = make_context(20.0, tokens=20)
     assert times.estimate_end(short, 20.0) == 20.0 + 1.0 * MARGIN
-    unseen = make_errand(20.0, tokens=1000)
+    unseen = make_context(20.0, tokens=1000)
     assert times.estimate_end(unseen, 20.0) == 28.0
 
 
 def test_the_longest_answer_counts_with_a_margin() -> None:
     times = AnswerTimes()
     for seconds in (1.0, 3.0, 2.0):
-        times.note(make_errand(10.0), 10.0 + seconds)
-    assert times.estimate_end(make_errand(20.0), 20.0) == 20.0 + 3.0 * MARGIN
+        times.note(make_context(10.0), 10.0 + seconds)
+    assert times.estimate_end(make_context(20.0), 20.0) == 20.0 + 3.0 * MARGIN
 
 
 def test_no_request_lasts_longer_than_its_own_time() -> None:
     times = AnswerTimes()
-    times.note(make_errand(10.0), 13.0)
-    assert times.estimate_end(make_errand(20.0, seconds=1.0), 20.0) == 21.0
+    times.note(make_context(10.0), 13.0)
+    assert times.estimate_end(make_context(20.0, seconds=1.0), 20.0) == 21.0
 
 
 @pytest.mark.parametrize(
@@ -75,10 +75,10 @@
     seconds: float,
 ) -> None:
     times = AnswerTimes()
-    times.note(make_errand(10.0), 13.0)
+    times.note(make_context(10.0), 13.0)
     now = 13.0 + windows * WINDOW_SECONDS
-    errand = make_errand(now)
-    assert times.estimate_end(errand, now) == now + seconds * MARGIN
+    context = make_context(now)
+    assert times.estimate_end(context, now) == now + seconds * MARGIN
 
 
 def test_routes_that_are_not_asked_any_more_are_forgotten() -> None:
@@ -87,10 +87,10 @@
     now = 0.0
     for number in range(20 * MOST_SIZES):
         now += 5 * WINDOW_SECONDS / MOST_SIZES
-        times.note(make_errand(now - 1.0, route=f'r{number}'), now)
+        times.note(make_context(now - 1.0, route=f'r{number}'), now)
     assert len(times) <= MOST_SIZES
-    errand = make_errand(now, route=f'r{number}')
-    assert times.estimate_end(errand, now) == now + MARGIN
+    context = make_context(now, route=f'r{number}')
+    assert times.estimate_end(context, now) == now + MARGIN
 
 
 def test_a_leaving_node_takes_what_it_can_finish_only(
--- a/tests/test_front_channel.py
+++ b/tests/test_front_channel.py
@@ -11,7 +11,7 @@
 from waywell.connection.front import FrontBackend, FrontSite
 from waywell.platform.messages import ServerWire
 from waywell.request.ask import Ask
-from waywell.request.errand import CallerAnswer
+from waywell.request.request_context import CallerAnswer
 from waywell.version.routes import CallerLimits
 
 
--- a/waywell/connection/front.py
+++ b/waywell/connection/front.py
@@ -24,7 +24,7 @@
 )
 from waywell.connection.wire import Wire
 from waywell.request.ask import Ask
-from waywell.request.errand import CallerAnswer
+from waywell.request.request_context import CallerAnswer
 from waywell.version.routes import CallerLimits
 
 if TYPE_CHECKING:
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -36,10 +36,10 @@
 from waywell.quarantine.tasks import make_quarantine
 from waywell.request.backpressure import Backpressure
 from waywell.request.demand import DemandGauge, count_at, count_by_model
-from waywell.request.errand import CallerAnswer, ForwarderParts
 from waywell.request.forwarder import Forwarder
 from waywell.request.placement import Chooser
 from waywell.request.replica_book import ReplicaBook
+from waywell.request.request_context import CallerAnswer, ForwarderParts
 from waywell.request.resend_budget import ResendBudget
 from waywell.request.shared_loads import SharedLoads
 from waywell.telemetry.events import log_event
--- a/waywell/request/answer_times.py
+++ b/waywell/request/answer_times.py
@@ -7,7 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from waywell.request.errand import Errand
+    from waywell.request.request_context import RequestContext
 
 WINDOW_SECONDS = 60.0
 """For which an answer counts at the least, and twice that at the most: some
@@ -62,11 +62,11 @@
         """Return how many sizes are kept."""
         return len(self._slowest)
 
-    def note(self, errand: Errand, now: float) -> None:
+    def note(self, context: RequestContext, now: float) -> None:
         """Take in that a request was answered whole."""
-        pace = (now - errand.arrived_at) / _count_tokens(errand)
-        found = self._find(errand, now)
-        key = _make_key(errand)
+        pace = (now - context.arrived_at) / _count_tokens(context)
+        found = self._find(context, now)
+        key = _make_key(context)
         self._slowest.pop(key, None)
         self._slowest[key] = attrs.evolve(
             found, present=max(found.present, pace)
@@ -74,27 +74,27 @@
         if len(self._slowest) > MOST_SIZES:
             self._slowest.pop(next(iter(self._slowest)))
 
-    def estimate_end(self, errand: Errand, now: float) -> float:
+    def estimate_end(self, context: RequestContext, now: float) -> float:
         """Return by when a request is answered or given up, in seconds.
 
         One without an answer like it of late takes all the time that it has.
         """
-        found = self._find(errand, now)
+        found = self._find(context, now)
         pace = max(found.present, found.last)
         if not pace:
-            return errand.ends_at
-        seconds = pace * _count_tokens(errand) * MARGIN
-        return min(errand.ends_at, now + seconds)
+            return context.ends_at
+        seconds = pace * _count_tokens(context) * MARGIN
+        return min(context.ends_at, now + seconds)
 
-    def _find(self, errand: Errand, now: float) -> _Slowest:
-        found = self._slowest.get(_make_key(errand), _Slowest(now))
+    def _find(self, context: RequestContext, now: float) -> _Slowest:
+        found = self._slowest.get(_make_key(context), _Slowest(now))
         return found.move_to(now)
 
 
-def _make_key(errand: Errand) -> SizeKey:
-    return errand.route.name, _count_tokens(errand).bit_length()
+def _make_key(context: RequestContext) -> SizeKey:
+    return context.route.name, _count_tokens(context).bit_length()
 
 
-def _count_tokens(errand: Errand) -> int:
+def _count_tokens(context: RequestContext) -> int:
     """Return the most tokens of an answer; plain ones count as one."""
-    return max(1, errand.ask.answer_tokens)
+    return max(1, context.ask.answer_tokens)
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -14,7 +14,7 @@
 from waywell.telemetry.events import log_event
 
 if TYPE_CHECKING:
-    from waywell.request.errand import Errand, ForwarderParts
+    from waywell.request.request_context import ForwarderParts, RequestContext
     from waywell.version.fleet import Replica
 
 
@@ -25,7 +25,7 @@
     ----------
     parts
         What the forwarder works with.
-    errand
+    context
         The request.
     inbox
         Where what comes back is put.
@@ -34,19 +34,19 @@
     def __init__(
         self,
         parts: ForwarderParts,
-        errand: Errand,
+        context: RequestContext,
         inbox: Inbox,
     ) -> None:
         """Start none yet."""
         self.running: list[Attempt] = []
         self.hedge_timeouts = measure_hedge_timeouts(
-            errand.route,
-            errand.engine,
-            errand.ask,
-            parts.pauses.get(errand.ask.model),
+            context.route,
+            context.engine,
+            context.ask,
+            parts.pauses.get(context.ask.model),
         )
         self._parts = parts
-        self._errand = errand
+        self._context = context
         self._inbox = inbox
 
     def start(self) -> bool:
@@ -85,7 +85,7 @@
         destination = self._choose(now)
         # Nothing is paid for an attempt that no replica is left for.
         nodes = self._parts.count_nodes()
-        service = self._errand.service
+        service = self._context.service
         if destination is None:
             return False
         if not self._parts.budget.spend(service, nodes, now):
@@ -108,7 +108,7 @@
         A replica that is asked no more may still answer that it wants no
         requests for a while, or that it leaves.
         """
-        seconds = self._errand.ends_at - self._parts.clock.read()
+        seconds = self._context.ends_at - self._parts.clock.read()
         for other in tuple(self.running):
             if other is not attempt:
                 other.release(seconds)
@@ -123,14 +123,14 @@
         """Answer whether a second attempt may run beside the first."""
         return (
             len(self.running) == 1
-            and self._errand.route.may_repeat
+            and self._context.route.may_repeat
             and self.has_sends_left()
             and self._may_risk(1, self._parts.clock.read())
         )
 
     def has_sends_left(self) -> bool:
         """Answer whether the route allows one more replica."""
-        return self._errand.sends < self._errand.most_sends
+        return self._context.sends < self._context.most_sends
 
     def get_hedge_at(self) -> float:
         """Return when the one attempt has been silent for too long."""
@@ -170,15 +170,15 @@
         Refusal
             When its key was removed, or replicas ended under it meanwhile.
         """
-        errand = self._errand
-        if errand.may_have_run:
+        context = self._context
+        if context.may_have_run:
             return
-        self._parts.guard.check(errand.fingerprint, now)
-        if errand.holder is None:
+        self._parts.guard.check(context.fingerprint, now)
+        if context.holder is None:
             return
         outlook = self._parts.outlook
         outlook.check_keys(now)
-        if outlook.index.find_holder(errand.ask.key) is None:
+        if outlook.index.find_holder(context.ask.key) is None:
             raise Refusal(Code.UNKNOWN_KEY)
 
     def log(
@@ -189,26 +189,26 @@
         **pairs: object,
     ) -> None:
         """Log what becomes of an attempt."""
-        errand = self._errand
+        context = self._context
         outlook = self._parts.outlook
-        self._parts.metrics.count_attempt(event, errand.service)
+        self._parts.metrics.count_attempt(event, context.service)
         log_event(
             event,
-            request=errand.ask.attempt,
-            fingerprint=errand.fingerprint,
-            route=errand.route.name,
+            request=context.ask.attempt,
+            fingerprint=context.fingerprint,
+            route=context.route.name,
             attempt=attempt.number,
             **attempt.destination.describe(),
-            last_event=errand.last_event,
+            last_event=context.last_event,
             routes_age=outlook.get_routes_age(now),
             boxes_age=outlook.get_boxes_age(now),
-            age=round(now - errand.arrived_at, 3),
+            age=round(now - context.arrived_at, 3),
             **pairs,
         )
 
     def explain_unroutable(self, now: float) -> Unroutable:
         """Return why no replica is left for the request."""
-        if self._is_partitioned() and self._errand.ask.forwarded is not None:
+        if self._is_partitioned() and self._context.ask.forwarded is not None:
             return Unroutable(Code.NODE_PARTITIONED, ReturnReason.NO_GROUP)
         backpressure = self._parts.backpressure
         replicas = self._list_replicas()
@@ -218,17 +218,17 @@
             self._parts.turns.find_wait(
                 [one.key.life for one in wanting], now
             ),
-            self._errand.rejections,
+            self._context.rejections,
         )
 
     def _send(self, destination: Destination, now: float) -> None:
-        errand = self._errand
-        errand.tried |= {destination.key}
+        context = self._context
+        context.tried |= {destination.key}
         attempt = Attempt(
             destination,
-            len(errand.tried),
+            len(context.tried),
             self._inbox,
-            errand.fingerprint,
+            context.fingerprint,
             self._parts.clock,
         )
         self.running.append(attempt)
@@ -250,66 +250,68 @@
         )
 
     def _list_replicas(self) -> list[Replica]:
-        errand = self._errand
+        context = self._context
         return self._parts.outlook.list_replicas(
-            errand.service, errand.ask.model
+            context.service, context.ask.model
         )
 
     async def _check_links(self) -> bool:
         """Answer whether a peer may reach replicas that this node can't."""
-        if self._errand.ask.forwarded is not None:
+        if self._context.ask.forwarded is not None:
             return False
-        await self._parts.paths.await_diagnosis(self._errand.service)
+        await self._parts.paths.await_diagnosis(self._context.service)
         return self._is_partitioned()
 
     def _is_partitioned(self) -> bool:
         """Answer whether this node has lost its links to the service."""
-        return self._parts.paths.is_partitioned(self._errand.service)
+        return self._parts.paths.is_partitioned(self._context.service)
 
     def _choose(self, now: float) -> Destination | None:
         if not self._is_partitioned():
             return self._choose_replica(now)
-        if self._errand.ask.forwarded is not None:
+        if self._context.ask.forwarded is not None:
             # Its sender has other peers.
             return None
-        errand = self._errand
-        peer = self._parts.paths.choose_peer(errand.service, errand.tried, now)
+        context = self._context
+        peer = self._parts.paths.choose_peer(
+            context.service, context.tried, now
+        )
         if peer is None:
             return self._choose_replica(now)
-        return PeerDestination(self._parts, errand, peer)
+        return PeerDestination(self._parts, context, peer)
 
     def _choose_replica(self, now: float) -> ReplicaDestination | None:
         # A replica that has asked for rest, or has no turn, is no last resort.
         replicas = self._parts.backpressure.list_open(
             self._list_replicas(), now
         )
-        missed = self._errand.turns_missed
+        missed = self._context.turns_missed
         replica = self._parts.chooser.choose(
             self._parts.turns.list_open(replicas, missed, now),
-            self._errand.tried,
+            self._context.tried,
             self._parts.book,
             now,
         )
         if replica is None:
             return None
-        return ReplicaDestination(self._parts, self._errand, replica)
+        return ReplicaDestination(self._parts, self._context, replica)
 
     def _may_risk(self, beside: int, now: float) -> bool:
         """Answer whether the request may put one more replica at risk."""
         return self._parts.guard.may_send(
-            self._errand.fingerprint, beside, now
+            self._context.fingerprint, beside, now
         )
 
     def _may_send(self, attempt: Attempt) -> bool:
         """Answer, in the turn of the write, whether it still may go out."""
-        errand = self._errand
+        context = self._context
         now = self._parts.clock.read()
-        if now >= errand.ends_at:
+        if now >= context.ends_at:
             return False
-        if self._parts.guard.find_release(errand.fingerprint, now):
+        if self._parts.guard.find_release(context.fingerprint, now):
             return False
         if not attempt.destination.may_send(now):
             return False
         attempt.sent_at = now
-        errand.sends += attempt.destination.count_sends()
+        context.sends += attempt.destination.count_sends()
         return True
--- a/waywell/request/destination.py
+++ b/waywell/request/destination.py
@@ -11,8 +11,8 @@
 if TYPE_CHECKING:
     from waywell.connection.wire import RawHeaders
     from waywell.request.ask import AnswerMark
-    from waywell.request.errand import Errand, ForwarderParts
     from waywell.request.replica_book import ReplicaBook
+    from waywell.request.request_context import ForwarderParts, RequestContext
     from waywell.request.turn_source import Turn
     from waywell.version.fleet import Replica, ReplicaKey
 
@@ -88,7 +88,7 @@
     ----------
     parts
         What the forwarder works with.
-    errand
+    context
         The request.
     replica
         The replica.
@@ -97,7 +97,7 @@
     def __init__(
         self,
         parts: ForwarderParts,
-        errand: Errand,
+        context: RequestContext,
         replica: Replica,
     ) -> None:
         """Send nothing yet."""
@@ -105,7 +105,7 @@
         self.key = replica.key
         self.book = parts.book
         self._parts = parts
-        self._errand = errand
+        self._context = context
         self._turn: Turn | None = None
 
     def describe(self) -> dict[str, object]:
@@ -114,31 +114,31 @@
 
     def make_outgoing(self, now: float) -> Outgoing:
         """Return the request as it is sent there at ``now``."""
-        errand = self._errand
-        holder = errand.holder
+        context = self._context
+        holder = context.holder
         delivery = Delivery(
             account=None if holder is None else holder.account,
-            seconds=errand.ends_at - now,
-            resume_after=errand.last_event,
-            priority=errand.priority if errand.engine else None,
+            seconds=context.ends_at - now,
+            resume_after=context.last_event,
+            priority=context.priority if context.engine else None,
         )
         head = self.replica.head
         return Outgoing(
             head.host,
             head.port,
-            errand.ask.method,
-            errand.ask.target,
-            self._parts.wire.make_headers(errand.ask, delivery, head),
-            errand.ask.body,
+            context.ask.method,
+            context.ask.target,
+            self._parts.wire.make_headers(context.ask, delivery, head),
+            context.ask.body,
         )
 
     async def take_turn(self) -> bool:
         """Answer whether a request may go there by its limit."""
         self._turn = await self._parts.turns.take_turn(
-            self.key.life, self.replica.head.hall, self._errand.priority
+            self.key.life, self.replica.head.hall, self._context.priority
         )
         if self._turn is None:
-            self._errand.turns_missed += 1
+            self._context.turns_missed += 1
         return self._turn is not None
 
     def may_send(self, now: float) -> bool:
@@ -149,10 +149,10 @@
         if not self._parts.turns.may_send(life, self._turn, now):
             return False
         outlook = self._parts.outlook
-        if self._errand.holder is not None:
+        if self._context.holder is not None:
             if not outlook.are_keys_fresh(now):
                 return False
-            if outlook.index.find_holder(self._errand.ask.key) is None:
+            if outlook.index.find_holder(self._context.ask.key) is None:
                 return False
         return outlook.may_send_to(self.replica)
 
@@ -192,7 +192,7 @@
         """Take in that an attempt broke after bytes had left."""
         self._parts.guard.note_broken(
             self.replica,
-            self._errand.fingerprint,
+            self._context.fingerprint,
             has_begun=has_begun,
             is_over=is_over,
         )
--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -6,9 +6,13 @@
 from typing import TYPE_CHECKING
 
 from waywell.codes import Code, Refusal
-from waywell.request.errand import CallerAnswer, Errand, ForwarderParts
 from waywell.request.fingerprint import make_fingerprint
-from waywell.request.journey import Journey
+from waywell.request.request_context import (
+    CallerAnswer,
+    ForwarderParts,
+    RequestContext,
+)
+from waywell.request.request_execution import RequestExecution
 from waywell.request.return_advice import ReturnReason, advise_return
 
 if TYPE_CHECKING:
@@ -48,23 +52,28 @@
         Refusal
             When no answer was begun.
         """
-        errand = self._identify(ask)
-        self._parts.guard.check(errand.fingerprint, errand.arrived_at)
-        self._check_end(errand)
+        context = self._identify(ask)
+        self._parts.guard.check(context.fingerprint, context.arrived_at)
+        self._check_end(context)
         if ask.forwarded is None:
             # A forwarded request counts at the node that its caller asked.
-            self._parts.budget.note_request(errand.service, errand.arrived_at)
-        await Journey(self._parts, errand, answer).run()
+            self._parts.budget.note_request(
+                context.service, context.arrived_at
+            )
+        await RequestExecution(self._parts, context, answer).run()
 
-    def _check_end(self, errand: Errand) -> None:
+    def _check_end(self, context: RequestContext) -> None:
         """Refuse what would be cut by the end of this node."""
         if math.isinf(self._node_ends_at):
             return
         times = self._parts.answer_times
-        if times.estimate_end(errand, errand.arrived_at) > self._node_ends_at:
+        if (
+            times.estimate_end(context, context.arrived_at)
+            > self._node_ends_at
+        ):
             raise Refusal(Code.NODE_LEAVING, retry_after=0)
 
-    def _identify(self, ask: Ask) -> Errand:
+    def _identify(self, ask: Ask) -> RequestContext:
         """Find route, account and service."""
         now = self._parts.clock.read()
         outlook = self._parts.outlook
@@ -85,7 +94,7 @@
         seconds = route.timeout
         if ask.seconds is not None:
             seconds = min(seconds, ask.seconds)
-        return Errand(
+        return RequestContext(
             ask,
             route,
             service.name,
--- a/waywell/request/peer_destination.py
+++ b/waywell/request/peer_destination.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from waywell.connection.wire import RawHeaders
     from waywell.membership.membership import NodeRecord
-    from waywell.request.errand import Errand, ForwarderParts
+    from waywell.request.request_context import ForwarderParts, RequestContext
 
 
 class PeerDestination(Destination):
@@ -26,7 +26,7 @@
     ----------
     parts
         What the forwarder works with.
-    errand
+    context
         The request.
     peer
         The peer.
@@ -35,16 +35,16 @@
     def __init__(
         self,
         parts: ForwarderParts,
-        errand: Errand,
+        context: RequestContext,
         peer: NodeRecord,
     ) -> None:
         """Send nothing yet."""
         self.key = make_peer_key(peer)
         self.book = parts.peer_book
         self._parts = parts
-        self._errand = errand
+        self._context = context
         self._peer = peer
-        self._sends = max(1, errand.most_sends - errand.sends)
+        self._sends = max(1, context.most_sends - context.sends)
 
     def describe(self) -> dict[str, object]:
         """Return what log lines tell of it."""
@@ -52,19 +52,19 @@
 
     def make_outgoing(self, now: float) -> Outgoing:
         """Return the request as it is sent there at ``now``."""
-        errand = self._errand
+        context = self._context
         return Outgoing(
             self._peer.host,
             self._peer.caller_port,
-            errand.ask.method,
-            errand.ask.target,
+            context.ask.method,
+            context.ask.target,
             self._parts.wire.make_forward_headers(
-                errand.ask,
+                context.ask,
                 ForwardMark(self._parts.node, self._sends),
-                errand.ends_at - now,
-                errand.last_event,
+                context.ends_at - now,
+                context.last_event,
             ),
-            errand.ask.body,
+            context.ask.body,
         )
 
     def may_send(self, now: float) -> bool:
--- a/waywell/request/errand.py
+++ b/waywell/request/request_context.py
@@ -1,4 +1,4 @@
-"""A request on its way to replicas, and what serves it."""
+"""A request while it is served, and what serves it."""
 
 from __future__ import annotations
 
@@ -119,8 +119,8 @@
 
 
 @attrs.define
-class Errand:
-    """A request on its way."""
+class RequestContext:
+    """A request while it is served."""
 
     ask: Ask
     """What the caller asks."""
--- a/waywell/request/journey.py
+++ b/waywell/request/request_execution.py
@@ -16,7 +16,11 @@
 
 if TYPE_CHECKING:
     from waywell.connection.forwarding import PeerRefusal
-    from waywell.request.errand import CallerAnswer, Errand, ForwarderParts
+    from waywell.request.request_context import (
+        CallerAnswer,
+        ForwarderParts,
+        RequestContext,
+    )
 
 SERVER_ERROR = 500
 """Lowest HTTP status that speaks against the replica."""
@@ -34,14 +38,14 @@
 """Refusals by which another peer may serve what one does not."""
 
 
-class Journey:
+class RequestExecution:
     """Takes in what attempts bring, until the request is answered.
 
     Parameters
     ----------
     parts
         What the forwarder works with.
-    errand
+    context
         The request.
     answer
         The caller's side.
@@ -50,15 +54,15 @@
     def __init__(
         self,
         parts: ForwarderParts,
-        errand: Errand,
+        context: RequestContext,
         answer: CallerAnswer,
     ) -> None:
         """Send nothing yet."""
         self._parts = parts
-        self._errand = errand
+        self._context = context
         self._answer = answer
         self._inbox = Inbox()
-        self._attempts = Attempts(parts, errand, self._inbox)
+        self._attempts = Attempts(parts, context, self._inbox)
         self._begun_status = 0
 
     async def run(self) -> None:
@@ -90,7 +94,7 @@
             return
         self._settle_on(attempt, now)
         if piece.event.number is not None:
-            self._errand.last_event = piece.event.number
+            self._context.last_event = piece.event.number
         self._begin(attempt.head)
         await self._answer.write(piece.event.raw)
 
@@ -103,13 +107,13 @@
         if head.mark.refusal is not None:
             self._take_refusal(attempt, head.mark.refusal, now)
             return
-        if head.mark.attempt != self._errand.ask.attempt:
+        if head.mark.attempt != self._context.ask.attempt:
             await self._fail(attempt, now, 'foreign_answer')
             return
         if head.mark.is_rejected or head.mark.is_misdirected:
             self._take_rejection(head, now)
             return
-        if self._errand.is_begun and head.status != self._begun_status:
+        if self._context.is_begun and head.status != self._begun_status:
             # Its body is no rest of the answer that the caller has begun.
             await self._fail(attempt, now, f'status_{head.status}')
             return
@@ -140,12 +144,12 @@
         self._answer.finish()
         status = attempt.head.status
         if status < SERVER_ERROR:
-            self._parts.guard.note_served(self._errand.fingerprint)
+            self._parts.guard.note_served(self._context.fingerprint)
         self._attempts.log(
             'answered', attempt, now, status=status, **end.outcome.describe()
         )
-        self._parts.answer_times.note(self._errand, now)
-        self._parts.metrics.time_answer(self._errand.service, self._get_age())
+        self._parts.answer_times.note(self._context, now)
+        self._parts.metrics.time_answer(self._context.service, self._get_age())
         raise _Answered
 
     async def on_fault(self, fault: Attempt.Fault) -> None:
@@ -154,7 +158,7 @@
         if attempt not in self._attempts.running:
             return
         now = self._parts.clock.read()
-        if fault.fault is SendFault.HELD_BACK and self._errand.may_have_run:
+        if fault.fault is SendFault.HELD_BACK and self._context.may_have_run:
             self._spare(attempt, now)
             return
         if self._may_have_reached(fault):
@@ -193,7 +197,7 @@
     async def _step(self) -> None:
         """Take in one message, or what its absence means."""
         now = self._parts.clock.read()
-        if now >= self._errand.ends_at:
+        if now >= self._context.ends_at:
             self._attempts.note_silence(now)
             self._give_up(Code.DEADLINE_PASSED)
         message = await self._inbox.get(self._get_wait(now))
@@ -206,7 +210,7 @@
 
     def _get_wait(self, now: float) -> float:
         """Return the seconds until silence means something."""
-        wait = self._errand.ends_at - now
+        wait = self._context.ends_at - now
         if self._attempts.can_hedge():
             wait = min(wait, self._attempts.get_hedge_at() - now)
         return max(0.0, wait)
@@ -223,13 +227,13 @@
     def _may_have_reached(self, fault: Attempt.Fault) -> bool:
         """Answer whether a byte of a failed attempt may have left."""
         if fault.fault is SendFault.REPLICA_ENDED:
-            return self._errand.may_have_run
+            return self._context.may_have_run
         return fault.fault is SendFault.BROKEN
 
     def _take_rejection(self, head: Attempt.Head, now: float) -> None:
         """Go on after a replica that says that it ran nothing."""
         attempt = head.attempt
-        self._errand.rejections += 1
+        self._context.rejections += 1
         attempt.destination.on_failed(now)
         if head.mark.is_misdirected:
             attempt.destination.on_misdirected()
@@ -262,7 +266,7 @@
         )
         destination = attempt.destination
         if refusal.ran is Ran.NOT_RUN:
-            self._errand.sends -= destination.count_sends()
+            self._context.sends -= destination.count_sends()
         is_fit = refusal.code not in _UNFIT_PEER_CODES
         if not is_fit:
             destination.book.note_failure(destination.key, now)
@@ -274,7 +278,7 @@
 
     def _is_next(self, piece: Attempt.Piece) -> bool:
         """Answer whether a piece goes on where the answer stands."""
-        last = self._errand.last_event
+        last = self._context.last_event
         number = piece.event.number
         return number is None or last is None or number == last + 1
 
@@ -292,25 +296,25 @@
             return
         attempt.has_begun = True
         expected = self._attempts.hedge_timeouts.expected_first
-        if expected > 0 and self._errand.engine is not None:
+        if expected > 0 and self._context.engine is not None:
             ratio = (now - attempt.started_at) / expected
             attempt.destination.on_first_piece(ratio)
 
     def _begin(self, head: Attempt.Head) -> None:
-        if not self._errand.is_begun:
-            self._errand.is_begun = True
+        if not self._context.is_begun:
+            self._context.is_begun = True
             self._begun_status = head.status
             self._parts.metrics.time_first(
-                self._errand.service, self._get_age()
+                self._context.service, self._get_age()
             )
             length = head.length
-            if self._errand.route.kind is RouteKind.STREAM:
+            if self._context.route.kind is RouteKind.STREAM:
                 length = None
             self._answer.begin(head.status, head.headers, length)
 
     def _get_age(self) -> float:
         """Return the seconds since the request arrived."""
-        return self._parts.clock.read() - self._errand.arrived_at
+        return self._parts.clock.read() - self._context.arrived_at
 
     def _spare(self, attempt: Attempt, now: float) -> None:
         """Drop an attempt whose replica would end under it as others did."""
@@ -334,9 +338,9 @@
 
     async def _retry(self, attempt: Attempt, now: float, why: str) -> bool:
         """Replace an attempt where the request may run again."""
-        if not self._errand.route.may_repeat:
+        if not self._context.route.may_repeat:
             return False
-        if self._errand.is_begun and not self._can_resume():
+        if self._context.is_begun and not self._can_resume():
             return False
         is_alone = len(self._attempts.running) == 1
         if is_alone and not await self._attempts.start_paid_anywhere(now):
@@ -348,26 +352,26 @@
     def _can_resume(self) -> bool:
         """Answer whether the rest of a begun answer can come from another."""
         return (
-            self._errand.route.resumable
-            and self._errand.last_event is not None
+            self._context.route.resumable
+            and self._context.last_event is not None
         )
 
     def _give_up(self, code: Code, retry_after: float | None = None) -> None:
         """End a request that has no whole answer."""
-        errand = self._errand
+        context = self._context
         now = self._parts.clock.read()
         log_event(
             'given_up',
-            request=errand.ask.attempt,
+            request=context.ask.attempt,
             code=int(code),
-            sends=errand.sends,
-            begun=errand.is_begun,
-            age=round(now - errand.arrived_at, 3),
+            sends=context.sends,
+            begun=context.is_begun,
+            age=round(now - context.arrived_at, 3),
         )
-        if errand.is_begun:
+        if context.is_begun:
             self._answer.cut()
             raise _Answered
-        if errand.may_have_run:
+        if context.may_have_run:
             raise Refusal(code, Ran.MAY_HAVE_RUN)
         if retry_after is None:
             retry_after = self._advise(now)
@@ -376,7 +380,7 @@
     def _advise(self, now: float) -> float:
         """Return when the caller should come back, in seconds."""
         unroutable = self._attempts.explain_unroutable(now)
-        seconds_left = self._errand.ends_at - now
+        seconds_left = self._context.ends_at - now
         return advise_return(
             unroutable.reason,
             seconds_left,
