Limit the loads of a model that crash boxes

Seen: with twelve boxes and weights that crash each box that loads them, 29 lives of boxes ended in 60 s where callers asked for the model, 291 at the first start, and the other model was served by 2 groups of 6.

Cause: what a load does to a box was kept with the life of that box, which its end removes; nothing was kept with the model.

Change: the holder counts, by model and kind of load, loads that ended their boxes since the last one that succeeded. From the second on the model is loaded by one box or group at a time, after a back-off of 5 s that doubles up to 600 s. Boxes of one domain that end within a second count once, as a lost domain does; boxes that leave or are silent do not count. Groups that stand go on, and regrouping is planned for the other models; the key of its cache names the models, whose number may now differ between plans. A log line, a gauge and the dump tell of it.

Left: a holder on another node counts anew.

--- a/waywell/duties/forming.py
+++ b/waywell/duties/forming.py
@@ -12,7 +12,7 @@
 from waywell.duties.box_questions import ask_box
 from waywell.duties.box_survey import BoxSurvey
 from waywell.duties.duty import Duty
-from waywell.duties.forming_log import log_groups, log_order
+from waywell.duties.forming_log import log_backoffs, log_groups, log_order
 from waywell.ids import GroupId, ModelName, ServiceName
 from waywell.process.actor import Message
 from waywell.request.paths import DirectPaths, ReplicaPaths
@@ -30,6 +30,7 @@
 )
 from waywell.version.forming_memory import FormingMemory
 from waywell.version.joining import check_joins
+from waywell.version.load_failures import LoadHistory
 from waywell.version.orders import (
     Assignment,
     Join,
@@ -171,6 +172,7 @@
         self._read_demand = sources.read_demand
         self._memories: dict[ServiceName, FormingMemory] = {}
         self._summaries: dict[ServiceName, FormingSummary] = {}
+        self.loads = LoadHistory()
         self._survey = BoxSurvey(
             outlook, self._begin_probe, sources.count_requests
         )
@@ -201,6 +203,7 @@
     async def take_up(self) -> None:
         """Forget what an earlier term knew; begin to plan."""
         self._memories.clear()
+        self.loads.forget_attempts()
         self._planning = self.repeat(PLAN_SECONDS, self.PlanTick())
 
     def lay_down(self) -> None:
@@ -229,6 +232,7 @@
             planner = FormingPlanner(view, memory, now)
             self._send(planner.plan())
             self._note_summary(name, planner.summary, view)
+            log_backoffs(name, memory.load_failures.pop_backoffs())
 
     def on_ordered(self, ordered: Ordered) -> None:
         """Note what came of an order of this term of work."""
@@ -282,6 +286,7 @@
                     'next_epoch': memory.next_epoch,
                     'pending': sorted(life.box for life in memory.pending),
                     'forming': sorted(memory.forming),
+                    'crashing_loads': memory.load_failures.list_limited(),
                 }
                 for name, memory in self._memories.items()
             },
@@ -332,6 +337,7 @@
                 next_epoch=self.epoch * EPOCHS_A_TERM + 1,
                 last_models=self._outlook.last_models,
                 lives=self._outlook.lives,
+                load_failures=self.loads.get(service),
             )
             self._memories[service] = memory
         return memory
--- a/waywell/duties/forming_log.py
+++ b/waywell/duties/forming_log.py
@@ -8,7 +8,11 @@
 from waywell.version.orders import Join, OrderResult, Stage
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from waywell.ids import ServiceName
     from waywell.version.forming import FormingSummary, FormingView
+    from waywell.version.load_failures import LoadBackoff
     from waywell.version.orders import Assignment
 
 
@@ -30,6 +34,22 @@
     )
 
 
+def log_backoffs(
+    service: ServiceName,
+    backoffs: Iterable[LoadBackoff],
+) -> None:
+    """Log the models that are not loaded for a while."""
+    for backoff in backoffs:
+        log_warning(
+            'model_loads_limited',
+            service=service,
+            model=backoff.model,
+            kind=backoff.kind.value,
+            crashes=backoff.crashes,
+            backoff_s=backoff.seconds,
+        )
+
+
 def log_order(assignment: Assignment, result: OrderResult) -> None:
     """Log an order and what came of it.
 
--- a/waywell/telemetry/front_gauges.py
+++ b/waywell/telemetry/front_gauges.py
@@ -93,6 +93,17 @@
             self._read_era,
         )
 
+        show(
+            'waywell_crashing_loads',
+            'Loads in a row that ended their boxes, by service and model.',
+            'model',
+            self._count_crashing_loads,
+        )
+
+    def _count_crashing_loads(self) -> Mapping[str, float]:
+        forming = self._node.forming
+        return forming.loads.count() if forming.is_held() else {}
+
     def _count_unreachable(self) -> Mapping[str, float]:
         node = self._node
         return node.paths.watch.table.count_unreachable(node.clock.read())
--- a/waywell/version/domain_changes.py
+++ b/waywell/version/domain_changes.py
@@ -114,7 +114,7 @@
     def describe(self, domain: Domain) -> object:
         """Return what is equal while a domain has the same changes."""
         return (
-            tuple(self._takes_slow.values()),
+            tuple(self._takes_slow.items()),
             domain,
             tuple(self._mark(box) for box in domain.idle),
             tuple(
--- a/waywell/version/forming_memory.py
+++ b/waywell/version/forming_memory.py
@@ -14,6 +14,7 @@
 from waywell.version.fleet import BoxLife, FleetBox, MemberState
 from waywell.version.group_rights import GroupRights
 from waywell.version.lives import LifeBook
+from waywell.version.load_failures import LoadFailures, LoadKind
 from waywell.version.orders import (
     Assignment,
     BoxOrder,
@@ -208,6 +209,9 @@
     staging: dict[BoxLife, Staging] = attrs.Factory(dict)
     """Models that boxes load beside all else."""
 
+    load_failures: LoadFailures = attrs.Factory(LoadFailures)
+    """Loads that ended boxes, kept by the node."""
+
     def update(self, fleet: Fleet, engine: Engine, now: float) -> None:
         """Take in a box list: drop what is seen, or was waited for in vain."""
         present = set(fleet.groups)
@@ -215,6 +219,10 @@
         self._forget_groups(present, now)
         self._forget_staging(fleet, engine, now)
         self._forget_loads(fleet, engine, now)
+        longest = max(model.load_seconds for model in engine.models)
+        self.load_failures.update(
+            fleet, self.lost, LOAD_PATIENCE * longest, now
+        )
 
     def note_order(self, box: FleetBox, order: BoxOrder, now: float) -> bool:
         """Remember an order, unless one is open; answer whether so."""
@@ -223,6 +231,7 @@
         if box.life in self.pending:
             return False
         self.pending[box.life] = (order, now)
+        self._note_load(box, order, now)
         return True
 
     def note_not_formed(
@@ -235,6 +244,7 @@
         forming = self.forming.pop(group, None)
         for life in forming.members if forming else ():
             self.pending.pop(life, None)
+            self.load_failures.forget(life)
         self.unfit.update(dict.fromkeys(unfit, now))
 
     def note_result(
@@ -247,6 +257,7 @@
         box, order = assignment.box, assignment.order
         if result in _NOT_TAKEN:
             self.pending.pop(box.life, None)
+            self.load_failures.forget(box.life)
             if isinstance(order, Join):
                 self.forming.pop(order.group, None)
         if isinstance(order, Leave):
@@ -309,6 +320,22 @@
         is_asked = box.life in self.staging or box.life in self.pending
         return not is_asked and now - refused_at > REFUSED_SECONDS
 
+    def _note_load(
+        self,
+        box: FleetBox,
+        order: BoxOrder,
+        now: float,
+    ) -> None:
+        """Remember that a box is ordered to load a model, or to stop."""
+        failures = self.load_failures
+        if isinstance(order, Stage):
+            failures.note_begun(box, order.model, LoadKind.STAGE, now)
+        elif isinstance(order, Join):
+            if self.last_models.get(box.life) != order.model:
+                failures.note_begun(box, order.model, LoadKind.JOIN, now)
+        elif isinstance(order, Leave):
+            failures.forget(box.life)
+
     def _give_back_load(
         self,
         box: FleetBox,
--- a/waywell/version/new_groups.py
+++ b/waywell/version/new_groups.py
@@ -41,6 +41,8 @@
             Boxes that may join a group, by fabric domain.
         """
         for model in self.need.rank_models():
+            if not self.memory.load_failures.may_load(model.name):
+                continue
             ready = [
                 picked
                 for boxes in free.values()
--- a/waywell/version/regroup_planner.py
+++ b/waywell/version/regroup_planner.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import msgspec
 
 from waywell.version.fleet import Fleet, FleetGroup, Pools, parse_group
 from waywell.version.forming_memory import (
@@ -83,6 +84,8 @@
         self._form_intended(free)
         if not self._is_search_due(free, serving):
             return
+        if not self._limit_models().engine.models:
+            return
         begun = 0
         for ranked in self._make_search(serving, closing).list_best(free):
             if begun >= MOST_CHANGES:
@@ -92,7 +95,7 @@
                 # What was begun before may have met the need.
                 search = self._make_search(serving, closing)
                 change = search.find_in(ranked.domain, free)
-            if change is not None:
+            if change is not None and self._may_form(change):
                 begun += 1
                 self._begin(change, free)
                 closing = [*closing, *change.closed]
@@ -121,14 +124,38 @@
         """Return a search by what the plan has begun so far."""
         abandoned = self.memory.abandoned
         rest = [one for one in serving if one.group not in abandoned]
+        need = self._limit_models()
+        names = {model.name for model in need.engine.models}
         return RegroupSearch(
-            self.need,
+            need,
             self.memory,
-            tuple(rest),
-            tuple(closing),
+            tuple(one for one in rest if parse_group(one.group) in names),
+            tuple(one for one in closing if parse_group(one.group) in names),
             may_close=self._knows_demand(),
         )
 
+    def _may_form(self, change: Regrouping) -> bool:
+        """Return whether each new group's model may be loaded now."""
+        failures = self.memory.load_failures
+        return all(
+            failures.may_load(formed.model.name) for formed in change.formed
+        )
+
+    def _limit_models(self) -> ModelNeed:
+        """Return the need of the models that may be loaded now.
+
+        Groups of the others are left alone: they may serve, and can't be
+        formed again.
+        """
+        failures = self.memory.load_failures
+        models = tuple(
+            model
+            for model in self.need.engine.models
+            if failures.may_load(model.name)
+        )
+        engine = msgspec.structs.replace(self.need.engine, models=models)
+        return attrs.evolve(self.need, engine=engine)
+
     def _form_intended(self, free: Pools) -> None:
         """Form the groups for which others were closed, as far as they can."""
         known = {box.life: box for boxes in free.values() for box in boxes}
@@ -150,6 +177,8 @@
         """Answer whether an intended group can still be formed soon."""
         if self.now - intended.since > INTENDED_SECONDS:
             return False
+        if not self.memory.load_failures.may_load(intended.model.name):
+            return False
         boxes = [self.fleet.find_life(life) for life in intended.members]
         return all(box is not None and not box.leaving for box in boxes)
 
--- a/waywell/version/staging.py
+++ b/waywell/version/staging.py
@@ -146,13 +146,20 @@
         boxes: list[FleetBox],
         model: EngineModel,
     ) -> list[FleetBox]:
-        """Return the boxes that lack a model and may be asked to load it."""
-        return [
+        """Return the boxes that lack a model and may be asked to load it.
+
+        One at the most where loads of the model have crashed their boxes.
+        """
+        failures = self._memory.load_failures
+        if not failures.may_load(model.name):
+            return []
+        lacking = [
             box
             for box in boxes
             if not self._memory.holds(box, model)
             and self._memory.may_ask_to_load(box, self._now)
         ]
+        return lacking[:1] if failures.is_limited(model.name) else lacking
 
     def _load_spares(self, pools: Pools) -> bool:
         """Load what idle boxes lack, the model in need first.
@@ -219,6 +226,7 @@
             model
             for model in self._need.rank_models()
             if not self._memory.holds(box, model)
+            and self._memory.load_failures.may_load(model.name)
         ]
 
     def _order(self, box: FleetBox, model: EngineModel) -> bool:
