Tell since when the store's era is, and what a change of it dropped

Seen: on-call saw the number of the era and of its changes, but not when the store had come back, and the log line of a change named the eras only, so what a node still went by had to be gathered from other lines.

Change: EraHistory records each change. waywell status shows store_era_since, and the one line store_era_changed names what was believed on the strength of the store alone (revisions, a term of the lease) and counts what stays: boxes, groups, the routes' version, requests held back.

--- /dev/null
+++ b/tests/test_era_history.py
@@ -0,0 +1,86 @@
+"""What status and log tell of a store that came back from an older copy."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.boxes import make_fleet, make_group
+from tests.held_clock import HeldClock
+from waywell.connection.store_era import StoreEra
+from waywell.knowledge import era_history
+from waywell.knowledge.era_history import EraHistory
+from waywell.knowledge.outlook import Outlook
+from waywell.process.front_settings import PromiseSettings
+
+
+class Node:
+    """Routes and boxes in force at a node, and what it logs."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.clock = HeldClock()
+        self.is_holder = True
+        self.lines: list[dict[str, object]] = []
+        self.outlook = Outlook(PromiseSettings())
+        self.outlook.fleet = make_fleet(*make_group('small.7', 'a', 'b'))
+        self.history = EraHistory(
+            self.outlook, self.clock, lambda: self.is_holder, lambda: 3
+        )
+        monkeypatch.setattr(era_history, 'log_warning', self._log)
+
+    def _log(self, event: str, **pairs: object) -> None:
+        self.lines.append({'event': event, **pairs})
+
+
+@pytest.fixture
+def node(monkeypatch: pytest.MonkeyPatch) -> Node:
+    return Node(monkeypatch)
+
+
+def test_the_first_era_has_no_beginning(node: Node) -> None:
+    node.outlook.eras.observe(StoreEra(4))
+    assert node.history.show() == {
+        'store_era': 4,
+        'store_era_changes': 0,
+        'store_era_since': None,
+    }
+    assert not node.lines
+
+
+def test_status_tells_since_when_the_era_is(node: Node) -> None:
+    node.outlook.eras.observe(StoreEra(4))
+    node.clock.now = 86400.5
+    node.outlook.eras.observe(StoreEra(5))
+    node.clock.now += 9
+    node.outlook.eras.observe(StoreEra(5))
+    assert node.history.show() == {
+        'store_era': 5,
+        'store_era_changes': 1,
+        'store_era_since': '1970-01-02T00:00:00.500+00:00',
+    }
+
+
+@pytest.mark.parametrize(
+    ('is_holder', 'dropped'),
+    [(True, 'revisions,lease_term'), (False, 'revisions')],
+)
+def test_one_line_tells_what_is_dropped_and_kept(
+    node: Node,
+    *,
+    is_holder: bool,
+    dropped: str,
+) -> None:
+    node.is_holder = is_holder
+    node.outlook.eras.observe(StoreEra(4))
+    node.outlook.eras.observe(StoreEra(5))
+    assert node.lines == [
+        {
+            'event': 'store_era_changed',
+            'former': 4,
+            'era': 5,
+            'dropped': dropped,
+            'boxes_kept': 2,
+            'groups_kept': 1,
+            'routes_kept': 0,
+            'holds_kept': 3,
+        }
+    ]
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -104,6 +104,20 @@
     )
 
 
+def test_status_and_log_tell_that_the_store_came_back(front: Front) -> None:
+    node = start(front)
+    assert read_status(front, node)['store_era_since'] is None
+    go_back_and_wait(front, node, front.store.take_copy())
+    status = read_status(front, node)
+    assert (status['store_era'], status['store_era_changes']) == (2, 1)
+    assert status['store_era_since'] is not None
+    lines = node.log.read_text().splitlines()
+    changes = [one for one in lines if 'event=store_era_changed ' in one]
+    assert len(changes) == 1
+    assert 'former=1 era=2 dropped="revisions,lease_term"' in changes[0]
+    assert 'boxes_kept=' in changes[0]
+
+
 def test_an_earlier_entry_ends_no_life(front: Front) -> None:
     node = start(front)
     front.servers.pop('a2').crash()
--- a/waywell/connection/store_era.py
+++ b/waywell/connection/store_era.py
@@ -107,6 +107,5 @@
 
     def _notify(self, change: EraChange) -> None:
         self.changes += 1
-        log_warning('store_era_changed', former=change.former, era=change.era)
         for listener in self._listeners:
             listener(change)
--- /dev/null
+++ b/waywell/knowledge/era_history.py
@@ -0,0 +1,82 @@
+"""When the store came back from an older copy, and what this node keeps."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+from typing import TYPE_CHECKING
+
+from waywell.telemetry.events import log_warning
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from waywell.connection.store_era import EraChange
+    from waywell.knowledge.outlook import Outlook
+    from waywell.process.clock import Clock
+
+
+class EraHistory:
+    """Records the latest change of the store's era.
+
+    Parameters
+    ----------
+    outlook
+        Routes and boxes in force, and the era.
+    clock
+        Where the time is read.
+    is_holder
+        Returns whether this node holds the duty of forming groups.
+    count_held
+        Returns how many requests are held back.
+    """
+
+    def __init__(
+        self,
+        outlook: Outlook,
+        clock: Clock,
+        is_holder: Callable[[], bool],
+        count_held: Callable[[], int],
+    ) -> None:
+        """Listen to changes of the era."""
+        self._outlook = outlook
+        self._clock = clock
+        self._is_holder = is_holder
+        self._count_held = count_held
+        self._changed_at: float | None = None
+        outlook.eras.listen(self._record)
+
+    def show(self) -> dict[str, int | str | None]:
+        """Return the era and since when, as plain values.
+
+        The time is ``None`` where this node saw no change of the era.
+        """
+        eras = self._outlook.eras
+        return {
+            'store_era': eras.current,
+            'store_era_changes': eras.changes,
+            'store_era_since': _format_time(self._changed_at),
+        }
+
+    def _record(self, change: EraChange) -> None:
+        """Record a change; log what is dropped for it and what is kept."""
+        self._changed_at = self._clock.read_wall()
+        dropped = ['revisions']
+        if self._is_holder():
+            dropped.append('lease_term')
+        fleet = self._outlook.fleet
+        log_warning(
+            'store_era_changed',
+            former=change.former,
+            era=change.era,
+            dropped=','.join(dropped),
+            boxes_kept=len(fleet.boxes),
+            groups_kept=len(fleet.groups),
+            routes_kept=self._outlook.index.table.version,
+            holds_kept=self._count_held(),
+        )
+
+
+def _format_time(at: float | None) -> str | None:
+    if at is None:
+        return None
+    return datetime.fromtimestamp(at, UTC).isoformat(timespec='milliseconds')
--- a/waywell/process/front_operations.py
+++ b/waywell/process/front_operations.py
@@ -14,6 +14,7 @@
 
 from waywell.connection.desk import DeskAnswer
 from waywell.ids import ModelName
+from waywell.knowledge.era_history import EraHistory
 from waywell.version.fleet import parse_group
 
 if TYPE_CHECKING:
@@ -41,6 +42,12 @@
     def __init__(self, node: FrontNode) -> None:
         """Keep the node; its parts are read at each question."""
         self._node = node
+        self._era_history = EraHistory(
+            node.outlook,
+            node.clock,
+            lambda: node.forming.is_held(),
+            lambda: len(node.quarantine.quarantine.book.held),
+        )
 
     def list_handlers(self) -> dict[str, DeskHandler]:
         """Return the handlers by path."""
@@ -77,8 +84,7 @@
                 'boxes': len(outlook.fleet.boxes),
                 'boxes_age_seconds': outlook.get_boxes_age(now),
                 'serving': outlook.count_serving(),
-                'store_era': outlook.eras.current,
-                'store_era_changes': outlook.eras.changes,
+                **self._era_history.show(),
                 'foreign': {
                     'routes': node.routes.foreign[:MOST_SHOWN],
                     'boxes': node.fleet.foreign[:MOST_SHOWN],
