--- a/tests/test_restored_writes.py
+++ b/tests/test_restored_writes.py
@@ -11,7 +11,7 @@
 from types import SimpleNamespace
 from typing import Any
 
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from tests.held_clock import HeldClock
 from tests.loops import in_loop, wait_until
@@ -58,6 +58,29 @@
     eras.observe(StoreEra(2))
 
 
+def make_records(
+    store: Store,
+    held: dict[Fingerprint, Hold],
+    outlook: Outlook | None = None,
+) -> HeldRecords:
+    """Return what writes the records of requests that are held back."""
+    quarantine = SimpleNamespace(
+        tell=lambda _listener: None,
+        book=SimpleNamespace(held=held),
+        take_stored=lambda *_words: None,
+    )
+    parts = WatchParts(
+        store,  # type: ignore[arg-type]
+        outlook or Outlook(PromiseSettings()),
+        HeldClock(),
+        lambda _now: True,
+        lambda: True,
+        lambda: 1,
+        lambda: 0.0,
+    )
+    return HeldRecords(parts, quarantine, lambda: False)  # type: ignore[arg-type]
+
+
 @in_loop
 async def test_a_listed_node_lists_itself_again_without_a_look() -> None:
     """Of many nodes only few look at the list at a time."""
@@ -83,23 +106,50 @@
     outlook = Outlook(PromiseSettings())
     outlook.eras.observe(StoreEra(1))
     hold = Hold(CRASHES_HELD, HeldClock.now)
-    quarantine = SimpleNamespace(
-        tell=lambda _listener: None,
-        book=SimpleNamespace(held={Fingerprint('f'): hold}),
-        take_stored=lambda *_words: None,
-    )
-    parts = WatchParts(
-        store,  # type: ignore[arg-type]
-        outlook,
-        HeldClock(),
-        lambda _now: True,
-        lambda: True,
-        lambda: 1,
-        lambda: 0.0,
-    )
-    records = HeldRecords(parts, quarantine, lambda: False)  # type: ignore[arg-type]
+    records = make_records(store, {Fingerprint('f'): hold}, outlook)
     records.on_held(Quarantine.Held(Fingerprint('f'), hold))
     await wait_until(lambda: 'f' in store.objects)
     come_back(store, outlook.eras)
     await wait_until(lambda: 'f' in store.objects)
     await records.stop()
+
+
+class SlowStore(Store):
+    """Carries out writes only once it is let to."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.asked = asyncio.Event()
+        self.goes_on = asyncio.Event()
+
+    async def write(
+        self, kind: Kind, name: str, body: Any, expected: int
+    ) -> Result[Stored, PlatformFault]:
+        self.asked.set()
+        await self.goes_on.wait()
+        return await super().write(kind, name, body, expected)
+
+    async def delete(
+        self, _kind: Kind, name: str
+    ) -> Result[None, PlatformFault]:
+        if self.objects.pop(name, None) is None:
+            return Failure(PlatformFault.REFUSED)
+        return Success(None)
+
+
+@in_loop
+async def test_no_record_stays_of_a_request_that_is_freed_meanwhile() -> None:
+    """A node that starts later would hold it back for ten minutes."""
+    store, held = SlowStore(), {}
+    hold = Hold(CRASHES_HELD, HeldClock.now)
+    held[Fingerprint('f')] = hold
+    records = make_records(store, held)
+    records.on_held(Quarantine.Held(Fingerprint('f'), hold))
+    await store.asked.wait()
+    held.clear()
+    records.on_freed(Quarantine.Freed(Fingerprint('f')))
+    await asyncio.sleep(0)
+    store.goes_on.set()
+    await wait_until(lambda: not records._tasks)
+    assert not store.objects
+    await records.stop()
