Remove the record of a request that is freed while it is written

What callers would see: a node that starts reads the record of a request that proved innocent, and refuses it for up to 600 s.

Cause: a hold's write and the removal that follows it go to the store beside each other, so the removal may be carried out first; nothing looked at the record again once the write had come through.

Change: where the hold is over when its write has ended, the record is removed after it.

--- a/waywell/quarantine/held_records.py
+++ b/waywell/quarantine/held_records.py
@@ -143,6 +143,19 @@
             self.spawn(self._remove(Fingerprint(stored.name)))
 
     async def _write(self, fingerprint: Fingerprint, hold: Hold) -> None:
+        """Write a record, and remove it where the request was freed meanwhile.
+
+        A removal may reach the platform before the write that it follows.
+        """
+        await self._write_until_done(fingerprint, hold)
+        if fingerprint not in self._quarantine.book.held:
+            await self._remove(fingerprint)
+
+    async def _write_until_done(
+        self,
+        fingerprint: Fingerprint,
+        hold: Hold,
+    ) -> None:
         """Write a record, again and again while the platform is away."""
         wait = WRITE_AGAIN_SECONDS
         while self._quarantine.book.held.get(fingerprint) == hold:
