--- a/tests/replica_paths.py
+++ b/tests/replica_paths.py
@@ -1,4 +1,4 @@
-"""The links of one front daemon to all servers, which can be cut."""
+"""The links of one daemon to all replicas, which can be cut."""
 
 from __future__ import annotations
 
@@ -12,6 +12,8 @@
 from tests.relay import Relay, Way
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from tests.front_bench import Front
 
 CALL_SECONDS = 60
@@ -36,36 +38,26 @@
     """Those that stand live on, new ones are refused."""
 
 
-class ReplicaPaths:
-    """Relays between one front daemon and each server.
-
-    The daemon calls the store through a view that shows the relays' ports in
-    place of the servers' own.
+class ReplicaRelays:
+    """Relays between one daemon and each replica.
 
     Parameters
     ----------
-    front
-        The store and the servers; all servers must be there.
+    ports
+        Ports of the replicas.
     """
 
-    def __init__(self, front: Front) -> None:
-        """Put a relay before each server."""
-        self._store = front.store.address
-        self._relays: dict[str, Relay] = {}
-        for server in front.servers.values():
-            address = server.entry['address']
-            self._relays[address] = Relay(int(address.rpartition(':')[2]))
-        self._view = _Listener(('127.0.0.1', 0), _make_handler(self))
-        self._view.daemon_threads = True
-        Thread(target=self._view.serve_forever, daemon=True).start()
+    def __init__(self, ports: Iterable[int]) -> None:
+        """Put a relay before each replica."""
+        self._relays = {port: Relay(port) for port in ports}
 
     @property
-    def store(self) -> str:
-        """Return the address of the store's view."""
-        return f'127.0.0.1:{self._view.server_address[1]}'
+    def ports(self) -> dict[int, int]:
+        """Return the relays' ports by those of the replicas."""
+        return {port: relay.port for port, relay in self._relays.items()}
 
     def cut(self, how: Cut) -> None:
-        """Take the daemon's links to all servers away."""
+        """Take the daemon's links to all replicas away."""
         cutters = [
             Thread(target=_cut, args=(relay, how))
             for relay in self._relays.values()
@@ -84,6 +76,45 @@
         """Forward nothing any more."""
         for relay in self._relays.values():
             relay.close()
+
+
+class ReplicaPaths(ReplicaRelays):
+    """Relays between one front daemon and each server.
+
+    The daemon calls the store through a view that shows the relays' ports in
+    place of the servers' own.
+
+    Parameters
+    ----------
+    front
+        The store and the servers; all servers must be there.
+    """
+
+    def __init__(self, front: Front) -> None:
+        """Put a relay before each server."""
+        addresses = [
+            server.entry['address'] for server in front.servers.values()
+        ]
+        super().__init__(int(one.rpartition(':')[2]) for one in addresses)
+        self._store = front.store.address
+        self._shown = {
+            address: f'127.0.0.1:{port}'
+            for address, port in zip(
+                addresses, self.ports.values(), strict=True
+            )
+        }
+        self._view = _Listener(('127.0.0.1', 0), _make_handler(self))
+        self._view.daemon_threads = True
+        Thread(target=self._view.serve_forever, daemon=True).start()
+
+    @property
+    def store(self) -> str:
+        """Return the address of the store's view."""
+        return f'127.0.0.1:{self._view.server_address[1]}'
+
+    def close(self) -> None:
+        """Forward nothing any more."""
+        super().close()
         self._view.shutdown()
         self._view.server_close()
 
@@ -115,9 +146,9 @@
         spec = found.get('spec')
         if not isinstance(spec, dict):
             return
-        relay = self._relays.get(spec.get('address', ''))
-        if relay is not None:
-            found['spec'] = {**spec, 'address': f'127.0.0.1:{relay.port}'}
+        address = spec.get('address', '')
+        if address in self._shown:
+            found['spec'] = {**spec, 'address': self._shown[address]}
 
 
 def _cut(relay: Relay, how: Cut) -> None:
--- /dev/null
+++ b/tests/test_partitioned_entries.py
@@ -0,0 +1,181 @@
+"""Entry daemons that have lost their links to targets, not to each other."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.conftest import QUICK
+from tests.replica_paths import Cut, ReplicaRelays
+from waywell.client import call_http
+from waywell.codes import Code
+from waywell.connection.forwarding import CODE_HEADER
+from waywell.request.facts import DEADLINE_HEADER
+from waywell.standins.harness import (
+    Bench,
+    BoxSpec,
+    make_configuration,
+    wait_until,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from waywell.client import Answer
+
+SOUND = ('entry-1', 'entry-2')
+CUT = 'entry-3'
+GROUPS = 4
+"""Groups of each service."""
+
+REQUESTS = 4
+"""Requests of each kind at a node."""
+
+DEADLINE = '1'
+"""Seconds that a request has, also over a link that hangs."""
+
+LOOKS = 20
+"""Looks at the groups after a node has noticed its cut."""
+
+SERVICES = {'llm': 'llm-main', 'app': 'app-main'}
+"""Group set of each service."""
+
+
+class Fleet:
+    """Entry nodes with links to all targets, and one that can lose them."""
+
+    def __init__(self, bench: Bench) -> None:
+        self.bench = bench
+        bench.start_boxes(
+            [
+                BoxSpec(
+                    f'{pool}-{number}',
+                    fenced=pool == 'llm',
+                    labels={'pool': pool},
+                )
+                for pool in SERVICES
+                for number in range(GROUPS)
+            ],
+        )
+        self.relays = ReplicaRelays(
+            target.ports['port'] for target in bench.targets.values()
+        )
+        ports = bench.folder / 'ports.json'
+        ports.write_text(json.dumps(self.relays.ports), encoding='utf-8')
+        for name in SOUND:
+            bench.start_entry(name, timing=QUICK)
+        bench.start_entry(
+            CUT, timing=QUICK, module=['tests.rerouted', str(ports)]
+        )
+        configuration = make_configuration(GROUPS, boxes_per_group=1)
+        configuration['group_set'][1]['groups'] = GROUPS
+        assert bench.apply(SOUND[0], configuration).status == 200
+        for name in (*SOUND, CUT):
+            for group_set in SERVICES.values():
+                bench.wait_serving(name, group_set, GROUPS)
+        self.wait_listed((*SOUND, CUT))
+
+    def call(self, entry: str, service: str, number: int) -> Answer:
+        return self.bench.get_caller(entry).call(
+            f'/services/{service}/{number}',
+            headers={DEADLINE_HEADER: DEADLINE},
+        )
+
+    def list_entries(self, entry: str) -> list[str]:
+        port = self.bench.entries[entry].ports['caller_port']
+        listed = call_http(f'http://127.0.0.1:{port}/entries').read_json()
+        return [one['node'] for one in listed['entries']]
+
+    def wait_listed(self, expected: tuple[str, ...]) -> None:
+        """Wait until all nodes name some nodes to callers."""
+        for name in (*SOUND, CUT):
+            wait_until(
+                lambda node=name: (
+                    sorted(self.list_entries(node)) == sorted(expected)
+                ),
+                f'{expected} as entries of {name}',
+            )
+
+    def wait_refused(self, service: str) -> None:
+        """Wait until the node that is cut off refuses a request for it."""
+        wait_until(
+            lambda: (
+                self.call(CUT, service, 0).headers.get(CODE_HEADER)
+                == str(int(Code.NODE_PARTITIONED))
+            ),
+            f'{service} refused at {CUT}',
+        )
+
+    def wait_noticed(self) -> None:
+        """Wait until the node that is cut off says anything of its cut."""
+        log = self.bench.entries[CUT].log
+        wait_until(
+            lambda: (
+                'event=group_probed ' in log.read_text()
+                or log.read_text().count('event=partition_detected ')
+                == len(SERVICES)
+            ),
+            'a word about the cut',
+        )
+
+    def list_down(self, entry: str) -> list[str]:
+        answer = self.bench.get_admin(entry).call('GET', '/v1/dump')
+        return sorted(answer.read_json()['tasks']['prober']['down'])
+
+
+@pytest.fixture
+def fleet(bench: Bench) -> Iterator[Fleet]:
+    made = Fleet(bench)
+    yield made
+    made.relays.close()
+
+
+@pytest.mark.parametrize('how', Cut)
+def test_a_node_without_links_to_targets_takes_no_group_from_the_others(
+    fleet: Fleet, how: Cut
+) -> None:
+    fleet.relays.cut(how)
+    fleet.wait_noticed()
+    for number in range(LOOKS):
+        for name in SOUND:
+            assert fleet.list_down(name) == []
+            for service, group_set in SERVICES.items():
+                assert fleet.bench.count_serving(name, group_set) == GROUPS
+                assert fleet.call(name, service, number).status == 200
+
+
+@pytest.mark.parametrize('how', Cut)
+def test_callers_of_a_node_without_links_to_targets_are_sent_elsewhere(
+    fleet: Fleet, how: Cut
+) -> None:
+    fleet.relays.cut(how)
+    others = {
+        f'127.0.0.1:{fleet.bench.entries[name].ports["caller_port"]}'
+        for name in SOUND
+    }
+    for service in SERVICES:
+        fleet.wait_refused(service)
+        for number in range(REQUESTS):
+            answer = fleet.call(CUT, service, number)
+            told = answer.read_json()
+            assert answer.status == 503
+            assert told['code'] == Code.NODE_PARTITIONED
+            assert told['ran'] == 'not_run'
+            assert told['retry_after'] == 0
+            assert set(told['detail'].split()) == others
+    for name in SOUND:
+        assert fleet.call(name, 'llm', 0).status == 200
+
+
+@pytest.mark.parametrize('how', Cut)
+def test_callers_are_told_of_entries_with_links_to_targets_only(
+    fleet: Fleet, how: Cut
+) -> None:
+    fleet.relays.cut(how)
+    fleet.wait_listed(SOUND)
+    fleet.relays.mend()
+    fleet.wait_listed((*SOUND, CUT))
+    for service in SERVICES:
+        assert fleet.call(CUT, service, 0).status == 200
