--- a/tests/test_partition.py
+++ b/tests/test_partition.py
@@ -15,6 +15,7 @@
 from tests.test_peer_chooser import make_node
 from waywell.connection.peer import ReachabilityQuery, ReachabilityReport
 from waywell.health import partition, reachability_queries
+from waywell.health.node_paths import ListedBoxes
 from waywell.health.partition import PartitionParts, PartitionWatch
 from waywell.ids import ModelName, NodeId, ServiceName
 from waywell.knowledge.outlook import Outlook
@@ -110,7 +111,7 @@
                 self.gossip,
                 self.links,
                 self.clock,
-                self.outlook,
+                ListedBoxes(self.outlook),
                 Random(1),
                 None,
                 self._connect,
--- a/waywell/health/partition.py
+++ b/waywell/health/partition.py
@@ -16,10 +16,9 @@
 import attrs
 
 from waywell.connection.peer import ReachabilityQuery, ReachabilityReport
+from waywell.health.probed_boxes import ProbedBoxes
 from waywell.health.reachability import ReachabilityTable
 from waywell.health.reachability_queries import ReachabilityQueries
-from waywell.ids import ModelName
-from waywell.knowledge.outlook import Outlook
 from waywell.membership.gossip import Gossip
 from waywell.membership.links import PeerLinks
 from waywell.process.actor import Actor
@@ -74,8 +73,8 @@
     clock: Clock
     """Where the time is read."""
 
-    outlook: Outlook
-    """Routes and boxes in force."""
+    boxes: ProbedBoxes
+    """Boxes that are connected to."""
 
     random: Random
     """Draws boxes and peers."""
@@ -166,7 +165,7 @@
     def _is_suspect(self, service: ServiceName, now: float) -> bool:
         if not self._may_diagnose(service, now):
             return False
-        boxes = len(self._list_boxes(service))
+        boxes = len(self._parts.boxes.list_boxes(service))
         needed = min(SUSPECT_FAILURES, boxes)
         return self.table.count_failed(service) >= needed
 
@@ -296,8 +295,8 @@
 
     async def _answer(self, query: ReachabilityQuery, sender: NodeId) -> None:
         """Report which boxes of a query this node reaches."""
-        known = self._parts.outlook.fleet.boxes
-        asked = [known[box] for box in query.boxes if box in known]
+        found = map(self._parts.boxes.find_box, query.boxes)
+        asked = [box for box in found if box is not None]
         # What it reached before may have been lost since, as the sender has.
         unreached = await self._probe(asked, len(asked))
         reached = tuple(box.box for box in asked if box not in unreached)
@@ -305,22 +304,5 @@
         self._parts.links.send(sender, report)
 
     def _draw_boxes(self, service: ServiceName, count: int) -> list[FleetBox]:
-        boxes = self._list_boxes(service)
+        boxes = self._parts.boxes.list_boxes(service)
         return self._parts.random.sample(boxes, min(count, len(boxes)))
-
-    def _list_boxes(self, service: ServiceName) -> list[FleetBox]:
-        """Return the boxes that take requests; all where none does yet."""
-        outlook = self._parts.outlook
-        known = outlook.index.find_service(service)
-        models = known.engine.models if known and known.engine else ()
-        names = [model.name for model in models] or [ModelName('')]
-        heads = [
-            replica.head
-            for name in names
-            for replica in outlook.list_replicas(service, name)
-        ]
-        return heads or [
-            box
-            for box in outlook.fleet.boxes.values()
-            if box.service == service and not box.leaving
-        ]
--- /dev/null
+++ b/waywell/health/probed_boxes.py
@@ -0,0 +1,22 @@
+"""Boxes that a node connects to in order to test its links."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from waywell.ids import BoxId, ServiceName
+    from waywell.version.fleet import FleetBox
+
+
+class ProbedBoxes(abc.ABC):
+    """Knows the boxes of each service."""
+
+    @abc.abstractmethod
+    def find_box(self, box: BoxId) -> FleetBox | None:
+        """Return a box, or ``None`` where it is not known."""
+
+    @abc.abstractmethod
+    def list_boxes(self, service: ServiceName) -> list[FleetBox]:
+        """Return the boxes that take requests of a service."""
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -13,7 +13,7 @@
 from waywell.connection.peer import FrontWire
 from waywell.duties.forming import FormingDuty, FormingSources
 from waywell.health.doubts import DoubtListeners, Doubts
-from waywell.health.node_paths import make_node_paths
+from waywell.health.node_paths import ListedBoxes, make_node_paths
 from waywell.ids import GroupId, HallName, Incarnation, NodeId
 from waywell.knowledge.feed import Feed
 from waywell.knowledge.fleet_watch import FleetWatch
@@ -268,7 +268,7 @@
             self.gossip,
             self.links,
             self.clock,
-            self.outlook,
+            ListedBoxes(self.outlook),
             self._random,
             self.book.end_rests,
         )
