Verify an entry daemon's own links before its probes take groups out

Seen: where one entry daemon had lost its links to all targets, the others listed the groups that it probed as down and sent them nothing.

Cause: any one prober's word counts at all nodes, and a probe without an answer was always taken as evidence against the group.

Change: before a word about a box that does not answer, the prober verifies its links with the front daemon's partition watch, over the boxes of the roster. Rests of groups that such failures began end when the links are back.

--- a/tests/test_partitioned_entries.py
+++ b/tests/test_partitioned_entries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from itertools import product
 from typing import TYPE_CHECKING
 
 import pytest
@@ -77,9 +78,12 @@
                 bench.wait_serving(name, group_set, GROUPS)
         self.wait_listed((*SOUND, CUT))
 
-    def call(self, entry: str, service: str, number: int) -> Answer:
+    def call(
+        self, entry: str, service: str, number: int, method: str = 'GET'
+    ) -> Answer:
         return self.bench.get_caller(entry).call(
             f'/services/{service}/{number}',
+            method,
             headers={DEADLINE_HEADER: DEADLINE},
         )
 
@@ -102,19 +106,27 @@
         """Wait until the node that is cut off refuses a request for it."""
         wait_until(
             lambda: (
-                self.call(CUT, service, 0).headers.get(CODE_HEADER)
+                self.call(CUT, service, 0, 'POST').headers.get(CODE_HEADER)
                 == str(int(Code.NODE_PARTITIONED))
             ),
             f'{service} refused at {CUT}',
         )
 
-    def wait_noticed(self) -> None:
-        """Wait until the node that is cut off says anything of its cut."""
+    def cut(self, how: Cut) -> None:
+        """Take the links to all targets from one node; wait for its words.
+
+        It tells what its probes say of groups, or that its links are lost.
+        """
         log = self.bench.entries[CUT].log
+        known = len(log.read_text())
+        self.relays.cut(how)
+        for service in SERVICES:
+            # New connections alone show that no more come up.
+            self.call(CUT, service, 0, 'POST')
         wait_until(
             lambda: (
-                'event=group_probed ' in log.read_text()
-                or log.read_text().count('event=partition_detected ')
+                'event=group_probed ' in log.read_text()[known:]
+                or log.read_text()[known:].count('event=partition_detected ')
                 == len(SERVICES)
             ),
             'a word about the cut',
@@ -136,8 +148,7 @@
 def test_a_node_without_links_to_targets_takes_no_group_from_the_others(
     fleet: Fleet, how: Cut
 ) -> None:
-    fleet.relays.cut(how)
-    fleet.wait_noticed()
+    fleet.cut(how)
     for number in range(LOOKS):
         for name in SOUND:
             assert fleet.list_down(name) == []
@@ -150,15 +161,15 @@
 def test_callers_of_a_node_without_links_to_targets_are_sent_elsewhere(
     fleet: Fleet, how: Cut
 ) -> None:
-    fleet.relays.cut(how)
+    fleet.cut(how)
     others = {
         f'127.0.0.1:{fleet.bench.entries[name].ports["caller_port"]}'
         for name in SOUND
     }
     for service in SERVICES:
         fleet.wait_refused(service)
-        for number in range(REQUESTS):
-            answer = fleet.call(CUT, service, number)
+        for number, method in product(range(REQUESTS), ('GET', 'POST')):
+            answer = fleet.call(CUT, service, number, method)
             told = answer.read_json()
             assert answer.status == 503
             assert told['code'] == Code.NODE_PARTITIONED
@@ -173,7 +184,7 @@
 def test_callers_are_told_of_entries_with_links_to_targets_only(
     fleet: Fleet, how: Cut
 ) -> None:
-    fleet.relays.cut(how)
+    fleet.cut(how)
     fleet.wait_listed(SOUND)
     fleet.relays.mend()
     fleet.wait_listed((*SOUND, CUT))
--- a/waywell/connection/grpc_peer.py
+++ b/waywell/connection/grpc_peer.py
@@ -28,6 +28,8 @@
     KnownCrashes,
     KnownLimits,
     LimitTold,
+    ReachabilityQuery,
+    ReachabilityReport,
     Records,
     ReplicaEnded,
     RequestCleared,
@@ -70,6 +72,8 @@
     KnownLimits,
     TurnAsk,
     TurnAnswer,
+    ReachabilityQuery,
+    ReachabilityReport,
 ]
 """All messages of the exchange stream."""
 
--- /dev/null
+++ b/waywell/health/entry_paths.py
@@ -0,0 +1,97 @@
+"""An entry daemon's links to the boxes of the roster."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from waywell.health.node_paths import make_node_paths
+from waywell.health.probed_boxes import ProbedBoxes
+from waywell.ids import Incarnation, ServiceName
+from waywell.version.fleet import FleetBox
+from waywell.version.roster import Group, GroupState, Member
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from waywell.health.health import HealthTable
+    from waywell.health.partition import PartitionWatch
+    from waywell.ids import BoxId
+    from waywell.membership.gossip import Gossip
+    from waywell.membership.links import PeerLinks
+    from waywell.process.clock import Clock
+    from waywell.process.documents import InForce
+
+
+def make_fleet_box(group: Group, member: Member) -> FleetBox:
+    """Return a member of a group as a box of the group's service."""
+    return FleetBox(
+        member.box,
+        ServiceName(group.service),
+        member.host,
+        member.port,
+        group.hall,
+        incarnation=Incarnation(member.boot),
+    )
+
+
+class RosterBoxes(ProbedBoxes):
+    """The boxes of the groups of the roster in force.
+
+    Parameters
+    ----------
+    in_force
+        Versions in force.
+    """
+
+    def __init__(self, in_force: InForce) -> None:
+        """Keep where they are read."""
+        self._in_force = in_force
+
+    def find_box(self, box: BoxId) -> FleetBox | None:
+        """Return a box that is in a group."""
+        roster = self._in_force.roster
+        holder = roster.find_holder(box)
+        if holder is None:
+            return None
+        group = roster.groups[holder]
+        member = next(one for one in group.members if one.box == box)
+        return make_fleet_box(group, member)
+
+    def list_boxes(self, service: ServiceName) -> list[FleetBox]:
+        """Return the first boxes of the groups that serve."""
+        return [
+            make_fleet_box(group, group.head)
+            for group in self._in_force.roster
+            if group.service == service and group.state is GroupState.SERVING
+        ]
+
+
+def make_entry_paths(
+    gossip: Gossip,
+    links: PeerLinks,
+    clock: Clock,
+    in_force: InForce,
+    health: HealthTable,
+    random: Random,
+) -> PartitionWatch:
+    """Return what an entry daemon runs to know its links.
+
+    Parameters
+    ----------
+    gossip
+        Membership.
+    links
+        Streams to peers.
+    clock
+        Where the time is read.
+    in_force
+        Versions in force.
+    health
+        What speaks against groups; their rests end when lost links are back.
+    random
+        Draws boxes and peers.
+    """
+    paths = make_node_paths(
+        gossip, links, clock, RosterBoxes(in_force), random, health.end_rests
+    )
+    return paths.watch
--- a/waywell/health/health.py
+++ b/waywell/health/health.py
@@ -195,6 +195,13 @@
         notes.rests_until = now + notes.backoff
         notes.steps = 1
 
+    def end_rests(self) -> None:
+        """Let no group rest any longer: the failures were this node's."""
+        for notes in self._notes.values():
+            notes.rests_until = 0.0
+            notes.backoff = 0.0
+            notes.steps = RETURN_STEPS
+
     def get_load(
         self,
         group: GroupId,
--- a/waywell/health/prober.py
+++ b/waywell/health/prober.py
@@ -7,23 +7,28 @@
 import hashlib
 from typing import TYPE_CHECKING
 
+import attrs
+
 from waywell.connection.entry_peer import HealthNews, LoadNews
+from waywell.connection.target import Target
 from waywell.health.health import Evidence, HealthTable, Verdict
+from waywell.ids import ServiceName
+from waywell.membership.gossip import Gossip
+from waywell.membership.links import PeerLinks
 from waywell.membership.membership import NodeState
 from waywell.process.actor import Actor, Message
+from waywell.process.clock import Clock
+from waywell.process.documents import InForce
+from waywell.process.loads import LoadTable
+from waywell.request.paths import LinkCheck
 from waywell.telemetry.events import log_event
+from waywell.telemetry.timing import TimingSettings
 from waywell.version.roster import Group, GroupState
 
 if TYPE_CHECKING:
-    from waywell.connection.target import ProbeAnswer, Target
+    from waywell.connection.target import ProbeAnswer
     from waywell.ids import GroupId, NodeId
-    from waywell.membership.gossip import Gossip
-    from waywell.membership.links import PeerLinks
     from waywell.membership.membership import NodeRecord
-    from waywell.process.clock import Clock
-    from waywell.process.documents import InForce
-    from waywell.process.loads import LoadTable
-    from waywell.telemetry.timing import TimingSettings
 
 PROBERS = 2
 """Nodes that probe one group."""
@@ -101,59 +106,60 @@
     return picked
 
 
+@attrs.frozen
+class ProberParts:
+    """What a prober works with."""
+
+    in_force: InForce
+    """Versions in force."""
+
+    health: HealthTable
+    """Where words are kept."""
+
+    loads: LoadTable
+    """Where reported loads are kept."""
+
+    gossip: Gossip
+    """Membership, to know which groups to probe."""
+
+    links: PeerLinks
+    """Streams to other nodes."""
+
+    target: Target
+    """Calls to boxes."""
+
+    clock: Clock
+    """Where the time is read."""
+
+    timing: TimingSettings
+    """Periods and bounds."""
+
+    verify: LinkCheck
+    """Answers whether this node's links to a service are sound."""
+
+
 class Prober(Actor):
     """Probes this node's part of the groups and spreads what is news.
 
     Parameters
     ----------
-    in_force
-        Versions in force.
-    health
-        Where words are kept.
-    loads
-        Where reported loads are kept.
-    gossip
-        Membership, to know which groups to probe.
-    links
-        Streams to other nodes.
-    target
-        Calls to boxes.
-    clock
-        Where the time is read.
-    timing
-        Periods and bounds.
+    parts
+        What it works with.
     """
 
     class ProbeTick(Message, frozen=True):
         """Probes are due."""
 
-    def __init__(
-        self,
-        in_force: InForce,
-        health: HealthTable,
-        loads: LoadTable,
-        gossip: Gossip,
-        links: PeerLinks,
-        target: Target,
-        clock: Clock,
-        timing: TimingSettings,
-    ) -> None:
+    def __init__(self, parts: ProberParts) -> None:
         """Start without words."""
         super().__init__('prober')
-        self._in_force = in_force
-        self._health = health
-        self._loads = loads
-        self._gossip = gossip
-        self._links = links
-        self._target = target
-        self._clock = clock
-        self._timing = timing
+        self._parts = parts
         self._said: dict[GroupId, Evidence] = {}
         self._said_at: dict[GroupId, float] = {}
         self._round: asyncio.Task[None] | None = None
         self._picked: list[Group] = []
         self._picked_for: tuple[int, int] = (-1, -1)
-        links.subscribe(self, HealthNews, LoadNews)
+        parts.links.subscribe(self, HealthNews, LoadNews)
 
     def on_probe_tick(self, _tick: ProbeTick) -> None:
         """Begin a round of probes, unless one is still under way.
@@ -168,18 +174,20 @@
         """Take in words and loads; pass on what is news."""
         message = received.message
         if isinstance(message, LoadNews):
-            self._loads.hear(message.loads)
+            self._parts.loads.hear(message.loads)
             return
-        now = self._clock.read()
+        now = self._parts.clock.read()
         news = tuple(
-            word for word in message.words if self._health.hear(word, now)
+            word
+            for word in message.words
+            if self._parts.health.hear(word, now)
         )
         if news:
-            self._links.spread(HealthNews(news), skip=received.node)
+            self._parts.links.spread(HealthNews(news), skip=received.node)
 
     def dump(self) -> dict[str, object]:
         """Return the words against groups as plain values."""
-        down = self._health.list_down(self._clock.read())
+        down = self._parts.health.list_down(self._parts.clock.read())
         return {
             'probed': len(self._picked),
             'down': {
@@ -198,24 +206,26 @@
         # A probe in flight costs memory, so a few groups go at a time.
         for start in range(0, len(groups), GROUPS_AT_ONCE):
             await self._probe_some(groups[start : start + GROUPS_AT_ONCE])
-        news = self._loads.take_news()
+        news = self._parts.loads.take_news()
         if news:
-            self._links.spread(LoadNews(news))
+            self._parts.links.spread(LoadNews(news))
 
     def _pick_groups(self) -> list[Group]:
-        table = self._gossip.table
-        versions = (self._in_force.roster.number, table.digest)
+        table = self._parts.gossip.table
+        versions = (self._parts.in_force.roster.number, table.digest)
         if versions != self._picked_for:
             self._picked_for = versions
             serving = [
                 group
-                for group in self._in_force.roster
+                for group in self._parts.in_force.roster
                 if group.state is GroupState.SERVING
             ]
             records = list(table.records)
             self._picked = pick_probed(serving, records, table.own)
             self._forget_words({group.group for group in self._picked})
-            self._health.keep_only(set(self._in_force.roster.groups))
+            self._parts.health.keep_only(
+                set(self._parts.in_force.roster.groups)
+            )
         return self._picked
 
     def _forget_words(self, kept: set[GroupId]) -> None:
@@ -232,54 +242,66 @@
         )
         words = tuple(word for word in verdicts if word is not None)
         if words:
-            self._links.spread(HealthNews(words))
+            self._parts.links.spread(HealthNews(words))
 
     async def _probe_group(self, group: Group) -> Evidence | None:
         answers = await asyncio.gather(
             *(
-                self._target.probe(member, self._timing.probe)
+                self._parts.target.probe(member, self._parts.timing.probe)
                 for member in group.members
             ),
         )
         head = answers[0]
         if head is not None:
-            self._loads.note(group.group, head.load)
+            self._parts.loads.note(group.group, head.load)
         fenced = self._is_fenced(group)
         verdict, detail = judge_probes(group, answers, fenced=fenced)
+        if not self._is_news(group, verdict):
+            return None
+        if None in answers and not await self._verify_links(group):
+            return None
         return self._say(group, verdict, detail)
 
+    async def _verify_links(self, group: Group) -> bool:
+        """Answer whether boxes without an answer are evidence of a group."""
+        if await self._parts.verify(ServiceName(group.service)):
+            return True
+        log_event('probe_unconfirmed', group=group.group)
+        return False
+
     def _is_fenced(self, group: Group) -> bool:
-        service = self._in_force.index.find_service(group.service)
+        index = self._parts.in_force.index
+        service = index.find_service(group.service)
         return service is not None and service.fenced
 
-    def _say(
-        self,
-        group: Group,
-        verdict: Verdict,
-        detail: str,
-    ) -> Evidence | None:
-        """Return the word to spread, or ``None`` when it is not news."""
-        now = self._clock.read()
+    def _is_news(self, group: Group, verdict: Verdict) -> bool:
+        """Answer whether a verdict is to be told to the other nodes."""
         said = self._said.get(group.group)
-        changed = said is None or (said.verdict, said.epoch) != (
-            verdict,
-            group.epoch,
-        )
-        if said is None and verdict is Verdict.UP:
-            changed = False
-        age = now - self._said_at.get(group.group, 0)
-        stale = age >= self._timing.evidence * REFRESH_SHARE
-        if not changed and (verdict is Verdict.UP or not stale):
-            return None
+        if said is None:
+            return verdict is not Verdict.UP
+        if (said.verdict, said.epoch) != (verdict, group.epoch):
+            return True
+        age = self._parts.clock.read() - self._said_at[group.group]
+        is_stale = age >= self._parts.timing.evidence * REFRESH_SHARE
+        return is_stale and verdict is not Verdict.UP
+
+    def _say(self, group: Group, verdict: Verdict, detail: str) -> Evidence:
+        """Keep a word about a group, and return it to be spread."""
+        now = self._parts.clock.read()
+        own = self._parts.gossip.table.own
         word = Evidence(
             group.group,
             group.epoch,
-            self._gossip.table.own.node,
-            int(self._clock.read_wall() * 1000),
+            own.node,
+            int(self._parts.clock.read_wall() * 1000),
             verdict,
             detail,
         )
-        if changed:
+        said = self._said.get(group.group)
+        if said is None or (said.verdict, said.epoch) != (
+            verdict,
+            group.epoch,
+        ):
             log_event(
                 'group_probed',
                 group=group.group,
@@ -288,7 +310,7 @@
             )
         self._said[group.group] = word
         self._said_at[group.group] = now
-        self._health.hear(word, now)
+        self._parts.health.hear(word, now)
         return word
 
 
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -12,8 +12,9 @@
 from waywell.connection.grpc_peer import GrpcTransport, PeerService
 from waywell.connection.http_platform import HttpPlatform
 from waywell.connection.http_target import HttpTarget
+from waywell.health.entry_paths import make_entry_paths
 from waywell.health.health import HealthTable
-from waywell.health.prober import Prober
+from waywell.health.prober import Prober, ProberParts
 from waywell.ids import HallName, Incarnation, NodeId
 from waywell.limits.turns import Turns
 from waywell.membership.gossip import Gossip
@@ -223,6 +224,7 @@
             caller_port=self._ports.caller_port,
             peer_port=self._ports.peer_port,
             admin_port=self._ports.admin_port,
+            lost_services=(),
         )
 
     def _make_tasks(self) -> None:
@@ -250,15 +252,26 @@
             self.health,
             timing,
         )
-        self.prober = Prober(
-            self.in_force,
-            self.health,
-            self.loads,
+        self._paths = make_entry_paths(
             self.gossip,
             self.links,
-            self.target,
             self.clock,
-            timing,
+            self.in_force,
+            self.health,
+            self._random,
+        )
+        self.prober = Prober(
+            ProberParts(
+                self.in_force,
+                self.health,
+                self.loads,
+                self.gossip,
+                self.links,
+                self.target,
+                self.clock,
+                timing,
+                self._paths.verify,
+            )
         )
         self.quarantine = make_lone_quarantine(self.links, self.clock)
         self.quarantine.watch_ends(self._let_rest)
@@ -279,6 +292,7 @@
         )
         self.actors = (
             self.links,
+            self._paths,
             self.quarantine,
             self._turns,
             self.gossip,
