Withdraw what a prober said while its links went one by one

Change: where a box does not answer and the links are known to be lost, the prober takes back what it said of the group. The tests stop the daemon while its relays are cut, so that all links go at one moment as it sees it and no group may go out at all.

--- a/waywell/health/prober.py
+++ b/waywell/health/prober.py
@@ -20,7 +20,7 @@
 from waywell.process.clock import Clock
 from waywell.process.documents import InForce
 from waywell.process.loads import LoadTable
-from waywell.request.paths import LinkCheck
+from waywell.request.paths import ReplicaPaths
 from waywell.telemetry.events import log_event
 from waywell.telemetry.timing import TimingSettings
 from waywell.version.roster import Group, GroupState
@@ -134,8 +134,8 @@
     timing: TimingSettings
     """Periods and bounds."""
 
-    verify: LinkCheck
-    """Answers whether this node's links to a service are sound."""
+    paths: ReplicaPaths
+    """Knows whether this node's links to targets work."""
 
 
 class Prober(Actor):
@@ -256,18 +256,25 @@
             self._parts.loads.note(group.group, head.load)
         fenced = self._is_fenced(group)
         verdict, detail = judge_probes(group, answers, fenced=fenced)
-        if not self._is_news(group, verdict):
-            return None
-        if None in answers and not await self._verify_links(group):
-            return None
-        return self._say(group, verdict, detail)
+        is_news = self._is_news(group, verdict)
+        if None in answers and not await self._verify_links(group, is_news):
+            return self._withdraw(group)
+        return self._say(group, verdict, detail) if is_news else None
 
-    async def _verify_links(self, group: Group) -> bool:
+    async def _verify_links(self, group: Group, is_news: bool) -> bool:
         """Answer whether boxes without an answer are evidence of a group."""
-        if await self._parts.verify(ServiceName(group.service)):
-            return True
-        log_event('probe_unconfirmed', group=group.group)
-        return False
+        service = ServiceName(group.service)
+        if is_news:
+            return await self._parts.paths.verify(service)
+        return not self._parts.paths.is_partitioned(service)
+
+    def _withdraw(self, group: Group) -> Evidence | None:
+        """Take back what this node said while its links were being lost."""
+        said = self._said.get(group.group)
+        if said is None or said.verdict is Verdict.UP:
+            return None
+        log_event('evidence_withdrawn', group=group.group)
+        return self._say(group, Verdict.UP, '')
 
     def _is_fenced(self, group: Group) -> bool:
         index = self._parts.in_force.index
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -270,7 +270,7 @@
                 self.target,
                 self.clock,
                 timing,
-                self._paths.verify,
+                self._paths,
             )
         )
         self.quarantine = make_lone_quarantine(self.links, self.clock)
