Refuse requests at an entry daemon that has lost its links to targets

Seen: callers of such a node were refused as unreachable (3001) attempt after attempt, and every node went on to name it in the entry list.

Cause: the dispatcher knew no state of its links, and the list took no notice of the services that nodes do not reach.

Change: attempts that did not connect begin the partition watch's diagnosis. Where the links are lost, requests are refused at once as not run (2012) with entry boxes that reach the service; the entry list is chosen as the front daemon's list of addresses is, and is never emptied by this.

--- a/tests/test_peer_chooser.py
+++ b/tests/test_peer_chooser.py
@@ -9,8 +9,11 @@
 
 from tests.test_membership import make_record
 from waywell.ids import ServiceName
-from waywell.membership.membership import MembershipTable, NodeRecord
-from waywell.process.front import _select_linked
+from waywell.membership.membership import (
+    MembershipTable,
+    NodeRecord,
+    select_linked,
+)
 from waywell.request.peer_chooser import PeerChooser, make_peer_key
 from waywell.request.replica_book import ReplicaBook
 
@@ -82,6 +85,6 @@
 def test_callers_are_not_all_sent_to_the_few_nodes_with_links() -> None:
     linked = [make_node(name) for name in 'abc']
     lost = [make_node(name, LLM) for name in 'xyzuvw']
-    assert _select_linked(linked + lost[:2]) == linked
-    assert _select_linked(linked + lost) == linked + lost
-    assert _select_linked(lost) == lost
+    assert select_linked(linked + lost[:2]) == linked
+    assert select_linked(linked + lost) == linked + lost
+    assert select_linked(lost) == lost
--- a/waywell/health/entry_paths.py
+++ b/waywell/health/entry_paths.py
@@ -6,32 +6,20 @@
 
 from waywell.health.node_paths import make_node_paths
 from waywell.health.probed_boxes import ProbedBoxes
-from waywell.ids import Incarnation, ServiceName
-from waywell.version.fleet import FleetBox
-from waywell.version.roster import Group, GroupState, Member
+from waywell.request.group_views import make_fleet_box
+from waywell.version.roster import GroupState
 
 if TYPE_CHECKING:
     from random import Random
 
     from waywell.health.health import HealthTable
     from waywell.health.partition import PartitionWatch
-    from waywell.ids import BoxId
+    from waywell.ids import BoxId, ServiceName
     from waywell.membership.gossip import Gossip
     from waywell.membership.links import PeerLinks
     from waywell.process.clock import Clock
     from waywell.process.documents import InForce
-
-
-def make_fleet_box(group: Group, member: Member) -> FleetBox:
-    """Return a member of a group as a box of the group's service."""
-    return FleetBox(
-        member.box,
-        ServiceName(group.service),
-        member.host,
-        member.port,
-        group.hall,
-        incarnation=Incarnation(member.boot),
-    )
+    from waywell.version.fleet import FleetBox
 
 
 class RosterBoxes(ProbedBoxes):
--- a/waywell/health/partition.py
+++ b/waywell/health/partition.py
@@ -132,6 +132,10 @@
         if service in self._diagnoses or self._may_diagnose(service, now):
             await asyncio.wait({self._begin_diagnosis(service)})
 
+    def list_peers(self, service: ServiceName) -> list[NodeRecord]:
+        """Return the peers that reach the replicas of a service."""
+        return self._parts.chooser.list_peers(service)
+
     def choose_peer(
         self,
         service: ServiceName,
--- a/waywell/membership/membership.py
+++ b/waywell/membership/membership.py
@@ -31,6 +31,11 @@
 CALLERS = 8
 """Nodes that are expected to call one that is lost or unknown at each look."""
 
+LEAST_LINKED_PART = 0.6
+"""Part of the entry boxes that must have their links to all services for the
+others to be left out of the list: callers keep their connections, so the few
+would carry all load for long after links are back."""
+
 FORGET_SECONDS = 7200.0
 """Seconds after which a lost node is forgotten; longer than regions part."""
 
@@ -377,3 +382,11 @@
         ),
     )
     return [record.node for record in ranked[:count]]
+
+
+def select_linked(nodes: list[NodeRecord]) -> list[NodeRecord]:
+    """Return the nodes with links to all services, where they are enough."""
+    linked = [record for record in nodes if not record.lost_services]
+    if len(linked) < LEAST_LINKED_PART * len(nodes):
+        return nodes
+    return linked
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -23,6 +23,7 @@
     MembershipTable,
     NodeRecord,
     NodeState,
+    select_linked,
 )
 from waywell.process.administration import Administration
 from waywell.process.assembly import AssemblyDuty
@@ -162,17 +163,22 @@
     def list_entries(self) -> dict[str, Any]:
         """Return the entry list: live nodes, those of this hall first.
 
+        Nodes that have lost their links to a service are left out where
+        enough others have theirs.
+
         Raises
         ------
         Refusal
             Before the node has started.
         """
         self._check_started()
-        live = [
-            record
-            for record in self.members.list_live()
-            if record.state is NodeState.LIVE
-        ]
+        live = select_linked(
+            [
+                record
+                for record in self.members.list_live()
+                if record.state is NodeState.LIVE
+            ]
+        )
         live.sort(
             key=lambda record: (record.hall != self.own.hall, record.node),
         )
@@ -336,6 +342,7 @@
             random=self._random,
             guard=self.quarantine,
             turns=self._turns,
+            paths=self._paths,
         )
         self.parts = parts
         self._dispatcher = Dispatcher(parts, self.describe)
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -28,6 +28,7 @@
     MembershipTable,
     NodeRecord,
     NodeState,
+    select_linked,
 )
 from waywell.membership.presence import Presence
 from waywell.process.clock import SystemClock
@@ -85,12 +86,6 @@
 """Seconds between two looks at the work in flight while stopping."""
 
 
-LEAST_LINKED_PART = 0.6
-"""Part of the entry boxes that must have their links to all services for the
-others to be left out of the list: callers keep their connections, so the few
-would carry all load for long after links are back."""
-
-
 class FrontNode:
     """One entry box on the platform.
 
@@ -192,7 +187,7 @@
             for record in self.members.list_live()
             if record.state is NodeState.LIVE and record.configuration
         ]
-        live = _select_linked(ready)
+        live = select_linked(ready)
         own = self.members.own.node
         # Callers may take notice of the first ones only, so each node begins
         # with those that follow it.
@@ -504,11 +499,3 @@
             self.paths.watch.table.retain(
                 box.life for box in self.outlook.fleet.boxes.values()
             )
-
-
-def _select_linked(ready: list[NodeRecord]) -> list[NodeRecord]:
-    """Return the nodes with links to all services, where they are enough."""
-    linked = [record for record in ready if not record.lost_services]
-    if len(linked) < LEAST_LINKED_PART * len(ready):
-        return ready
-    return linked
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -14,6 +14,7 @@
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.target import DispatchFault, Target
 from waywell.health.health import HealthTable
+from waywell.ids import ServiceName
 from waywell.process.clock import Clock
 from waywell.process.documents import InForce
 from waywell.request.admission import Admission
@@ -25,11 +26,13 @@
 from waywell.request.fingerprint import make_fingerprint
 from waywell.request.group_views import (
     make_dispatch,
+    make_fleet_box,
     make_life,
     make_replica,
 )
 from waywell.request.guard import RequestGuard
 from waywell.request.lack import explain_lack
+from waywell.request.paths import DirectPaths, ReplicaPaths
 from waywell.request.request_claims import (
     NO_GROUP_RETRY_SECONDS,
     RequestClaims,
@@ -68,6 +71,9 @@
     },
 )
 
+MOST_NAMED_PEERS = 8
+"""Entry boxes that a refusal names to the caller."""
+
 _WANTS_LESS = frozenset((DispatchFault.RESTING, DispatchFault.NO_TURN))
 """Faults by which a group does not want the request for now."""
 
@@ -130,6 +136,9 @@
     turns: TurnSource
     """Knows the limits of targets."""
 
+    paths: ReplicaPaths = attrs.Factory(DirectPaths)
+    """Knows whether this node's links to targets work."""
+
     backpressure: Backpressure = attrs.Factory(Backpressure)
     """What targets have asked of this node."""
 
@@ -288,14 +297,40 @@
     async def _attempt_all(self, work: Work) -> bool:
         """Make attempts until one is answered."""
         for attempt in range(MOST_ATTEMPTS):
+            self._check_links(work)
             choice, turn = await self._choose_with_turn(work)
             answer = await self._attempt(work, choice, turn)
             if not isinstance(answer, DispatchFault):
                 return await self._relay(work, choice, answer)
+            if answer is DispatchFault.NOT_SENT:
+                await self._parts.paths.await_diagnosis(_get_service(work))
+                self._check_links(work)
             if not self._may_retry(work, answer, attempt):
                 raise self._refuse(work, answer)
         raise self._refuse(work, DispatchFault.NOT_SENT)
 
+    def _check_links(self, work: Work) -> None:
+        """Refuse a request for targets that peers alone reach.
+
+        Raises
+        ------
+        Refusal
+            With peers that reach them as its detail.
+        """
+        paths = self._parts.paths
+        service = _get_service(work)
+        if not paths.is_partitioned(service):
+            return
+        peers = paths.list_peers(service)
+        count = min(MOST_NAMED_PEERS, len(peers))
+        named = self._parts.random.sample(peers, count)
+        raise Refusal(
+            Code.NODE_PARTITIONED,
+            _get_ran(work),
+            ' '.join(f'{one.host}:{one.caller_port}' for one in named),
+            retry_after=0 if named else NO_GROUP_RETRY_SECONDS,
+        )
+
     async def _choose_with_turn(self, work: Work) -> tuple[Choice, Turn]:
         """Choose a group that has a turn for the request."""
         while True:
@@ -390,6 +425,7 @@
             health.note_end(group.group)
             raise
         now = clock.read()
+        self._record_connection(group, answer, now)
         if not isinstance(answer, Failure):
             return self._take_answer(group, answer.unwrap(), started_at)
         health.note_end(group.group)
@@ -400,6 +436,18 @@
             health.note_failure(group.group, now)
         return self._take_fault(work, group, fault)
 
+    def _record_connection(
+        self,
+        group: Group,
+        answer: Result[TargetAnswer, DispatchFault],
+        now: float,
+    ) -> None:
+        """Record whether the links to a group's box work."""
+        is_unsent = answer == Failure(DispatchFault.NOT_SENT)
+        if is_unsent or not isinstance(answer, Failure):
+            box = make_fleet_box(group, group.head)
+            self._parts.paths.record(box, now, is_connected=not is_unsent)
+
     def _take_answer(
         self,
         group: Group,
@@ -547,3 +595,7 @@
 
 def _get_ran(work: Work) -> Ran:
     return Ran.MAY_HAVE_RUN if work.may_have_run else Ran.NOT_RUN
+
+
+def _get_service(work: Work) -> ServiceName:
+    return ServiceName(work.service.name)
--- a/waywell/request/group_views.py
+++ b/waywell/request/group_views.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from waywell.request.submission import Work
-    from waywell.version.roster import Group
+    from waywell.version.roster import Group, Member
 
 
 def make_dispatch(work: Work, group: Group) -> Dispatch:
@@ -47,3 +47,15 @@
     )
     key = ReplicaKey(head.box, group.epoch, make_life(group).incarnation)
     return Replica(key, box, group=group.group)
+
+
+def make_fleet_box(group: Group, member: Member) -> FleetBox:
+    """Return a member of a group as a box of the group's service."""
+    return FleetBox(
+        member.box,
+        ServiceName(group.service),
+        member.host,
+        member.port,
+        group.hall,
+        incarnation=Incarnation(member.boot),
+    )
--- a/waywell/request/paths.py
+++ b/waywell/request/paths.py
@@ -44,6 +44,10 @@
     async def await_diagnosis(self, service: ServiceName) -> None:
         """Wait while this node finds out whether its links are lost."""
 
+    @abc.abstractmethod
+    def list_peers(self, service: ServiceName) -> list[NodeRecord]:
+        """Return the peers that reach the replicas of a service."""
+
     @abc.abstractmethod
     def choose_peer(
         self,
@@ -81,6 +85,10 @@
     async def await_diagnosis(self, service: ServiceName) -> None:
         """Wait for nothing."""
 
+    def list_peers(self, service: ServiceName) -> list[NodeRecord]:
+        """Return no peer."""
+        return []
+
     def choose_peer(
         self,
         service: ServiceName,
--- a/waywell/request/peer_chooser.py
+++ b/waywell/request/peer_chooser.py
@@ -74,13 +74,14 @@
         """
         peers = [
             record
-            for record in self._list_peers(service)
+            for record in self.list_peers(service)
             if make_peer_key(record) not in tried
             and self._get_rest(record) <= now
         ]
         return self._compare(peers) if peers else None
 
-    def _list_peers(self, service: ServiceName) -> list[NodeRecord]:
+    def list_peers(self, service: ServiceName) -> list[NodeRecord]:
+        """Return the peers that say that they reach a service."""
         return [
             record
             for record in self._members.list_live()
