Add a model of the fleet with waywell experiment run

The model runs the real chooser, planner, survey, resend budget, patience and return advice over a heap of events, paired by seed, with a bootstrap interval.

--- /dev/null
+++ b/tests/test_experiment.py
@@ -0,0 +1,298 @@
+"""The model of the fleet: what must hold whatever is drawn."""
+
+from __future__ import annotations
+
+import json
+import math
+import subprocess
+import sys
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from waywell.cli import run_command
+from waywell.experiment.comparison import estimate_interval
+from waywell.experiment.load_file import Load, check_load, read_load
+from waywell.experiment.play import Play, play
+from waywell.experiment.policy import POLICIES, find_policy
+from waywell.experiment.runner import Experiment, play_seeds
+from waywell.experiment.timeline import Timeline
+from waywell.version.faults import FaultsError
+
+CURRENT = POLICIES['current']
+EXAMPLES = Path(__file__).parent.parent / 'docs' / 'experiments'
+PAIRED_SEEDS = 50
+
+ENGINE = {
+    'places': 4,
+    'queue': 3,
+    'step_seconds': 0.01,
+    'sequence_seconds': 0.0005,
+    'read_per_second': 20000.0,
+    'steps_a_pass': 4,
+}
+KIND = {
+    'prompt_tokens': [50, 500],
+    'answer_tokens': [1, 60],
+    'goal': 0.4,
+    'gap_goal': 0.3,
+    'timeout': 4.0,
+    'worth': 2.0,
+}
+
+
+def make_raw(
+    boxes: int = 6,
+    rate: float = 8.0,
+    faults: tuple[dict[str, Any], ...] = (),
+) -> dict[str, Any]:
+    """Return a small load as it is read from a file."""
+    return {
+        'seconds': 6.0,
+        'warm_up': 12.0,
+        'fleet': {'domains_per_hall': 2, 'boxes_per_domain': [boxes, boxes]},
+        'engine': dict(ENGINE),
+        'model': [
+            {'name': 'small', 'boxes_per_group': 2, 'load_seconds': 4.0},
+            {'name': 'large', 'boxes_per_group': 3, 'load_seconds': 6.0},
+        ],
+        'kind': [
+            {
+                **KIND,
+                'name': 'chat',
+                'model': 'small',
+                'per_second': [rate, rate],
+            },
+            {
+                **KIND,
+                'name': 'draft',
+                'model': 'large',
+                'per_second': [2, rate],
+            },
+        ],
+        'fault': list(faults),
+    }
+
+
+def make_load(*args: Any, **pairs: Any) -> Load:
+    return check_load(make_raw(*args, **pairs), 'test')
+
+
+FAULTS = st.fixed_dictionaries(
+    {
+        'kind': st.sampled_from(['boxes', 'domain', 'slow']),
+        'at': st.sampled_from([[0.0, 1.0], [1.0, 5.0]]),
+        'count': st.sampled_from([[1, 1], [2, 5]]),
+        'lasts': st.sampled_from([[0.0, 0.0], [0.2, 4.0]]),
+    },
+)
+LOADS = st.builds(
+    make_load,
+    boxes=st.integers(1, 9),
+    rate=st.sampled_from([3.0, 20.0, 60.0]),
+    faults=st.lists(FAULTS, max_size=3).map(tuple),
+)
+SEEDS = st.integers(0, 1_000_000)
+
+
+def check_groups(played: Play) -> None:
+    """No box runs two groups; a group has one model; places fit the boxes."""
+    groups = played.house.groups
+    running = [
+        group for group in groups.values() if not group.engine.is_stalled
+    ]
+    members = Counter(name for group in running for name in group.join.members)
+    assert not [name for name, count in members.items() if count > 1]
+    assert sum(members.values()) <= len(played.house.boxes)
+    for name, group in groups.items():
+        assert name.rpartition('.')[0] == group.join.model
+        assert group.engine.running <= ENGINE['places']
+
+
+@settings(max_examples=25, deadline=None)
+@given(load=LOADS, seed=SEEDS, policy=st.sampled_from(sorted(POLICIES)))
+def test_what_holds_of_any_play(load: Load, seed: int, policy: str) -> None:
+    played = Play(load, POLICIES[policy], seed)
+    played.timeline.schedule(
+        0, lambda: played.timeline.repeat(0.1, lambda: check_groups(played))
+    )
+    figures = played.run()
+    # A second ending raises, so that each request ended once.
+    assert all(call.ending is not None for call in played.calls)
+    assert sum(figures.endings.values()) == len(played.calls)
+    assert figures.requests == len(played.calls)
+    assert math.isclose(
+        figures.worth + sum(figures.prices.values()),
+        figures.possible,
+        abs_tol=1e-6,
+    )
+    assert not played.house.broken_promises
+    assert all(
+        not record.in_flight
+        for node in played.parts.nodes
+        for record in node.book._records.values()
+    )
+
+
+def test_more_boxes_never_serve_less_in_a_calm_load() -> None:
+    few, many = make_load(boxes=6), make_load(boxes=12)
+    worse = [
+        seed
+        for seed in range(PAIRED_SEEDS)
+        if play(many, CURRENT, seed).served < play(few, CURRENT, seed).served
+    ]
+    assert not worse
+
+
+def test_the_same_seed_gives_the_same_figures_on_any_processes() -> None:
+    experiment = Experiment(
+        make_load(faults=({'kind': 'boxes', 'at': [1, 2], 'count': [1, 3]},)),
+        CURRENT,
+        POLICIES['no-resends'],
+    )
+    alone = play_seeds(experiment, 3, 1, lambda *_told: None)
+    beside = play_seeds(experiment, 3, 2, lambda *_told: None)
+    assert alone == beside
+    assert alone[0].base != alone[1].base
+
+
+def test_callers_return_once_after_the_advice() -> None:
+    load = make_load(boxes=1, rate=20.0)
+    figures = play(load, CURRENT, 1)
+    assert figures.endings['refused'] == figures.requests
+    assert figures.refusals == 2 * figures.requests
+
+
+def test_a_lost_domain_costs_worth() -> None:
+    calm = play(make_load(boxes=3), CURRENT, 1)
+    lost = make_load(boxes=3, faults=({'kind': 'domain', 'at': [1, 1]},))
+    assert play(lost, CURRENT, 1).worth < calm.worth
+
+
+def test_events_run_in_the_order_of_their_time() -> None:
+    timeline, seen = Timeline(), []
+    for at in (2.0, 1.0, 1.0, 3.5):
+        timeline.schedule(at, lambda: seen.append(timeline.now))
+    timeline.run_until(3.0)
+    assert seen == [1.0, 1.0, 2.0]
+    assert timeline.now == 3.0
+
+
+def test_the_interval_holds_the_mean() -> None:
+    low, high = estimate_interval([0.0, 1.0, 2.0, 3.0])
+    assert 0.0 <= low < 1.5 < high <= 3.0
+
+
+@pytest.mark.parametrize('file', sorted(EXAMPLES.glob('*.toml')))
+def test_examples_have_no_faults(file: Path) -> None:
+    assert read_load(str(file)).kind
+
+
+@pytest.mark.parametrize(
+    ('table', 'key', 'wrong', 'told'),
+    [
+        ('engine', 'places', 0, 'engine.places: 0 is not above 0'),
+        ('engine', 'plces', 1, 'engine.plces: unknown key'),
+        (
+            'fleet',
+            'boxes_per_domain',
+            [3, 2],
+            'fleet.boxes_per_domain: (3.0, 2.0) is an empty',
+        ),
+        ('fleet', 'boxes_per_domain', [1.5, 2], 'whole numbers'),
+        ('fleet', 'halls', 'two', "fleet.halls: 'two' is no int"),
+        (
+            'platform',
+            'list_seconds',
+            math.nan,
+            'platform.list_seconds: nan is not finite',
+        ),
+    ],
+)
+def test_wrong_figures_are_told_by_their_key(
+    table: str, key: str, wrong: object, told: str
+) -> None:
+    raw = make_raw()
+    raw.setdefault(table, {})[key] = wrong
+    with pytest.raises(FaultsError) as caught:
+        check_load(raw, 'load.toml')
+    assert len(caught.value.faults) == 1
+    assert told in caught.value.faults[0]
+    assert caught.value.faults[0].startswith('load.toml.')
+
+
+def test_a_kind_needs_a_known_model() -> None:
+    raw = make_raw()
+    raw['kind'][1]['model'] = 'other'
+    with pytest.raises(FaultsError, match=r"kind\[1\].model: 'other' is none"):
+        check_load(raw, 'load.toml')
+
+
+def test_a_policy_is_read_from_a_file(tmp_path: Path) -> None:
+    file = tmp_path / 'mine.toml'
+    file.write_text('resend_ratio = 0.3\n')
+    assert find_policy(str(file)).resend_ratio == 0.3
+    file.write_text('resend_ratio = -1.0\n')
+    with pytest.raises(FaultsError, match='mine.toml.resend_ratio: -1.0'):
+        find_policy(str(file))
+
+
+@pytest.mark.parametrize(
+    ('words', 'told'),
+    [
+        (['absent.toml'], 'absent.toml: '),
+        (['LOAD', '--against=none'], 'none: no policy'),
+        (['LOAD', '--seeds=0'], '--seeds: 0 is no number above 0'),
+        (['LOAD', '--jobs=many'], "--jobs: 'many' is no number"),
+    ],
+)
+def test_bad_input_is_one_clear_line(
+    words: list[str], told: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    load = str(EXAMPLES / 'calm.toml')
+    given_words = [load if word == 'LOAD' else word for word in words]
+    assert run_command(['experiment', 'run', *given_words]) == 2
+    output = capsys.readouterr()
+    assert output.err.startswith(f'waywell: {told}')
+    assert output.err.count('\n') == 1
+
+
+def test_a_wrong_line_of_a_file_is_named(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = tmp_path / 'load.toml'
+    file.write_text('seconds = 3\nseconds = \n')
+    assert run_command(['experiment', 'run', str(file)]) == 2
+    assert 'at line 2' in capsys.readouterr().err
+
+
+def test_a_run_is_told_as_table_and_json(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    words = [
+        'experiment',
+        'run',
+        str(EXAMPLES / 'calm.toml'),
+        '--seeds=1',
+        '--jobs=1',
+    ]
+    assert run_command(words) == 0
+    assert 'worst_kind' in capsys.readouterr().out
+    assert run_command([*words, '--json']) == 0
+    told = json.loads(capsys.readouterr().out)
+    assert told['base'] == 'current'
+    assert len(told['plays']) == 1
+
+
+def test_commands_of_daemons_do_not_load_the_model() -> None:
+    program = (
+        'import sys; from waywell.cli import run_command; '
+        'import waywell.process.front, waywell.process.entry; '
+        "run_command(['check']); "
+        "sys.exit(any('experiment' in name for name in sys.modules))"
+    )
+    subprocess.run([sys.executable, '-c', program], check=True)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -58,3 +58,34 @@
                 one for one in list_imports(path) if one.startswith(outer)
             }
             assert not loaded, name
+
+
+def test_decisions_never_load_the_model_of_the_fleet() -> None:
+    """Only the command line does, and only for its own command."""
+    for name, path in MODULES.items():
+        if name.startswith('waywell.experiment'):
+            continue
+        tree = ast.walk(ast.parse(path.read_text(encoding='utf-8')))
+        loaded = {
+            alias.name if isinstance(node, ast.Import) else node.module or ''
+            for node in tree
+            if isinstance(node, ast.Import | ast.ImportFrom)
+            for alias in node.names
+        }
+        found = {one for one in loaded if one.startswith('waywell.experiment')}
+        allowed = {'waywell.experiment.commands'}
+        assert found <= (allowed if name == 'waywell.cli' else set()), name
+
+
+def test_the_model_of_the_fleet_loads_no_daemon_and_no_socket() -> None:
+    """It drives decisions, and nothing that is connected."""
+    outer = ('twisted', 'grpclib', 'asyncio', 'socket', 'waywell.standins')
+    for name, path in MODULES.items():
+        if name.startswith('waywell.experiment'):
+            text = path.read_text(encoding='utf-8')
+            for node in ast.walk(ast.parse(text)):
+                if isinstance(node, ast.ImportFrom):
+                    assert not (node.module or '').startswith(outer), name
+                if isinstance(node, ast.Import):
+                    names = [alias.name for alias in node.names]
+                    assert not any(one.startswith(outer) for one in names)
--- a/waywell/cli.py
+++ b/waywell/cli.py
@@ -7,7 +7,7 @@
 import sys
 from http import HTTPStatus
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
 import fire
@@ -20,6 +20,9 @@
 from waywell.version.faults import FaultsError
 from waywell.version.toml_text import read_text, read_toml
 
+if TYPE_CHECKING:
+    from waywell.experiment.commands import ExperimentCommands
+
 EXIT_REFUSED = 1
 """The order was refused."""
 
@@ -66,6 +69,16 @@
     operator's key by WAYWELL_KEY.
     """
 
+    @property
+    def experiment(self) -> ExperimentCommands:
+        """Judge policies on a model of the fleet."""
+        # Nothing else needs the model.
+        from waywell.experiment.commands import (  # noqa: PLC0415
+            ExperimentCommands,
+        )
+
+        return ExperimentCommands()
+
     def start(self, settings: str) -> None:
         """Run an entry daemon with the settings of a TOML file."""
         # Tools that only talk to a daemon need none of this.
--- /dev/null
+++ b/waywell/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""A model of a fleet that compares policies of the product's decisions."""
--- /dev/null
+++ b/waywell/experiment/arrivals.py
@@ -0,0 +1,115 @@
+"""Requests of a load, drawn by seed."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from waywell.experiment.load_file import (
+    KindSettings,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from waywell.experiment.load_file import (
+        ArrivalSettings,
+        Load,
+        Range,
+    )
+
+
+@attrs.frozen
+class Arrival:
+    """A request of a caller."""
+
+    at: float
+    """When, in seconds from the first caller."""
+
+    kind: KindSettings
+    """Its kind."""
+
+    prompt_tokens: int
+    """Tokens of its prompt."""
+
+    answer_tokens: int
+    """Tokens of its answer."""
+
+    node: int
+    """Number of the node that it is sent to."""
+
+
+def make_random(seed: int, purpose: str) -> Random:
+    """Return draws that depend on the seed and on their purpose alone."""
+    return Random(f'{purpose}:{seed}')
+
+
+def draw(random: Random, ends: Range) -> float:
+    """Return a figure within a range."""
+    return random.uniform(*ends)
+
+
+def draw_whole(random: Random, ends: Range) -> int:
+    """Return a whole number within a range."""
+    return random.randint(int(ends[0]), int(ends[1]))
+
+
+def draw_arrivals(load: Load, seed: int, nodes: int) -> list[Arrival]:
+    """Return all requests of a load, in the order of their time."""
+    arrivals = [
+        arrival
+        for kind in load.kind
+        for arrival in _draw_kind(load, kind, seed, nodes)
+    ]
+    return sorted(arrivals, key=_get_time)
+
+
+def _get_time(arrival: Arrival) -> float:
+    return arrival.at
+
+
+def _draw_kind(
+    load: Load,
+    kind: KindSettings,
+    seed: int,
+    nodes: int,
+) -> Iterator[Arrival]:
+    random = make_random(seed, f'arrivals.{kind.name}')
+    settings = load.arrivals
+    peak = draw(random, kind.per_second) * (1 + settings.swing)
+    clumps = peak / (sum(settings.clump) / 2)
+    phase = random.random()
+    at = random.expovariate(clumps)
+    while at < load.seconds:
+        if random.random() < _measure_part(settings, at, phase):
+            for _ in range(draw_whole(random, settings.clump)):
+                yield _draw_request(random, kind, at, nodes)
+        at += random.expovariate(clumps)
+
+
+def _measure_part(
+    settings: ArrivalSettings,
+    at: float,
+    phase: float,
+) -> float:
+    """Return the rate at a moment as a part of the highest one."""
+    turn = math.tau * (at / settings.period + phase)
+    return (1 + settings.swing * math.sin(turn)) / (1 + settings.swing)
+
+
+def _draw_request(
+    random: Random,
+    kind: KindSettings,
+    at: float,
+    nodes: int,
+) -> Arrival:
+    return Arrival(
+        at,
+        kind,
+        draw_whole(random, kind.prompt_tokens),
+        draw_whole(random, kind.answer_tokens),
+        random.randrange(nodes),
+    )
--- /dev/null
+++ b/waywell/experiment/commands.py
@@ -0,0 +1,72 @@
+"""The ``waywell experiment`` commands."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from waywell.experiment.load_file import read_load
+from waywell.experiment.policy import CURRENT, POLICIES, find_policy
+from waywell.experiment.runner import Experiment, play_seeds
+from waywell.experiment.table import format_json, format_table
+from waywell.version.faults import FaultsError
+
+JOBS = 2
+"""Processes that play unless told otherwise: the machine may have other
+work."""
+
+SEEDS = 20
+"""Seeds that are played unless told otherwise."""
+
+
+class ExperimentCommands:
+    """Judges policies on a model of the fleet.
+
+    Nothing is sent anywhere; a policy is never kept by the model alone.
+    """
+
+    def run(
+        self,
+        load: str,
+        seeds: int = SEEDS,
+        against: str = 'no-resends',
+        base: str = CURRENT,
+        jobs: int = JOBS,
+        json: bool = False,
+    ) -> str:
+        """Compare two policies on a load file over the same seeds.
+
+        ``--against`` and ``--base`` name a policy or a TOML file with one;
+        ``--jobs`` is the number of processes that play.
+        """
+        _check_count('seeds', seeds)
+        _check_count('jobs', jobs)
+        experiment = Experiment(
+            read_load(str(load)),
+            find_policy(str(base)),
+            find_policy(str(against)),
+        )
+        pairs = play_seeds(experiment, seeds, jobs, _show_progress)
+        if not pairs:
+            raise FaultsError(['interrupted before the first seed was done'])
+        names = (str(base), str(against))
+        return (format_json if json else format_table)(names, pairs)
+
+    def list(self, folder: str = '.') -> str:
+        """Show the policies, and the load files of a folder."""
+        loads = sorted(str(file) for file in Path(folder).glob('*.toml'))
+        lines = [f'policy {name}' for name in POLICIES]
+        return '\n'.join((*lines, *(f'load {file}' for file in loads)))
+
+
+def _check_count(name: str, count: object) -> None:
+    if isinstance(count, bool) or not isinstance(count, int) or count < 1:
+        raise FaultsError([f'--{name}: {count!r} is no number above 0'])
+
+
+def _show_progress(done: int, seeds: int, left: float) -> None:
+    """Show how far it is, where somebody looks."""
+    if sys.stderr.isatty():
+        end = '\n' if done == seeds else ''
+        sys.stderr.write(f'\r{done}/{seeds} seeds, {left:.0f} s left {end}')
+        sys.stderr.flush()
--- /dev/null
+++ b/waywell/experiment/former.py
@@ -0,0 +1,201 @@
+"""The holder of the forming duty in the model, with the product's planner."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from functools import partial
+from typing import TYPE_CHECKING
+
+from waywell.duties.box_survey import BoxSurvey
+from waywell.duties.forming import EPOCHS_A_TERM, PLAN_SECONDS
+from waywell.experiment.model_box import SERVICE
+from waywell.request.demand import DemandGauge, count_at, count_by_model
+from waywell.version.fleet import Fleet
+from waywell.version.forming import FormingPlanner, FormingView
+from waywell.version.forming_memory import FormingMemory
+from waywell.version.joining import check_joins
+from waywell.version.orders import Assignment, Join, OrderResult
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from waywell.experiment.house import House
+    from waywell.experiment.load_file import PlatformSettings
+    from waywell.experiment.node import Node
+    from waywell.experiment.timeline import Timeline
+    from waywell.ids import GroupId, ModelName
+    from waywell.knowledge.outlook import Outlook
+    from waywell.version.box_report import BoxReport
+    from waywell.version.fleet import BoxLife, FleetBox, Replica
+    from waywell.version.routes import Engine
+
+
+class Former:
+    """Plans groups and gives the orders.
+
+    Parameters
+    ----------
+    engine
+        Engines of the service.
+    outlook
+        The box list that the holder sees.
+    house
+        The boxes.
+    node
+        The node that holds the duty.
+    timeline
+        Events of the model.
+    delays
+        Delays of orders.
+    """
+
+    def __init__(
+        self,
+        engine: Engine,
+        outlook: Outlook,
+        house: House,
+        node: Node,
+        timeline: Timeline,
+        delays: PlatformSettings,
+    ) -> None:
+        """Plan nothing yet."""
+        self.measures_demand = True
+        self._engine = engine
+        self._outlook = outlook
+        self._house = house
+        self._node = node
+        self._timeline = timeline
+        self._delays = delays
+        self._gauge = DemandGauge()
+        self._memory = FormingMemory(
+            next_epoch=EPOCHS_A_TERM + 1,
+            last_models=outlook.last_models,
+            lives=outlook.lives,
+        )
+        self._survey = BoxSurvey(
+            outlook, self._begin_probe, self._count_requests
+        )
+
+    def start(self) -> None:
+        """Plan from now on."""
+        self._timeline.repeat(PLAN_SECONDS, self._plan)
+
+    def raise_doubt(self, replica: Replica) -> None:
+        """Take in, a moment later, that a node hears nothing of a group."""
+        self._timeline.schedule_in(
+            self._delays.order_seconds, lambda: self._note_doubt(replica)
+        )
+
+    def _note_doubt(self, replica: Replica) -> None:
+        group = self._outlook.fleet.groups.get(replica.group)
+        if group is not None:
+            self._survey.note_doubt(group, self._timeline.now)
+
+    def _plan(self) -> None:
+        now = self._timeline.now
+        self._survey.ask_troubled(self._memory, now)
+        view = FormingView(
+            SERVICE, self._engine, self._list_present(), self._read_demand()
+        )
+        planner = FormingPlanner(view, self._memory, now)
+        joins: dict[GroupId, list[Assignment]] = defaultdict(list)
+        for assignment in planner.plan():
+            if isinstance(assignment.order, Join):
+                joins[assignment.order.group].append(assignment)
+            else:
+                self._give(assignment)
+        for group, members in joins.items():
+            self._ask_members(group, tuple(members))
+
+    def _list_present(self) -> Fleet:
+        """Return the listed boxes that give signs of life."""
+        boxes = self._outlook.fleet.boxes
+        lost = self._memory.lost
+        return Fleet(
+            {name: box for name, box in boxes.items() if box.life not in lost},
+        )
+
+    def _read_demand(self) -> Mapping[ModelName, float]:
+        loads = self._node.loads.add_up()
+        loads.update(self._node.book.list_loads())
+        in_flight = count_by_model(loads, self._outlook.fleet)
+        means = self._gauge.observe(in_flight, self._timeline.now)
+        return means if self.measures_demand else {}
+
+    def _count_requests(self, life: BoxLife) -> int:
+        return count_at(self._node.book, self._node.loads, life)
+
+    def _begin_probe(self, box: FleetBox) -> None:
+        self._probe(box)
+
+    def _probe(self, box: FleetBox) -> BoxReport | None:
+        """Ask a box; the survey hears it when the answer or none has come."""
+        asked = self._house.boxes[box.box]
+        report = asked.report() if asked.is_alive else None
+        delay = 2 * self._delays.order_seconds
+        if report is None:
+            delay = self._delays.answer_seconds
+        self._timeline.schedule_in(
+            delay,
+            lambda: self._survey.take(
+                self._memory, box, report, self._timeline.now
+            ),
+        )
+        return report
+
+    def _ask_members(
+        self,
+        group: GroupId,
+        joins: tuple[Assignment, ...],
+    ) -> None:
+        """Ask the boxes of a new group; order the joins if all fit."""
+        told = {join.box.life: self._probe(join.box) for join in joins}
+        reports = {life: told_by for life, told_by in told.items() if told_by}
+        is_whole = len(reports) == len(joins)
+        delay = 2 * self._delays.order_seconds
+        if not is_whole:
+            delay = self._delays.answer_seconds
+
+        self._timeline.schedule_in(
+            delay, partial(self._conclude, group, joins, reports)
+        )
+
+    def _conclude(
+        self,
+        group: GroupId,
+        joins: tuple[Assignment, ...],
+        reports: Mapping[BoxLife, BoxReport],
+    ) -> None:
+        check = check_joins(joins, reports)
+        if check.unfit:
+            self._memory.note_not_formed(
+                group, check.unfit, self._timeline.now
+            )
+        for join in check.joins:
+            self._give(join)
+
+    def _give(self, assignment: Assignment) -> None:
+        if self._outlook.fleet.has_restarted(assignment.box):
+            self._note_result(assignment, OrderResult.ENDED)
+            return
+        self._timeline.schedule_in(
+            self._delays.order_seconds, lambda: self._carry_out(assignment)
+        )
+
+    def _carry_out(self, assignment: Assignment) -> None:
+        name = assignment.box.box
+        is_there = self._house.boxes[name].is_alive
+        result = self._house.take(name, assignment.order)
+        self._timeline.schedule_in(
+            self._delays.order_seconds
+            if is_there
+            else self._delays.answer_seconds,
+            lambda: self._note_result(assignment, result),
+        )
+
+    def _note_result(
+        self,
+        assignment: Assignment,
+        result: OrderResult,
+    ) -> None:
+        self._memory.note_result(assignment, result, self._timeline.now)
--- /dev/null
+++ b/waywell/experiment/play.py
@@ -0,0 +1,233 @@
+"""One play of a load: a drawn fleet, its callers and faults, to the end."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+import attrs
+
+from waywell.experiment.arrivals import (
+    draw_arrivals,
+    draw_whole,
+    make_random,
+)
+from waywell.experiment.call import Call, CallParts
+from waywell.experiment.disorder import draw_faults, schedule_fault
+from waywell.experiment.former import Former
+from waywell.experiment.house import House
+from waywell.experiment.model_box import SERVICE, ModelBox
+from waywell.experiment.node import Node, share_loads
+from waywell.experiment.tally import Tally
+from waywell.experiment.timeline import Timeline
+from waywell.ids import BoxId, DomainName, HallName, ModelName, NodeId
+from waywell.knowledge.outlook import Outlook
+from waywell.process.front_settings import MS, PromiseSettings
+from waywell.request.placement import Chooser
+from waywell.request.resend_budget import ResendBudget, ResendLimits
+from waywell.request.shared_loads import SharedLoads
+from waywell.version.routes import (
+    Engine,
+    EngineModel,
+    Route,
+    RoutedService,
+    RouteKind,
+    RouteTable,
+    ServiceShare,
+)
+
+if TYPE_CHECKING:
+    from waywell.experiment.load_file import FleetSettings, KindSettings, Load
+    from waywell.experiment.policy import Policy
+    from waywell.experiment.tally import Summary
+
+FORGET_SECONDS = 5.0
+"""Seconds between two looks for records of replicas that are gone."""
+
+KNOWN_SECONDS = 10.0
+"""Seconds before the start at which nodes were started, so that their budgets
+are whole."""
+
+
+class Play:
+    """A model that is drawn and played once.
+
+    Parameters
+    ----------
+    load
+        What it is drawn from.
+    policy
+        What differs from the daemons' ways.
+    seed
+        Decides all that is drawn.
+    """
+
+    def __init__(self, load: Load, policy: Policy, seed: int) -> None:
+        """Draw the fleet, the requests and the faults."""
+        self.timeline = Timeline()
+        self.house = House(load, _draw_boxes(load, seed), self.timeline)
+        self.calls: list[Call] = []
+        self._load = load
+        stall = load.platform.stall_seconds / MS
+        self._outlook = Outlook(PromiseSettings(stalled_within_ms=stall))
+        engine = make_engine(load)
+        self._outlook.take_routes(_make_routes(load, engine))
+        nodes = self._make_nodes(policy, seed)
+        former = Former(
+            engine,
+            self._outlook,
+            self.house,
+            nodes[0],
+            self.timeline,
+            load.platform,
+        )
+        former.measures_demand = policy.measures_demand
+        self.parts = CallParts(
+            self.timeline,
+            self._outlook,
+            self.house,
+            former,
+            engine,
+            {kind.name: make_route(kind) for kind in load.kind},
+            nodes,
+            policy,
+            Tally(load.kind),
+        )
+        self._draw_events(seed)
+
+    def run(self) -> Summary:
+        """Play to the end of the last request; return the figures."""
+        longest = max(kind.timeout for kind in self._load.kind)
+        load, delays = self._load, self._load.platform
+        self.timeline.repeat(delays.list_seconds, self._list_boxes)
+        self.timeline.repeat(delays.load_report_seconds, self._share_loads)
+        self.timeline.repeat(FORGET_SECONDS, self._forget_replicas)
+        self.parts.former.start()
+        self.timeline.run_until(load.warm_up + load.seconds + longest)
+        return self.parts.tally.summarise()
+
+    def _make_nodes(self, policy: Policy, seed: int) -> tuple[Node, ...]:
+        halls = _list_node_halls(self._load.fleet)
+        choosing = policy.choosing_nodes or len(halls)
+        return tuple(
+            _make_node(policy, seed, number, hall, choosing)
+            for number, hall in enumerate(halls)
+        )
+
+    def _draw_events(self, seed: int) -> None:
+        begins_at = self._load.warm_up
+        nodes = len(self.parts.nodes)
+        for arrival in draw_arrivals(self._load, seed, nodes):
+            call = Call(self.parts, arrival)
+            self.calls.append(call)
+            self.timeline.schedule(begins_at + arrival.at, call.begin)
+        boxes = tuple(self.house.boxes.values())
+        for fault in draw_faults(self._load, seed, boxes):
+            schedule_fault(fault, self.house, self.timeline, begins_at)
+
+    def _list_boxes(self) -> None:
+        now = self.timeline.now
+        self._outlook.update_fleet(self.house.list_entries(), now, now)
+
+    def _share_loads(self) -> None:
+        share_loads(self.parts.nodes, self.timeline.now)
+
+    def _forget_replicas(self) -> None:
+        keys = self._outlook.list_keys()
+        for node in self.parts.nodes:
+            node.book.forget_others(keys)
+
+
+def play(load: Load, policy: Policy, seed: int) -> Summary:
+    """Draw a load by a seed and play it; return its figures."""
+    return Play(load, policy, seed).run()
+
+
+def make_engine(load: Load) -> Engine:
+    """Return the engines as the decisions know them."""
+    left_out = ('queue', 'first_crowd')
+    settings = {
+        name: figure
+        for name, figure in attrs.asdict(load.engine).items()
+        if name not in left_out
+    }
+    models = tuple(
+        EngineModel(
+            ModelName(model.name),
+            model.boxes_per_group,
+            model.share,
+            model.pace,
+            model.load_seconds,
+            model.warm_seconds,
+        )
+        for model in load.model
+    )
+    return Engine(models=models, **settings)
+
+
+def make_route(kind: KindSettings) -> Route:
+    """Return the route of a kind: streams that may be taken up elsewhere."""
+    return Route(
+        kind.name,
+        '',
+        f'/{kind.name}/',
+        RouteKind.STREAM,
+        kind.timeout,
+        kind.goal,
+        (ServiceShare(SERVICE, 1),),
+        gap_goal=kind.gap_goal,
+        most_targets=kind.most_targets,
+        resumable=True,
+    )
+
+
+def _make_routes(load: Load, engine: Engine) -> RouteTable:
+    routes = tuple(make_route(kind) for kind in load.kind)
+    return RouteTable(1, routes, (RoutedService(SERVICE, engine=engine),))
+
+
+def _name_hall(number: int) -> HallName:
+    return HallName(f'hall-{number}')
+
+
+def _list_node_halls(fleet: FleetSettings) -> list[HallName]:
+    """Return the hall of each node."""
+    halls = range(fleet.halls * fleet.nodes_per_hall)
+    return [_name_hall(number // fleet.nodes_per_hall) for number in halls]
+
+
+def _make_node(
+    policy: Policy,
+    seed: int,
+    number: int,
+    hall: HallName,
+    choosing: int,
+) -> Node:
+    loads = SharedLoads()
+    draws = make_random(seed, f'choices.{number}')
+    limits = ResendLimits(policy.resend_ratio, policy.resend_slack)
+    return Node(
+        NodeId(f'node-{number}'),
+        Chooser(hall, loads, draws, lambda: choosing),
+        loads,
+        ResendBudget(limits, -KNOWN_SECONDS),
+        make_random(seed, f'returns.{number}'),
+    )
+
+
+def _draw_boxes(load: Load, seed: int) -> list[ModelBox]:
+    fleet = load.fleet
+    count = draw_whole(make_random(seed, 'fleet'), fleet.boxes_per_domain)
+    domains = itertools.product(
+        range(fleet.halls), range(fleet.domains_per_hall)
+    )
+    return [
+        ModelBox(
+            BoxId(f'box-{hall}-{domain}-{number}'),
+            _name_hall(hall),
+            DomainName(f'domain-{hall}-{domain}'),
+            load.engine.places,
+        )
+        for hall, domain in domains
+        for number in range(count)
+    ]
--- /dev/null
+++ b/waywell/experiment/runner.py
@@ -0,0 +1,121 @@
+"""Plays of many seeds, in one process or several."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import attrs
+from loguru import logger
+
+from waywell.experiment.comparison import Pair
+from waywell.experiment.load_file import Load
+from waywell.experiment.play import play
+from waywell.experiment.policy import Policy
+from waywell.telemetry.events import log_warning
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+Progress = Callable[[int, int, float], None]
+"""Called with the seeds done, all seeds, and the seconds left."""
+
+
+@attrs.frozen
+class Experiment:
+    """Two policies before one load."""
+
+    load: Load
+    """The load."""
+
+    base: Policy
+    """One policy."""
+
+    other: Policy
+    """The policy that it is compared with."""
+
+    def play_seed(self, seed: int) -> Pair:
+        """Play both policies with one seed."""
+        with _silence_log():
+            return Pair(
+                seed,
+                play(self.load, self.base, seed),
+                play(self.load, self.other, seed),
+            )
+
+
+def play_seeds(
+    experiment: Experiment,
+    seeds: int,
+    jobs: int,
+    report: Progress,
+) -> list[Pair]:
+    """Play the seeds from 0 on; return their pairs in order.
+
+    An interrupt ends it early, with the pairs that are done.
+
+    Parameters
+    ----------
+    experiment
+        What is played.
+    seeds
+        How many seeds.
+    jobs
+        Processes that play; 1 for this process alone.
+    report
+        Called after each seed.
+    """
+    begun_at = time.monotonic()
+    pairs: list[Pair] = []
+    playing = _play_here if jobs == 1 else _play_beside
+    try:
+        for pair in playing(experiment, seeds, jobs):
+            pairs.append(pair)
+            passed = time.monotonic() - begun_at
+            left = passed / len(pairs) * (seeds - len(pairs))
+            report(len(pairs), seeds, left)
+    except KeyboardInterrupt:
+        log_warning('experiment_interrupted', done=len(pairs), seeds=seeds)
+    return sorted(pairs, key=_get_seed)
+
+
+def _play_here(
+    experiment: Experiment,
+    seeds: int,
+    _jobs: int,
+) -> Iterator[Pair]:
+    yield from map(experiment.play_seed, range(seeds))
+
+
+def _play_beside(
+    experiment: Experiment,
+    seeds: int,
+    jobs: int,
+) -> Iterator[Pair]:
+    with ProcessPoolExecutor(jobs) as pool:
+        futures = [
+            pool.submit(experiment.play_seed, seed) for seed in range(seeds)
+        ]
+        try:
+            for future in as_completed(futures):
+                yield future.result()
+        finally:
+            pool.shutdown(wait=False, cancel_futures=True)
+
+
+def _get_seed(pair: Pair) -> int:
+    return pair.seed
+
+
+@contextmanager
+def _silence_log() -> Iterator[None]:
+    """Write no log lines: those of the decisions tell of the model."""
+    logger.disable('waywell')
+    try:
+        yield
+    finally:
+        logger.enable('waywell')
--- /dev/null
+++ b/waywell/experiment/weight_store.py
@@ -0,0 +1,40 @@
+"""The weight store of the model: loads beyond its pace are slow."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from waywell.experiment.load_file import Load, ModelSettings
+    from waywell.experiment.timeline import Action, Timeline
+
+
+@attrs.define(eq=False)
+class WeightStore:
+    """Loads weights."""
+
+    load: Load
+    """Published figures."""
+
+    timeline: Timeline
+    """Events of the model."""
+
+    loads: int = 0
+    """Loads that run."""
+
+    def begin(self, model: ModelSettings, finish: Action) -> None:
+        """Load a model; a load keeps the pace that it begins with."""
+        self.loads += 1
+        engine = self.load.engine
+        crowd = self.loads / engine.loads_at_once
+        if self.timeline.now < self.load.warm_up:
+            crowd = min(crowd, engine.first_crowd)
+        seconds = model.load_seconds * max(1.0, crowd)
+        self.timeline.schedule_in(seconds, partial(self._end, finish))
+
+    def _end(self, finish: Action) -> None:
+        self.loads -= 1
+        finish()
