--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -300,3 +300,34 @@
         "sys.exit(any('experiment' in name for name in sys.modules))"
     )
     subprocess.run([sys.executable, '-c', program], check=True)
+
+
+def test_a_sweep_plays_each_value(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    load = str(EXAMPLES / 'calm.toml')
+    words = ['experiment', 'sweep', load, '--seeds=1', '--jobs=1']
+    setting = '--setting=fleet.boxes_per_domain'
+    assert run_command([*words, setting, '--values=3,8']) == 0
+    rows = [line.split() for line in capsys.readouterr().out.splitlines()]
+    assert [row[0] for row in rows] == ['fleet.boxes_per_domain', '3', '8']
+    assert rows[1][1] <= rows[2][1]
+
+
+@pytest.mark.parametrize(
+    ('setting', 'told'),
+    [
+        ('kind.7.goal', 'kind.7.goal: no such setting'),
+        ('engine.plces', 'engine.plces: unknown key'),
+        ('engine.places', 'engine.places: 0 is not above 0'),
+    ],
+)
+def test_a_wrong_setting_is_one_clear_line(
+    setting: str, told: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    load = str(EXAMPLES / 'calm.toml')
+    words = ['experiment', 'sweep', load, f'--setting={setting}', '--values=0']
+    assert run_command(words) == 2
+    output = capsys.readouterr()
+    assert told in output.err
+    assert output.err.count('\n') == 1
--- a/waywell/experiment/commands.py
+++ b/waywell/experiment/commands.py
@@ -8,6 +8,7 @@
 from waywell.experiment.load_file import read_load
 from waywell.experiment.policy import CURRENT, POLICIES, find_policy
 from waywell.experiment.runner import Experiment, play_seeds
+from waywell.experiment.sweep import format_sweep, make_variants
 from waywell.experiment.table import format_json, format_table
 from waywell.version.faults import FaultsError
 
@@ -52,6 +53,33 @@
         names = (str(base), str(against))
         return (format_json if json else format_table)(names, pairs)
 
+    def sweep(
+        self,
+        load: str,
+        setting: str,
+        values: tuple[object, ...],
+        seeds: int = SEEDS,
+        base: str = CURRENT,
+        jobs: int = JOBS,
+    ) -> str:
+        """Play one policy for each value of a setting of a load file.
+
+        ``--setting=fleet.boxes_per_domain --values=8,10,12`` answers how many
+        boxes a load needs.
+        """
+        _check_count('seeds', seeds)
+        _check_count('jobs', jobs)
+        listed = values if isinstance(values, tuple) else (values,)
+        policy = find_policy(str(base))
+        played = []
+        for variant in make_variants(str(load), str(setting), listed):
+            experiment = Experiment(variant.load, policy)
+            pairs = play_seeds(experiment, seeds, jobs, _show_progress)
+            if len(pairs) < seeds:
+                break
+            played.append((variant, pairs))
+        return format_sweep(str(setting), played)
+
     def list(self, folder: str = '.') -> str:
         """Show the policies, and the load files of a folder."""
         loads = sorted(str(file) for file in Path(folder).glob('*.toml'))
--- a/waywell/experiment/play.py
+++ b/waywell/experiment/play.py
@@ -49,6 +49,10 @@
 are whole."""
 
 
+END_SECONDS = 1.0
+"""Seconds between two looks whether all requests have ended."""
+
+
 class Play:
     """A model that is drawn and played once.
 
@@ -103,9 +107,15 @@
         self.timeline.repeat(delays.load_report_seconds, self._share_loads)
         self.timeline.repeat(FORGET_SECONDS, self._forget_replicas)
         self.parts.former.start()
-        self.timeline.run_until(load.warm_up + load.seconds + longest)
+        end = load.warm_up + load.seconds
+        self.timeline.run_until(end)
+        while not self._are_all_ended() and self.timeline.now < end + longest:
+            self.timeline.run_until(self.timeline.now + END_SECONDS)
         return self.parts.tally.summarise()
 
+    def _are_all_ended(self) -> bool:
+        return self.parts.tally.requests == len(self.calls)
+
     def _make_nodes(self, policy: Policy, seed: int) -> tuple[Node, ...]:
         halls = _list_node_halls(self._load.fleet)
         choosing = policy.choosing_nodes or len(halls)
--- a/waywell/experiment/runner.py
+++ b/waywell/experiment/runner.py
@@ -27,7 +27,7 @@
 
 @attrs.frozen
 class Experiment:
-    """Two policies before one load."""
+    """One or two policies before one load."""
 
     load: Load
     """The load."""
@@ -35,17 +35,16 @@
     base: Policy
     """One policy."""
 
-    other: Policy
-    """The policy that it is compared with."""
+    other: Policy | None = None
+    """The policy that it is compared with; ``None`` for no comparison."""
 
     def play_seed(self, seed: int) -> Pair:
-        """Play both policies with one seed."""
+        """Play the policies with one seed."""
         with _silence_log():
-            return Pair(
-                seed,
-                play(self.load, self.base, seed),
-                play(self.load, self.other, seed),
-            )
+            base = play(self.load, self.base, seed)
+            if self.other is None:
+                return Pair(seed, base, base)
+            return Pair(seed, base, play(self.load, self.other, seed))
 
 
 def play_seeds(
--- /dev/null
+++ b/waywell/experiment/sweep.py
@@ -0,0 +1,110 @@
+"""One setting of a load over several values."""
+
+from __future__ import annotations
+
+import copy
+import statistics
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from waywell.experiment.comparison import MEASURES, Pair
+from waywell.experiment.load_file import Load, check_load
+from waywell.experiment.table import format_line
+from waywell.version.faults import FaultsError
+from waywell.version.toml_text import read_text, read_toml
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+@attrs.frozen
+class Variant:
+    """A load with one setting changed."""
+
+    setting: object
+    """Value of the setting."""
+
+    load: Load
+    """The load."""
+
+
+PlayedVariant = tuple[Variant, list[Pair]]
+"""A load with one setting changed, and its plays."""
+
+
+def make_variants(
+    path: str,
+    key: str,
+    settings: Sequence[object],
+) -> list[Variant]:
+    """Return a load file once for each value of a setting.
+
+    Parameters
+    ----------
+    path
+        The load file.
+    key
+        The setting, such as ``engine.places`` or ``kind.0.per_second``.
+    settings
+        Its values; one number stands for a range of that number alone.
+
+    Raises
+    ------
+    FaultsError
+        When there is no such setting, or a value is wrong.
+    """
+    raw = read_toml(read_text(path), path)
+    return [
+        Variant(one, check_load(_replace(raw, key, one), path))
+        for one in settings
+    ]
+
+
+def format_sweep(
+    key: str,
+    played: Sequence[PlayedVariant],
+) -> str:
+    """Return the means of all measures for each value as a table."""
+    lines = [format_line((key, *MEASURES, 'requests', 'seeds'))]
+    for variant, pairs in played:
+        means = (
+            statistics.fmean(getattr(pair.base, measure) for pair in pairs)
+            for measure in MEASURES
+        )
+        requests = statistics.fmean(pair.base.requests for pair in pairs)
+        cells = [f'{mean:.4f}' for mean in means]
+        lines.append(
+            format_line(
+                (
+                    str(variant.setting),
+                    *cells,
+                    f'{requests:.0f}',
+                    str(len(pairs)),
+                ),
+            ),
+        )
+    return '\n'.join(lines)
+
+
+def _replace(raw: dict[str, Any], key: str, setting: object) -> Any:
+    """Return a copy of a load with one setting changed."""
+    changed = copy.deepcopy(raw)
+    *path, name = key.split('.')
+    table: Any = changed
+    for step in path:
+        table = _enter(table, step, key)
+    if not isinstance(table, dict):
+        raise FaultsError([f'{key}: no such setting'])
+    is_range = isinstance(table.get(name), list)
+    is_alone = isinstance(setting, int | float)
+    table[name] = [setting, setting] if is_range and is_alone else setting
+    return changed
+
+
+def _enter(table: Any, step: str, key: str) -> Any:
+    if isinstance(table, dict):
+        return table.setdefault(step, {})
+    if step.isdecimal() and int(step) < len(table):
+        return table[int(step)]
+    raise FaultsError([f'{key}: no such setting'])
--- a/waywell/experiment/table.py
+++ b/waywell/experiment/table.py
@@ -16,7 +16,7 @@
     from waywell.experiment.comparison import Difference, Pair
 
 _HEAD = ('measure', 'base', 'other', 'difference', '95% interval', 'seeds')
-_WIDTHS = (22, 10, 10, 12, 22, 6)
+_WIDTHS = (28, 10, 10, 12, 22, 6)
 
 
 def format_table(
@@ -34,7 +34,7 @@
     """
     lines = [
         f'{len(pairs)} seeds; base: {names[0]}, other: {names[1]}',
-        _format_line(_HEAD),
+        format_line(_HEAD),
         *(_format_difference(one) for one in compare(pairs)),
         '',
         'requests a seed and worth lost a seed, in parts of all worth',
@@ -61,16 +61,18 @@
     return json.dumps(told, indent=2, sort_keys=True)
 
 
-def _format_line(cells: Sequence[str]) -> str:
+def format_line(cells: Sequence[str]) -> str:
+    """Return cells as one line with columns."""
     padded = (
-        cell.ljust(width) for cell, width in zip(cells, _WIDTHS, strict=True)
+        f'{cell} '.ljust(width)
+        for cell, width in zip(cells, _WIDTHS, strict=True)
     )
     return ''.join(padded).rstrip()
 
 
 def _format_difference(difference: Difference) -> str:
     needed = difference.seeds_needed
-    return _format_line(
+    return format_line(
         (
             difference.measure,
             f'{difference.base:.4f}',
@@ -83,7 +85,7 @@
 
 
 def _list_endings(pairs: Sequence[Pair]) -> Iterator[str]:
-    yield _format_line(('ending', 'base', 'other', '', 'lost by base', ''))
+    yield format_line(('ending', 'base', 'other', '', 'lost by base', ''))
     for ending in pairs[0].base.endings:
         base = statistics.fmean(pair.base.endings[ending] for pair in pairs)
         other = statistics.fmean(pair.other.endings[ending] for pair in pairs)
@@ -93,6 +95,6 @@
             else 0.0
             for pair in pairs
         )
-        yield _format_line(
+        yield format_line(
             (ending, f'{base:.1f}', f'{other:.1f}', '', f'{lost:.4f}', ''),
         )
--- a/waywell/experiment/tally.py
+++ b/waywell/experiment/tally.py
@@ -84,6 +84,11 @@
         self.refusals = 0
         self.resends = 0
 
+    @property
+    def requests(self) -> int:
+        """Return the requests that have ended."""
+        return sum(kind.requests for kind in self.kinds.values())
+
     def add(self, kind: KindSettings, ending: Ending) -> None:
         """Count a request."""
         self.kinds[kind.name].counts[ending] += 1
@@ -97,7 +102,7 @@
         kinds = self.kinds.values()
         possible = math.fsum(kind.possible for kind in kinds)
         return Summary(
-            requests=sum(kind.requests for kind in kinds),
+            requests=self.requests,
             possible=possible,
             worth=math.fsum(kind.worth for kind in kinds),
             endings={ending.value: self.count(ending) for ending in Ending},
