End an interrupted experiment at once with what is done

Seen: with two processes an interrupt was answered after 11.5 s, and told by a log line of another form. The pool waited for what its processes played.

--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -331,3 +331,12 @@
     output = capsys.readouterr()
     assert told in output.err
     assert output.err.count('\n') == 1
+
+
+@pytest.mark.parametrize('jobs', [1, 2])
+def test_an_interrupt_leaves_what_is_done(jobs: int) -> None:
+    def interrupt(*_told: object) -> None:
+        raise KeyboardInterrupt
+
+    pairs = play_seeds(Experiment(make_load(), CURRENT), 5, jobs, interrupt)
+    assert len(pairs) == 1
--- a/waywell/experiment/commands.py
+++ b/waywell/experiment/commands.py
@@ -4,6 +4,7 @@
 
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from waywell.experiment.load_file import read_load
 from waywell.experiment.policy import CURRENT, POLICIES, find_policy
@@ -12,6 +13,9 @@
 from waywell.experiment.table import format_json, format_table
 from waywell.version.faults import FaultsError
 
+if TYPE_CHECKING:
+    from waywell.experiment.comparison import Pair
+
 JOBS = 2
 """Processes that play unless told otherwise: the machine may have other
 work."""
@@ -47,7 +51,7 @@
             find_policy(str(base)),
             find_policy(str(against)),
         )
-        pairs = play_seeds(experiment, seeds, jobs, _show_progress)
+        pairs = _play(experiment, seeds, jobs)
         if not pairs:
             raise FaultsError(['interrupted before the first seed was done'])
         names = (str(base), str(against))
@@ -74,7 +78,7 @@
         played = []
         for variant in make_variants(str(load), str(setting), listed):
             experiment = Experiment(variant.load, policy)
-            pairs = play_seeds(experiment, seeds, jobs, _show_progress)
+            pairs = _play(experiment, seeds, jobs)
             if len(pairs) < seeds:
                 break
             played.append((variant, pairs))
@@ -87,6 +91,15 @@
         return '\n'.join((*lines, *(f'load {file}' for file in loads)))
 
 
+def _play(experiment: Experiment, seeds: int, jobs: int) -> list[Pair]:
+    """Play the seeds, or as many as were done before an interrupt."""
+    pairs = play_seeds(experiment, seeds, jobs, _show_progress)
+    if len(pairs) < seeds:
+        done = f'{len(pairs)} of {seeds} seeds are done'
+        sys.stderr.write(f'waywell: interrupted: {done}\n')
+    return pairs
+
+
 def _check_count(name: str, count: object) -> None:
     if isinstance(count, bool) or not isinstance(count, int) or count < 1:
         raise FaultsError([f'--{name}: {count!r} is no number above 0'])
--- a/waywell/experiment/runner.py
+++ b/waywell/experiment/runner.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import signal
 import time
 from collections.abc import Callable
-from concurrent.futures import ProcessPoolExecutor, as_completed
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
+from multiprocessing import Pool
 from typing import TYPE_CHECKING
 
 import attrs
@@ -15,7 +16,6 @@
 from waywell.experiment.load_file import Load
 from waywell.experiment.play import play
 from waywell.experiment.policy import Policy
-from waywell.telemetry.events import log_warning
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -71,14 +71,13 @@
     begun_at = time.monotonic()
     pairs: list[Pair] = []
     playing = _play_here if jobs == 1 else _play_beside
-    try:
+    # Fewer pairs than seeds tell the caller of an interrupt.
+    with suppress(KeyboardInterrupt):
         for pair in playing(experiment, seeds, jobs):
             pairs.append(pair)
             passed = time.monotonic() - begun_at
             left = passed / len(pairs) * (seeds - len(pairs))
             report(len(pairs), seeds, left)
-    except KeyboardInterrupt:
-        log_warning('experiment_interrupted', done=len(pairs), seeds=seeds)
     return sorted(pairs, key=_get_seed)
 
 
@@ -95,15 +94,14 @@
     seeds: int,
     jobs: int,
 ) -> Iterator[Pair]:
-    with ProcessPoolExecutor(jobs) as pool:
-        futures = [
-            pool.submit(experiment.play_seed, seed) for seed in range(seeds)
-        ]
-        try:
-            for future in as_completed(futures):
-                yield future.result()
-        finally:
-            pool.shutdown(wait=False, cancel_futures=True)
+    # Leaving the block ends the processes, whatever they play.
+    with Pool(jobs, _ignore_interrupts) as pool:
+        yield from pool.imap_unordered(experiment.play_seed, range(seeds))
+
+
+def _ignore_interrupts() -> None:
+    """Leave interrupts to the process that began this one."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
 
 
 def _get_seed(pair: Pair) -> int:
