--- a/waywell/experiment/call.py
+++ b/waywell/experiment/call.py
@@ -18,9 +18,12 @@
 from waywell.ids import ModelName
 from waywell.knowledge.outlook import Outlook
 from waywell.request.ask import Ask
-from waywell.request.lack import explain_lack
-from waywell.request.patience import Patience, measure_patience
+from waywell.request.hedge_timeouts import (
+    HedgeTimeouts,
+    measure_hedge_timeouts,
+)
 from waywell.request.return_advice import advise_return
+from waywell.request.unroutable import explain_unroutable
 from waywell.version.routes import Engine, Route
 
 if TYPE_CHECKING:
@@ -154,7 +157,7 @@
         if not self._send_paid():
             attempt.wait_again()
 
-    def _measure_patience(self) -> Patience:
+    def _measure_patience(self) -> HedgeTimeouts:
         arrival = self.arrival
         ask = Ask(
             attempt='',
@@ -168,7 +171,7 @@
             answer_tokens=arrival.answer_tokens,
         )
         route = self.parts.routes[arrival.kind.name]
-        return measure_patience(route, self.parts.engine, ask)
+        return measure_hedge_timeouts(route, self.parts.engine, ask)
 
     def _ask(self) -> None:
         if self.ending is not None:
@@ -239,10 +242,12 @@
     def _advise(self) -> float:
         if self.parts.policy.return_seconds:
             return self.parts.policy.return_seconds
-        lack = explain_lack(None, None, self._rejections)
+        unroutable = explain_unroutable(None, None, self._rejections)
         seconds_left = self._ends_at - self.parts.timeline.now
         draw = self.node.random.random()
-        return advise_return(lack.reason, seconds_left, draw, lack.rest)
+        return advise_return(
+            unroutable.reason, seconds_left, draw, unroutable.rest
+        )
 
     def _expire(self) -> None:
         if self.ending is not None:
