--- a/tests/test_crashing_loads.py
+++ b/tests/test_crashing_loads.py
@@ -137,8 +137,19 @@
 ) -> None:
     weights.holder.demand = {}
     weights.play(QUIET_SECONDS)
-    # Twice what is joined at once, before anything is known; then one group
-    # or box after each back-off.
+    assert 0 < weights.crashes <= BOXES
+    before = weights.crashes
+    weights.play(HOUR_SECONDS)
+    assert weights.crashes - before <= 24
+    assert weights.count_open(GOOD)
+
+
+def test_an_empty_fleet_is_given_twice_at_most_to_weights_that_crash_it(
+    weights: DeadlyWeights,
+) -> None:
+    weights.holder.demand = {}
+    weights.play(QUIET_SECONDS)
+    # Two waves of joins before anything is known of the weights.
     assert 0 < weights.crashes <= 2 * BOXES
     before = weights.crashes
     weights.play(HOUR_SECONDS)
--- a/waywell/experiment/commands.py
+++ b/waywell/experiment/commands.py
@@ -16,9 +16,8 @@
 if TYPE_CHECKING:
     from waywell.experiment.comparison import Pair
 
-JOBS = 2
-"""Processes that play unless told otherwise: the machine may have other
-work."""
+JOBS = 1
+"""Processes that play unless told otherwise."""
 
 SEEDS = 20
 """Seeds that are played unless told otherwise."""
