Compare the routes of a started node with its peers before it serves

Cause: the first answer of the store put the routes in force and confirmed them; a started node had not heard from its peers, and the reader of a hall did not ask them while the store answered.

Change: a readiness gate. A started node serves nothing until a peer that serves has told its version, or all that it called (up to eight of the list, two at the first start of all) have answered or failed, or the list names nobody; 2 s after the calls at most, 5 s where the list can't be read. It is never ready while it knows a later version, which it asks for at once. Nodes that all start answer each other before they are ready, so none waits for another's readiness. At a node that serves, nothing confirms a version while a later one is known. Without strictly bounded keys there is no wait.

--- a/waywell/codes.py
+++ b/waywell/codes.py
@@ -110,7 +110,7 @@
         Code.NODE_LEAVING: CodeFacts(503, 'This entry box is leaving.'),
         Code.DEADLINE_PASSED: CodeFacts(504, 'The deadline has passed.'),
         Code.NODE_STARTING: CodeFacts(
-            503, 'No configuration is in force yet.'
+            503, 'No configuration is in force, or compared with peers, yet.'
         ),
         Code.NODE_BUSY: CodeFacts(503, 'This entry box is at its limit.'),
         Code.ROUTES_STALE: CodeFacts(
--- a/waywell/knowledge/feed.py
+++ b/waywell/knowledge/feed.py
@@ -19,6 +19,7 @@
 from waywell.ids import NodeId
 from waywell.knowledge.box_lists import BoxLists
 from waywell.knowledge.readers import HallReaders
+from waywell.membership.links import PeerLinks
 from waywell.process.actor import Actor, Message
 from waywell.version.fleet import BoxLife, Fleet
 
@@ -28,7 +29,6 @@
     from waywell.knowledge.outlook import Outlook
     from waywell.knowledge.paces import Paces
     from waywell.membership.gossip import Gossip
-    from waywell.membership.links import PeerLinks
     from waywell.process.clock import Clock
     from waywell.request.replica_book import ReplicaBook
     from waywell.request.shared_loads import SharedLoads
@@ -131,7 +131,7 @@
         self._may_fetch = False
         self._behind_since = 0.0
         self.behind_version = 0
-        links.subscribe(self, FeedAsk, FeedAnswer)
+        links.subscribe(self, PeerLinks.Opened, FeedAsk, FeedAnswer)
 
     def start(self) -> None:
         """Begin to ask."""
@@ -146,9 +146,13 @@
         """Answer whether this node has to read the routes itself."""
         if now < self._reads_from:
             return False
-        if self.is_reader() or self._is_left_behind(now):
+        if self.is_reader() or self._are_routes_old(now):
             return True
-        return self._are_routes_old(now)
+        # Nobody has sent the newer routes that there are.
+        waited = now - self._behind_since
+        return (
+            self.behind_version > 0 and waited > BEHIND_ASKS * self._paces.ask
+        )
 
     def needs_boxes(self, now: float) -> bool:
         """Answer whether this node has to read the box list itself."""
@@ -176,6 +180,12 @@
         if self._are_routes_old(now) or self._may_fetch:
             self._ask_everyone_else(peers, now)
 
+    def on_opened(self, opened: PeerLinks.Opened) -> None:
+        """Ask a new peer for its version, before this node is ready."""
+        if not self._outlook.gate.is_open:
+            now = self._clock.read()
+            self._ask(opened.record.node, now, wants_boxes=False)
+
     def on_received(self, received: PeerLinks.Received) -> None:
         """Answer a question, or take in an answer."""
         self._outlook.eras.observe_peer(received.message.era)
@@ -203,12 +213,6 @@
         for peer in self._links.list_peers() - asked:
             self._ask(peer, now, wants_boxes=False)
 
-    def _is_left_behind(self, now: float) -> bool:
-        """Answer whether nobody has sent the newer routes that there are."""
-        if not self.behind_version:
-            return False
-        return now - self._behind_since > BEHIND_ASKS * self._paces.ask
-
     def _are_routes_old(self, now: float) -> bool:
         """Answer whether the routes were not confirmed for too long."""
         return self._outlook.get_routes_age(now) > self._paces.route_fed
@@ -237,6 +241,9 @@
         loads: tuple[BoxLoad, ...] | None = None,
     ) -> None:
         self._serial += 1
+        # The reader sends newer routes with its first answer about them, so
+        # that followers need not call the platform for each version.
+        follows = peer == self._readers.own
         base = self._followed if self._followed.node == peer else _Followed()
         self._asked[self._serial] = _Asked(now, base, wants_boxes)
         while len(self._asked) > MOST_OPEN:
@@ -246,7 +253,7 @@
             self._outlook.index.table.version,
             base.run,
             base.serial,
-            wants_routes=self.behind_version > 0 or self._follows(peer),
+            wants_routes=self.behind_version > 0 or follows,
             hall=self._own.hall,
             loads=loads,
             wants_boxes=wants_boxes,
@@ -254,15 +261,6 @@
         )
         self._links.send(peer, ask)
 
-    def _follows(self, peer: NodeId) -> bool:
-        """Answer whether a peer reads for this node.
-
-        It sends newer routes with its first answer about them: where each node
-        read each version itself, that was 960 of 3,360 calls of 71 nodes on a
-        day with eleven versions (counted from a log of all calls).
-        """
-        return peer == self._readers.own
-
     def _answer(self, peer: NodeId, ask: FeedAsk) -> None:
         now = self._clock.read()
         self._take_loads(peer, ask, now)
@@ -327,7 +325,7 @@
         asked = self._asked.pop(answer.ask, None)
         if asked is None:
             return
-        self._take_routes(answer, asked.at)
+        self._take_routes(peer, answer, asked.at)
         if peer == self._readers.own:
             loads = _decode_loads(answer.loads)
             self._loads.take(peer, loads, self._clock.read())
@@ -347,18 +345,35 @@
             self._may_fetch = False
             self._ask(peer, now, wants_boxes=True)
 
-    def _take_routes(self, answer: FeedAnswer, asked_at: float) -> None:
+    def _take_routes(
+        self,
+        peer: NodeId,
+        answer: FeedAnswer,
+        asked_at: float,
+    ) -> None:
         if answer.routes is not None:
             self._outlook.take_routes(answer.routes)
+        self._outlook.observe_version(answer.version)
         own = self._outlook.index.table.version
         if answer.version > own:
-            if not self.behind_version:
-                self._behind_since = self._clock.read()
-            self.behind_version = answer.version
+            self._note_behind(peer, answer.version)
         elif own >= self.behind_version:
             self.behind_version = 0
         if answer.version == own and own:
             self._outlook.confirm_routes(asked_at - answer.routes_age)
+        record = self._gossip.table.find(peer)
+        is_ready = record is not None and record.configuration > 0
+        self._outlook.gate.record_answer(peer, is_ready=is_ready)
+
+    def _note_behind(self, peer: NodeId, version: int) -> None:
+        """Record a later version; before this node is ready, ask for it."""
+        now = self._clock.read()
+        if not self.behind_version:
+            self._behind_since = now
+        is_news = version > self.behind_version
+        self.behind_version = version
+        if is_news and not self._outlook.gate.is_open:
+            self._ask(peer, now, wants_boxes=False)
 
     def _take_boxes(
         self,
--- a/waywell/knowledge/outlook.py
+++ b/waywell/knowledge/outlook.py
@@ -9,6 +9,7 @@
 from waywell.codes import Code, Refusal
 from waywell.connection.store_era import EraTracker
 from waywell.ids import ModelName
+from waywell.knowledge.readiness_gate import ReadinessGate, StartView
 from waywell.knowledge.restored_entries import RestoredEntries
 from waywell.telemetry.events import log_event
 from waywell.version.fleet import (
@@ -25,6 +26,7 @@
 
 if TYPE_CHECKING:
     from waywell.ids import BoxId, ServiceName
+    from waywell.membership.presence import PeerContacts
     from waywell.process.front_settings import PromiseSettings
 
 EndListener = Callable[[tuple[EndedLife, ...]], None]
@@ -50,16 +52,21 @@
         Bounds that the operators were promised.
     eras
         Era of the platform's store.
+    gate
+        Keeps a node that has started from serving; open where none is given.
     """
 
     def __init__(
         self,
         promises: PromiseSettings,
         eras: EraTracker | None = None,
+        gate: ReadinessGate | None = None,
     ) -> None:
         """Know nothing yet."""
         self.eras = eras or EraTracker()
+        self.gate = gate or ReadinessGate(is_strict=False)
         self.index = RouteIndex(RouteTable(0))
+        self.latest_version = 0
         self.fleet = Fleet({})
         self.fleet_serial = 0
         self.kept: frozenset[BoxId] = frozenset()
@@ -74,26 +81,52 @@
 
     @property
     def has_routes(self) -> bool:
-        """Return whether any version is in force."""
-        return self.index.table.version > 0
+        """Return whether callers may be served by a version in force."""
+        return self.index.table.version > 0 and self.gate.is_open
 
     def take_routes(self, table: RouteTable) -> bool:
         """Put a version in force, unless it is not newer; answer whether."""
         if table.version <= self.index.table.version:
             return False
         self.index = RouteIndex(table)
+        self.observe_version(table.version)
         self._replicas.clear()
         return True
 
+    def observe_version(self, version: int) -> None:
+        """Record a version of the routes that some node has in force."""
+        self.latest_version = max(self.latest_version, version)
+
+    def compare_routes(self, contacts: PeerContacts, now: float) -> None:
+        """Begin to serve where the routes were compared with those of peers.
+
+        Parameters
+        ----------
+        contacts
+            How far this node has reached the others.
+        now
+            The present time, in seconds.
+        """
+        view = StartView(
+            self.index.table.version,
+            self.latest_version,
+            self.eras.is_first_start,
+            contacts,
+        )
+        self.gate.update(view, now)
+
     def confirm_routes(self, asked_at: float) -> None:
         """Note that the version in force was the newest at a moment.
 
+        Nothing confirms a version while a later one is known.
+
         Parameters
         ----------
         asked_at
             When the question was sent whose answer said so, in seconds.
         """
-        self._confirmed_at = max(self._confirmed_at, asked_at)
+        if self.latest_version <= self.index.table.version:
+            self._confirmed_at = max(self._confirmed_at, asked_at)
 
     def begin_recovery(self, now: float) -> None:
         """Hold what is known of boxes against a store that has come back."""
@@ -262,3 +295,11 @@
         return self.fleet.list_serving(
             service, model.name, model.boxes_per_group
         )
+
+
+def make_started_outlook(
+    promises: PromiseSettings,
+    eras: EraTracker,
+) -> Outlook:
+    """Return the outlook of a node that has not heard from its peers yet."""
+    return Outlook(promises, eras, ReadinessGate(promises.keys_strict))
--- a/waywell/membership/links.py
+++ b/waywell/membership/links.py
@@ -162,6 +162,10 @@
             if link.peer is not None
         }
 
+    def count_open_calls(self) -> int:
+        """Return the streams whose peer was dialled and has not answered."""
+        return sum(link.peer is None for link in self._dialled.values())
+
     def send(self, node: NodeId, message: Any) -> None:
         """Send a message on one stream to a peer, if one stands."""
         if node in self._links:
--- a/waywell/membership/presence.py
+++ b/waywell/membership/presence.py
@@ -5,10 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import attrs
 import msgspec
 from returns.result import Failure
 
 from waywell.connection.platform import Kind
+from waywell.ids import NodeId
 from waywell.membership.membership import may_call
 from waywell.process.front_settings import Address, parse_address
 from waywell.telemetry.events import log_warning
@@ -20,7 +22,7 @@
     from waywell.connection.platform import Platform, Stored
     from waywell.connection.store_era import EraChange
     from waywell.membership.links import PeerLinks
-    from waywell.membership.membership import MembershipTable
+    from waywell.membership.membership import MembershipTable, NodeRecord
 
 JOIN_SECONDS = 1.0
 """Seconds between two attempts to find other entry boxes."""
@@ -28,6 +30,10 @@
 JOIN_DIALS = 2
 """Entry boxes that a new one calls at each attempt."""
 
+START_DIALS = 8
+"""Entry boxes that one which has started calls at its first look, to compare
+its routes with theirs; each is expected to be called by as many."""
+
 FIRST_LOOKS = 8
 """Looks in quick order after the start, while all others may start as well."""
 
@@ -45,6 +51,20 @@
     peer_port: int
 
 
+@attrs.frozen
+class PeerContacts:
+    """How far a node has reached the others."""
+
+    has_looked: bool
+    """Whether the platform's list was read, and nodes on it were called."""
+
+    open_calls: int
+    """Calls that have neither failed nor been answered."""
+
+    peers: frozenset[NodeId]
+    """Nodes with a stream to this one."""
+
+
 class Presence:
     """Lists this node in the platform and calls the others listed there.
 
@@ -60,6 +80,8 @@
         Peer addresses, ``IP:PORT``, to find the first entry box by.
     random
         Draws the entry boxes that are called.
+    first_dials
+        Entry boxes that are called at the first look.
     """
 
     def __init__(
@@ -69,6 +91,7 @@
         links: PeerLinks,
         seeds: Sequence[str],
         random: Random,
+        first_dials: int = JOIN_DIALS,
     ) -> None:
         """Know of no other entry box."""
         self._platform = platform
@@ -76,6 +99,8 @@
         self._links = links
         self._seeds = seeds
         self._random = random
+        self._first_dials = first_dials
+        self._has_looked = False
         self._listed_nodes = 0
         self._is_listed = False
         self._wait_seconds = 0.0
@@ -93,8 +118,7 @@
             self._wait_seconds = 0.0
             if not self._is_listed:
                 self._is_listed = await self._list_self()
-            if self._may_look():
-                self._call(await self._find_strangers())
+            await self._look()
             is_settled = self._is_listed and looks > FIRST_LOOKS
             await asyncio.sleep(
                 LOOK_AGAIN_SECONDS if is_settled else JOIN_SECONDS
@@ -128,10 +152,31 @@
         known = len(self._members.records)
         return max(self._listed_nodes, known if known > 1 else 0)
 
+    def get_contacts(self) -> PeerContacts:
+        """Return how far this node has reached the others."""
+        return PeerContacts(
+            self._has_looked,
+            self._links.count_open_calls(),
+            frozenset(self._links.list_peers()),
+        )
+
     def count_hearing(self) -> int:
         """Return the nodes that this one hears from, itself counted."""
         return self._members.count_live() if self._links.list_peers() else 1
 
+    async def _look(self) -> None:
+        """Call entry boxes on the platform's list, where it is time to."""
+        if not self._has_looked:
+            self._call_first(await self._find_strangers())
+        elif self._may_look():
+            self._call(await self._find_strangers())
+
+    def _is_linked(self, record: NodeRecord) -> bool:
+        """Answer whether a node is this one or has a stream to it."""
+        if record.node == self._members.own_name:
+            return True
+        return record.node in self._links.list_peers()
+
     def _may_look(self) -> bool:
         """Answer whether this node looks at the platform's list now.
 
@@ -147,12 +192,19 @@
 
     def _call(self, strangers: list[Address]) -> None:
         """Call some of the entry boxes that are not known."""
-        count = min(JOIN_DIALS, len(strangers))
         live = self.count_hearing()
-        for address in self._random.sample(strangers, count):
+        for address in self._draw(strangers, JOIN_DIALS):
             if may_call(live, self._random.random()):
                 self._links.dial(address.host, address.port)
 
+    def _call_first(self, others: list[Address]) -> None:
+        """Call entry boxes that may know of later routes."""
+        for address in self._draw(others, self._first_dials):
+            self._links.dial(address.host, address.port)
+
+    def _draw(self, addresses: list[Address], most: int) -> list[Address]:
+        return self._random.sample(addresses, min(most, len(addresses)))
+
     async def _list_self(self) -> bool:
         """Write this node's address into the platform, once a run."""
         own = self._members.own
@@ -176,11 +228,13 @@
         """Return addresses of entry boxes that are not known at all.
 
         Those that are known and lost are called by the task that keeps the
-        membership view.
+        membership view.  At the first look those without a stream count as
+        unknown, as nothing may have been heard from them.
         """
         known = {
             Address(record.host, record.peer_port)
             for record in self._members.records
+            if self._has_looked or self._is_linked(record)
         }
         found = {parse_address(seed) for seed in self._seeds}
         if self._links.list_peers():
@@ -188,6 +242,7 @@
             found.clear()
         listed = await self._platform.fetch_all(Kind.PRESENCE, False)
         if not isinstance(listed, Failure):
+            self._has_looked = True
             objects = listed.unwrap().objects
             # A former run's word to remove this node may be carried out late.
             self._is_listed = self._members.own.node in {
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -17,7 +17,7 @@
 from waywell.ids import GroupId, HallName, Incarnation, NodeId
 from waywell.knowledge.feed import Feed
 from waywell.knowledge.fleet_watch import FleetWatch
-from waywell.knowledge.outlook import Outlook
+from waywell.knowledge.outlook import Outlook, make_started_outlook
 from waywell.knowledge.paces import make_paces
 from waywell.knowledge.platform_watch import WatchParts
 from waywell.knowledge.route_watch import RouteWatch
@@ -29,7 +29,7 @@
     NodeRecord,
     NodeState,
 )
-from waywell.membership.presence import Presence
+from waywell.membership.presence import JOIN_DIALS, START_DIALS, Presence
 from waywell.process.clock import SystemClock
 from waywell.process.front_operations import FrontOperations
 from waywell.process.front_ports import FrontHandlers, FrontPorts
@@ -107,7 +107,7 @@
         self.settings = settings
         self.clock = SystemClock()
         self.metrics = Metrics()
-        self.outlook = Outlook(settings.promises, adapter.eras)
+        self.outlook = make_started_outlook(settings.promises, adapter.eras)
         self.book = ReplicaBook()
         self.backpressure = Backpressure()
         self.outlook.listen_for_ends(self.backpressure.forget_ended)
@@ -262,6 +262,7 @@
             self.links,
             self.settings.seeds,
             self._random,
+            _choose_first_dials(self.outlook),
         )
         self.outlook.eras.listen(self.presence.list_again)
         self.paths = make_node_paths(
@@ -471,9 +472,10 @@
         second at a node that has nothing to do (counted by their periods).
         """
         while True:
+            now = self.clock.read()
+            self.outlook.compare_routes(self.presence.get_contacts(), now)
             self._tell_readiness()
             self._forget_replicas()
-            now = self.clock.read()
             self.backpressure.forget_old(now)
             self.turns.tend(now)
             for watch in (self.routes, self.fleet, self.quarantine.records):
@@ -506,6 +508,13 @@
             )
 
 
+def _choose_first_dials(outlook: Outlook) -> int:
+    """Return how many nodes one that has started calls at its first look."""
+    if outlook.gate.is_open or outlook.eras.is_first_start:
+        return JOIN_DIALS
+    return START_DIALS
+
+
 def _select_linked(ready: list[NodeRecord]) -> list[NodeRecord]:
     """Return the nodes with links to all services, where they are enough."""
     linked = [record for record in ready if not record.lost_services]
