--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -17,7 +17,7 @@
 from waywell.ids import GroupId, HallName, Incarnation, NodeId
 from waywell.knowledge.feed import Feed
 from waywell.knowledge.fleet_watch import FleetWatch
-from waywell.knowledge.outlook import Outlook
+from waywell.knowledge.outlook import Outlook, make_started_outlook
 from waywell.knowledge.paces import make_paces
 from waywell.knowledge.platform_watch import WatchParts
 from waywell.knowledge.route_watch import RouteWatch
@@ -30,7 +30,7 @@
     NodeState,
     select_linked,
 )
-from waywell.membership.presence import Presence
+from waywell.membership.presence import JOIN_DIALS, START_DIALS, Presence
 from waywell.process.clock import SystemClock
 from waywell.process.front_operations import FrontOperations
 from waywell.process.front_ports import FrontHandlers, FrontPorts
@@ -102,7 +102,7 @@
         self.settings = settings
         self.clock = SystemClock()
         self.metrics = Metrics()
-        self.outlook = Outlook(settings.promises, adapter.eras)
+        self.outlook = make_started_outlook(settings.promises, adapter.eras)
         self.book = ReplicaBook()
         self.backpressure = Backpressure()
         self.outlook.listen_for_ends(self.backpressure.forget_ended)
@@ -257,6 +257,7 @@
             self.links,
             self.settings.seeds,
             self._random,
+            _choose_first_dials(self.outlook),
         )
         self.outlook.eras.listen(self.presence.list_again)
         self.paths = make_node_paths(
@@ -466,9 +467,10 @@
         second at a node that has nothing to do (counted by their periods).
         """
         while True:
+            now = self.clock.read()
+            self.outlook.compare_routes(self.presence.get_contacts(), now)
             self._tell_readiness()
             self._forget_replicas()
-            now = self.clock.read()
             self.backpressure.forget_old(now)
             self.turns.tend(now)
             for watch in (self.routes, self.fleet, self.quarantine.records):
@@ -499,3 +501,10 @@
             self.paths.watch.table.retain(
                 box.life for box in self.outlook.fleet.boxes.values()
             )
+
+
+def _choose_first_dials(outlook: Outlook) -> int:
+    """Return how many nodes one that has started calls at its first look."""
+    if outlook.gate.is_open or outlook.eras.is_first_start:
+        return JOIN_DIALS
+    return START_DIALS
