--- a/tests/front_bench.py
+++ b/tests/front_bench.py
@@ -53,11 +53,13 @@
         name: str = 'front-1',
         store: str = '',
         hall: str = 'hall-a',
+        module: list[str] | None = None,
         **promises: float,
     ) -> Process:
         """Start a front daemon, with other promises where they are given.
 
-        It calls the store at another address where one is given.
+        It calls the store at another address where one is given, and is run
+        by another module where one is given.
         """
         lines = [
             '[node]',
@@ -81,7 +83,8 @@
         path = self.folder / f'{name}.toml'
         path.write_text('\n'.join(lines), encoding='utf-8')
         log = self.folder / f'{name}.log'
-        process = Process(['waywell.platform', str(path)], log)
+        words = [*(module or ['waywell.platform']), str(path)]
+        process = Process(words, log)
         self.processes.append(process)
         return process
 
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -31,7 +31,8 @@
     """Listens on a port of its own and forwards to another.
 
     A cut breaks what stands and refuses what comes, until it is mended; a
-    silenced direction holds its bytes without a word.
+    silenced direction holds its bytes without a word.  A reset of one side
+    resets the other where resets are passed on, and closes it otherwise.
     """
 
     def __init__(self, target: int = 0) -> None:
@@ -42,9 +43,11 @@
         self.target = target or reserve_port()
         self.is_cut = False
         self.delay = 0.0
+        self.passes_resets = False
         self._silenced: set[Way] = set()
         self._changed = threading.Condition()
         self._open: set[socket.socket] = set()
+        self._reset_sides: set[socket.socket] = set()
         self._is_listening = True
         self._unaccepted: list[socket.socket] = []
         self._accepting = self._start_accepting()
@@ -162,16 +165,32 @@
         source: socket.socket,
         sink: socket.socket,
     ) -> None:
-        with contextlib.suppress(OSError):
+        was_reset = False
+        try:
             while piece := source.recv(65536):
                 self._hold(way)
                 sink.sendall(piece)
+        except OSError as error:
+            was_reset = isinstance(error, ConnectionResetError)
         self._hold(way)
-        for connection in (source, sink):
-            self._open.discard(connection)
+        self._open -= {source, sink}
+        if was_reset and self.passes_resets:
+            self._pass_reset_on(sink)
+        for connection in {source, sink} - self._reset_sides:
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
 
+    def _pass_reset_on(self, sink: socket.socket) -> None:
+        """Reset one side because the other was reset."""
+        # An orderly close would come before the reset.
+        self._reset_sides.add(sink)
+        with contextlib.suppress(OSError):
+            sink.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+            sink.shutdown(socket.SHUT_RD)
+        sink.close()
+
     def _hold(self, way: Way) -> None:
         """Wait as long as a direction is silenced, and for the delay."""
         with self._changed:
--- a/tests/replica_paths.py
+++ b/tests/replica_paths.py
@@ -50,14 +50,31 @@
     def __init__(self, ports: Iterable[int]) -> None:
         """Put a relay before each replica."""
         self._relays = {port: Relay(port) for port in ports}
+        self._how: Cut | None = None
 
     @property
     def ports(self) -> dict[int, int]:
         """Return the relays' ports by those of the replicas."""
         return {port: relay.port for port, relay in self._relays.items()}
 
+    def pass_resets(self) -> None:
+        """Let a reset of one side reset the other."""
+        for relay in self._relays.values():
+            relay.passes_resets = True
+
+    def add(self, port: int) -> None:
+        """Put a relay before another replica; cut where the others are."""
+        relay = Relay(port)
+        relay.passes_resets = any(
+            one.passes_resets for one in self._relays.values()
+        )
+        self._relays[port] = relay
+        if self._how is not None:
+            _cut(relay, self._how)
+
     def cut(self, how: Cut) -> None:
         """Take the daemon's links to all replicas away."""
+        self._how = how
         cutters = [
             Thread(target=_cut, args=(relay, how))
             for relay in self._relays.values()
@@ -69,7 +86,8 @@
 
     def mend(self) -> None:
         """Give the links back."""
-        for relay in self._relays.values():
+        self._how = None
+        for relay in tuple(self._relays.values()):
             relay.mend()
 
     def close(self) -> None:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -20,10 +20,13 @@
 import attrs
 import fire
 
+from tests.broken_bodies import BodyScript, Ending, Framing
 from tests.front_bench import WHOLE, Front
 from tests.house import KEY, Server, StoreCopy, make_manifest
 from tests.limits import KNOWN_SECONDS, count_allowed, count_most
 from tests.relay import Relay, Way
+from tests.replica_paths import Cut, ReplicaRelays
+from tests.rerouted import write_ports
 from waywell.standins.harness import Process, wait_until
 
 FRONTS = 3
@@ -86,6 +89,14 @@
 """Part of the steps in which the store comes back from an older copy, in runs
 that have such returns."""
 
+CUT_SHARE = 0.15
+"""Part of the steps in which one node loses its links to all servers, in runs
+that have such cuts."""
+
+TRUNCATED_SHARE = 0.25
+"""Part of the steps in which a server breaks an answer off, in runs that have
+such answers."""
+
 COPIES = 6
 """Copies of the last steps, each of which the store may come back from."""
 
@@ -106,6 +117,14 @@
 """Model and whole answer by path."""
 
 
+ENDS = (
+    *((framing, Ending.RESET) for framing in Framing),
+    (Framing.LENGTH, Ending.CLOSE),
+    (Framing.CHUNKED, Ending.CLOSE),
+)
+"""Ends of an answer that no whole one has."""
+
+
 @attrs.define
 class _Limited:
     """A server that says that it takes few requests."""
@@ -149,20 +168,33 @@
         Folder for settings and logs.
     return_share
         Part of the steps in which the store comes back from an older copy.
+    cut_share
+        Part of the steps in which one node loses its links to all servers.
+    truncated_share
+        Part of the steps in which a server breaks an answer off.
     """
 
     def __init__(
-        self, seed: int, folder: Path, return_share: float = 0.0
+        self,
+        seed: int,
+        folder: Path,
+        return_share: float = 0.0,
+        cut_share: float = 0.0,
+        truncated_share: float = 0.0,
     ) -> None:
         """Start everything."""
         self.random = random.Random(seed)
         self._returns = random.Random(seed + 3)
         self._return_share = return_share
+        self._cut_share = cut_share
+        self._truncated_share = truncated_share
         self._copies: list[StoreCopy] = []
         self._manifest = make_manifest()
         # The seeds that ever failed go on to draw the faults that they drew.
         self._wishes = random.Random(seed + 1)
         self._naming = random.Random(seed + 2)
+        self._cuts = random.Random(seed + 4)
+        self._truncations = random.Random(seed + 5)
         self._limited: list[_Limited] = []
         self._leaving: dict[str, float] = {}
         self._told_leaving: dict[tuple[Process, str], float] = {}
@@ -174,7 +206,16 @@
             self._lead_through_relay(server)
             for server in self.front.servers.values()
         ]
+        self._links = ReplicaRelays(
+            relay.port for relay in self._ways_to_servers if cut_share
+        )
+        if truncated_share:
+            self._links.pass_resets()
+        self._ports = folder / 'ports.json'
+        write_ports(self._ports, self._links.ports)
+        self._links_back_at = 0.0
         names = [f'front-{number}' for number in range(1, FRONTS + 1)]
+        self._cuttable = self._cuts.choice(names) if cut_share else ''
         port = int(self.front.store.address.rpartition(':')[2])
         self._ways_to_store = {name: Relay(port) for name in names}
         self.fronts = {name: self._start(name) for name in names}
@@ -208,7 +249,7 @@
             return self.broken + self.front.store.broken
         finally:
             self._is_over.set()
-            for relay in self._list_relays():
+            for relay in (*self._list_relays(), self._links):
                 relay.close()
             self.front.close()
 
@@ -232,6 +273,8 @@
             self._ask_wish()
             self._name_limit()
             healing.extend(self._return_store())
+            healing.extend(self._cut_links())
+            self._truncate_answer()
             heal = self.random.choice(faults)()
             if heal is not None:
                 timer = threading.Timer(
@@ -243,6 +286,31 @@
         for timer in healing:
             timer.join()
 
+    def _cut_links(self) -> list[threading.Timer]:
+        """Take one node's links to all servers away; return their return."""
+        now = time.monotonic()
+        if now < self._links_back_at or self._cuts.random() >= self._cut_share:
+            return []
+        self._links.cut(self._cuts.choice(list(Cut)))
+        seconds = self._cuts.uniform(*HEALED_AFTER)
+        self._links_back_at = now + seconds
+        timer = threading.Timer(seconds, self._links.mend)
+        timer.start()
+        return [timer]
+
+    def _truncate_answer(self) -> None:
+        """Let a server break its next answer off."""
+        draw = self._truncations
+        if draw.random() >= self._truncated_share:
+            return
+        server = self.front.servers[draw.choice(sorted(self.front.servers))]
+        framing, ending = draw.choice(ENDS)
+        is_stream = server.entry['service'] == 'llm'
+        whole = WHOLE if is_stream else KINDS['/stock/1'][1]
+        part = whole[: draw.randrange(len(whole))]
+        kind = 'text/event-stream' if is_stream else ''
+        server.script.append(BodyScript(framing, ending, part, kind))
+
     def _return_store(self) -> list[threading.Timer]:
         """Let the store come back from a copy; return what is done later."""
         if not self._return_share:
@@ -279,7 +347,10 @@
 
     def _start(self, name: str) -> Process:
         port = self._ways_to_store[name].port
-        return self.front.start(name, f'127.0.0.1:{port}')
+        module = None
+        if name == self._cuttable:
+            module = ['tests.rerouted', str(self._ports), 'waywell.platform']
+        return self.front.start(name, f'127.0.0.1:{port}', module=module)
 
     def _restart(self, name: str) -> None:
         if self.fronts[name].is_running():
@@ -293,6 +364,7 @@
     def _lead_through_relay(self, server: Server) -> Relay:
         """Put a relay before a server; its entry tells the relay's port."""
         relay = Relay(int(server.entry['address'].rpartition(':')[2]))
+        relay.passes_resets = bool(self._truncated_share)
         server.entry['address'] = f'127.0.0.1:{relay.port}'
         server.write_entry()
         return relay
@@ -420,7 +492,11 @@
         new = f'{name[:2]}-{self._servers}'
         server = Server(self.front.store, new, service)
         self.front.servers[new] = server
-        self._ways_to_servers.append(self._lead_through_relay(server))
+        relay = self._lead_through_relay(server)
+        self._ways_to_servers.append(relay)
+        if self._cuttable:
+            self._links.add(relay.port)
+            write_ports(self._ports, self._links.ports)
 
     def _spoil_answers(self) -> None:
         acts = ('reject', 'reset', 'fail', 'cut-3', 'foreign')
@@ -443,7 +519,7 @@
         """Wait until the system serves as at the start."""
         self.front.store.is_down = False
         self._end_limits()
-        for relay in self._list_relays():
+        for relay in (*self._list_relays(), self._links):
             relay.mend()
         # The first version does not know the key that is asked with.
         self._change_routes()
@@ -583,12 +659,10 @@
             self.broken.append(f'{attempt}: ran twice')
 
 
-def play_seed(
-    seed: int, seconds: float, return_share: float = 0.0
-) -> list[str]:
+def play_seed(seed: int, seconds: float, **shares: float) -> list[str]:
     """Play one seed; keep its folder only where a promise was broken."""
     folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-    soak = Soak(seed, folder, return_share)
+    soak = Soak(seed, folder, **shares)
     broken = soak.run(seconds)
     print(f'seed={seed} ends={dict(soak.ends)} broken={broken or "none"}')  # noqa: T201
     if broken:
@@ -603,13 +677,20 @@
     first: int = 1,
     seconds: float = 20.0,
     returns: bool = False,
+    cuts: bool = False,
+    truncates: bool = False,
 ) -> None:
     """Play many seeds and tell which broke a promise."""
-    return_share = RETURN_SHARE if returns else 0.0
     failed = [
         seed
         for seed in range(first, first + seeds)
-        if play_seed(seed, seconds, return_share)
+        if play_seed(
+            seed,
+            seconds,
+            return_share=returns * RETURN_SHARE,
+            cut_share=cuts * CUT_SHARE,
+            truncated_share=truncates * TRUNCATED_SHARE,
+        )
     ]
     print(f'{seeds} seeds, failed: {failed or "none"}')  # noqa: T201
 
--- a/tests/test_partitioned_entries.py
+++ b/tests/test_partitioned_entries.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import signal
 from itertools import product
 from typing import TYPE_CHECKING
@@ -11,6 +10,7 @@
 
 from tests.conftest import QUICK
 from tests.replica_paths import Cut, ReplicaRelays
+from tests.rerouted import write_ports
 from waywell.client import call_http
 from waywell.codes import Code
 from waywell.connection.forwarding import CODE_HEADER
@@ -65,11 +65,11 @@
             target.ports['port'] for target in bench.targets.values()
         )
         ports = bench.folder / 'ports.json'
-        ports.write_text(json.dumps(self.relays.ports), encoding='utf-8')
+        write_ports(ports, self.relays.ports)
         for name in SOUND:
             bench.start_entry(name, timing=QUICK)
         bench.start_entry(
-            CUT, timing=QUICK, module=['tests.rerouted', str(ports)]
+            CUT, timing=QUICK, module=['tests.rerouted', str(ports), 'waywell']
         )
         configuration = make_configuration(GROUPS, boxes_per_group=1)
         configuration['group_set'][1]['groups'] = GROUPS
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from tests.broken_bodies import reset
 from tests.relay import Relay, Way
 from waywell.standins.harness import wait_until
 
@@ -91,3 +92,18 @@
         _connect(relay)
     relay.mend()
     wait_until(lambda: _connect(relay), 'a connection')
+
+
+def test_a_reset_of_one_side_resets_the_other() -> None:
+    listening = socket.create_server(('127.0.0.1', 0))
+    relay = Relay(listening.getsockname()[1])
+    relay.passes_resets = True
+    near = socket.create_connection(('127.0.0.1', relay.port))
+    far, _ = listening.accept()
+    far.sendall(b'a part')
+    assert near.recv(100) == b'a part'
+    reset(far)
+    with pytest.raises(ConnectionResetError):
+        near.recv(100)
+    relay.close()
+    listening.close()
