--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -101,13 +101,13 @@
 
 def check_groups(played: Play) -> None:
     """No box runs two groups; a group has one model; places fit the boxes."""
-    groups = played.house.groups
+    groups = played.fleet_model.groups
     running = [
         group for group in groups.values() if not group.engine.is_stalled
     ]
     members = Counter(name for group in running for name in group.join.members)
     assert not [name for name, count in members.items() if count > 1]
-    assert sum(members.values()) <= len(played.house.boxes)
+    assert sum(members.values()) <= len(played.fleet_model.boxes)
     for name, group in groups.items():
         assert name.rpartition('.')[0] == group.join.model
         assert group.engine.running <= ENGINE['places']
@@ -130,7 +130,7 @@
         figures.possible,
         abs_tol=1e-6,
     )
-    assert not played.house.broken_promises
+    assert not played.fleet_model.broken_promises
     assert all(
         not record.in_flight
         for node in played.parts.nodes
--- a/waywell/experiment/call.py
+++ b/waywell/experiment/call.py
@@ -7,12 +7,12 @@
 
 import attrs
 
-from waywell.experiment.former import Former
+from waywell.experiment.forming_holder import FormingHolder
 from waywell.experiment.group_engine import EngineClient, Work
-from waywell.experiment.house import House
 from waywell.experiment.model_box import SERVICE
 from waywell.experiment.node import Node
 from waywell.experiment.policy import Policy
+from waywell.experiment.simulated_boxes import SimulatedBoxes
 from waywell.experiment.tally import Ending, Tally
 from waywell.experiment.timeline import Timeline
 from waywell.ids import ModelName
@@ -46,10 +46,10 @@
     outlook: Outlook
     """Box list that the nodes see."""
 
-    house: House
+    fleet_model: SimulatedBoxes
     """The boxes."""
 
-    former: Former
+    holder: FormingHolder
     """Holder of the forming duty."""
 
     engine: Engine
@@ -137,14 +137,14 @@
     def on_rejected(self, attempt: _Attempt) -> None:
         """Go on after a replica that has run nothing."""
         self._rejections += 1
-        attempt.note_failure()
+        attempt.record_failure()
         self._drop(attempt)
         if not self._attempts and not self._send_paid():
             self._give_up()
 
     def on_broken(self, attempt: _Attempt) -> None:
         """Go on after a connection that broke."""
-        attempt.note_failure()
+        attempt.record_failure()
         self._drop(attempt)
         if not self._attempts and not self._send_paid():
             self._give_up()
@@ -153,7 +153,7 @@
         """Try elsewhere beside a silent attempt, or wait once more."""
         if len(self._attempts) > 1 or not self._has_sends_left():
             return
-        attempt.note_silence()
+        attempt.record_silence()
         if not self._send_paid():
             attempt.wait_again()
 
@@ -253,7 +253,7 @@
         if self.ending is not None:
             return
         for attempt in tuple(self._attempts):
-            attempt.note_silence()
+            attempt.record_silence()
             self._drop(attempt)
         self._finish(Ending.EXPIRED)
 
@@ -298,13 +298,13 @@
         if not record.in_flight:
             record.heard_at = now
         self._book.note_start(key)
-        house = self._call.parts.house
+        fleet_model = self._call.parts.fleet_model
         self._timeline.schedule_in(
             self._call.patience.first, self._check_silence
         )
-        if not house.boxes[key.box].is_alive:
+        if not fleet_model.boxes[key.box].is_alive:
             return
-        running = house.find_running(key)
+        running = fleet_model.find_running(key)
         if running is None:
             self._call.parts.outlook.doubt(self._replica)
             self._call.on_rejected(self)
@@ -317,7 +317,7 @@
         """Break it off."""
         self._book.note_end(self._replica.key)
         if self._engine is not None:
-            self._note_made()
+            self._record_attempt()
             self._engine.drop(self._work)
 
     def on_first(self) -> None:
@@ -341,7 +341,7 @@
         if self._has_begun:
             now = self._timeline.now
             self._book.note_event(self._replica.key, now)
-            self._note_made()
+            self._record_attempt()
             self._call.on_quiet()
             self._timeline.schedule_in(
                 self._call.patience.gap, self._check_silence
@@ -352,22 +352,22 @@
         if not self._call.has_attempt(self):
             return
         if self._has_begun:
-            self._note_made()
+            self._record_attempt()
             self._call.on_quiet()
         self._call.on_broken(self)
 
-    def note_failure(self) -> None:
+    def record_failure(self) -> None:
         """Let the replica rest."""
         self._book.note_failure(self._replica.key, self._timeline.now)
 
-    def note_silence(self) -> None:
+    def record_silence(self) -> None:
         """Let a replica rest from which nothing comes, and doubt it."""
         key, now = self._replica.key, self._timeline.now
         if self._is_sound():
             self._book.note_heard(key, now)
         if self._book.is_silent(key, self._call.patience.gap, now):
             self._book.note_failure(key, now)
-            self._call.parts.former.raise_doubt(self._replica)
+            self._call.parts.holder.raise_doubt(self._replica)
 
     def wait_again(self) -> None:
         """Wait once more for as long as before."""
@@ -386,7 +386,7 @@
     def _is_sound(self) -> bool:
         return self._engine is not None and not self._engine.is_stalled
 
-    def _note_made(self) -> None:
+    def _record_attempt(self) -> None:
         """Note the tokens that the caller has."""
         if self._engine is not None and self._has_begun:
             made = self._skipped + self._engine.count_made(self._work)
--- a/waywell/experiment/disorder.py
+++ b/waywell/experiment/faults.py
@@ -16,8 +16,8 @@
     from collections.abc import Sequence
     from random import Random
 
-    from waywell.experiment.house import House
     from waywell.experiment.load_file import FaultSettings, Load
+    from waywell.experiment.simulated_boxes import SimulatedBoxes
     from waywell.experiment.timeline import Timeline
 
 
@@ -55,17 +55,17 @@
 
 def schedule_fault(
     fault: Fault,
-    house: House,
+    fleet_model: SimulatedBoxes,
     timeline: Timeline,
     begins_at: float,
 ) -> None:
     """Let a fault begin, and end where it does."""
     at = begins_at + fault.at
     for box in fault.boxes:
-        timeline.schedule(at, partial(_begin, fault, house, box))
+        timeline.schedule(at, partial(_begin, fault, fleet_model, box))
         if fault.lasts:
             timeline.schedule(
-                at + fault.lasts, partial(_end, fault, house, box)
+                at + fault.lasts, partial(_end, fault, fleet_model, box)
             )
 
 
@@ -95,15 +95,15 @@
     return tuple(random.sample(boxes, count))
 
 
-def _begin(fault: Fault, house: House, box: ModelBox) -> None:
+def _begin(fault: Fault, fleet_model: SimulatedBoxes, box: ModelBox) -> None:
     if fault.kind is FaultKind.SLOW:
-        house.change_pace(box, fault.pace)
+        fleet_model.change_pace(box, fault.pace)
     else:
-        house.lose(box)
+        fleet_model.lose(box)
 
 
-def _end(fault: Fault, house: House, box: ModelBox) -> None:
+def _end(fault: Fault, fleet_model: SimulatedBoxes, box: ModelBox) -> None:
     if fault.kind is FaultKind.SLOW:
-        house.change_pace(box, USUAL_PACE)
+        fleet_model.change_pace(box, USUAL_PACE)
     else:
-        house.restart(box)
+        fleet_model.restart(box)
--- a/waywell/experiment/former.py
+++ b/waywell/experiment/forming_holder.py
@@ -19,9 +19,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from waywell.experiment.house import House
     from waywell.experiment.load_file import PlatformSettings
     from waywell.experiment.node import Node
+    from waywell.experiment.simulated_boxes import SimulatedBoxes
     from waywell.experiment.timeline import Timeline
     from waywell.ids import GroupId, ModelName
     from waywell.knowledge.outlook import Outlook
@@ -30,7 +30,7 @@
     from waywell.version.routes import Engine
 
 
-class Former:
+class FormingHolder:
     """Plans groups and gives the orders.
 
     Parameters
@@ -39,7 +39,7 @@
         Engines of the service.
     outlook
         The box list that the holder sees.
-    house
+    fleet_model
         The boxes.
     node
         The node that holds the duty.
@@ -53,7 +53,7 @@
         self,
         engine: Engine,
         outlook: Outlook,
-        house: House,
+        fleet_model: SimulatedBoxes,
         node: Node,
         timeline: Timeline,
         delays: PlatformSettings,
@@ -62,7 +62,7 @@
         self.measures_demand = True
         self._engine = engine
         self._outlook = outlook
-        self._house = house
+        self._fleet_model = fleet_model
         self._node = node
         self._timeline = timeline
         self._delays = delays
@@ -83,10 +83,10 @@
     def raise_doubt(self, replica: Replica) -> None:
         """Take in, a moment later, that a node hears nothing of a group."""
         self._timeline.schedule_in(
-            self._delays.order_seconds, lambda: self._note_doubt(replica)
+            self._delays.order_seconds, lambda: self._record_suspicion(replica)
         )
 
-    def _note_doubt(self, replica: Replica) -> None:
+    def _record_suspicion(self, replica: Replica) -> None:
         group = self._outlook.fleet.groups.get(replica.group)
         if group is not None:
             self._survey.note_doubt(group, self._timeline.now)
@@ -130,7 +130,7 @@
 
     def _probe(self, box: FleetBox) -> BoxReport | None:
         """Ask a box; the survey hears it when the answer or none has come."""
-        asked = self._house.boxes[box.box]
+        asked = self._fleet_model.boxes[box.box]
         report = asked.report() if asked.is_alive else None
         delay = 2 * self._delays.order_seconds
         if report is None:
@@ -176,7 +176,7 @@
 
     def _give(self, assignment: Assignment) -> None:
         if self._outlook.fleet.has_restarted(assignment.box):
-            self._note_result(assignment, OrderResult.ENDED)
+            self._record_result(assignment, OrderResult.ENDED)
             return
         self._timeline.schedule_in(
             self._delays.order_seconds, lambda: self._carry_out(assignment)
@@ -184,16 +184,16 @@
 
     def _carry_out(self, assignment: Assignment) -> None:
         name = assignment.box.box
-        is_there = self._house.boxes[name].is_alive
-        result = self._house.take(name, assignment.order)
+        is_there = self._fleet_model.boxes[name].is_alive
+        result = self._fleet_model.take(name, assignment.order)
         self._timeline.schedule_in(
             self._delays.order_seconds
             if is_there
             else self._delays.answer_seconds,
-            lambda: self._note_result(assignment, result),
+            lambda: self._record_result(assignment, result),
         )
 
-    def _note_result(
+    def _record_result(
         self,
         assignment: Assignment,
         result: OrderResult,
--- a/waywell/experiment/play.py
+++ b/waywell/experiment/play.py
@@ -13,11 +13,11 @@
     make_random,
 )
 from waywell.experiment.call import Call, CallParts
-from waywell.experiment.disorder import draw_faults, schedule_fault
-from waywell.experiment.former import Former
-from waywell.experiment.house import House
+from waywell.experiment.faults import draw_faults, schedule_fault
+from waywell.experiment.forming_holder import FormingHolder
 from waywell.experiment.model_box import SERVICE, ModelBox
 from waywell.experiment.node import Node, share_loads
+from waywell.experiment.simulated_boxes import SimulatedBoxes
 from waywell.experiment.tally import Tally
 from waywell.experiment.timeline import Timeline
 from waywell.ids import BoxId, DomainName, HallName, ModelName, NodeId
@@ -69,7 +69,9 @@
     def __init__(self, load: Load, policy: Policy, seed: int) -> None:
         """Draw the fleet, the requests and the faults."""
         self.timeline = Timeline()
-        self.house = House(load, _draw_boxes(load, seed), self.timeline)
+        self.fleet_model = SimulatedBoxes(
+            load, _draw_boxes(load, seed), self.timeline
+        )
         self.calls: list[Call] = []
         self._load = load
         stall = load.platform.stall_seconds / MS
@@ -77,20 +79,20 @@
         engine = make_engine(load)
         self._outlook.take_routes(_make_routes(load, engine))
         nodes = self._make_nodes(policy, seed)
-        former = Former(
+        holder = FormingHolder(
             engine,
             self._outlook,
-            self.house,
+            self.fleet_model,
             nodes[0],
             self.timeline,
             load.platform,
         )
-        former.measures_demand = policy.measures_demand
+        holder.measures_demand = policy.measures_demand
         self.parts = CallParts(
             self.timeline,
             self._outlook,
-            self.house,
-            former,
+            self.fleet_model,
+            holder,
             engine,
             {kind.name: make_route(kind) for kind in load.kind},
             nodes,
@@ -106,7 +108,7 @@
         self.timeline.repeat(delays.list_seconds, self._list_boxes)
         self.timeline.repeat(delays.load_report_seconds, self._share_loads)
         self.timeline.repeat(FORGET_SECONDS, self._forget_replicas)
-        self.parts.former.start()
+        self.parts.holder.start()
         end = load.warm_up + load.seconds
         self.timeline.run_until(end)
         while not self._are_all_ended() and self.timeline.now < end + longest:
@@ -131,13 +133,13 @@
             call = Call(self.parts, arrival)
             self.calls.append(call)
             self.timeline.schedule(begins_at + arrival.at, call.begin)
-        boxes = tuple(self.house.boxes.values())
+        boxes = tuple(self.fleet_model.boxes.values())
         for fault in draw_faults(self._load, seed, boxes):
-            schedule_fault(fault, self.house, self.timeline, begins_at)
+            schedule_fault(fault, self.fleet_model, self.timeline, begins_at)
 
     def _list_boxes(self) -> None:
         now = self.timeline.now
-        self._outlook.update_fleet(self.house.list_entries(), now, now)
+        self._outlook.update_fleet(self.fleet_model.list_entries(), now, now)
 
     def _share_loads(self) -> None:
         share_loads(self.parts.nodes, self.timeline.now)
--- a/waywell/experiment/house.py
+++ b/waywell/experiment/simulated_boxes.py
@@ -45,7 +45,7 @@
     """Runs them."""
 
 
-class House:
+class SimulatedBoxes:
     """All target boxes.
 
     Parameters
