Pass whole compressed streams of events in both daemons

A stream with a content encoding was read as events: its bytes never end an event, so each was broken off and asked for again, and counted against its replica. A compressed body is judged by its framing alone.

--- a/tests/broken_bodies.py
+++ b/tests/broken_bodies.py
@@ -49,6 +49,8 @@
         The bytes that are sent.
     content_type
         Content type; empty for none.
+    encoding
+        Content encoding; empty for none.
     holds_after
         Bytes after which the rest waits until it is told to go on.
     """
@@ -57,6 +59,7 @@
     ending: Ending
     part: bytes
     content_type: str = 'text/event-stream'
+    encoding: str = ''
     holds_after: int = 0
     goes_on: threading.Event = field(default_factory=threading.Event)
 
@@ -91,6 +94,8 @@
         framed = {'content-type': self.content_type}
         if not self.content_type:
             framed = {}
+        if self.encoding:
+            framed['content-encoding'] = self.encoding
         if self.framing is Framing.CHUNKED:
             return {**framed, 'transfer-encoding': 'chunked'}
         if self.framing is Framing.CLOSE:
--- a/tests/test_truncated_answers.py
+++ b/tests/test_truncated_answers.py
@@ -134,6 +134,9 @@
     for where, sent in WITHIN_EVENT.items():
         script_next(front, BodyScript(framing, ending, WHOLE[:sent]))
         assert (where, ask_stream(front, process)) == (where, WHOLE)
+        assert len(front.list_runs(*front.servers)) == 2
+        for server in front.servers.values():
+            server.runs.clear()
 
 
 @pytest.mark.parametrize(('framing', 'ending'), SEEN_ENDS)
@@ -297,6 +300,26 @@
     assert ask_stream(front, process) == commented
 
 
+@pytest.mark.parametrize('body', [b': ping\n\n', b'\n\n'])
+def test_a_closed_stream_of_comments_breaks_off_for_its_caller(
+    served: tuple[Front, Process], body: bytes
+) -> None:
+    front, process = served
+    script_next(front, BodyScript(Framing.CLOSE, Ending.CLOSE, body))
+    assert ask_stream(front, process, 'once') is None
+
+
+@pytest.mark.parametrize(('framing', 'ending'), WHOLE_ENDS)
+def test_whole_compressed_streams_pass(
+    served: tuple[Front, Process], framing: Framing, ending: Ending
+) -> None:
+    front, process = served
+    body = b'\x1f\x8b\x08 compressed'
+    script_next(front, BodyScript(framing, ending, body, encoding='gzip'))
+    assert ask_stream(front, process) == body
+    assert len(front.list_runs(*front.servers)) == 1
+
+
 def test_a_caller_on_a_kept_connection_sees_the_cut(
     served: tuple[Front, Process], line: http.client.HTTPConnection
 ) -> None:
--- a/waywell/connection/content_type.py
+++ b/waywell/connection/content_type.py
@@ -12,14 +12,25 @@
 
 _CONTENT_TYPE = b'content-type'
 
+_CONTENT_ENCODING = b'content-encoding'
+
+_PLAIN_ENCODINGS = frozenset((b'', b'identity'))
+
 
 def is_event_stream(headers: Iterable[tuple[bytes, bytes]]) -> bool:
-    """Answer whether a response is a stream of events.
+    """Answer whether the body of a response can be read as events.
 
-    Types are compared without regard to case, and without parameters.
+    Types are compared without regard to case, and without parameters.  The
+    events of a compressed body can't be told.
     """
-    return any(
-        name.lower() == _CONTENT_TYPE
-        and text.partition(b';')[0].strip().lower() == EVENT_STREAM
-        for name, text in headers
+    fields = [(name.lower(), _get_word(text)) for name, text in headers]
+    return (_CONTENT_TYPE, EVENT_STREAM) in fields and all(
+        word in _PLAIN_ENCODINGS
+        for name, word in fields
+        if name == _CONTENT_ENCODING
     )
+
+
+def _get_word(text: bytes) -> bytes:
+    """Return the value of a header without its parameters."""
+    return text.partition(b';')[0].strip().lower()
