Count no comment as an event of a stream that closes

A stream with neither a length nor chunks that closed after a comment or an empty line passed as complete, as each block counted as an event. Only a block with a field does.

--- a/tests/test_stream_events.py
+++ b/tests/test_stream_events.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from waywell.connection.event_boundary import EventBoundary
 from waywell.request.stream_events import EventCutter
 
 STREAM = b''.join(
@@ -79,3 +80,23 @@
 def test_a_number_that_no_counter_reaches_is_none() -> None:
     (event,) = EventCutter().feed(b'id: ' + b'9' * 5000 + b'\n\n')
     assert event.number is None
+
+
+@given(
+    cuts=st.lists(st.integers(0, 2 * len(STREAM)), max_size=12),
+    end=st.integers(0, 2 * len(STREAM)),
+    line_end=st.sampled_from(LINE_ENDS),
+)
+def test_a_boundary_is_the_same_however_the_bytes_come(
+    cuts: list[int], end: int, line_end: bytes
+) -> None:
+    stream = STREAM.replace(b'\n', line_end)[:end]
+    at_once = EventBoundary()
+    at_once.feed(stream)
+    in_pieces = EventBoundary()
+    edges = [0, *sorted(cuts), len(stream)]
+    for begin, stop in zip(edges, edges[1:], strict=False):
+        in_pieces.feed(stream[begin:stop])
+    assert in_pieces.is_inside_event == at_once.is_inside_event
+    assert in_pieces.has_events == at_once.has_events
+    assert at_once.has_events == (stream.count(line_end * 2) > 0)
--- a/waywell/connection/event_boundary.py
+++ b/waywell/connection/event_boundary.py
@@ -18,6 +18,7 @@
 
     def __init__(self) -> None:
         """Start before the first byte."""
+        self.has_events = False
         self._is_line_open = False
         self._is_comment = False
         self._has_field = False
@@ -47,6 +48,7 @@
         if len(text) == len(line):
             return
         if not self._is_line_open:
+            self.has_events = self.has_events or self._has_field
             self._has_field = False
         elif not self._is_comment:
             self._has_field = True
--- a/waywell/connection/relay.py
+++ b/waywell/connection/relay.py
@@ -119,7 +119,7 @@
         if not self._is_stream:
             return BodyOutcome(end)
         unfinished = len(self._tail) if self._boundary.is_inside_event else 0
-        return BodyOutcome(end, unfinished, has_events=bool(self._tail))
+        return BodyOutcome(end, unfinished, self._boundary.has_events)
 
     def _has_end(self) -> bool:
         if not self._is_stream or not self._wants_marker:
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -300,7 +300,7 @@
 
     def on_bytes(self, raw: bytes) -> None:
         for event in self._cutter.feed(raw):
-            self._has_events = True
+            self._has_events = self._has_events or event.has_fields
             self._tell(event)
 
     def _judge(self, end: BodyEnd) -> BodyOutcome:
--- a/waywell/request/stream_events.py
+++ b/waywell/request/stream_events.py
@@ -30,6 +30,15 @@
     number: int | None
     """Its number, if it has one."""
 
+    @property
+    def has_fields(self) -> bool:
+        """Return whether it is more than comments and empty lines."""
+        if self.number is not None:
+            return True
+        boundary = EventBoundary()
+        boundary.feed(self.raw)
+        return boundary.has_events or boundary.is_inside_event
+
 
 class EventCutter:
     """Cuts what comes into whole events."""
