Resume an answer only after events that have numbers

A caller could get parts of two runs as one complete answer: a silent stream whose events have no numbers was hedged after it had begun, and the second run's events were passed on from the first; a plain answer that broke off, of a caller that resumes by itself, was continued by a second whole one. Another replica takes over a begun answer only where all that was passed on has numbers. The two tests fail on the code before.

--- a/tests/forwarder_stage.py
+++ b/tests/forwarder_stage.py
@@ -194,10 +194,20 @@
         raise AssertionError('the node asked another one')
 
     async def begin(
-        self, forwarded: ForwardMark | None = None
+        self,
+        forwarded: ForwardMark | None = None,
+        resume_after: int | None = None,
     ) -> asyncio.Task:
         ask = Ask(
-            'a1', 'POST', '/x', 'h', (), b'', model=MODEL, forwarded=forwarded
+            'a1',
+            'POST',
+            '/x',
+            'h',
+            (),
+            b'',
+            model=MODEL,
+            forwarded=forwarded,
+            resume_after=resume_after,
         )
         self.answer = StageAnswer()
         task = asyncio.create_task(self._serve(ask, self.answer))
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -364,3 +364,40 @@
     asyncio.run(play())
     fingerprint = stage.attempts[0].fingerprint
     assert not stage.quarantine.book.count_crashes(fingerprint)
+
+
+def test_events_without_numbers_are_never_passed_on_twice(
+    stage: Stage,
+) -> None:
+    async def play() -> None:
+        await stage.begin()
+        (first,) = stage.attempts
+        await stage.head(first)
+        event = StreamEvent(b'data: a\n\n', None)
+        first.tell(Attempt.Piece(first, event))
+        await stage.settle()
+        await stage.pass_time(0.25)
+        assert stage.attempts == [first]
+        await stage.end(first, is_whole=False)
+        assert stage.attempts == [first]
+
+    asyncio.run(play())
+    assert stage.answer.body == b'data: a\n\n'
+    assert stage.answer.end == 'cut'
+
+
+def test_a_plain_answer_to_a_caller_that_resumes_is_never_resumed(
+    stage: Stage,
+) -> None:
+    async def play() -> None:
+        await stage.begin(resume_after=2)
+        (first,) = stage.attempts
+        await stage.head(first)
+        first.tell(Attempt.Piece(first, StreamEvent(b'part', None)))
+        await stage.settle()
+        await stage.end(first, is_whole=False)
+        assert stage.attempts == [first]
+
+    asyncio.run(play())
+    assert stage.answer.body == b'part'
+    assert stage.answer.end == 'cut'
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -123,7 +123,7 @@
         """Answer whether a second attempt may run beside the first."""
         return (
             len(self.running) == 1
-            and self._context.route.may_repeat
+            and self._context.may_move
             and self.has_sends_left()
             and self._may_risk(1, self._parts.clock.read())
         )
--- a/waywell/request/request_context.py
+++ b/waywell/request/request_context.py
@@ -167,6 +167,26 @@
     is_begun: bool = False
     """Whether the head of an answer was passed on."""
 
+    passed_number: bool = False
+    """Whether an event with a number was passed on."""
+
+    passed_unnumbered: bool = False
+    """Whether a part without a number was passed on, comments aside."""
+
+    @property
+    def can_resume(self) -> bool:
+        """Return whether the rest of a begun answer can come from another."""
+        if not self.route.resumable or self.passed_unnumbered:
+            return False
+        return self.passed_number
+
+    @property
+    def may_move(self) -> bool:
+        """Return whether another replica may take over from here."""
+        if not self.route.may_repeat:
+            return False
+        return self.can_resume or not self.is_begun
+
     @property
     def may_have_run(self) -> bool:
         """Return whether a replica may have run it."""
--- a/waywell/request/request_execution.py
+++ b/waywell/request/request_execution.py
@@ -21,6 +21,7 @@
         ForwarderParts,
         RequestContext,
     )
+    from waywell.request.stream_events import StreamEvent
 
 SERVER_ERROR = 500
 """Lowest HTTP status that speaks against the replica."""
@@ -93,8 +94,7 @@
             await self._fail(attempt, now, f'event_{piece.event.number}')
             return
         self._settle_on(attempt, now)
-        if piece.event.number is not None:
-            self._context.last_event = piece.event.number
+        self._record_event(piece.event)
         self._begin(attempt.head)
         await self._answer.write(piece.event.raw)
 
@@ -276,6 +276,14 @@
         if is_fit or not self._attempts.start():
             self._give_up(refusal.code, refusal.retry_after)
 
+    def _record_event(self, event: StreamEvent) -> None:
+        """Record what is passed on, for an attempt that resumes after it."""
+        if event.number is not None:
+            self._context.last_event = event.number
+            self._context.passed_number = True
+        elif not self._context.passed_unnumbered:
+            self._context.passed_unnumbered = event.has_fields
+
     def _is_next(self, piece: Attempt.Piece) -> bool:
         """Answer whether a piece goes on where the answer stands."""
         last = self._context.last_event
@@ -338,9 +346,7 @@
 
     async def _retry(self, attempt: Attempt, now: float, why: str) -> bool:
         """Replace an attempt where the request may run again."""
-        if not self._context.route.may_repeat:
-            return False
-        if self._context.is_begun and not self._can_resume():
+        if not self._context.may_move:
             return False
         is_alone = len(self._attempts.running) == 1
         if is_alone and not await self._attempts.start_paid_anywhere(now):
@@ -349,13 +355,6 @@
         self._attempts.drop(attempt)
         return True
 
-    def _can_resume(self) -> bool:
-        """Answer whether the rest of a begun answer can come from another."""
-        return (
-            self._context.route.resumable
-            and self._context.last_event is not None
-        )
-
     def _give_up(self, code: Code, retry_after: float | None = None) -> None:
         """End a request that has no whole answer."""
         context = self._context
