--- a/waywell/knowledge/readiness_gate.py
+++ b/waywell/knowledge/readiness_gate.py
@@ -18,9 +18,8 @@
 if TYPE_CHECKING:
     from waywell.ids import NodeId
 
-PEERS_WAIT_SECONDS = 0.25
-"""Longest wait for the answers of peers that were called: a box without power
-says nothing at all, and after a stop of all nodes callers wait meanwhile."""
+PEERS_WAIT_SECONDS = 2.0
+"""Longest wait for the answers of peers that were called."""
 
 LOOK_WAIT_SECONDS = 5.0
 """Longest wait for the list of nodes, from when routes are in force: a call
