--- a/waywell/connection/relay.py
+++ b/waywell/connection/relay.py
@@ -89,7 +89,7 @@
         """End the answer, or break it where it is not whole."""
         if self._given_up:
             return
-        end = read_body_end(reason, self._answer.was_reset)
+        end = read_body_end(reason, self._answer.was_closed)
         self._end(self._judge(end).is_complete and self._has_end())
 
     def pauseProducing(self) -> None:  # noqa: N802
@@ -119,7 +119,7 @@
         if not self._is_stream:
             return BodyOutcome(end)
         unfinished = len(self._tail) if self._boundary.is_inside_event else 0
-        return BodyOutcome(end, unfinished, has_events=bool(self._tail))
+        return BodyOutcome(end, unfinished, self._boundary.has_events)
 
     def _has_end(self) -> bool:
         if not self._is_stream or not self._wants_marker:
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -13,11 +13,11 @@
 from waywell.connection.peer import FrontWire
 from waywell.duties.forming import FormingDuty, FormingSources
 from waywell.health.doubts import DoubtListeners, Doubts
-from waywell.health.node_paths import make_node_paths
+from waywell.health.node_paths import ListedBoxes, make_node_paths
 from waywell.ids import GroupId, HallName, Incarnation, NodeId
 from waywell.knowledge.feed import Feed
 from waywell.knowledge.fleet_watch import FleetWatch
-from waywell.knowledge.outlook import Outlook
+from waywell.knowledge.outlook import Outlook, make_started_outlook
 from waywell.knowledge.paces import make_paces
 from waywell.knowledge.platform_watch import WatchParts
 from waywell.knowledge.route_watch import RouteWatch
@@ -28,18 +28,19 @@
     MembershipTable,
     NodeRecord,
     NodeState,
+    select_linked,
 )
-from waywell.membership.presence import Presence
+from waywell.membership.presence import JOIN_DIALS, START_DIALS, Presence
 from waywell.process.clock import SystemClock
 from waywell.process.front_operations import FrontOperations
 from waywell.process.front_ports import FrontHandlers, FrontPorts
 from waywell.quarantine.tasks import make_quarantine
 from waywell.request.backpressure import Backpressure
 from waywell.request.demand import DemandGauge, count_at, count_by_model
-from waywell.request.errand import CallerAnswer, ForwarderParts
 from waywell.request.forwarder import Forwarder
 from waywell.request.placement import Chooser
 from waywell.request.replica_book import ReplicaBook
+from waywell.request.request_context import CallerAnswer, ForwarderParts
 from waywell.request.resend_budget import ResendBudget
 from waywell.request.shared_loads import SharedLoads
 from waywell.telemetry.events import log_event
@@ -85,12 +86,6 @@
 """Seconds between two looks at the work in flight while stopping."""
 
 
-LEAST_LINKED_PART = 0.6
-"""Part of the entry boxes that must have their links to all services for the
-others to be left out of the list: callers keep their connections, so the few
-would carry all load for long after links are back."""
-
-
 class FrontNode:
     """One entry box on the platform.
 
@@ -107,7 +102,7 @@
         self.settings = settings
         self.clock = SystemClock()
         self.metrics = Metrics()
-        self.outlook = Outlook(settings.promises, adapter.eras)
+        self.outlook = make_started_outlook(settings.promises, adapter.eras)
         self.book = ReplicaBook()
         self.backpressure = Backpressure()
         self.outlook.listen_for_ends(self.backpressure.forget_ended)
@@ -192,7 +187,7 @@
             for record in self.members.list_live()
             if record.state is NodeState.LIVE and record.configuration
         ]
-        live = _select_linked(ready)
+        live = select_linked(ready)
         own = self.members.own.node
         # Callers may take notice of the first ones only, so each node begins
         # with those that follow it.
@@ -262,13 +257,14 @@
             self.links,
             self.settings.seeds,
             self._random,
+            _choose_first_dials(self.outlook),
         )
         self.outlook.eras.listen(self.presence.list_again)
         self.paths = make_node_paths(
             self.gossip,
             self.links,
             self.clock,
-            self.outlook,
+            ListedBoxes(self.outlook),
             self._random,
             self.book.end_rests,
         )
@@ -471,9 +467,10 @@
         second at a node that has nothing to do (counted by their periods).
         """
         while True:
+            now = self.clock.read()
+            self.outlook.compare_routes(self.presence.get_contacts(), now)
             self._tell_readiness()
             self._forget_replicas()
-            now = self.clock.read()
             self.backpressure.forget_old(now)
             self.turns.tend(now)
             for watch in (self.routes, self.fleet, self.quarantine.records):
@@ -506,9 +503,8 @@
             )
 
 
-def _select_linked(ready: list[NodeRecord]) -> list[NodeRecord]:
-    """Return the nodes with links to all services, where they are enough."""
-    linked = [record for record in ready if not record.lost_services]
-    if len(linked) < LEAST_LINKED_PART * len(ready):
-        return ready
-    return linked
+def _choose_first_dials(outlook: Outlook) -> int:
+    """Return how many nodes one that has started calls at its first look."""
+    if outlook.gate.is_open or outlook.eras.is_first_start:
+        return JOIN_DIALS
+    return START_DIALS
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -266,8 +266,8 @@
     _inbox: Inbox
     """Where what comes is put."""
 
-    def was_reset(self) -> bool:
-        return self._exchange.was_reset
+    def was_closed(self) -> bool:
+        return self._exchange.was_closed
 
     def on_end(self, end: BodyEnd) -> None:
         outcome = self._judge(end)
@@ -300,7 +300,7 @@
 
     def on_bytes(self, raw: bytes) -> None:
         for event in self._cutter.feed(raw):
-            self._has_events = True
+            self._has_events = self._has_events or event.has_fields
             self._tell(event)
 
     def _judge(self, end: BodyEnd) -> BodyOutcome:
--- a/waywell/request/stream_events.py
+++ b/waywell/request/stream_events.py
@@ -17,6 +17,9 @@
 ID_FIELD = b'id:'
 """Field with an event's number."""
 
+NUMBER_DIGITS = 18
+"""Most digits of an event's number; longer ones are no numbers."""
+
 
 class StreamEvent(msgspec.Struct, frozen=True):
     """One whole event."""
@@ -27,6 +30,15 @@
     number: int | None
     """Its number, if it has one."""
 
+    @property
+    def has_fields(self) -> bool:
+        """Return whether it is more than comments and empty lines."""
+        if self.number is not None:
+            return True
+        boundary = EventBoundary()
+        boundary.feed(self.raw)
+        return boundary.has_events or boundary.is_inside_event
+
 
 class EventCutter:
     """Cuts what comes into whole events."""
@@ -64,5 +76,6 @@
     for line in piece.splitlines():
         if line.startswith(ID_FIELD):
             text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= NUMBER_DIGITS
+            return int(text) if is_number else None
     return None
