Log the shared parts of prompts with each attempt

The header is decoded once, in the platform's folder, bounded to 32 parts; the last one belongs to the request and is left out.

--- /dev/null
+++ b/tests/test_prompt_parts.py
@@ -0,0 +1,37 @@
+"""Parts of a prompt as the header of a request names them."""
+
+from __future__ import annotations
+
+import pytest
+
+from waywell.request.prompt_parts import (
+    MOST_PARTS,
+    decode_prompt_parts,
+    is_prompt_part,
+)
+
+
+@pytest.mark.parametrize(
+    ('text', 'parts'),
+    [
+        ('5c1e07a2:800,91bd3f06:410,e4402b7d:250', ['5c1e07a2', '91bd3f06']),
+        ('5C1E07A2:800, 91bd3f06 :410 ,e4:1', ['5c1e07a2', '91bd3f06']),
+        ('5c1e07a2:800,5c1e07a2:800,e4402b7d:250', ['5c1e07a2']),
+        ('5c1e07a2,e4402b7d', ['5c1e07a2']),
+        ('5c1e07a2:800,e4402b7d:250,', ['5c1e07a2']),
+        ('e4402b7d:250', []),
+        ('', []),
+        (',,:,', []),
+        ('xyz:1,5c:2,:3,é:4,e4:5', ['5c']),
+        ('f' * 33 + ':1,5c:2,e4:5', ['5c']),
+    ],
+)
+def test_parts_are_all_but_the_last(text: str, parts: list[str]) -> None:
+    assert decode_prompt_parts(text) == tuple(f'part-{one}' for one in parts)
+
+
+def test_a_long_list_is_bounded() -> None:
+    text = ','.join(f'{number:x}:1' for number in range(10_000))
+    parts = decode_prompt_parts(text)
+    assert len(parts) == MOST_PARTS
+    assert all(is_prompt_part(part) for part in parts)
--- a/waywell/ids.py
+++ b/waywell/ids.py
@@ -36,9 +36,15 @@
 RequestId = NewType('RequestId', str)
 """A caller's name for a request; unique within its client account."""
 
-Fingerprint = NewType('Fingerprint', str)
+Trait = NewType('Trait', str)
+"""Something that requests may share and that may crash replicas."""
+
+Fingerprint = NewType('Fingerprint', Trait)
 """Digest of what a request asks and for whom, the same at each repeat."""
 
+PromptPart = NewType('PromptPart', Trait)
+"""Name of a part of a prompt that other requests may have as well."""
+
 Epoch = NewType('Epoch', int)
 """Fence of a group: a target refuses work of an epoch below its own."""
 
--- a/waywell/platform/messages.py
+++ b/waywell/platform/messages.py
@@ -17,6 +17,7 @@
 from waywell.connection.wire import RawHeaders, Wire
 from waywell.ids import ModelName
 from waywell.request.ask import AnswerMark, Ask, Delivery
+from waywell.request.prompt_parts import decode_prompt_parts
 
 if TYPE_CHECKING:
     from waywell.version.fleet import FleetBox
@@ -29,6 +30,8 @@
 # Two numbers: tokens of the prompt, and the most that are generated.
 TOKENS_HEADER = 'x-token-count'
 HINT_HEADER = 'x-length-hint'
+# Parts of the prompt in order, ID:TOKENS separated by commas.
+PROMPT_HEADER = 'x-prompt-prefix'
 KEY_HEADER = 'authorization'
 TENANT_HEADER = 'x-tenant'
 PRIORITY_HEADER = 'x-request-priority'
@@ -94,6 +97,7 @@
             prompt_tokens=prompt,
             answer_tokens=answer,
             likely_tokens=_read_number(texts, HINT_HEADER) or 0,
+            prompt_parts=decode_prompt_parts(texts.get(PROMPT_HEADER, '')),
             forwarded=read_forward_mark(texts.get(FORWARDED_HEADER, '')),
         )
 
--- a/waywell/quarantine/held_records.py
+++ b/waywell/quarantine/held_records.py
@@ -14,7 +14,7 @@
 from returns.result import Failure, Result
 
 from waywell.connection.platform import Kind, PlatformFault
-from waywell.ids import Fingerprint
+from waywell.ids import Fingerprint, Trait
 from waywell.knowledge.platform_watch import PlatformWatch, WatchScope
 from waywell.quarantine.crash_book import CRASHES_HELD, MEMORY_SECONDS, Hold
 from waywell.telemetry.events import log_event, log_warning
@@ -138,9 +138,9 @@
         age = max(0.0, self._parts.clock.read_wall() - record.ended_at)
         if age <= MEMORY_SECONDS:
             hold = Hold(record.ends, now - age)
-            self._quarantine.take_stored(Fingerprint(stored.name), hold)
+            self._quarantine.take_stored(Fingerprint(Trait(stored.name)), hold)
         elif self._is_cleaner():
-            self.spawn(self._remove(Fingerprint(stored.name)))
+            self.spawn(self._remove(Fingerprint(Trait(stored.name))))
 
     async def _write(self, fingerprint: Fingerprint, hold: Hold) -> None:
         """Write a record, and remove it where the request was freed meanwhile.
--- a/waywell/request/ask.py
+++ b/waywell/request/ask.py
@@ -6,7 +6,7 @@
 
 from waywell.connection.forwarding import ForwardMark, PeerRefusal
 from waywell.connection.wire import RawHeaders
-from waywell.ids import AccountName, ModelName
+from waywell.ids import AccountName, ModelName, PromptPart
 
 
 class Ask(msgspec.Struct, frozen=True):
@@ -51,6 +51,9 @@
     likely_tokens: int = 0
     """Tokens that the caller expects; 0 where it does not say."""
 
+    prompt_parts: tuple[PromptPart, ...] = ()
+    """Parts of the prompt that other requests may share."""
+
     forwarded: ForwardMark | None = None
     """Set where another entry box forwards it."""
 
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -17,6 +17,9 @@
     from waywell.request.request_context import ForwarderParts, RequestContext
     from waywell.version.fleet import Replica
 
+MOST_LOGGED = 8
+"""Maximum number of prompt parts on a log line."""
+
 
 class Attempts:
     """Starts and drops the attempts at one request.
@@ -247,6 +250,7 @@
             load=record.in_flight,
             rests=rests,
             limit=self._parts.turns.get_limit(destination.key.life),
+            prompt_parts=','.join(context.ask.prompt_parts[:MOST_LOGGED]),
         )
 
     def _list_replicas(self) -> list[Replica]:
--- a/waywell/request/fingerprint.py
+++ b/waywell/request/fingerprint.py
@@ -9,7 +9,7 @@
 import hashlib
 from typing import TYPE_CHECKING
 
-from waywell.ids import Fingerprint
+from waywell.ids import Fingerprint, Trait
 
 if TYPE_CHECKING:
     from waywell.ids import AccountName
@@ -50,4 +50,4 @@
     for part in (*(text.encode() for text in head), body):
         digest.update(len(part).to_bytes(LENGTH_BYTES, 'big'))
         digest.update(part)
-    return Fingerprint(digest.hexdigest())
+    return Fingerprint(Trait(digest.hexdigest()))
--- /dev/null
+++ b/waywell/request/prompt_parts.py
@@ -0,0 +1,41 @@
+"""Parts of a prompt that a request names and that others may share."""
+
+from __future__ import annotations
+
+import re
+
+from waywell.ids import PromptPart, Trait
+
+MOST_PARTS = 32
+"""Maximum number of shared parts recorded for one request."""
+
+_PREFIX = 'part-'
+"""Distinguishes the name of a part from the fingerprint of a request."""
+
+_PART_ID = re.compile('[0-9a-f]{1,32}')
+
+
+def decode_prompt_parts(text: str) -> tuple[PromptPart, ...]:
+    """Return the shared parts of a prompt, each once, in order.
+
+    The last part belongs to the request or its session and is left out.
+    Malformed entries are skipped, as they say nothing of the prompt.
+
+    Parameters
+    ----------
+    text
+        Parts as ``ID:TOKENS`` separated by commas, the id in hex.
+    """
+    entries = [entry for entry in text.split(',') if entry.strip()]
+    ids = dict.fromkeys(
+        entry.partition(':')[0].strip().lower() for entry in entries[:-1]
+    )
+    named = [one for one in ids if _PART_ID.fullmatch(one)]
+    return tuple(
+        PromptPart(Trait(f'{_PREFIX}{one}')) for one in named[:MOST_PARTS]
+    )
+
+
+def is_prompt_part(trait: Trait) -> bool:
+    """Answer whether a trait is a part of a prompt."""
+    return trait.startswith(_PREFIX)
--- a/waywell/request/request_context.py
+++ b/waywell/request/request_context.py
@@ -9,7 +9,7 @@
 import attrs
 
 from waywell.connection.wire import Wire
-from waywell.ids import Fingerprint, ServiceName
+from waywell.ids import Fingerprint, ServiceName, Trait
 from waywell.knowledge.outlook import Outlook
 from waywell.process.clock import Clock
 from waywell.request.answer_times import AnswerTimes
@@ -140,7 +140,7 @@
     ends_at: float
     """When it is given up, in seconds."""
 
-    fingerprint: Fingerprint = Fingerprint('')
+    fingerprint: Fingerprint = Fingerprint(Trait(''))
     """What tells it again when it is repeated."""
 
     engine: Engine | None = None
