Tests of a prompt part that crashes replicas, committed failing

Nodes that start later, that were all killed or that reach the platform only have nothing to hold the part by.

--- a/tests/house.py
+++ b/tests/house.py
@@ -286,6 +286,7 @@
         self.goes_on = threading.Event()
         self.goes_on.set()
         self.deadly_body = b''
+        self.deadly_parts: frozenset[str] = frozenset()
         self.has_ended = False
         self._lines: set[socket.socket] = set()
         self._store = store
@@ -422,6 +423,14 @@
             'group': self.get_group() or None,
         }
 
+    def _is_deadly(self, body: bytes, headers: Any) -> bool:
+        """Answer whether it ends when it begins to answer a request."""
+        named = headers.get('X-Prompt-Prefix', '').split(',')[:-1]
+        parts = {one.partition(':')[0] for one in named}
+        return bool(parts & self.deadly_parts) or (
+            bool(body) and body == self.deadly_body
+        )
+
     def _make_handler(server) -> type[_Handler]:  # noqa: N805
         class Handler(_Handler):
             def setup(self) -> None:
@@ -449,7 +458,7 @@
                 body = self.read_body()
                 if self.path == '/api/order':
                     self.answer(server._take_order(json.loads(body)), {})
-                elif body and body == server.deadly_body:
+                elif server._is_deadly(body, self.headers):
                     server.runs.append({**self.headers, 'X-Path': self.path})
                     server.end_at_once()
                     self.hang_up()
--- a/tests/test_crashing_targets.py
+++ b/tests/test_crashing_targets.py
@@ -25,12 +25,14 @@
 """Three until the cause is known for sure, and one whose word is on its way."""
 
 
-def start(bench: Bench) -> None:
+def start(bench: Bench, **faults: str) -> None:
     """Start two entry boxes before plain targets that the request ends."""
     names = [f'app-{number}' for number in range(TARGETS)]
     start_plain(bench, ('entry-1', 'entry-2'), names)
     for name in names:
-        bench.set_target_faults(name, ends_under=DEADLY.decode())
+        bench.set_target_faults(
+            name, **(faults or {'ends_under': DEADLY.decode()})
+        )
 
 
 def count_ended(bench: Bench) -> int:
@@ -66,3 +68,23 @@
     assert count_ended(bench) <= MOST_ENDED
     answer = callers[0].call('/services/app/stock', 'POST', b'x', repeatable)
     assert answer.status == 200
+
+
+def test_a_prompt_part_that_crashes_targets_is_sent_to_few(
+    bench: Bench,
+) -> None:
+    """No two of the requests are alike but for the part."""
+    start(bench, ends_within='what no target survives')
+    callers = [bench.get_caller(f'entry-{number}') for number in (1, 2)]
+    for number in range(TARGETS):
+        body = b'what no target survives, %d' % number
+        named = {
+            'waywell-prompt-parts': f'f0:40,e{number}:3,bad0:7,{number}:1'
+        }
+        callers[number % 2].call('/services/app/stock', 'POST', body, named)
+        wait_told(bench)
+    assert count_ended(bench) <= MOST_ENDED
+    sound = {'waywell-prompt-parts': 'f0:40,c1:3,1:1'}
+    for caller in callers:
+        answer = caller.call('/services/app/stock', 'POST', b'x', sound)
+        assert answer.status == 200
--- a/waywell/standins/target.py
+++ b/waywell/standins/target.py
@@ -53,6 +53,9 @@
     ends_under: str = ''
     """Body of a request under which the process ends; empty for none."""
 
+    ends_within: str = ''
+    """Text within a body under which the process ends; empty for none."""
+
     rest: str = ''
     """Seconds of rest that it asks for while it turns requests away; empty
     where it takes them."""
@@ -161,13 +164,20 @@
             group=self.order.group if self.order else '',
             epoch=request.getHeader(EPOCH_HEADER) or '',
         )
-        if body and body.decode('latin-1') == self.faults.ends_under:
+        if self._is_deadly(body.decode('latin-1')):
             os._exit(1)
         self.in_flight += 1
         answering = _Answering(self, request, body)
         request.notifyFinish().addBoth(lambda _: answering.end())
         reactor.callLater(self.faults.slow, answering.begin)
 
+    def _is_deadly(self, body: str) -> bool:
+        """Answer whether the process ends under a body."""
+        within = self.faults.ends_within
+        if within and within in body:
+            return True
+        return bool(body) and body == self.faults.ends_under
+
     def _turn_away(self, request: Request) -> None:
         self.turned_away += 1
         request.setHeader(b'retry-after', self.faults.rest.encode())
