--- a/tests/test_crash_book.py
+++ b/tests/test_crash_book.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from waywell.ids import BoxId, Epoch, Fingerprint
+from waywell.ids import BoxId, Epoch, Fingerprint, PromptPart, Trait
 from waywell.quarantine.crash_book import (
     CRASHES_HELD,
     HOLD_SECONDS,
@@ -288,3 +288,87 @@
     assert house.deadly_ends <= CRASHES_HELD + 2
     assert set(house.book.held) == {DEADLY}
     assert not house.waiting
+
+
+BAD_PART = PromptPart(Trait('part-bad'))
+SHARED_PART = PromptPart(Trait('part-shared'))
+
+
+def note_prompts(
+    book: CrashBook,
+    number: int,
+    *prompts: tuple[str, ...],
+    at: float = 0.0,
+    domain: str = '',
+) -> None:
+    """Note a crash under requests of their own with some shared parts."""
+    runs = {
+        trait: False
+        for place, parts in enumerate(prompts)
+        for trait in (f'r{number}-{place}', *(f'part-{one}' for one in parts))
+    }
+    book.note_crash(key(number), runs, at or float(number), domain)
+
+
+def test_the_part_that_all_crashes_have_in_common_is_held() -> None:
+    book = CrashBook()
+    book.note_served(SHARED_PART, 0.5)
+    for number in (1, 2, 3):
+        note_prompts(
+            book,
+            number,
+            ('shared', 'bad'),
+            ('shared', f'other-{number % 2}'),
+            ('shared',),
+        )
+    assert set(book.held) == {BAD_PART}
+    assert book.find_hold(BAD_PART, 3.0) == Hold(3, 3.0)
+
+
+def test_a_shared_first_part_is_blamed_last() -> None:
+    book = CrashBook()
+    for number in (1, 2, 3):
+        note_prompts(book, number, ('shared', 'bad'))
+    assert set(book.held) == {BAD_PART}
+
+
+def test_a_bad_first_part_is_blamed_once_the_others_differ() -> None:
+    book = CrashBook()
+    for number in (1, 2, 3, 4):
+        note_prompts(book, number, ('bad', 'same' if number < 4 else 'last'))
+    assert set(book.held) == {BAD_PART}
+
+
+def test_a_repeated_request_is_blamed_before_its_parts() -> None:
+    book = CrashBook()
+    for number in (1, 2, 3):
+        note(book, number, 'deadly', 'part-shared')
+    assert set(book.held) == {DEADLY}
+    # Another request with the part crashes a replica as well.
+    note(book, 4, 'other', 'part-shared')
+    assert set(book.held) == {SHARED_PART}
+
+
+def test_a_part_is_not_blamed_for_the_loss_of_a_domain() -> None:
+    """Before anything was served, all of a lost rack had the first part."""
+    book = CrashBook()
+    for number in range(1, 8):
+        at = 10.0 + number / 1000
+        note_prompts(book, number, ('shared',), at=at, domain='d1')
+    assert not book.held
+    assert book.count_crashes(SHARED_PART) == 1
+    note_prompts(book, 8, ('shared',), at=10.1, domain='d2')
+    note_prompts(book, 9, ('shared',), at=10.1, domain='d3')
+    assert set(book.held) == {SHARED_PART}
+    book.note_served(SHARED_PART, 11.0)
+    assert not book.held
+
+
+def test_names_of_parts_that_callers_invent_are_bounded() -> None:
+    book = CrashBook()
+    for number in range(1, MOST_CRASHES + 20):
+        invented = tuple(f'{number:x}{place:x}' for place in range(32))
+        note_prompts(book, number, invented, ('bad', *invented), invented)
+    assert len(book.crashes) <= MOST_CRASHES
+    assert max(len(crash.runs) for crash in book.crashes) <= MOST_SUSPECTS
+    assert set(book.held) == {BAD_PART}
--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -55,6 +55,8 @@
     for number in range(REPLICAS):
         server = Server(front.store, f'a{number}', 'app')
         server.deadly_parts = frozenset(bad or (BAD,))
+        server.entry['domain'] = f'd{number}'
+        server.write_entry()
         front.servers[server.name] = server
     front.store.put('config', 'main', make_manifest())
     nodes = [front.start(f'front-{number}') for number in (1, 2)]
@@ -96,6 +98,7 @@
         sound = ask(front, node, 100 + number, SYSTEM, 'c1', path=path)
         assert sound[0] == 200
     assert count_ended(front) <= MOST_CRASHES
+    wait_told(front, nodes)
     status, code = ask(front, nodes[0], 50, SYSTEM, BAD, path=path)
     assert (status, code) == (503, str(int(Code.REQUEST_HELD_BACK)))
 
@@ -125,6 +128,7 @@
         ask(front, nodes[number % 2], number, SYSTEM, part)
         assert ask(front, nodes[0], 100 + number, SYSTEM)[0] == 200
     assert count_ended(front) <= 2 * MOST_CRASHES
+    wait_told(front, nodes)
     for part in (BAD, 'bad1'):
         assert ask(front, nodes[0], 50, SYSTEM, part)[0] == 503
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -245,7 +245,7 @@
 
 async def _end_three(stage: Stage) -> None:
     """Let three replicas end under the request that is played."""
-    fingerprint = stage.attempts[0].fingerprint
+    fingerprint = stage.attempts[0].traits.fingerprint
     for number in (1, 2, 3):
         stage.quarantine.book.note_crash(
             ReplicaKey(BoxId(f'x{number}')),
@@ -280,7 +280,7 @@
     async def play() -> None:
         await stage.begin()
         await _end_three(stage)
-        stage.quarantine._running.spare(stage.attempts[0].fingerprint)
+        stage.quarantine._running.spare(stage.attempts[0].traits.fingerprint)
         await stage.settle()
 
     asyncio.run(play())
@@ -301,7 +301,7 @@
         await stage.head(first)
         # The piece waits in the queue when the word comes.
         first.tell(Attempt.Piece(first, StreamEvent(b'id: 1\n\n', 1)))
-        stage.quarantine._running.spare(first.fingerprint)
+        stage.quarantine._running.spare(first.traits.fingerprint)
         await stage.settle()
         await stage.events(first, 2)
         await stage.end(first)
@@ -355,14 +355,16 @@
         stage.quarantine.ended.add(first.replica.key.box)
         first.tell(Attempt.Fault(first, SendFault.BROKEN))
         await stage.settle()
-        assert stage.quarantine.book.count_crashes(first.fingerprint) == 1
+        assert (
+            stage.quarantine.book.count_crashes(first.traits.fingerprint) == 1
+        )
         second = stage.attempts[1]
         await stage.head(second)
         await stage.events(second, 1)
         await stage.end(second)
 
     asyncio.run(play())
-    fingerprint = stage.attempts[0].fingerprint
+    fingerprint = stage.attempts[0].traits.fingerprint
     assert not stage.quarantine.book.count_crashes(fingerprint)
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -27,10 +27,13 @@
 from waywell.membership.links import PeerLinks
 from waywell.quarantine.crash_book import CRASHES_HELD, HOLD_SECONDS, Hold
 from waywell.request.attempt import Attempt, Inbox
+from waywell.request.traits import RequestTraits
 from waywell.version.fleet import Replica, ReplicaKey
 
 DEADLY = Fingerprint('deadly')
 OTHER = Fingerprint('other')
+DEADLY_REQUEST = RequestTraits(DEADLY)
+OTHER_REQUEST = RequestTraits(OTHER)
 PEER = NodeId('n2')
 
 
@@ -57,7 +60,7 @@
         for fingerprint in fingerprints:
             witness.note_broken(
                 make_replica(name),
-                Fingerprint(fingerprint),
+                RequestTraits(Fingerprint(fingerprint)),
                 has_begun=False,
                 is_over=False,
             )
@@ -84,12 +87,14 @@
     bench = Bench(nodes=4)
     for number in (1, 2, 3):
         await bench.end(f'b{number}', 'deadly', f'x{number}', node=number)
-    assert not bench.node.find_release(DEADLY, bench.clock.now)
+    assert not bench.node.find_release(DEADLY_REQUEST, bench.clock.now)
     bench.carry_words()
-    assert bench.node.find_release(DEADLY, bench.clock.now) > 0
-    assert not bench.node.find_release(Fingerprint('x1'), bench.clock.now)
+    assert bench.node.find_release(DEADLY_REQUEST, bench.clock.now) > 0
+    assert not bench.node.find_release(
+        RequestTraits(Fingerprint('x1')), bench.clock.now
+    )
     with pytest.raises(Refusal) as caught:
-        bench.node.check(DEADLY, bench.clock.now)
+        bench.node.check(DEADLY_REQUEST, bench.clock.now)
     assert caught.value.code is Code.REQUEST_HELD_BACK
     assert caught.value.ran is Ran.NOT_RUN
     assert caught.value.retry_after == pytest.approx(HOLD_SECONDS, abs=10.0)
@@ -104,7 +109,7 @@
         await bench.end(f'b{number}', 'deadly', end=False)
     assert not bench.node.book.crashes
     assert not bench.node.noted.spread_words
-    assert bench.node.may_send(DEADLY, 0, bench.clock.now)
+    assert bench.node.may_send(DEADLY_REQUEST, 0, bench.clock.now)
 
 
 @in_loop
@@ -163,30 +168,33 @@
     bench = Bench()
     await bench.end('b1', 'deadly')
     await bench.end('b2', 'deadly')
-    assert bench.node.may_send(DEADLY, 0, bench.clock.now)
+    assert bench.node.may_send(DEADLY_REQUEST, 0, bench.clock.now)
     # No second one beside it: that could be the fourth.
-    assert not bench.node.may_send(DEADLY, 1, bench.clock.now)
+    assert not bench.node.may_send(DEADLY_REQUEST, 1, bench.clock.now)
     bench.node.note_broken(
-        make_replica('b3'), DEADLY, has_begun=False, is_over=False
+        make_replica('b3'), DEADLY_REQUEST, has_begun=False, is_over=False
     )
-    assert not bench.node.may_send(DEADLY, 0, bench.clock.now)
-    assert bench.node.may_send(OTHER, 1, bench.clock.now)
+    assert not bench.node.may_send(DEADLY_REQUEST, 0, bench.clock.now)
+    assert bench.node.may_send(OTHER_REQUEST, 1, bench.clock.now)
     await asyncio.sleep(0)
     await asyncio.sleep(0)
     # It was no end.
-    assert bench.node.may_send(DEADLY, 0, bench.clock.now)
+    assert bench.node.may_send(DEADLY_REQUEST, 0, bench.clock.now)
 
 
 @in_loop
 async def test_what_was_served_a_moment_ago_is_sent_on_all_the_while() -> None:
     """Answers get lost at many replicas, and many ask for the same."""
     bench = Bench()
-    bench.node.note_served(OTHER)
+    bench.node.note_served(OTHER_REQUEST)
     for number in range(5):
         bench.node.note_broken(
-            make_replica(f'b{number}'), OTHER, has_begun=False, is_over=False
+            make_replica(f'b{number}'),
+            OTHER_REQUEST,
+            has_begun=False,
+            is_over=False,
         )
-    assert bench.node.may_send(OTHER, 1, bench.clock.now)
+    assert bench.node.may_send(OTHER_REQUEST, 1, bench.clock.now)
 
 
 @in_loop
@@ -195,10 +203,10 @@
     for number in (1, 2, 3):
         await bench.end(f'b{number}', 'deadly')
     bench.clock.now += HOLD_SECONDS
-    assert bench.node.may_send(DEADLY, 0, bench.clock.now)
-    assert not bench.node.may_send(DEADLY, 1, bench.clock.now)
+    assert bench.node.may_send(DEADLY_REQUEST, 0, bench.clock.now)
+    assert not bench.node.may_send(DEADLY_REQUEST, 1, bench.clock.now)
     await bench.end('b4', 'deadly')
-    assert not bench.node.may_send(DEADLY, 0, bench.clock.now)
+    assert not bench.node.may_send(DEADLY_REQUEST, 0, bench.clock.now)
 
 
 @in_loop
@@ -212,7 +220,7 @@
             Mock(replica=make_replica(f'r{number}')),
             1,
             inbox,
-            fingerprint,
+            RequestTraits(fingerprint),
             bench.clock,
         )
         for number, (inbox, fingerprint) in enumerate(
@@ -237,7 +245,7 @@
     bench.carry_words()
     caught = Fingerprint('caught')
     assert bench.node.book.count_crashes(caught) == 2
-    bench.nodes[1].note_served(caught)
+    bench.nodes[1].note_served(RequestTraits(caught))
     bench.carry_words()
     assert not bench.node.book.count_crashes(caught)
 
@@ -249,15 +257,15 @@
     bench = Bench(nodes=2)
     fresh = bench.nodes[1]
     hot = Fingerprint('hot')
-    bench.node.note_served(hot)
+    bench.node.note_served(RequestTraits(hot))
     for number in (1, 2, 3):
         await bench.end(f'b{number}', 'hot', f'x{number}', node=1)
-    assert fresh.find_release(hot, bench.clock.now) > 0
+    assert fresh.find_release(RequestTraits(hot), bench.clock.now) > 0
     bench.carry_words()
     for node, word in bench.node.noted.sent:
         assert node == PEER
         fresh.on_received(PeerLinks.Received(NodeId('n1'), word))
-    assert not fresh.find_release(hot, bench.clock.now)
+    assert not fresh.find_release(RequestTraits(hot), bench.clock.now)
     # What nobody has served is not spoken for.
     assert len(bench.node.noted.sent) == 3
 
@@ -267,7 +275,7 @@
     bench = Bench()
     await bench.end('b1', 'caught')
     bench.node.noted.spread_words.clear()
-    bench.node.note_served(Fingerprint('caught'))
+    bench.node.note_served(RequestTraits(Fingerprint('caught')))
     assert not bench.node.noted.spread_words
     assert not bench.node.book.count_crashes(Fingerprint('caught'))
 
@@ -291,6 +299,6 @@
     """The list shows that the box has started again under its name."""
     bench = Bench()
     bench.node.note_broken(
-        make_replica('b1'), DEADLY, has_begun=False, is_over=True
+        make_replica('b1'), DEADLY_REQUEST, has_begun=False, is_over=True
     )
     assert bench.node.book.count_crashes(DEADLY) == 1
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -12,6 +12,7 @@
 from waywell.request.facts import RequestFacts
 from waywell.request.routing import hash_session
 from waywell.request.submission import Submission, Work
+from waywell.request.traits import RequestTraits
 from waywell.standins.harness import (
     BoxSpec,
     make_configuration,
@@ -108,7 +109,7 @@
         service=Service('llm'),
         shape=RequestShape('llm', 'a', 'default'),
         deadline_at=1,
-        fingerprint=Fingerprint('f'),
+        traits=RequestTraits(Fingerprint('f')),
     )
     other = attrs.evolve(work, account=Account('b'))
     assert work.session == 'a/s'
--- a/waywell/connection/peer.py
+++ b/waywell/connection/peer.py
@@ -12,11 +12,12 @@
 from waywell.connection.store_era import UNTOLD_ERA, StoreEra
 from waywell.ids import (
     BoxId,
+    DomainName,
     Epoch,
-    Fingerprint,
     GroupId,
     HallName,
     Incarnation,
+    Trait,
 )
 from waywell.membership.membership import NodeRecord
 from waywell.version.fleet import UNTOLD, FleetBox
@@ -92,13 +93,13 @@
 
 
 class SuspectRun(msgspec.Struct, frozen=True, array_like=True):
-    """A request that ran at a replica when that ended."""
+    """A trait of a request that ran at a replica when that ended."""
 
-    fingerprint: Fingerprint
-    """The request."""
+    trait: Trait
+    """The request, or a part of its prompt."""
 
     has_begun: bool
-    """Whether it had brought a piece of its answer."""
+    """Whether an answer with it had brought a piece."""
 
 
 class ReplicaEnded(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -117,14 +118,17 @@
     """Seconds since the end was noticed."""
 
     runs: tuple[SuspectRun, ...]
-    """Requests of the sender, or all that it knows of."""
+    """Traits of the sender's requests, or all that it knows of."""
+
+    domain: DomainName = DomainName('')
+    """Fabric domain of that box; empty for a plain service."""
 
 
 class RequestHeld(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Enough replicas have ended under a request: it is held back."""
 
-    fingerprint: Fingerprint
-    """The request."""
+    trait: Trait
+    """The request, or a part of its prompt."""
 
     crashes: int
     """Replicas that ended."""
@@ -136,8 +140,8 @@
 class RequestCleared(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """A request that was suspected was served whole."""
 
-    fingerprint: Fingerprint
-    """The request."""
+    trait: Trait
+    """The request, or a part of its prompt."""
 
 
 class KnownCrashes(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/waywell/quarantine/crash_book.py
+++ b/waywell/quarantine/crash_book.py
@@ -1,23 +1,25 @@
-"""Which request crashes replicas, told from who was there when they ended.
+"""Which trait of requests crashes replicas, judged by who ran at each crash.
 
-A replica runs requests side by side, so all that run there are cut when one of
-them crashes it, and their retries may meet the same request again.  So a
-request is held only if the others that are held were not there at one of its
-ends.  One that was served a moment ago does not crash whatever runs it.
+A trait is the request itself or a part of its prompt.  A replica runs requests
+side by side, so all that run there are cut when one of them crashes it, and
+their retries may meet the same trait again.  So a trait is held only if the
+others that are held were not there at one of its crashes.  One that was served
+a moment ago does not crash whatever runs it.
 
-Answers a request that comes back at any entry box, alone or many times at
-once, among innocent ones that are retried beside it.
+Covers a request that comes back at any entry box, and requests that share
+nothing but a part, among innocent ones that are retried beside them.
 """
 
 from __future__ import annotations
 
 import math
-from collections import Counter, OrderedDict
+from collections import Counter, OrderedDict, defaultdict
 from typing import TYPE_CHECKING, NamedTuple
 
 import attrs
 
-from waywell.ids import Fingerprint
+from waywell.ids import DomainName, Trait
+from waywell.request.prompt_parts import is_prompt_part
 from waywell.version.fleet import ReplicaKey
 
 if TYPE_CHECKING:
@@ -51,14 +53,19 @@
 replicas may crash under what an earlier one served."""
 
 MOST_CRASHES = 256
-"""Ends that are remembered, some 40 KB at ten requests each."""
+"""Maximum number of crashes that are remembered."""
 
-MOST_SUSPECTS = 64
-"""Requests of one end that are remembered: beyond the places of a replica and
-what waits there."""
+MOST_SUSPECTS = 128
+"""Maximum number of traits recorded for one crash."""
 
-MOST_SERVED = 1024
-"""Requests served of late that are remembered, some 200 KB."""
+NO_DOMAIN = DomainName('')
+"""Fabric domain of a replica that stands in none."""
+
+INSTANT_SECONDS = 0.25
+"""Seconds within which crashes in one fabric domain may have one cause."""
+
+MOST_SERVED = 2048
+"""Maximum number of traits served of late that are remembered."""
 
 MOST_TOLD = 128
 """Holds of others that are remembered without the ends behind them."""
@@ -91,8 +98,11 @@
     ended_at: float
     """When it was first noticed, in seconds."""
 
-    runs: dict[Fingerprint, bool] = attrs.Factory(dict)
-    """The requests, each with whether it had brought a piece of an answer."""
+    domain: DomainName = NO_DOMAIN
+    """Fabric domain of its head; empty for a plain service."""
+
+    runs: dict[Trait, bool] = attrs.Factory(dict)
+    """Traits of the requests, each with whether a piece of an answer came."""
 
 
 class CrashBook:
@@ -101,17 +111,18 @@
     def __init__(self) -> None:
         """Know of no end."""
         self.crashes: list[Crash] = []
-        self.told: OrderedDict[Fingerprint, Hold] = OrderedDict()
-        self.held: dict[Fingerprint, Hold] = {}
-        self._unexplained: Counter[Fingerprint] = Counter()
-        self._totals: Counter[Fingerprint] = Counter()
-        self._served: OrderedDict[Fingerprint, float] = OrderedDict()
+        self.told: OrderedDict[Trait, Hold] = OrderedDict()
+        self.held: dict[Trait, Hold] = {}
+        self._unexplained: Counter[Trait] = Counter()
+        self._totals: Counter[Trait] = Counter()
+        self._served: OrderedDict[Trait, float] = OrderedDict()
 
     def note_crash(
         self,
         replica: ReplicaKey,
-        runs: Mapping[Fingerprint, bool],
+        runs: Mapping[Trait, bool],
         ended_at: float,
+        domain: DomainName = NO_DOMAIN,
     ) -> bool:
         """Take in that a replica ended; answer whether that is news.
 
@@ -124,19 +135,23 @@
             piece of an answer.
         ended_at
             When it was noticed, in seconds.
+        domain
+            Fabric domain of its head; empty for a plain service.
         """
         suspects = {
-            fingerprint: has_begun
-            for fingerprint, has_begun in runs.items()
-            if not self.was_served(fingerprint, ended_at)
+            trait: has_begun
+            for trait, has_begun in runs.items()
+            if not self.was_served(trait, ended_at)
         }
         if not suspects:
             return False
-        crash = self._find_or_add(replica, ended_at)
+        crash = self._find_or_add(Crash(replica, ended_at, domain))
         news = suspects.keys() - crash.runs.keys()
         room = MOST_SUSPECTS - len(crash.runs)
         # Those that brought nothing are the likelier ones.
-        ranked = sorted(news, key=lambda one: (suspects[one], one))
+        ranked = sorted(
+            (one for one in suspects if one in news), key=suspects.__getitem__
+        )
         added = {one: suspects[one] for one in ranked[:room]}
         crash.runs.update(added)
         self._raise_told(added, ended_at)
@@ -144,20 +159,20 @@
             self._judge()
         return bool(added)
 
-    def note_told(self, fingerprint: Fingerprint, hold: Hold) -> bool:
+    def note_told(self, trait: Trait, hold: Hold) -> bool:
         """Take in that others hold a request; answer whether that is news."""
-        if self.was_served(fingerprint, hold.ended_at):
+        if self.was_served(trait, hold.ended_at):
             return False
-        known = self.held.get(fingerprint) or self.told.get(fingerprint)
+        known = self.held.get(trait) or self.told.get(trait)
         if known is not None and known.crashes >= hold.crashes:
             return False
-        self.told[fingerprint] = hold
+        self.told[trait] = hold
         while len(self.told) > MOST_TOLD:
             self.told.popitem(last=False)
         self._judge()
         return True
 
-    def note_served(self, fingerprint: Fingerprint, now: float) -> int:
+    def note_served(self, trait: Trait, now: float) -> int:
         """Take in that a request was served whole; it explains no end.
 
         Returns
@@ -165,36 +180,42 @@
         int
             The ends that spoke against it.
         """
-        self._served[fingerprint] = now
-        self._served.move_to_end(fingerprint)
+        self._served[trait] = now
+        self._served.move_to_end(trait)
         while len(self._served) > MOST_SERVED:
             self._served.popitem(last=False)
-        told = self.told.pop(fingerprint, None)
-        total = self._totals.get(fingerprint, 0)
+        told = self.told.pop(trait, None)
+        total = self._totals.get(trait, 0)
         if total:
             for crash in self.crashes:
-                crash.runs.pop(fingerprint, None)
+                crash.runs.pop(trait, None)
         if total or told:
             self._judge()
         return max(total, told.crashes if told else 0)
 
-    def count_crashes(self, fingerprint: Fingerprint) -> int:
+    def count_crashes(self, trait: Trait) -> int:
         """Return the ends that no other request explains."""
-        hold = self.held.get(fingerprint)
-        return hold.crashes if hold else self._unexplained.get(fingerprint, 0)
+        hold = self.held.get(trait)
+        return hold.crashes if hold else self._unexplained.get(trait, 0)
 
-    def find_hold(self, fingerprint: Fingerprint, now: float) -> Hold | None:
+    def find_hold(self, trait: Trait, now: float) -> Hold | None:
         """Return why a request must not be sent on now, if it must not."""
-        hold = self.held.get(fingerprint)
+        hold = self.held.get(trait)
         return hold if hold and now < hold.until else None
 
-    def was_served(self, fingerprint: Fingerprint, now: float) -> bool:
+    def list_boxes(self, trait: Trait) -> list[str]:
+        """Return the boxes of the replicas that crashed under a trait."""
+        return [
+            crash.replica.box for crash in self.crashes if trait in crash.runs
+        ]
+
+    def was_served(self, trait: Trait, now: float) -> bool:
         """Answer whether a request was served of late.
 
         One key can get much of the traffic: it runs at every replica that
         ends, and its attempts break wherever answers are lost.
         """
-        served_at = self._served.get(fingerprint)
+        served_at = self._served.get(trait)
         return served_at is not None and now < served_at + SERVED_SECONDS
 
     def forget_old(self, now: float) -> None:
@@ -205,35 +226,34 @@
             if crash.runs and now - crash.ended_at <= MEMORY_SECONDS
         ]
         lapsed = [
-            fingerprint
-            for fingerprint, hold in self.told.items()
+            trait
+            for trait, hold in self.told.items()
             if now - hold.ended_at > MEMORY_SECONDS
         ]
         if len(kept) == len(self.crashes) and not lapsed:
             return
         self.crashes = kept
-        for fingerprint in lapsed:
-            self.told.pop(fingerprint)
+        for trait in lapsed:
+            self.told.pop(trait)
         self._judge()
 
     def _raise_told(
         self,
-        fingerprints: Iterable[Fingerprint],
+        traits: Iterable[Trait],
         ended_at: float,
     ) -> None:
         """Count an end that came after a hold which others told of."""
-        for fingerprint in fingerprints:
-            hold = self.told.get(fingerprint)
+        for trait in traits:
+            hold = self.told.get(trait)
             if hold and ended_at > hold.ended_at + MERGE_SECONDS:
                 raised = Hold(hold.crashes + 1, ended_at)
-                self.told[fingerprint] = raised
+                self.told[trait] = raised
 
-    def _find_or_add(self, replica: ReplicaKey, ended_at: float) -> Crash:
+    def _find_or_add(self, crash: Crash) -> Crash:
         for known in reversed(self.crashes):
-            apart = abs(known.ended_at - ended_at)
-            if known.replica == replica and apart < MERGE_SECONDS:
+            apart = abs(known.ended_at - crash.ended_at)
+            if known.replica == crash.replica and apart < MERGE_SECONDS:
                 return known
-        crash = Crash(replica, ended_at)
         self.crashes.append(crash)
         if len(self.crashes) > MOST_CRASHES:
             self.crashes.remove(self._find_least_needed())
@@ -253,19 +273,17 @@
         totals = _count_runs(self.crashes)
         # Who knows as many ends as those who told judges by itself.
         held = {
-            fingerprint: hold
-            for fingerprint, hold in self.told.items()
-            if totals[fingerprint] < hold.crashes
+            trait: hold
+            for trait, hold in self.told.items()
+            if totals[trait] < hold.crashes
         }
         guilty = _find_guilty(self.crashes)
-        for fingerprint in guilty:
+        for trait in guilty:
             last = max(
-                crash.ended_at
-                for crash in self.crashes
-                if fingerprint in crash.runs
+                crash.ended_at for crash in self.crashes if trait in crash.runs
             )
-            hold = Hold(totals[fingerprint], last)
-            held[fingerprint] = max(hold, held.get(fingerprint, hold))
+            hold = Hold(totals[trait], last)
+            held[trait] = max(hold, held.get(trait, hold))
         self.held = held
         self._totals = totals
         self._unexplained = _count_runs(
@@ -273,23 +291,45 @@
         )
 
 
-def _count_runs(crashes: Iterable[Crash]) -> Counter[Fingerprint]:
-    """Return at how many ends each request was there."""
-    return Counter(
-        fingerprint for crash in crashes for fingerprint in crash.runs
-    )
+def _count_runs(crashes: Iterable[Crash]) -> Counter[Trait]:
+    """Return at how many crashes each trait was there.
+
+    Many requests share a part, so a part is at all crashes of a domain that
+    is lost by chance, and they count once.
+    """
+    by_trait: defaultdict[Trait, list[Crash]] = defaultdict(list)
+    for crash in crashes:
+        for there in crash.runs:
+            by_trait[there].append(crash)
+    counts: Counter[Trait] = Counter()
+    for trait, known in by_trait.items():
+        is_shared = is_prompt_part(trait)
+        counts[trait] = _count_causes(known) if is_shared else len(known)
+    return counts
+
+
+def _count_causes(crashes: list[Crash]) -> int:
+    """Return how many crashes are left when those of a lost domain are one."""
+    count = 0
+    lost_at: dict[DomainName, float] = {}
+    for crash in sorted(crashes, key=lambda one: one.ended_at):
+        last = lost_at.get(crash.domain, -math.inf)
+        if not crash.domain or crash.ended_at >= last + INSTANT_SECONDS:
+            count += 1
+            lost_at[crash.domain] = crash.ended_at
+    return count
 
 
 def _list_unexplained(
     crashes: Iterable[Crash],
-    guilty: Iterable[Fingerprint],
+    guilty: Iterable[Trait],
 ) -> list[Crash]:
     """Return the ends at which none of some requests was there."""
     names = set(guilty)
     return [crash for crash in crashes if names.isdisjoint(crash.runs)]
 
 
-def _find_guilty(crashes: list[Crash]) -> list[Fingerprint]:
+def _find_guilty(crashes: list[Crash]) -> list[Trait]:
     """Return requests that were at enough ends and are needed to explain them.
 
     Those of which each end is explained by the others are taken out,
@@ -304,21 +344,46 @@
     return guilty
 
 
-def _rank_candidates(crashes: list[Crash]) -> list[Fingerprint]:
-    """Return the requests that were at enough ends, likeliest first.
+def _rank_candidates(crashes: list[Crash]) -> list[Trait]:
+    """Return the traits that were at enough crashes, likeliest first.
 
-    Of two that were there as often, the one that brought less goes first, then
-    the one that was alone more often; every node has the same order.
+    Of two that were there as often, a request goes before a part of its
+    prompt, then the one that brought less, then the one that was alone more
+    often.  Parts that came together only: the later one in the prompt, as
+    sound requests share the first ones.
     """
     counts = _count_runs(crashes)
     silent = Counter(
-        fingerprint
+        trait
         for crash in crashes
-        for fingerprint, has_begun in crash.runs.items()
+        for trait, has_begun in crash.runs.items()
         if not has_begun
     )
-    alone = _count_runs(crash for crash in crashes if len(crash.runs) == 1)
+    alone = Counter(
+        trait
+        for crash in crashes
+        if len(crash.runs) - sum(map(is_prompt_part, crash.runs)) == 1
+        for trait in crash.runs
+    )
+    places = _sum_places(crashes)
     return sorted(
         (one for one, count in counts.items() if count >= CRASHES_HELD),
-        key=lambda one: (-counts[one], -silent[one], -alone[one], one),
+        key=lambda one: (
+            -counts[one],
+            is_prompt_part(one),
+            -silent[one],
+            -alone[one],
+            -places[one],
+            one,
+        ),
     )
+
+
+def _sum_places(crashes: Iterable[Crash]) -> Counter[Trait]:
+    """Return how far back each part stood among the traits of its crashes."""
+    places: Counter[Trait] = Counter()
+    for crash in crashes:
+        for place, trait in enumerate(crash.runs):
+            if is_prompt_part(trait):
+                places[trait] += place
+    return places
--- a/waywell/quarantine/held_records.py
+++ b/waywell/quarantine/held_records.py
@@ -14,9 +14,10 @@
 from returns.result import Failure, Result
 
 from waywell.connection.platform import Kind, PlatformFault
-from waywell.ids import Fingerprint, Trait
+from waywell.ids import Trait
 from waywell.knowledge.platform_watch import PlatformWatch, WatchScope
 from waywell.quarantine.crash_book import CRASHES_HELD, MEMORY_SECONDS, Hold
+from waywell.request.prompt_parts import describe_trait
 from waywell.telemetry.events import log_event, log_warning
 
 if TYPE_CHECKING:
@@ -47,7 +48,7 @@
 
 
 class HeldRecord(msgspec.Struct, frozen=True):
-    """A held request as the platform keeps it; its name is the fingerprint."""
+    """A held trait of requests as the platform keeps it, under its name."""
 
     ends: Annotated[int, msgspec.Meta(ge=CRASHES_HELD)]
     """Replicas that ended under it."""
@@ -83,7 +84,7 @@
         self._quarantine = quarantine
         self._is_cleaner = is_cleaner
         self._listed: set[str] = set()
-        self._written: set[Fingerprint] = set()
+        self._written: set[Trait] = set()
         self._has_read = False
         quarantine.tell(self)
         parts.outlook.eras.listen(self._write_again)
@@ -100,14 +101,14 @@
 
     def on_held(self, held: Quarantine.Held) -> None:
         """Write a hold that this node has witnessed."""
-        self._written.add(held.fingerprint)
-        self.spawn(self._write(held.fingerprint, held.hold))
+        self._written.add(held.trait)
+        self.spawn(self._write(held.trait, held.hold))
 
     def on_freed(self, freed: Quarantine.Freed) -> None:
         """Remove the record of a request that proved to be innocent."""
-        if freed.fingerprint in self._written:
-            self._written.discard(freed.fingerprint)
-            self.spawn(self._remove(freed.fingerprint))
+        if freed.trait in self._written:
+            self._written.discard(freed.trait)
+            self.spawn(self._remove(freed.trait))
 
     async def read(self) -> Result[Changes, PlatformFault]:
         """List all records; only the first list must be the newest."""
@@ -118,14 +119,14 @@
     def _write_again(self, _change: EraChange) -> None:
         """Write what a copy of the store may lack, unless it is over."""
         self._has_read = False
-        for fingerprint in self._written:
-            hold = self._quarantine.book.held.get(fingerprint)
+        for trait in self._written:
+            hold = self._quarantine.book.held.get(trait)
             if hold is not None:
-                self.spawn(self._write_later(fingerprint, hold))
+                self.spawn(self._write_later(trait, hold))
 
-    async def _write_later(self, fingerprint: Fingerprint, hold: Hold) -> None:
+    async def _write_later(self, trait: Trait, hold: Hold) -> None:
         await asyncio.sleep(self._parts.draw() * SPREAD_SECONDS)
-        await self._write(fingerprint, hold)
+        await self._write(trait, hold)
 
     def _take_record(self, stored: Stored, now: float) -> None:
         try:
@@ -138,33 +139,33 @@
         age = max(0.0, self._parts.clock.read_wall() - record.ended_at)
         if age <= MEMORY_SECONDS:
             hold = Hold(record.ends, now - age)
-            self._quarantine.take_stored(Fingerprint(Trait(stored.name)), hold)
+            self._quarantine.take_stored(Trait(stored.name), hold)
         elif self._is_cleaner():
-            self.spawn(self._remove(Fingerprint(Trait(stored.name))))
+            self.spawn(self._remove(Trait(stored.name)))
 
-    async def _write(self, fingerprint: Fingerprint, hold: Hold) -> None:
+    async def _write(self, trait: Trait, hold: Hold) -> None:
         """Write a record, and remove it where the request was freed meanwhile.
 
         A removal may reach the platform before the write that it follows.
         """
-        await self._write_until_done(fingerprint, hold)
-        if fingerprint not in self._quarantine.book.held:
-            await self._remove(fingerprint)
+        await self._write_until_done(trait, hold)
+        if trait not in self._quarantine.book.held:
+            await self._remove(trait)
 
     async def _write_until_done(
         self,
-        fingerprint: Fingerprint,
+        trait: Trait,
         hold: Hold,
     ) -> None:
         """Write a record, again and again while the platform is away."""
         wait = WRITE_AGAIN_SECONDS
-        while self._quarantine.book.held.get(fingerprint) == hold:
-            fault = await self._try_write(fingerprint, hold)
+        while self._quarantine.book.held.get(trait) == hold:
+            fault = await self._try_write(trait, hold)
             if fault is None:
                 return
             log_event(
                 'held_request_not_written',
-                fingerprint=fingerprint,
+                **describe_trait(trait),
                 fault=fault.value,
             )
             await asyncio.sleep(wait)
@@ -172,14 +173,14 @@
 
     async def _try_write(
         self,
-        fingerprint: Fingerprint,
+        trait: Trait,
         hold: Hold,
     ) -> PlatformFault | None:
         """Write a record once; return why it is not there, if it is not."""
         if len(self._listed) >= MOST_RECORDS:
             return PlatformFault.TOO_LARGE
         platform = self._parts.platform
-        found = await platform.fetch(Kind.HELD_REQUEST, fingerprint)
+        found = await platform.fetch(Kind.HELD_REQUEST, trait)
         if isinstance(found, Failure):
             unread: PlatformFault = found.failure()
             return unread
@@ -190,7 +191,7 @@
         ended_at = self._parts.clock.read_wall() - age
         written = await platform.write(
             Kind.HELD_REQUEST,
-            fingerprint,
+            trait,
             msgspec.to_builtins(HeldRecord(hold.crashes, ended_at)),
             stored.version if stored else 0,
         )
@@ -199,14 +200,12 @@
             return fault
         return None
 
-    async def _remove(self, fingerprint: Fingerprint) -> None:
-        removed = await self._parts.platform.delete(
-            Kind.HELD_REQUEST, fingerprint
-        )
+    async def _remove(self, trait: Trait) -> None:
+        removed = await self._parts.platform.delete(Kind.HELD_REQUEST, trait)
         if isinstance(removed, Failure):
             log_event(
                 'held_request_not_removed',
-                fingerprint=fingerprint,
+                **describe_trait(trait),
                 fault=removed.failure().value,
             )
 
--- a/waywell/quarantine/quarantine.py
+++ b/waywell/quarantine/quarantine.py
@@ -20,16 +20,18 @@
     RequestHeld,
     SuspectRun,
 )
-from waywell.ids import Fingerprint
+from waywell.ids import Trait
 from waywell.membership.links import PeerLinks
 from waywell.process.actor import Actor, Message
 from waywell.quarantine.crash_book import (
     CRASHES_HELD,
+    Crash,
     CrashBook,
     Hold,
 )
 from waywell.request.guard import RequestGuard
 from waywell.request.paths import LinkCheck, trust_links
+from waywell.request.prompt_parts import describe_trait
 from waywell.telemetry.events import log_detail, log_event, log_warning
 from waywell.version.fleet import ReplicaKey
 
@@ -39,6 +41,7 @@
     from waywell.ids import NodeId
     from waywell.process.clock import Clock
     from waywell.request.running import RunningAttempts
+    from waywell.request.traits import RequestTraits
     from waywell.version.fleet import FleetBox, Replica
 
 CLEARED_ALOUD = 2
@@ -46,8 +49,11 @@
 served: at one end some ten requests are cut, and nearly all of them are served
 right after."""
 
-MOST_WITNESSED = 1024
-"""Requests that were cut at this node and are remembered for it."""
+MOST_WITNESSED = 2048
+"""Maximum number of traits that were cut at this node and are remembered."""
+
+MOST_LOGGED = 8
+"""Maximum number of crashed boxes on a log line."""
 
 
 class Quarantine(Actor, RequestGuard):
@@ -68,19 +74,19 @@
     """
 
     class Held(Message, frozen=True):
-        """A request is held back that was cut at this node."""
+        """A trait is held back that was cut at this node."""
 
-        fingerprint: Fingerprint
-        """The request."""
+        trait: Trait
+        """The request, or the part of its prompt."""
 
         hold: Hold
         """Why."""
 
     class Freed(Message, frozen=True):
-        """A request is not held back any more."""
+        """A trait is not held back any more."""
 
-        fingerprint: Fingerprint
-        """The request."""
+        trait: Trait
+        """The request, or the part of its prompt."""
 
     def __init__(
         self,
@@ -98,10 +104,10 @@
         self._clock = clock
         self._is_reachable = is_reachable
         self._verify = verify
-        self._witnessed: OrderedDict[Fingerprint, None] = OrderedDict()
+        self._witnessed: OrderedDict[Trait, None] = OrderedDict()
         self._listeners: list[Actor] = []
         self._watchers: list[Callable[[ReplicaKey], None]] = []
-        self._checks: dict[ReplicaKey, dict[Fingerprint, bool]] = {}
+        self._checks: dict[ReplicaKey, dict[Trait, bool]] = {}
         links.subscribe(
             self,
             PeerLinks.Opened,
@@ -119,14 +125,14 @@
         """Call a watcher with each replica that ended, whoever saw it."""
         self._watchers.append(watcher)
 
-    def find_release(self, fingerprint: Fingerprint, now: float) -> float:
+    def find_release(self, traits: RequestTraits, now: float) -> float:
         """Return in how many seconds a request may be sent on; 0 for now."""
-        hold = self.book.find_hold(fingerprint, now)
-        return hold.until - now if hold else 0.0
+        holds = (self.book.find_hold(trait, now) for trait in traits)
+        return max((hold.until - now for hold in holds if hold), default=0.0)
 
     def may_send(
         self,
-        fingerprint: Fingerprint,
+        traits: RequestTraits,
         running: int,
         now: float,
     ) -> bool:
@@ -135,21 +141,12 @@
         What broke a moment ago counts as an end until it is known to be none,
         and what runs as one to come.
         """
-        if self.book.find_hold(fingerprint, now):
-            return False
-        known = self.book.count_crashes(fingerprint)
-        known += sum(fingerprint in runs for runs in self._checks.values())
-        if not known or self.book.was_served(fingerprint, now):
-            return True
-        if fingerprint in self.book.held:
-            # Its hold is over; one attempt tells whether it still crashes.
-            return not running
-        return known + running < CRASHES_HELD
+        return all(self._may_risk(trait, running, now) for trait in traits)
 
     def note_broken(
         self,
         replica: Replica,
-        fingerprint: Fingerprint,
+        traits: RequestTraits,
         *,
         has_begun: bool,
         is_over: bool,
@@ -157,20 +154,26 @@
         """Find out whether a replica has ended under an attempt."""
         key = replica.key
         if is_over:
-            self._take_end(replica, {fingerprint: has_begun})
+            self._take_end(replica, dict.fromkeys(traits, has_begun))
             return
         is_asked = key in self._checks
-        self._checks.setdefault(key, {})[fingerprint] = has_begun
+        runs = self._checks.setdefault(key, {})
+        for trait in traits:
+            # An answer that was begun speaks for all its traits.
+            runs[trait] = has_begun or runs.get(trait, False)
         if not is_asked:
             self.spawn(self._check(replica))
 
-    def note_served(self, fingerprint: Fingerprint) -> None:
+    def note_served(self, traits: RequestTraits) -> None:
         """Take in that a request was answered whole, so it crashes nothing."""
         held = self.book.held
-        ends = self.book.note_served(fingerprint, self._clock.read())
-        if ends >= CLEARED_ALOUD:
-            log_event('request_cleared', fingerprint=fingerprint, ends=ends)
-            self._links.spread(RequestCleared(fingerprint))
+        for trait in traits:
+            ends = self.book.note_served(trait, self._clock.read())
+            if ends >= CLEARED_ALOUD:
+                log_event(
+                    'request_cleared', **describe_trait(trait), ends=ends
+                )
+                self._links.spread(RequestCleared(trait))
         self._compare(held, 'own')
 
     def on_opened(self, opened: PeerLinks.Opened) -> None:
@@ -178,13 +181,13 @@
         now = self._clock.read()
         self.book.forget_old(now)
         ended = tuple(
-            _describe_end(crash.replica, crash.runs, now - crash.ended_at)
+            _describe_end(crash, now)
             for crash in self.book.crashes
             if crash.runs
         )
         held = tuple(
-            _describe_hold(fingerprint, hold, now)
-            for fingerprint, hold in self.book.told.items()
+            _describe_hold(trait, hold, now)
+            for trait, hold in self.book.told.items()
         )
         if ended or held:
             self._links.send(opened.record.node, KnownCrashes(ended, held))
@@ -201,13 +204,13 @@
 
     def take_stored(
         self,
-        fingerprint: Fingerprint,
+        trait: Trait,
         hold: Hold,
     ) -> None:
         """Take in a hold that the platform keeps."""
         held = self.book.held
-        if self.book.note_told(fingerprint, hold):
-            word = _describe_hold(fingerprint, hold, self._clock.read())
+        if self.book.note_told(trait, hold):
+            word = _describe_hold(trait, hold, self._clock.read())
             self._links.spread(word)
         self._compare(held, 'platform')
 
@@ -216,14 +219,14 @@
         return {'ends': len(self.book.crashes), 'held': len(self.book.held)}
 
     def list_held(self) -> dict[str, dict[str, float]]:
-        """Return what is held back, by fingerprint, as plain values."""
+        """Return what is held back, by request or part, as plain values."""
         now = self._clock.read()
         return {
-            fingerprint: {
+            trait: {
                 'ends': hold.crashes,
                 'seconds_left': round(max(0.0, hold.until - now), 1),
             }
-            for fingerprint, hold in self.book.held.items()
+            for trait, hold in self.book.held.items()
         }
 
     def dump(self) -> dict[str, object]:
@@ -234,6 +237,19 @@
             'held': self.list_held(),
         }
 
+    def _may_risk(self, trait: Trait, running: int, now: float) -> bool:
+        """Answer whether one more replica may be put at risk by a trait."""
+        if self.book.find_hold(trait, now):
+            return False
+        known = self.book.count_crashes(trait)
+        known += sum(trait in runs for runs in self._checks.values())
+        if not known or self.book.was_served(trait, now):
+            return True
+        if trait in self.book.held:
+            # Its hold is over; one attempt tells whether it still crashes.
+            return not running
+        return known + running < CRASHES_HELD
+
     async def _check(self, replica: Replica) -> None:
         """Note an end where the replica takes no new connection either.
 
@@ -255,13 +271,14 @@
     def _take_end(
         self,
         replica: Replica,
-        runs: Mapping[Fingerprint, bool],
+        runs: Mapping[Trait, bool],
     ) -> None:
         """Note that a replica ended here, and tell all."""
         now = self._clock.read()
         held = self.book.held
         self.book.forget_old(now)
-        if not self._note_end(replica.key, runs, now):
+        crash = Crash(replica.key, now, replica.head.domain, dict(runs))
+        if not self._note_end(crash):
             return
         log_warning(
             'replica_ended',
@@ -270,23 +287,20 @@
             requests=len(runs),
             most=max(self.book.count_crashes(one) for one in runs),
         )
-        self._links.spread(_describe_end(replica.key, runs, 0.0))
+        self._links.spread(_describe_end(crash, now))
         self._remember_witnessed(runs)
         self._compare(held, 'own')
 
-    def _note_end(
-        self,
-        replica: ReplicaKey,
-        runs: Mapping[Fingerprint, bool],
-        ended_at: float,
-    ) -> bool:
+    def _note_end(self, crash: Crash) -> bool:
         """Note an end; answer whether it is news."""
-        is_news = self.book.note_crash(replica, runs, ended_at)
+        is_news = self.book.note_crash(
+            crash.replica, crash.runs, crash.ended_at, crash.domain
+        )
         for watcher in self._watchers if is_news else ():
-            watcher(replica)
+            watcher(crash.replica)
         return is_news
 
-    def _remember_witnessed(self, runs: Iterable[Fingerprint]) -> None:
+    def _remember_witnessed(self, runs: Iterable[Trait]) -> None:
         self._witnessed.update(dict.fromkeys(runs))
         while len(self._witnessed) > MOST_WITNESSED:
             self._witnessed.popitem(last=False)
@@ -298,54 +312,57 @@
         for ten minutes what many ask for and all others serve.
         """
         now = self._clock.read()
-        for fingerprint in _list_suspects(word):
-            if self.book.was_served(fingerprint, now):
-                self._links.send(sender, RequestCleared(fingerprint))
+        for trait in _list_suspects(word):
+            if self.book.was_served(trait, now):
+                self._links.send(sender, RequestCleared(trait))
 
     def _take_word(self, word: Any) -> bool:
         """Take in one word of another node; answer whether it is news."""
         now = self._clock.read()
         if isinstance(word, ReplicaEnded):
             key = ReplicaKey(word.box, word.epoch, word.incarnation)
-            runs = {run.fingerprint: run.has_begun for run in word.runs}
-            is_news = self._note_end(key, runs, now - word.age)
+            runs = {run.trait: run.has_begun for run in word.runs}
+            is_news = self._note_end(
+                Crash(key, now - word.age, word.domain, runs)
+            )
             if is_news:
                 log_event('end_received', box=word.box, requests=len(runs))
             return is_news
         if isinstance(word, RequestHeld):
             hold = Hold(word.crashes, now - word.age)
-            return self.book.note_told(word.fingerprint, hold)
-        return self.book.note_served(word.fingerprint, now) > 0
+            return self.book.note_told(word.trait, hold)
+        return self.book.note_served(word.trait, now) > 0
 
-    def _compare(self, before: Mapping[Fingerprint, Hold], by: str) -> None:
+    def _compare(self, before: Mapping[Trait, Hold], by: str) -> None:
         """Act on what is held now and was not, or the other way round."""
         after = self.book.held
         if after is before:
             return
-        for fingerprint, hold in after.items():
-            known = before.get(fingerprint)
+        for trait, hold in after.items():
+            known = before.get(trait)
             if known is None or known.crashes < hold.crashes:
-                self._begin_hold(fingerprint, hold, by)
+                self._begin_hold(trait, hold, by)
         for freed in before.keys() - after.keys():
-            log_event('request_freed', fingerprint=freed, by=by)
+            log_event('request_freed', **describe_trait(freed), by=by)
             self._publish(self.Freed(freed))
 
     def _begin_hold(
         self,
-        fingerprint: Fingerprint,
+        trait: Trait,
         hold: Hold,
         by: str,
     ) -> None:
         log_warning(
             'request_held',
-            fingerprint=fingerprint,
+            **describe_trait(trait),
             ends=hold.crashes,
+            boxes=','.join(self.book.list_boxes(trait)[:MOST_LOGGED]),
             seconds=round(hold.until - self._clock.read(), 1),
             by=by,
         )
-        self._running.spare(fingerprint)
-        if fingerprint in self._witnessed:
-            self._publish(self.Held(fingerprint, hold))
+        self._running.spare(trait)
+        if trait in self._witnessed:
+            self._publish(self.Held(trait, hold))
 
     def _publish(self, message: Message) -> None:
         for listener in self._listeners:
@@ -359,32 +376,29 @@
     return (word,)
 
 
-def _list_suspects(word: Any) -> tuple[Fingerprint, ...]:
-    """Return the requests that a word speaks against."""
+def _list_suspects(word: Any) -> tuple[Trait, ...]:
+    """Return the traits that a word speaks against."""
     if isinstance(word, ReplicaEnded):
-        return tuple(run.fingerprint for run in word.runs)
-    return (word.fingerprint,) if isinstance(word, RequestHeld) else ()
+        return tuple(run.trait for run in word.runs)
+    return (word.trait,) if isinstance(word, RequestHeld) else ()
 
 
-def _describe_end(
-    replica: ReplicaKey,
-    runs: Mapping[Fingerprint, bool],
-    age: float,
-) -> ReplicaEnded:
-    told = (SuspectRun(one, has_begun) for one, has_begun in runs.items())
+def _describe_end(crash: Crash, now: float) -> ReplicaEnded:
+    runs = crash.runs.items()
     return ReplicaEnded(
-        replica.box,
-        replica.epoch,
-        replica.incarnation,
-        round(age, 3),
-        tuple(told),
+        crash.replica.box,
+        crash.replica.epoch,
+        crash.replica.incarnation,
+        round(now - crash.ended_at, 3),
+        tuple(SuspectRun(one, has_begun) for one, has_begun in runs),
+        crash.domain,
     )
 
 
 def _describe_hold(
-    fingerprint: Fingerprint,
+    trait: Trait,
     hold: Hold,
     now: float,
 ) -> RequestHeld:
     age = round(now - hold.ended_at, 3)
-    return RequestHeld(fingerprint, hold.crashes, age)
+    return RequestHeld(trait, hold.crashes, age)
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -26,9 +26,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from waywell.ids import Fingerprint
     from waywell.process.clock import Clock
     from waywell.request.destination import Destination
+    from waywell.request.traits import RequestTraits
     from waywell.version.fleet import Replica
 
 CONNECT_SECONDS = 0.15
@@ -86,8 +86,8 @@
         Place among the attempts at the request, from 1.
     inbox
         Where what comes is put.
-    fingerprint
-        What tells the request again.
+    traits
+        What the request may be blamed by.
     clock
         Where the time is read.
     """
@@ -142,12 +142,12 @@
         destination: Destination,
         number: int,
         inbox: Inbox,
-        fingerprint: Fingerprint,
+        traits: RequestTraits,
         clock: Clock,
     ) -> None:
         """Send nothing yet."""
         self.destination = destination
-        self.fingerprint = fingerprint
+        self.traits = traits
         self.number = number
         self.started_at = 0.0
         self.sent_at = 0.0
--- a/waywell/request/attempts.py
+++ b/waywell/request/attempts.py
@@ -176,7 +176,7 @@
         context = self._context
         if context.may_have_run:
             return
-        self._parts.guard.check(context.fingerprint, now)
+        self._parts.guard.check(context.traits, now)
         if context.holder is None:
             return
         outlook = self._parts.outlook
@@ -198,7 +198,7 @@
         log_event(
             event,
             request=context.ask.attempt,
-            fingerprint=context.fingerprint,
+            fingerprint=context.traits.fingerprint,
             route=context.route.name,
             attempt=attempt.number,
             **attempt.destination.describe(),
@@ -231,7 +231,7 @@
             destination,
             len(context.tried),
             self._inbox,
-            context.fingerprint,
+            context.traits,
             self._parts.clock,
         )
         self.running.append(attempt)
@@ -302,9 +302,7 @@
 
     def _may_risk(self, beside: int, now: float) -> bool:
         """Answer whether the request may put one more replica at risk."""
-        return self._parts.guard.may_send(
-            self._context.fingerprint, beside, now
-        )
+        return self._parts.guard.may_send(self._context.traits, beside, now)
 
     def _may_send(self, attempt: Attempt) -> bool:
         """Answer, in the turn of the write, whether it still may go out."""
@@ -312,7 +310,7 @@
         now = self._parts.clock.read()
         if now >= context.ends_at:
             return False
-        if self._parts.guard.find_release(context.fingerprint, now):
+        if self._parts.guard.find_release(context.traits, now):
             return False
         if not attempt.destination.may_send(now):
             return False
--- a/waywell/request/destination.py
+++ b/waywell/request/destination.py
@@ -192,7 +192,7 @@
         """Take in that an attempt broke after bytes had left."""
         self._parts.guard.note_broken(
             self.replica,
-            self._context.fingerprint,
+            self._context.traits,
             has_begun=has_begun,
             is_over=is_over,
         )
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -44,6 +44,7 @@
     choose_less_loaded,
 )
 from waywell.request.submission import CallerPort, Submission, Work
+from waywell.request.traits import RequestTraits
 from waywell.request.turn_source import Turn, TurnSource
 from waywell.request.unroutable import explain_unroutable
 from waywell.telemetry.history import History
@@ -249,11 +250,14 @@
             service=service,
             shape=shape,
             deadline_at=self._parts.clock.read() + seconds,
-            fingerprint=make_fingerprint(
-                submission.method,
-                facts.path,
-                submission.body,
-                f'{facts.service}/{account.name}',
+            traits=RequestTraits(
+                make_fingerprint(
+                    submission.method,
+                    facts.path,
+                    submission.body,
+                    f'{facts.service}/{account.name}',
+                ),
+                facts.prompt_parts,
             ),
         )
 
@@ -261,7 +265,7 @@
         """Count the request in, or refuse it."""
         nodes = self._describe_node().live_nodes
         now = self._parts.clock.read()
-        self._parts.guard.check(work.fingerprint, now)
+        self._parts.guard.check(work.traits, now)
         _unwrap(self._parts.admission.admit(work.account, nodes, now))
         self._parts.budget.earn(work.account.name)
 
@@ -525,7 +529,7 @@
             self._parts.health.note_end(choice.group.group)
         self._note('answered', work, choice.group, whole=whole)
         if whole and answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
-            self._parts.guard.note_served(work.fingerprint)
+            self._parts.guard.note_served(work.traits)
         if not whole:
             self._note_broken(work, choice.group, has_begun=True)
         return whole
@@ -540,7 +544,7 @@
         """Note what ran at a target that may have ended under it."""
         self._parts.guard.note_broken(
             make_replica(work, group),
-            work.fingerprint,
+            work.traits,
             has_begun=has_begun,
             is_over=False,
         )
@@ -556,7 +560,7 @@
         if work.may_have_run and not work.facts.repeatable:
             return False
         now = self._parts.clock.read()
-        if not self._parts.guard.may_send(work.fingerprint, 0, now):
+        if not self._parts.guard.may_send(work.traits, 0, now):
             return False
         return self._parts.budget.spend(work.account.name)
 
--- a/waywell/request/facts.py
+++ b/waywell/request/facts.py
@@ -10,7 +10,8 @@
 from returns.result import Failure, Result, Success
 
 from waywell.codes import Code, Refusal
-from waywell.ids import RequestId, SessionId
+from waywell.ids import PromptPart, RequestId, SessionId
+from waywell.request.prompt_parts import decode_prompt_parts
 from waywell.version.objects import DEFAULT_KIND
 
 if TYPE_CHECKING:
@@ -34,6 +35,9 @@
 REQUEST_ID_HEADER = 'waywell-request-id'
 """Request id, for requests that may not be repeated."""
 
+PROMPT_HEADER = 'waywell-prompt-parts'
+"""Parts of the prompt in order, as ``ID:TOKENS`` separated by commas."""
+
 MAX_DEADLINE = 86_400.0
 """Longest deadline, in seconds."""
 
@@ -73,6 +77,9 @@
     request_id: RequestId | None = None
     """Request id, if the caller gave one."""
 
+    prompt_parts: tuple[PromptPart, ...] = ()
+    """Parts of the prompt that other requests may share."""
+
 
 def read_facts(
     method: str,
@@ -112,6 +119,7 @@
         deadline=_read_deadline(headers),
         repeatable=_read_repeatable(headers, method),
         request_id=_read_request_id(headers),
+        prompt_parts=decode_prompt_parts(headers.get(PROMPT_HEADER, '')),
     )
 
 
--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -14,6 +14,7 @@
 )
 from waywell.request.request_execution import RequestExecution
 from waywell.request.return_advice import ReturnReason, advise_return
+from waywell.request.traits import RequestTraits
 
 if TYPE_CHECKING:
     from waywell.request.ask import Ask
@@ -53,7 +54,7 @@
             When no answer was begun.
         """
         context = self._identify(ask)
-        self._parts.guard.check(context.fingerprint, context.arrived_at)
+        self._parts.guard.check(context.traits, context.arrived_at)
         self._check_end(context)
         if ask.forwarded is None:
             # A forwarded request counts at the node that its caller asked.
@@ -101,11 +102,14 @@
             holder,
             arrived_at=now,
             ends_at=now + seconds,
-            fingerprint=make_fingerprint(
-                ask.method,
-                ask.target,
-                ask.body,
-                None if holder is None else holder.account,
+            traits=RequestTraits(
+                make_fingerprint(
+                    ask.method,
+                    ask.target,
+                    ask.body,
+                    None if holder is None else holder.account,
+                ),
+                ask.prompt_parts,
             ),
             engine=service.engine,
             last_event=ask.resume_after,
--- a/waywell/request/guard.py
+++ b/waywell/request/guard.py
@@ -8,7 +8,7 @@
 from waywell.codes import Code, Refusal
 
 if TYPE_CHECKING:
-    from waywell.ids import Fingerprint
+    from waywell.request.traits import RequestTraits
     from waywell.version.fleet import Replica
 
 
@@ -16,13 +16,13 @@
     """Knows which requests crash the replicas that run them."""
 
     @abc.abstractmethod
-    def find_release(self, fingerprint: Fingerprint, now: float) -> float:
+    def find_release(self, traits: RequestTraits, now: float) -> float:
         """Return in how many seconds a request may be sent on; 0 for now."""
 
     @abc.abstractmethod
     def may_send(
         self,
-        fingerprint: Fingerprint,
+        traits: RequestTraits,
         running: int,
         now: float,
     ) -> bool:
@@ -30,8 +30,8 @@
 
         Parameters
         ----------
-        fingerprint
-            The request.
+        traits
+            What the request may be blamed by.
         running
             Attempts at it that run already.
         now
@@ -42,7 +42,7 @@
     def note_broken(
         self,
         replica: Replica,
-        fingerprint: Fingerprint,
+        traits: RequestTraits,
         *,
         has_begun: bool,
         is_over: bool,
@@ -53,8 +53,8 @@
         ----------
         replica
             Where.
-        fingerprint
-            The request.
+        traits
+            What the request may be blamed by.
         has_begun
             Whether it had brought a piece of the answer.
         is_over
@@ -62,10 +62,10 @@
         """
 
     @abc.abstractmethod
-    def note_served(self, fingerprint: Fingerprint) -> None:
+    def note_served(self, traits: RequestTraits) -> None:
         """Take in that a request was answered whole."""
 
-    def check(self, fingerprint: Fingerprint, now: float) -> None:
+    def check(self, traits: RequestTraits, now: float) -> None:
         """Refuse a request that is held back.
 
         Raises
@@ -73,7 +73,7 @@
         Refusal
             With the time at which it may come back.
         """
-        seconds = self.find_release(fingerprint, now)
+        seconds = self.find_release(traits, now)
         if seconds > 0:
             raise Refusal(
                 Code.REQUEST_HELD_BACK, retry_after=round(seconds, 3)
--- a/waywell/request/prompt_parts.py
+++ b/waywell/request/prompt_parts.py
@@ -36,6 +36,13 @@
     )
 
 
+def describe_trait(trait: Trait) -> dict[str, str]:
+    """Return what log lines tell of a trait."""
+    if is_prompt_part(trait):
+        return {'prompt_part': trait.removeprefix(_PREFIX)}
+    return {'fingerprint': trait}
+
+
 def is_prompt_part(trait: Trait) -> bool:
     """Answer whether a trait is a part of a prompt."""
     return trait.startswith(_PREFIX)
--- a/waywell/request/request_context.py
+++ b/waywell/request/request_context.py
@@ -22,6 +22,7 @@
 from waywell.request.replica_book import ReplicaBook
 from waywell.request.resend_budget import ResendBudget
 from waywell.request.running import RunningAttempts
+from waywell.request.traits import RequestTraits
 from waywell.request.turn_source import TurnSource
 from waywell.telemetry.request_metrics import RequestMetrics
 from waywell.version.fleet import Replica, ReplicaKey
@@ -140,8 +141,8 @@
     ends_at: float
     """When it is given up, in seconds."""
 
-    fingerprint: Fingerprint = Fingerprint(Trait(''))
-    """What tells it again when it is repeated."""
+    traits: RequestTraits = RequestTraits(Fingerprint(Trait('')))
+    """What it may be blamed by when replicas crash."""
 
     engine: Engine | None = None
     """Engine of the service, where it has one."""
--- a/waywell/request/request_execution.py
+++ b/waywell/request/request_execution.py
@@ -144,7 +144,7 @@
         self._answer.finish()
         status = attempt.head.status
         if status < SERVER_ERROR:
-            self._parts.guard.note_served(self._context.fingerprint)
+            self._parts.guard.note_served(self._context.traits)
         self._attempts.log(
             'answered', attempt, now, status=status, **end.outcome.describe()
         )
--- a/waywell/request/running.py
+++ b/waywell/request/running.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from waywell.ids import Fingerprint, GroupId
+    from waywell.ids import GroupId, Trait
     from waywell.version.fleet import Replica
     from waywell.version.lives import EndedLife
 
@@ -50,14 +50,14 @@
                 fault = SendFault.REPLICA_ENDED
                 attempt.tell(Attempt.Fault(attempt, fault))
 
-    def spare(self, fingerprint: Fingerprint) -> None:
-        """Break off the attempts at a request that crashes what runs it.
+    def spare(self, trait: Trait) -> None:
+        """Break off the attempts with a trait that crashes what runs it.
 
         One that has brought a piece of its answer has not crashed its replica
         in beginning to run, and goes on.
         """
         for attempt in tuple(self._attempts):
-            if attempt.fingerprint == fingerprint and not attempt.has_begun:
+            if trait in attempt.traits and not attempt.has_begun:
                 fault = SendFault.HELD_BACK
                 attempt.tell(Attempt.Fault(attempt, fault))
 
--- a/waywell/request/submission.py
+++ b/waywell/request/submission.py
@@ -8,8 +8,9 @@
 
 import attrs
 
-from waywell.ids import Fingerprint, GroupId, SessionId
+from waywell.ids import GroupId, SessionId
 from waywell.request.facts import RequestFacts
+from waywell.request.traits import RequestTraits
 from waywell.version.objects import Account, Service
 from waywell.version.serving import RequestShape
 
@@ -74,8 +75,8 @@
     deadline_at: float
     """When the answer must have begun, in seconds of the node's clock."""
 
-    fingerprint: Fingerprint
-    """What tells the request again when it is repeated."""
+    traits: RequestTraits
+    """What it may be blamed by when targets crash."""
 
     tried: set[GroupId] = attrs.Factory(set)
     """Groups that failed it."""
