Try a held trait anew at one node only

After a hold each node let one attempt at each request with the trait go, so nine nodes and several requests could crash a replica each; for a part of a prompt no two requests are alike, and three in all are allowed. Now the holder of the forming duty tries, and in the entry daemon the node whose id comes first, one attempt at a time whatever the request; the others refuse (2009) for 2 s. test_one_node_tries_a_part_whose_hold_is_over failed before.

--- a/tests/lone_quarantine.py
+++ b/tests/lone_quarantine.py
@@ -49,8 +49,13 @@
         """Know of no end."""
         self.noted = NotedLinks()
         self.ended: set[str] = set()
+        self.is_prober = True
         super().__init__(
-            self.noted, RunningAttempts(), clock, self._is_listening
+            self.noted,
+            RunningAttempts(),
+            clock,
+            self._is_listening,
+            lambda: self.is_prober,
         )
 
     async def _is_listening(self, box: FleetBox) -> bool:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -23,7 +23,14 @@
     RequestHeld,
     SuspectRun,
 )
-from waywell.ids import Epoch, Fingerprint, Incarnation, NodeId
+from waywell.ids import (
+    Epoch,
+    Fingerprint,
+    Incarnation,
+    NodeId,
+    PromptPart,
+    Trait,
+)
 from waywell.membership.links import PeerLinks
 from waywell.quarantine.crash_book import CRASHES_HELD, HOLD_SECONDS, Hold
 from waywell.request.attempt import Attempt, Inbox
@@ -54,15 +61,23 @@
         self, name: str, *fingerprints: str, node: int = 0, end: bool = True
     ) -> None:
         """Let a replica end, or only break off what runs there."""
+        requests = (RequestTraits(Fingerprint(one)) for one in fingerprints)
+        await self.break_off(name, *requests, node=node, end=end)
+
+    async def break_off(
+        self,
+        name: str,
+        *requests: RequestTraits,
+        node: int = 0,
+        end: bool = True,
+    ) -> None:
+        """Let a replica end under requests, or only break them off."""
         witness = self.nodes[node]
         if end:
             witness.ended.add(name)
-        for fingerprint in fingerprints:
+        for traits in requests:
             witness.note_broken(
-                make_replica(name),
-                RequestTraits(Fingerprint(fingerprint)),
-                has_begun=False,
-                is_over=False,
+                make_replica(name), traits, has_begun=False, is_over=False
             )
         for _turn in range(5):
             await asyncio.sleep(0)
@@ -209,6 +224,35 @@
     assert not bench.node.may_send(DEADLY_REQUEST, 0, bench.clock.now)
 
 
+@in_loop
+async def test_one_node_tries_a_part_whose_hold_is_over() -> None:
+    bench = Bench()
+    part = PromptPart(Trait('part-bad'))
+    requests = [
+        RequestTraits(Fingerprint(Trait(f'r{number}')), (part,))
+        for number in range(5)
+    ]
+    for number in (1, 2, 3):
+        await bench.break_off(f'b{number}', requests[number])
+    assert set(bench.node.book.held) == {part}
+    bench.clock.now += HOLD_SECONDS
+    bench.node.is_prober = False
+    assert not bench.node.may_send(requests[0], 0, bench.clock.now)
+    with pytest.raises(Refusal) as caught:
+        bench.node.check(requests[0], bench.clock.now)
+    assert caught.value.code is Code.REQUEST_HELD_BACK
+    bench.node.is_prober = True
+    bench.node.check(requests[0], bench.clock.now)
+    assert bench.node.may_send(requests[0], 0, bench.clock.now)
+    # Another request with the part runs already.
+    running = Attempt(Mock(), 1, Inbox(), requests[0], bench.clock)
+    bench.node._running.add(running)
+    assert not bench.node.may_send(requests[4], 0, bench.clock.now)
+    bench.node._running.discard(running)
+    await bench.break_off('b4', requests[0])
+    assert bench.node.find_release(requests[4], bench.clock.now) > HOLD_SECONDS
+
+
 @in_loop
 async def test_running_attempts_are_broken_off_unless_they_have_begun() -> (
     None
--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -279,7 +279,9 @@
                 self._paths,
             )
         )
-        self.quarantine = make_lone_quarantine(self.links, self.clock)
+        self.quarantine = make_lone_quarantine(
+            self.links, self.clock, self._is_first_node
+        )
         self.quarantine.watch_ends(self._let_rest)
         self._joiner = Joiner(
             self.platform,
@@ -395,6 +397,10 @@
     def _get_configuration(self) -> int:
         return self.in_force.numbers.configuration
 
+    def _is_first_node(self) -> bool:
+        """Answer whether no peer's id comes before this node's."""
+        return all(peer > self.own.node for peer in self.links.list_peers())
+
     async def _accept_peer(self, stream: Any) -> None:
         await self._transport.accept(stream, self.links.make_listener())
 
--- a/waywell/quarantine/quarantine.py
+++ b/waywell/quarantine/quarantine.py
@@ -49,6 +49,9 @@
 served: at one end some ten requests are cut, and nearly all of them are served
 right after."""
 
+PROBE_WAIT_SECONDS = 2.0
+"""Seconds until callers ask again while one node tries a trait anew."""
+
 MOST_WITNESSED = 2048
 """Maximum number of traits that were cut at this node and are remembered."""
 
@@ -69,6 +72,8 @@
         Where the time is read.
     is_reachable
         Answers whether a box takes a new connection.
+    is_prober
+        Answers whether this node may try a trait whose hold is over.
     verify
         Answers whether this node's links to a service are sound.
     """
@@ -94,6 +99,7 @@
         running: RunningAttempts,
         clock: Clock,
         is_reachable: Callable[[FleetBox], Awaitable[bool]],
+        is_prober: Callable[[], bool],
         verify: LinkCheck = trust_links,
     ) -> None:
         """Hold nothing back."""
@@ -103,6 +109,7 @@
         self._running = running
         self._clock = clock
         self._is_reachable = is_reachable
+        self._is_prober = is_prober
         self._verify = verify
         self._witnessed: OrderedDict[Trait, None] = OrderedDict()
         self._listeners: list[Actor] = []
@@ -127,8 +134,12 @@
 
     def find_release(self, traits: RequestTraits, now: float) -> float:
         """Return in how many seconds a request may be sent on; 0 for now."""
-        holds = (self.book.find_hold(trait, now) for trait in traits)
-        return max((hold.until - now for hold in holds if hold), default=0.0)
+        held = self.book.held
+        holds = [held[trait] for trait in traits if trait in held]
+        seconds = max((hold.until - now for hold in holds), default=0.0)
+        if holds and seconds <= 0 and not self._is_prober():
+            return PROBE_WAIT_SECONDS
+        return max(0.0, seconds)
 
     def may_send(
         self,
@@ -247,7 +258,8 @@
             return True
         if trait in self.book.held:
             # Its hold is over; one attempt tells whether it still crashes.
-            return not running
+            is_tried = bool(running) or self._running.has(trait)
+            return self._is_prober() and not is_tried
         return known + running < CRASHES_HELD
 
     async def _check(self, replica: Replica) -> None:
--- a/waywell/quarantine/tasks.py
+++ b/waywell/quarantine/tasks.py
@@ -45,7 +45,7 @@
 def make_quarantine(
     links: PeerLinks,
     watch_parts: WatchParts,
-    is_cleaner: Callable[[], bool],
+    is_single: Callable[[], bool],
     verify: LinkCheck,
 ) -> QuarantineTasks:
     """Return the tasks of one node.
@@ -56,16 +56,17 @@
         Streams to other nodes.
     watch_parts
         What reading the platform works with.
-    is_cleaner
-        Answers whether this node removes records that are over.
+    is_single
+        Answers whether this node does what only one node may do: remove
+        records that are over, and try what was held anew.
     verify
         Answers whether this node's links to a service are sound.
     """
     running = RunningAttempts()
     quarantine = Quarantine(
-        links, running, watch_parts.clock, is_listening, verify
+        links, running, watch_parts.clock, is_listening, is_single, verify
     )
-    records = HeldRecords(watch_parts, quarantine, is_cleaner)
+    records = HeldRecords(watch_parts, quarantine, is_single)
     return QuarantineTasks(running, quarantine, records)
 
 
@@ -78,7 +79,11 @@
     return await is_reachable(box.host, box.port, CONNECT_SECONDS)
 
 
-def make_lone_quarantine(links: PeerLinks, clock: Clock) -> Quarantine:
+def make_lone_quarantine(
+    links: PeerLinks,
+    clock: Clock,
+    is_prober: Callable[[], bool],
+) -> Quarantine:
     """Return a quarantine that keeps nothing in the platform.
 
     Parameters
@@ -87,5 +92,7 @@
         Streams to other nodes.
     clock
         Where the time is read.
+    is_prober
+        Answers whether this node may try what was held anew.
     """
-    return Quarantine(links, RunningAttempts(), clock, is_listening)
+    return Quarantine(links, RunningAttempts(), clock, is_listening, is_prober)
--- a/waywell/request/running.py
+++ b/waywell/request/running.py
@@ -34,6 +34,10 @@
         """Count an attempt out."""
         self._attempts.discard(attempt)
 
+    def has(self, trait: Trait) -> bool:
+        """Answer whether an attempt with a trait runs."""
+        return any(trait in attempt.traits for attempt in self._attempts)
+
     def break_off(self, ended: Iterable[EndedLife]) -> None:
         """Tell the attempts at lives that are over, or at their groups.
 
