Clear prompt parts by successful answers only

A caller that names a bad part in a request which replicas turn down (400) got it cleared at all nodes: any whole answer below 500 counted as served, though the replica had not processed the prompt. Now an answer below 300 clears the parts; any answer below 500 still clears the request itself.

--- a/tests/house.py
+++ b/tests/house.py
@@ -287,6 +287,7 @@
         self.goes_on.set()
         self.deadly_body = b''
         self.deadly_parts: frozenset[str] = frozenset()
+        self.turns_down = ''
         self.has_ended = False
         self._lines: set[socket.socket] = set()
         self._store = store
@@ -458,6 +459,9 @@
                 body = self.read_body()
                 if self.path == '/api/order':
                     self.answer(server._take_order(json.loads(body)), {})
+                elif server.turns_down and server.turns_down in self.path:
+                    attempt = self.headers['X-Request-Attempt-Id']
+                    self.answer(400, {}, {'X-Request-Attempt-Id': attempt})
                 elif server._is_deadly(body, self.headers):
                     server.runs.append({**self.headers, 'X-Path': self.path})
                     server.end_at_once()
--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -144,6 +144,25 @@
         assert ask(front, node, 51, SYSTEM, BAD)[0] == 503
 
 
+def test_a_request_that_replicas_turn_down_clears_no_part(
+    front: Front,
+) -> None:
+    nodes = start(front)
+    for server in front.servers.values():
+        server.turns_down = '/match/malformed'
+    for number in range(3):
+        assert ask(front, nodes[0], number, SYSTEM, BAD)[0] == 502
+        wait_told(front, nodes)
+        malformed = f'/match/malformed/{number}'
+        status, *_rest = front.ask(
+            nodes[0], malformed, X_Prompt_Prefix=f'{BAD}:1,e4:1'
+        )
+        # The third crash holds the malformed requests back as well.
+        assert status == (503 if number == 2 else 400)
+    assert ask(front, nodes[1], 50, SYSTEM, BAD)[0] == 503
+    assert count_ended(front) == 3
+
+
 def test_a_node_that_starts_later_stops_the_part(front: Front) -> None:
     nodes = start(front)
     crash_three(front, nodes)
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -529,7 +529,8 @@
             self._parts.health.note_end(choice.group.group)
         self._note('answered', work, choice.group, whole=whole)
         if whole and answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
-            self._parts.guard.note_served(work.traits)
+            cleared = work.traits.list_cleared(answer.status)
+            self._parts.guard.note_served(cleared)
         if not whole:
             self._note_broken(work, choice.group, has_begun=True)
         return whole
--- a/waywell/request/request_execution.py
+++ b/waywell/request/request_execution.py
@@ -144,7 +144,8 @@
         self._answer.finish()
         status = attempt.head.status
         if status < SERVER_ERROR:
-            self._parts.guard.note_served(self._context.traits)
+            cleared = self._context.traits.list_cleared(status)
+            self._parts.guard.note_served(cleared)
         self._attempts.log(
             'answered', attempt, now, status=status, **end.outcome.describe()
         )
--- a/waywell/request/traits.py
+++ b/waywell/request/traits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import attrs
@@ -24,6 +25,20 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     """Shared parts of its prompt, in order."""
 
+    def list_cleared(self, status: int) -> RequestTraits:
+        """Return the traits that a complete answer clears of crashes.
+
+        A replica that turns a request down has not processed its prompt.
+
+        Parameters
+        ----------
+        status
+            HTTP status of the answer.
+        """
+        if status < HTTPStatus.MULTIPLE_CHOICES:
+            return self
+        return RequestTraits(self.fingerprint)
+
     def __iter__(self) -> Iterator[Trait]:
         """Return an iterator over all traits, the request first."""
         yield self.fingerprint
