Soak with a prompt part that crashes servers

Clients send a part that ends each server which begins to answer it, beside sound requests with the other parts, while nodes are killed, paused and stopped and links fail. Counted from the fifth crash and 3 s, at most three more come from nodes in touch, and sound parts are served at the end.

--- a/tests/house.py
+++ b/tests/house.py
@@ -9,11 +9,14 @@
 from collections import deque
 from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs, urlsplit
 
 from tests.broken_bodies import BodyScript
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 HOST = 'shop.example'
 """Host that the routes are for."""
 
@@ -288,6 +291,8 @@
         self.deadly_body = b''
         self.deadly_parts: frozenset[str] = frozenset()
         self.turns_down = ''
+        self.crashes: list[tuple[float, str]] = []
+        self.when_ended: Callable[[], None] = lambda: None
         self.has_ended = False
         self._lines: set[socket.socket] = set()
         self._store = store
@@ -354,6 +359,7 @@
             except OSError:
                 # Its caller has hung up meanwhile.
                 continue
+        self.when_ended()
         # The thread that accepts would try so for ever.
         threading.Thread(target=self.close, daemon=True).start()
 
@@ -464,6 +470,8 @@
                     self.answer(400, {}, {'X-Request-Attempt-Id': attempt})
                 elif server._is_deadly(body, self.headers):
                     server.runs.append({**self.headers, 'X-Path': self.path})
+                    attempt = self.headers['X-Request-Attempt-Id']
+                    server.crashes.append((time.monotonic(), attempt))
                     server.end_at_once()
                     self.hang_up()
                 else:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -97,6 +97,22 @@
 """Part of the steps in which a server breaks an answer off, in runs that have
 such answers."""
 
+PROMPT_SHARE = 0.05
+"""Part of the requests that have a part which crashes servers, in runs that
+have such requests."""
+
+BAD_PART = 'bad0'
+"""Part that crashes servers."""
+
+CONTACT_SECONDS = 3.0
+"""Seconds without a fault after which a node is bound by what others know."""
+
+CRASHES_BOUND = 5
+"""Crashes under one part after which the bound holds."""
+
+MOST_AFTER_FIVE = 3
+"""Requests with the bad part that may follow the fifth crash."""
+
 COPIES = 6
 """Copies of the last steps, each of which the store may come back from."""
 
@@ -172,6 +188,8 @@
         Part of the steps in which one node loses its links to all servers.
     truncated_share
         Part of the steps in which a server breaks an answer off.
+    prompt_share
+        Part of the requests that have a part which crashes servers.
     """
 
     def __init__(
@@ -181,8 +199,12 @@
         return_share: float = 0.0,
         cut_share: float = 0.0,
         truncated_share: float = 0.0,
+        prompt_share: float = 0.0,
     ) -> None:
         """Start everything."""
+        self._prompt_share = prompt_share
+        self._disturbed_at: dict[Process, list[float]] = {}
+        self._started_at: dict[Process, float] = {}
         self.random = random.Random(seed)
         self._returns = random.Random(seed + 3)
         self._return_share = return_share
@@ -275,6 +297,7 @@
             healing.extend(self._return_store())
             healing.extend(self._cut_links())
             self._truncate_answer()
+            self._replace_ended()
             heal = self.random.choice(faults)()
             if heal is not None:
                 timer = threading.Timer(
@@ -350,7 +373,9 @@
         module = None
         if name == self._cuttable:
             module = ['tests.rerouted', str(self._ports), 'waywell.platform']
-        return self.front.start(name, f'127.0.0.1:{port}', module=module)
+        process = self.front.start(name, f'127.0.0.1:{port}', module=module)
+        self._started_at[process] = time.monotonic()
+        return process
 
     def _restart(self, name: str) -> None:
         if self.fronts[name].is_running():
@@ -367,6 +392,9 @@
         relay.passes_resets = bool(self._truncated_share)
         server.entry['address'] = f'127.0.0.1:{relay.port}'
         server.write_entry()
+        if self._prompt_share:
+            server.deadly_parts = frozenset((BAD_PART,))
+            server.when_ended = relay.refuse_new
         return relay
 
     def _kill(self) -> Any:
@@ -383,6 +411,7 @@
 
     def _stop(self) -> Any:
         name, process = self._pick()
+        self._note_disturbed(process)
         process.send_signal(signal.SIGTERM)
         return lambda: self._restart(name)
 
@@ -477,9 +506,16 @@
 
     def _excuse(self, process: Process) -> None:
         """Count no more what a process sends that is ended or stands still."""
+        self._note_disturbed(process)
         for one in self._limited:
             one.excuse(process, time.monotonic())
 
+    def _replace_ended(self) -> None:
+        """Let servers that crashed under a request come back."""
+        for name, server in tuple(self.front.servers.items()):
+            if server.has_ended:
+                self._replace(name)
+
     def _crash_server(self) -> None:
         self._replace(self.random.choice(sorted(self.front.servers)))
 
@@ -527,6 +563,7 @@
             server.script.clear()
             if server.is_leaving:
                 self._replace(server.name)
+        self._replace_ended()
         for name, process in tuple(self.fronts.items()):
             if not process.is_running():
                 self._restart(name)
@@ -538,7 +575,11 @@
     def _serves(self, process: Process) -> bool:
         with contextlib.suppress(OSError, http.client.HTTPException):
             status, body, _answer = self.front.ask(
-                process, '/notes/1', 'small', key='another'
+                process,
+                '/notes/1',
+                'small',
+                key='another',
+                X_Prompt_Prefix='f0:40,c1:40,e0:1',
             )
             return status == 200 and body == WHOLE
         return False
@@ -568,7 +609,13 @@
     ) -> None:
         model, whole = KINDS[path]
         status, body, answer = self.front.ask(
-            process, path, model, key, X_Request_Attempt_Id=attempt
+            process,
+            path,
+            model,
+            key,
+            body=b'{"attempt": "%s"}' % attempt.encode(),
+            X_Request_Attempt_Id=attempt,
+            X_Prompt_Prefix=self._draw_prompt(attempt),
         )
         self.ends[str(status)] += 1
         stamp = answer.getheader('X-Replica-Stamp', '')
@@ -584,6 +631,46 @@
         if status != 200:
             time.sleep(REST_SECONDS)
 
+    def _draw_prompt(self, attempt: str) -> str:
+        """Return the parts of a prompt; the last is the request's own."""
+        parts = ['f0', f'c{random.randrange(4)}']
+        if random.random() < self._prompt_share:
+            parts[random.randrange(2)] = BAD_PART
+        own = attempt.removeprefix('soak-')
+        return ','.join(f'{part}:40' for part in (*parts, f'{own}f'))
+
+    def _check_crashes(self) -> None:
+        """Count what nodes in touch sent with the bad part after five crashes.
+
+        The parts of sound requests must be served at the end.
+        """
+        servers = (*self.front.servers.values(), *self.front.gone)
+        crashes = sorted(one for server in servers for one in server.crashes)
+        self.ends['crash'] = len(crashes)
+        if len(crashes) <= CRASHES_BOUND:
+            return
+        bound_from = crashes[CRASHES_BOUND - 1][0] + CONTACT_SECONDS
+        counted = [
+            at
+            for at, attempt in crashes
+            if at > bound_from and self._was_in_touch(attempt, at)
+        ]
+        if len(counted) > MOST_AFTER_FIVE:
+            self.broken.append(f'{BAD_PART}: {len(counted)} more crashes')
+
+    def _note_disturbed(self, process: Process) -> None:
+        self._disturbed_at.setdefault(process, []).append(time.monotonic())
+
+    def _was_in_touch(self, attempt: str, at: float) -> bool:
+        """Answer whether the node that sent a request ran undisturbed."""
+        process = self._asked[attempt]
+        began_at = self._started_at.get(process, 0.0)
+        faults = [began_at, *self._disturbed_at.get(process, [])]
+        return all(
+            abs(at - fault) > CONTACT_SECONDS + HEALED_AFTER[1]
+            for fault in faults
+        )
+
     def _note_told_limit(self, process: Process, name: str) -> None:
         for one in self._limited:
             if one.server.name == name and one.server.limit_text:
@@ -608,6 +695,7 @@
             if key == KEY and sent_at > self._removed_at + KEY_BOUND:
                 self.broken.append(f'{attempt}: ran with a removed key')
 
+        self._check_crashes()
         for server in (*self.front.servers.values(), *self.front.gone):
             self._check_leaving(server)
             if server.get_port() not in self._spoiled:
@@ -679,6 +767,7 @@
     returns: bool = False,
     cuts: bool = False,
     truncates: bool = False,
+    prompts: bool = False,
 ) -> None:
     """Play many seeds and tell which broke a promise."""
     failed = [
@@ -690,6 +779,7 @@
             return_share=returns * RETURN_SHARE,
             cut_share=cuts * CUT_SHARE,
             truncated_share=truncates * TRUNCATED_SHARE,
+            prompt_share=prompts * PROMPT_SHARE,
         )
     ]
     print(f'{seeds} seeds, failed: {failed or "none"}')  # noqa: T201
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.soak import Soak
+from tests.soak import PROMPT_SHARE, Soak
 
 SECONDS = 6.0
 """Length of the faults; the verdict does not depend on it."""
@@ -25,3 +25,9 @@
     tmp_path: Path,
 ) -> None:
     assert not Soak(seed, tmp_path).run(SECONDS)
+
+
+def test_a_bad_prompt_part_is_stopped_under_random_faults(
+    tmp_path: Path,
+) -> None:
+    assert not Soak(1, tmp_path, prompt_share=PROMPT_SHARE).run(2 * SECONDS)
