Wait 0.5 s for silent peers after a stop of all nodes

Now a node that most of its peers told that they start themselves waits 0.5 s for the rest; where most serve or are silent the bound stays 2 s, and a later version that is known keeps it closed as before.

The first of the three new tests fails with the former wait.

--- a/tests/test_readiness_gate.py
+++ b/tests/test_readiness_gate.py
@@ -13,6 +13,7 @@
 from waywell.knowledge.readiness_gate import (
     LOOK_WAIT_SECONDS,
     PEERS_WAIT_SECONDS,
+    RESTART_WAIT_SECONDS,
     ReadinessGate,
     StartView,
 )
@@ -23,6 +24,7 @@
 
 B = NodeId('b')
 C = NodeId('c')
+D = NodeId('d')
 NOW = 100.0
 
 
@@ -96,6 +98,33 @@
     assert is_open(gate, silent, NOW + PEERS_WAIT_SECONDS)
 
 
+def test_after_a_stop_of_all_a_node_that_is_gone_holds_up_nobody() -> None:
+    gate = ReadinessGate(is_strict=True)
+    gate.record_answer(B, is_ready=False)
+    gate.record_answer(C, is_ready=False)
+    most_start = view(B, C, D, open_calls=1)
+    assert not is_open(gate, most_start)
+    assert not is_open(gate, most_start, NOW + RESTART_WAIT_SECONDS - 0.01)
+    assert is_open(gate, most_start, NOW + RESTART_WAIT_SECONDS)
+
+
+def test_half_of_the_peers_starting_is_no_stop_of_all() -> None:
+    gate = ReadinessGate(is_strict=True)
+    gate.record_answer(B, is_ready=False)
+    half = view(B, C, open_calls=1)
+    assert not is_open(gate, half)
+    assert not is_open(gate, half, NOW + PEERS_WAIT_SECONDS - 0.01)
+
+
+def test_a_later_version_keeps_a_node_closed_while_most_start() -> None:
+    gate = ReadinessGate(is_strict=True)
+    gate.record_answer(B, is_ready=False)
+    gate.record_answer(C, is_ready=False)
+    behind = view(B, C, D, latest=2, open_calls=1)
+    assert not is_open(gate, behind)
+    assert not is_open(gate, behind, NOW + RESTART_WAIT_SECONDS)
+
+
 def test_the_list_of_nodes_is_waited_for_no_longer_than_the_bound() -> None:
     gate = ReadinessGate(is_strict=True)
     unknown = view(has_looked=False)
--- a/waywell/knowledge/readiness_gate.py
+++ b/waywell/knowledge/readiness_gate.py
@@ -21,6 +21,9 @@
 PEERS_WAIT_SECONDS = 2.0
 """Longest wait for the answers of peers that were called."""
 
+RESTART_WAIT_SECONDS = 0.5
+"""Longest wait for silent peers while most of the others start as well."""
+
 LOOK_WAIT_SECONDS = 5.0
 """Longest wait for the list of nodes, from when routes are in force: a call
 that is not answered is repeated after 2 s."""
@@ -33,6 +36,7 @@
     READY_PEER = 'ready_peer'
     ALL_ANSWERED = 'all_answered'
     NO_PEERS = 'no_peers'
+    MOST_START = 'most_start'
     TIMED_OUT = 'timed_out'
 
 
@@ -126,8 +130,26 @@
                 return GateReason.NO_PEERS
             if contacts.peers <= self._answered.keys():
                 return GateReason.ALL_ANSWERED
+        return self._find_overdue(contacts.peers, now)
+
+    def _find_overdue(
+        self,
+        peers: frozenset[NodeId],
+        now: float,
+    ) -> GateReason | None:
+        """Return why no peer is waited for any longer, if none is."""
         called_for = now - self._called_at
         is_over = now - self._since >= LOOK_WAIT_SECONDS
         if is_over or called_for >= PEERS_WAIT_SECONDS:
             return GateReason.TIMED_OUT
+        if called_for >= RESTART_WAIT_SECONDS and self._do_most_start(peers):
+            return GateReason.MOST_START
         return None
+
+    def _do_most_start(self, peers: frozenset[NodeId]) -> bool:
+        """Answer whether most peers have told that they start themselves.
+
+        A stop of all nodes leaves some that never come back.
+        """
+        starting = sum(not self._answered.get(peer, True) for peer in peers)
+        return 2 * starting > len(peers)
