Wait for late reports while no peer has sent one

Callers saw: streams ended cut at a node whose links were reset, with 7.6 s of their time left, though two peers reached the replicas.

Cause: a query about links that no peer answered within 0.3 s counted as no witness, so the links as sound and the replicas as gone. Class: silence is taken for evidence.

Change: while no report has come the query waits 0.9 s longer; a report without a witness ends it as before. A query leaves the table when its wait ends.

--- a/tests/test_partition.py
+++ b/tests/test_partition.py
@@ -208,6 +208,30 @@
     assert not nodes['b'].watch.list_partitioned()
 
 
+@in_loop
+async def test_peers_that_report_late_are_waited_for(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Peers that stood still for 0.3 s cost streams that could go on there."""
+    monkeypatch.setattr(reachability_queries, 'REPORT_SECONDS', 0.0)
+    nodes = make_nodes()
+    own = nodes['a']
+    own.reached.clear()
+    late: list[tuple[NodeId, ReachabilityQuery]] = []
+    deliver = own.links.send
+    monkeypatch.setattr(own.links, 'send', lambda *one: late.append(one))
+    own.fail('h0', 'h1')
+    for _turn in range(3):
+        await asyncio.sleep(0.01)
+    assert len(late) == 3
+    assert not own.watch.list_partitioned()
+    for one in late:
+        deliver(*one)
+    await settle()
+    assert own.watch.is_partitioned(LLM)
+    await own.watch.stop()
+
+
 @in_loop
 async def test_a_node_without_peers_keeps_its_links() -> None:
     own = make_nodes('a')['a']
--- a/waywell/health/reachability_queries.py
+++ b/waywell/health/reachability_queries.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -22,12 +21,12 @@
 REPORT_SECONDS = 0.3
 """For a peer to report: twice the time that it gives a connection."""
 
+LATE_REPORT_SECONDS = 0.9
+"""Further seconds for the first report, while no peer has sent one."""
+
 PEERS_ASKED = 3
 """Peers that get a query; half of a data hall may have lost its links."""
 
-MOST_OPEN = 64
-"""Queries without a report that are remembered."""
-
 STREAM_USER = 'reachability'
 """Name under which streams to other halls are kept."""
 
@@ -65,7 +64,7 @@
         self._links = links
         self._random = random
         self._serial = 0
-        self._open: OrderedDict[int, _Query] = OrderedDict()
+        self._open: dict[int, _Query] = {}
 
     async def find_witness(self, boxes: Iterable[BoxId]) -> NodeId | None:
         """Return a peer that reaches nearly all of some boxes.
@@ -80,16 +79,19 @@
         witness = asyncio.get_running_loop().create_future()
         self._serial += 1
         needed = max(1, len(asked) - len(asked) // 3)
-        self._open[self._serial] = _Query(needed, len(peers), witness)
-        while len(self._open) > MOST_OPEN:
-            self._open.popitem(last=False)
+        serial = self._serial
+        query = _Query(needed, len(peers), witness)
+        self._open[serial] = query
         for peer in peers:
-            self._links.send(peer, ReachabilityQuery(self._serial, asked))
+            self._links.send(peer, ReachabilityQuery(serial, asked))
         try:
-            async with asyncio.timeout(REPORT_SECONDS):
-                return await witness
-        except TimeoutError:
-            return None
+            await asyncio.wait({witness}, timeout=REPORT_SECONDS)
+            if query.awaited == len(peers):
+                # Silent peers say nothing of the links.
+                await asyncio.wait({witness}, timeout=LATE_REPORT_SECONDS)
+        finally:
+            self._open.pop(serial)
+        return witness.result() if witness.done() else None
 
     def take_report(self, report: ReachabilityReport, sender: NodeId) -> None:
         """Take in a peer's report."""
