Tell peers of no trait that the witness of a crash has served

A node that saw crashes told its peers all traits that ran there, also the first part of all prompts, which it served all along. A peer that had served nothing for 60 s blamed that part after three crashes in two hours and refused its first callers for 600 s; with a third node it was cleared again, with two it was not. The witness now leaves out what it has served. The new test held part-first before (Hold(crashes=3)).

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -253,6 +253,24 @@
     assert bench.node.find_release(requests[4], bench.clock.now) > HOLD_SECONDS
 
 
+@in_loop
+async def test_a_node_without_requests_blames_no_part_that_is_served() -> None:
+    """The node that saw the crashes has served the first part all along."""
+    bench = Bench(nodes=2)
+    witness = bench.nodes[1]
+    first = PromptPart(Trait('part-first'))
+    requests = [
+        RequestTraits(Fingerprint(Trait(f'r{number}')), (first,))
+        for number in range(4)
+    ]
+    witness.note_served(requests[0])
+    for number in (1, 2, 3):
+        await bench.break_off(f'b{number}', requests[number], node=1)
+        bench.carry_words()
+    assert len(bench.node.book.crashes) == 3
+    assert not bench.node.book.held
+
+
 @in_loop
 async def test_running_attempts_are_broken_off_unless_they_have_begun() -> (
     None
--- a/waywell/quarantine/quarantine.py
+++ b/waywell/quarantine/quarantine.py
@@ -13,6 +13,8 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Any
 
+import attrs
+
 from waywell.connection.peer import (
     KnownCrashes,
     ReplicaEnded,
@@ -299,10 +301,22 @@
             requests=len(runs),
             most=max(self.book.count_crashes(one) for one in runs),
         )
-        self._links.spread(_describe_end(crash, now))
+        self._links.spread(_describe_end(self._drop_served(crash), now))
         self._remember_witnessed(runs)
         self._compare(held, 'own')
 
+    def _drop_served(self, crash: Crash) -> Crash:
+        """Return a crash without what this node has served of late.
+
+        Peers that have served nothing of it would blame it.
+        """
+        runs = {
+            trait: has_begun
+            for trait, has_begun in crash.runs.items()
+            if not self.book.was_served(trait, crash.ended_at)
+        }
+        return attrs.evolve(crash, runs=runs)
+
     def _note_end(self, crash: Crash) -> bool:
         """Note an end; answer whether it is news."""
         is_news = self.book.note_crash(
