Count requests, not traits, on the log lines of crashes

replica_ended, end_received and crash_unconfirmed gave the parts of prompts as requests: requests=3 for one request with two shared parts (seen in a log). The ranking of suspects had the same count written out and calls it now.

--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -6,6 +6,7 @@
 
 from waywell.request.prompt_parts import (
     MOST_PARTS,
+    count_requests,
     decode_prompt_parts,
     is_prompt_part,
 )
@@ -35,3 +36,7 @@
     parts = decode_prompt_parts(text)
     assert len(parts) == MOST_PARTS
     assert all(is_prompt_part(part) for part in parts)
+
+
+def test_parts_are_not_counted_as_requests() -> None:
+    assert count_requests(['a1', 'part-5c', 'b2', 'part-91']) == 2
--- a/waywell/quarantine/crash_book.py
+++ b/waywell/quarantine/crash_book.py
@@ -19,7 +19,7 @@
 import attrs
 
 from waywell.ids import DomainName, Trait
-from waywell.request.prompt_parts import is_prompt_part
+from waywell.request.prompt_parts import count_requests, is_prompt_part
 from waywell.version.fleet import ReplicaKey
 
 if TYPE_CHECKING:
@@ -366,7 +366,7 @@
     alone: Counter[Trait] = Counter()
     places: Counter[Trait] = Counter()
     for crash in crashes:
-        requests = len(crash.runs) - sum(map(is_prompt_part, crash.runs))
+        requests = count_requests(crash.runs)
         for place, trait in enumerate(crash.runs):
             if trait in candidates:
                 silent[trait] += not crash.runs[trait]
--- a/waywell/quarantine/quarantine.py
+++ b/waywell/quarantine/quarantine.py
@@ -33,7 +33,7 @@
 )
 from waywell.request.guard import RequestGuard
 from waywell.request.paths import LinkCheck, trust_links
-from waywell.request.prompt_parts import describe_trait
+from waywell.request.prompt_parts import count_requests, describe_trait
 from waywell.telemetry.events import log_detail, log_event, log_warning
 from waywell.version.fleet import ReplicaKey
 
@@ -279,7 +279,9 @@
             self._take_end(replica, runs)
         else:
             log_event(
-                'crash_unconfirmed', box=replica.key.box, requests=len(runs)
+                'crash_unconfirmed',
+                box=replica.key.box,
+                requests=count_requests(runs),
             )
 
     def _take_end(
@@ -298,7 +300,7 @@
             'replica_ended',
             box=replica.key.box,
             group=replica.group,
-            requests=len(runs),
+            requests=count_requests(runs),
             most=max(self.book.count_crashes(one) for one in runs),
         )
         self._links.spread(_describe_end(self._drop_served(crash), now))
@@ -352,7 +354,9 @@
                 Crash(key, now - word.age, word.domain, runs)
             )
             if is_news:
-                log_event('end_received', box=word.box, requests=len(runs))
+                log_event(
+                    'end_received', box=word.box, requests=count_requests(runs)
+                )
             return is_news
         if isinstance(word, RequestHeld):
             hold = Hold(word.crashes, now - word.age)
--- a/waywell/request/prompt_parts.py
+++ b/waywell/request/prompt_parts.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import re
+from typing import TYPE_CHECKING
 
 from waywell.ids import PromptPart, Trait
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 MOST_PARTS = 32
 """Maximum number of shared parts recorded for one request."""
 
@@ -43,6 +47,11 @@
     return {'fingerprint': trait}
 
 
+def count_requests(traits: Collection[Trait]) -> int:
+    """Return how many of some traits are requests and no parts of prompts."""
+    return len(traits) - sum(map(is_prompt_part, traits))
+
+
 def is_prompt_part(trait: Trait) -> bool:
     """Answer whether a trait is a part of a prompt."""
     return trait.startswith(_PREFIX)
