--- a/review/standins.py
+++ b/review/standins.py
@@ -680,11 +680,6 @@
             deployment.record.write(node.read_log()[-3000:])
         return COULD_NOT_RUN
     finally:
-        if os.environ.get('KEEP_LOGS'):
-            for node in deployment.nodes:
-                Path(os.environ['KEEP_LOGS'], node.name).write_text(
-                    node.read_log()
-                )
         deployment.close()
     deployment.record.write('the rule held' if is_held else 'RULE BROKEN')
     return HELD if is_held else BROKEN
