--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 import threading
 import time
@@ -16,10 +17,12 @@
     Node,
     StoreLink,
     call,
-    is_troubled,
     run_case,
 )
 
+TROUBLED = os.environ.get('TROUBLE', '1') != '0'
+"""Whether the disruption is played."""
+
 DRAIN_SECONDS = 2.0
 """``drain_timeout_ms`` of the sheet."""
 
@@ -43,7 +46,9 @@
         self._deployment = deployment
         self._is_stopped = False
         self._threads = [
-            threading.Thread(target=self._run, args=(node, number))
+            threading.Thread(
+                target=self._run, args=(node, number), daemon=True
+            )
             for node in nodes
             for number in range(CALLERS)
         ]
@@ -78,7 +83,7 @@
     """Let a replica leave silently; return when its entry went."""
     record = deployment.record
     leaver = deployment.replicas[name]
-    if is_troubled():
+    if TROUBLED:
         link.cut()
         record.write(f'{reader} is partitioned from the store')
     time.sleep(LEAVES_AFTER)
@@ -86,7 +91,7 @@
     left_at = time.monotonic()
     record.write(f'the entry of {name} has gone; it serves on')
     time.sleep(CUT_SECONDS - LEAVES_AFTER)
-    if is_troubled():
+    if TROUBLED:
         link.heal()
         record.write(f'{reader} reaches the store again')
     ends_at = left_at + DRAIN_SECONDS + LINGER_SECONDS
