--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 import threading
 import time
 from pathlib import Path
 
-from review.standins import Answer, Deployment, call, is_troubled, run_case
+from review.standins import Answer, Deployment, call, run_case
+
+TROUBLED = os.environ.get('TROUBLE', '1') != '0'
+"""Whether the disruption is played."""
 
 EVENT_SECONDS = 0.045
 """Five tokens of an engine whose step takes 7.8 ms and more."""
@@ -44,7 +48,9 @@
 def _ask_usual(deployment: Deployment) -> None:
     threads = [
         threading.Thread(
-            target=_ask, args=(deployment, f'usual-{number}', events)
+            target=_ask,
+            args=(deployment, f'usual-{number}', events),
+            daemon=True,
         )
         for number, events in enumerate(USUAL_EVENTS)
     ]
@@ -56,7 +62,7 @@
 
 def _play(deployment: Deployment) -> bool:
     _ask_usual(deployment)
-    if is_troubled():
+    if TROUBLED:
         process = deployment.nodes[0].process
         assert process is not None
         process.send_signal(signal.SIGTERM)
@@ -65,6 +71,8 @@
     answer = _ask(deployment, 'long-1', LONGEST_EVENTS)
     runs = len(deployment.list_runs('long-1'))
     deployment.record.write(f'long-1 was run {runs} times')
+    if not TROUBLED and not runs:
+        raise TimeoutError('the request was not passed on')
     # A refusal is allowed; a request that was passed on has to be answered.
     return answer.is_whole or not runs
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -10,6 +10,7 @@
 import http.client
 import json
 import os
+import signal
 import socket
 import struct
 import subprocess
@@ -17,6 +18,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
@@ -36,10 +38,8 @@
 BROKEN = 1
 COULD_NOT_RUN = 2
 
-
-def is_troubled() -> bool:
-    """Return whether the script plays its disruption."""
-    return os.environ.get('TROUBLE', '1') != '0'
+MAX_SECONDS = 100
+"""Time after which a script gives up; it may take 120 s."""
 
 
 class Record:
@@ -499,6 +499,8 @@
 
     def read_log(self) -> str:
         """Return what the process has logged."""
+        if not self._log.exists():
+            return ''
         return self._log.read_text(errors='replace')
 
     def _get(self, port: int, path: str) -> tuple[int, bytes]:
@@ -669,22 +671,40 @@
 def run_case(
     case: Path, nodes: int, play: Callable[[Deployment], bool]
 ) -> int:
-    """Play a case and return the exit code of its script."""
-    deployment = Deployment(case, nodes)
+    """Play a case and return the exit code of its script.
+
+    Whatever keeps it from being judged, also a signal to end or a lack of
+    time, ends all that was started and counts as a case that could not run.
+    """
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _give_up)
+    signal.alarm(MAX_SECONDS)
+    deployment: Deployment | None = None
     try:
+        deployment = Deployment(case, nodes)
         deployment.start()
         is_held = play(deployment)
-    except TimeoutError as error:
-        deployment.record.write(f'could not run: {error}')
+    except Exception:
+        reason = traceback.format_exc()
+        if deployment is None:
+            sys.stderr.write(reason)
+            return COULD_NOT_RUN
+        deployment.record.write(f'could not run: {reason}')
         for node in deployment.nodes:
             deployment.record.write(node.read_log()[-3000:])
         return COULD_NOT_RUN
     finally:
-        deployment.close()
+        signal.alarm(0)
+        if deployment is not None:
+            deployment.close()
     deployment.record.write('the rule held' if is_held else 'RULE BROKEN')
     return HELD if is_held else BROKEN
 
 
+def _give_up(number: int, _frame: object) -> None:
+    raise TimeoutError(f'ended by signal {number}')
+
+
 class StoreLink:
     """A proxy between one node and the store, which can be cut."""
 
