Log each request that a leaving node accepts or refuses

A node that got SIGTERM accepted a stream and cut it 2.8 s later. Its log had the attempt and the cut, but not what the node expected of the stream, so an estimate that is too short could not be told from a replica that stood still.

leaving_admission states the estimate, the request's own limits and the time that is left.

--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -15,6 +15,7 @@
 from waywell.request.request_execution import RequestExecution
 from waywell.request.retry_after import RefusalReason, compute_retry_after
 from waywell.request.traits import RequestTraits
+from waywell.telemetry.events import log_event
 
 if TYPE_CHECKING:
     from waywell.request.decoded_request import DecodedRequest
@@ -69,11 +70,20 @@
         """Refuse a request that would still run when this node stops."""
         if math.isinf(self._node_ends_at):
             return
-        times = self._dependencies.answer_times
-        if (
-            times.estimate_end(context, context.arrived_at)
-            > self._node_ends_at
-        ):
+        now = context.arrived_at
+        ends_at = self._dependencies.answer_times.estimate_end(context, now)
+        is_accepted = ends_at <= self._node_ends_at
+        log_event(
+            'leaving_admission',
+            request=context.request.attempt_id,
+            route=context.route.name,
+            tokens=context.request.answer_tokens,
+            estimate=round(ends_at - now, 3),
+            deadline=round(context.deadline_at - now, 3),
+            left=round(self._node_ends_at - now, 3),
+            accepted=is_accepted,
+        )
+        if not is_accepted:
             raise Refusal(Code.NODE_LEAVING, retry_after=0)
 
     def _resolve(self, request: DecodedRequest) -> RequestContext:
