Accept streams at a leaving node by their most tokens, not by usual answers

Callers saw streams cut in the middle: a node that got SIGTERM took a stream 4.6 s later and closed the connection 2.8 s after that, at the end of its grace time.

Cause: the end of an answer was estimated as the seconds of the slowest recent answer of its route and size class per token of the most that it might generate. Most answers end long before that, so after answers of 22 to 46 events the estimate for one of 87 events was 2.6 s; it needs 3.9 s. Evidence: leaving_admission says estimate=2.61 left=2.799 accepted=True.

A stream of a told size is now bounded by its most events at the slowest pace of recent streams, with the first event and one pause; the pace is measured between events, so that short answers are evidence about long ones. All other answers, and streams of which too few events were seen, are bounded by their deadline. Streams that were ended early are observed as well, those that a slow caller held up are not.

test_a_stopping_node_refuses_streams_of_which_it_saw_only_short_ones failed before (200 in place of 503). The former tests of test_answer_times.py are replaced: one demanded that an answer of 0.5 s lets a stream of unknown size be accepted with 2 s left, which is the fault; the new ones ask for bounds where those asked for estimates.

--- a/tests/forwarder_harness.py
+++ b/tests/forwarder_harness.py
@@ -203,6 +203,8 @@
         self,
         forwarded: ForwardingHeader | None = None,
         resume_after: int | None = None,
+        answer_tokens: int = 0,
+        timeout_seconds: float | None = None,
     ) -> asyncio.Task:
         request = DecodedRequest(
             'a1',
@@ -214,6 +216,8 @@
             model=MODEL,
             forwarded=forwarded,
             resume_after=resume_after,
+            answer_tokens=answer_tokens,
+            timeout_seconds=timeout_seconds,
         )
         self.answer = RecordedAnswer()
         task = asyncio.create_task(self._serve(request, self.answer))
@@ -238,6 +242,7 @@
     async def deliver_events(self, attempt: Attempt, *numbers: int) -> None:
         for number in numbers:
             raw = b'id: %d\n\n' % number
+            attempt.record_event()
             attempt.post(Attempt.Piece(attempt, StreamEvent(raw, number)))
         await self.run_pending()
 
--- a/tests/front_harness.py
+++ b/tests/front_harness.py
@@ -83,8 +83,10 @@
             '[store]',
             f'address = "{store or self.store.address}"',
             '[promises]',
-            'entry_list_kept = 0.2',
-            *(f'{key} = {text}' for key, text in promises.items()),
+            *(
+                f'{key} = {text}'
+                for key, text in {'entry_list_kept': 0.2, **promises}.items()
+            ),
             '[resends]',
             # Each of a test's few requests may be sent again.
             'ratio = 2.0',
@@ -139,11 +141,13 @@
             'X-Request-Attempt-Id': f'attempt-{self._attempts}',
             'X-Deadline-Ms': '8000',
             'Authorization': f'Bearer {key}',
-            **{name.replace('_', '-'): text for name, text in headers.items()},
         }
         if model:
             sent['X-Model'] = model
             sent['X-Token-Count'] = '100,30'
+        sent |= {
+            name.replace('_', '-'): text for name, text in headers.items()
+        }
         raw, answer = self._call(
             process, 'caller_port', 'POST', path, body, sent
         )
--- a/tests/test_answer_times.py
+++ b/tests/test_answer_times.py
@@ -1,120 +1,301 @@
-"""Estimates of answer times, and the requests a leaving node accepts."""
+"""Bounds on answer times, and the requests a leaving node accepts."""
 
 from __future__ import annotations
 
 import asyncio
-from types import SimpleNamespace
+from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from tests.forwarder_harness import ForwarderHarness
 from waywell.codes import Code, Ran
+from waywell.ids import ModelName, ServiceName
 from waywell.request.answer_times import (
     MARGIN,
-    MAX_SIZE_CLASSES,
+    MAX_ENGINES,
+    MIN_PACED_EVENTS,
     WINDOW_SECONDS,
     AnswerTimes,
+    EstimateBasis,
 )
+from waywell.request.decoded_request import DecodedRequest
+from waywell.request.request_context import RequestContext
+from waywell.request.stream_progress import StreamProgress
+from waywell.version.routes import (
+    Engine,
+    EngineModel,
+    Route,
+    RouteKind,
+    ServiceShare,
+)
+
+MODEL = ModelName('small')
+SERVICE = ServiceName('llm')
+STRIDE = 5
+ENGINE = Engine(9, (EngineModel(MODEL, 2),), steps_a_pass=STRIDE)
+GOAL = 0.4
+GAP_GOAL = 0.3
 
 
 def make_context(
     arrived_at: float,
+    tokens: int = 435,
+    kind: RouteKind = RouteKind.STREAM,
+    engine: Engine | None = ENGINE,
     seconds: float = 8.0,
-    route: str = 'r',
-    tokens: int = 0,
-) -> SimpleNamespace:
-    return SimpleNamespace(
-        request=SimpleNamespace(answer_tokens=tokens),
-        route=SimpleNamespace(name=route),
+    **changes: Any,
+) -> RequestContext:
+    request = DecodedRequest(
+        'a1', 'POST', '/x', 'h', (), b'', answer_tokens=tokens, model=MODEL
+    )
+    route = Route(
+        'r',
+        'h',
+        '/',
+        kind,
+        timeout=seconds,
+        goal=GOAL,
+        shares=(ServiceShare(SERVICE, 1.0),),
+        gap_goal=GAP_GOAL,
+    )
+    parts = {'service': SERVICE, 'holder': None, **changes}
+    return RequestContext(
+        request=request,
+        route=route,
         arrived_at=arrived_at,
         deadline_at=arrived_at + seconds,
+        engine=engine,
+        **parts,
     )
 
 
-def test_route_without_answers_may_use_its_whole_deadline() -> None:
-    times = AnswerTimes()
-    times.record(make_context(10.0, route='other'), 12.0)
-    assert times.estimate_end(make_context(20.0), 20.0) == 28.0
+def make_progress(
+    begun_at: float, events: int, pace: float, pause: float = 0.0
+) -> StreamProgress:
+    """Return a stream whose third event comes late by a pause."""
+    progress = StreamProgress()
+    for number in range(events):
+        late = pause if number > 1 else 0.0
+        progress.record_event(begun_at + number * pace + late)
+    return progress
+
 
+def record_stream(
+    times: AnswerTimes,
+    at: float,
+    events: int,
+    pace: float = 0.05,
+    **changes: Any,
+) -> None:
+    progress = make_progress(at + 0.1, events, pace)
+    times.record(make_context(at, **changes), progress, progress.last_at)
 
-def test_estimate_grows_with_the_answer_size() -> None:
-    """A leaving node must not accept a stream that outlasts its shutdown.
 
-    With an estimate by route alone, a stream that arrived 3.1 s after the
-    order to stop was cut 4.3 s later.  All earlier answers of its route had
-    been shorter; that it had more tokens is inferred, as its head was not
-    recorded.
+def estimate_seconds(times: AnswerTimes, **changes: Any) -> float:
+    context = make_context(20.0, **{'seconds': 60.0, **changes})
+    return times.estimate_end(context, 20.0).ends_at - 20.0
+
+
+def test_short_answers_do_not_shorten_the_estimate_of_a_long_one() -> None:
+    """A stream may take as long as its most tokens do, at the pace seen.
+
+    Eight answers of 22 to 46 events, of which the slowest took 2.1 s, let a
+    stream of 87 events be accepted with 2.8 s left.
     """
     times = AnswerTimes()
-    times.record(make_context(10.0, tokens=300), 13.0)
-    times.record(make_context(10.0, tokens=20), 11.0)
-    longest = make_context(20.0, tokens=500)
-    assert times.estimate_end(longest, 20.0) == 20.0 + 5.0 * MARGIN
-    short = make_context(20.0, tokens=20)
-    assert times.estimate_end(short, 20.0) == 20.0 + 1.0 * MARGIN
-    unseen = make_context(20.0, tokens=1000)
-    assert times.estimate_end(unseen, 20.0) == 28.0
+    for events in (22, 28, 34, 40, 46, 31, 25, 37):
+        record_stream(times, 10.0, events, pace=0.045)
+    assert estimate_seconds(times, tokens=435) >= 87 * 0.045 * MARGIN
 
 
-def test_estimate_is_the_slowest_answer_with_a_margin() -> None:
+def test_many_short_answers_are_no_more_evidence_than_few() -> None:
     times = AnswerTimes()
-    for seconds in (1.0, 3.0, 2.0):
-        times.record(make_context(10.0), 10.0 + seconds)
-    assert times.estimate_end(make_context(20.0), 20.0) == 20.0 + 3.0 * MARGIN
+    for number in range(1000):
+        record_stream(times, 10.0 + number / 100, MIN_PACED_EVENTS)
+    assert estimate_seconds(times, tokens=435) >= 87 * 0.05 * MARGIN
 
 
-def test_estimate_never_exceeds_the_deadline() -> None:
+@given(
+    st.lists(st.integers(1, 87), min_size=1, max_size=30),
+    st.floats(0.001, 0.2),
+    st.floats(0.0, 2.0),
+    st.integers(1, 87),
+)
+def test_a_stream_at_a_pace_seen_ends_before_its_estimate(
+    seen: list[int], pace: float, first: float, events: int
+) -> None:
     times = AnswerTimes()
-    times.record(make_context(10.0), 13.0)
-    assert times.estimate_end(make_context(20.0, seconds=1.0), 20.0) == 21.0
+    for number in seen:
+        progress = make_progress(10.0 + first, number, pace)
+        times.record(make_context(10.0), progress, progress.last_at)
+    seconds = estimate_seconds(times, tokens=STRIDE * events)
+    assert first + (events - 1) * pace <= seconds
 
 
 @pytest.mark.parametrize(
-    ('windows', 'seconds'), [(0.9, 3.0), (1.5, 3.0), (2.5, 8.0 / MARGIN)]
+    ('tokens', 'kind', 'engine'),
+    [
+        (0, RouteKind.STREAM, ENGINE),
+        (0, RouteKind.SAFE, None),
+        (0, RouteKind.UNSAFE, None),
+        (435, RouteKind.SAFE, ENGINE),
+    ],
 )
-def test_old_answers_expire(
-    windows: float,
-    seconds: float,
+def test_an_answer_of_unknown_length_may_take_until_its_deadline(
+    tokens: int, kind: RouteKind, engine: Engine | None
 ) -> None:
     times = AnswerTimes()
-    times.record(make_context(10.0), 13.0)
-    now = 13.0 + windows * WINDOW_SECONDS
-    context = make_context(now)
-    assert times.estimate_end(context, now) == now + seconds * MARGIN
+    context = make_context(10.0, tokens, kind, engine)
+    for _time in range(100):
+        times.record(context, make_progress(10.0, 30, 0.01), 10.3)
+    end = times.estimate_end(make_context(20.0, tokens, kind, engine), 20.0)
+    assert end.ends_at == 28.0
+    assert end.basis is EstimateBasis.DEADLINE
+
+
+def test_fewer_events_than_the_answer_may_have_are_no_evidence() -> None:
+    times = AnswerTimes()
+    record_stream(times, 10.0, 86)
+    assert estimate_seconds(times, tokens=435) == 60.0
+    assert estimate_seconds(times, tokens=430) < 60.0
+    record_stream(times, 11.0, MIN_PACED_EVENTS)
+    assert estimate_seconds(times, tokens=435) < 60.0
+
+
+def test_without_an_engine_each_token_may_be_an_event() -> None:
+    times = AnswerTimes()
+    record_stream(times, 10.0, 87, engine=None)
+    assert estimate_seconds(times, tokens=435, engine=None) == 60.0
+    seconds = estimate_seconds(times, tokens=80, engine=None)
+    assert 80 * 0.05 * MARGIN <= seconds < 60.0
+
+
+def test_the_pace_is_at_least_that_of_an_engine_without_free_places() -> None:
+    engine = Engine(
+        10,
+        (EngineModel(MODEL, 2, pace=0.5),),
+        step_seconds=0.01,
+        sequence_seconds=0.001,
+        steps_a_pass=STRIDE,
+    )
+    times = AnswerTimes()
+    record_stream(times, 10.0, 87, pace=0.001)
+    full_pass = (0.01 + 10 * 0.001) * STRIDE * 0.5
+    seconds = estimate_seconds(times, tokens=435, engine=engine)
+    assert seconds >= 87 * full_pass
+
+
+def test_one_long_pause_counts_once() -> None:
+    times = AnswerTimes()
+    progress = make_progress(10.1, 87, 0.05, pause=1.0)
+    times.record(make_context(10.0), progress, progress.last_at)
+    seconds = estimate_seconds(times, tokens=435)
+    assert seconds >= GOAL + 1.0 + 87 * 0.05 * MARGIN
+    assert seconds <= GOAL + 1.1 + 88 * 0.05 * MARGIN
+
+
+def test_a_slow_caller_does_not_lengthen_the_estimates() -> None:
+    times = AnswerTimes()
+    record_stream(times, 10.0, 87)
+    expected = estimate_seconds(times)
+    progress = make_progress(10.1, 87, 0.5)
+    progress.is_throttled = True
+    times.record(make_context(10.0), progress, progress.last_at)
+    assert estimate_seconds(times) == expected
+
+
+def test_models_are_estimated_apart() -> None:
+    times = AnswerTimes()
+    record_stream(times, 10.0, 87, service=ServiceName('other'))
+    assert estimate_seconds(times) == 60.0
+
+
+def test_an_estimate_never_exceeds_the_deadline() -> None:
+    times = AnswerTimes()
+    record_stream(times, 10.0, 87)
+    end = times.estimate_end(make_context(20.0, seconds=1.0), 20.0)
+    assert end.ends_at == 21.0
+    assert end.basis is EstimateBasis.DEADLINE
+
+
+@pytest.mark.parametrize(
+    ('windows', 'is_kept'), [(0.9, True), (1.5, True), (2.5, False)]
+)
+def test_old_streams_expire(windows: float, is_kept: bool) -> None:
+    times = AnswerTimes()
+    record_stream(times, 10.0, 87)
+    now = 15.0 + windows * WINDOW_SECONDS
+    end = times.estimate_end(make_context(now), now)
+    assert (end.basis is EstimateBasis.PACE) is is_kept
 
 
-def test_unused_routes_are_evicted() -> None:
-    """Each version may add and remove routes while a node runs."""
+def test_unused_services_are_evicted() -> None:
+    """Each version may add and remove services while a node runs."""
     times = AnswerTimes()
-    now = 0.0
-    for number in range(20 * MAX_SIZE_CLASSES):
-        now += 5 * WINDOW_SECONDS / MAX_SIZE_CLASSES
-        times.record(make_context(now - 1.0, route=f'r{number}'), now)
-    assert len(times) <= MAX_SIZE_CLASSES
-    context = make_context(now, route=f'r{number}')
-    assert times.estimate_end(context, now) == now + MARGIN
+    for number in range(2 * MAX_ENGINES):
+        record_stream(times, 10.0, 87, service=ServiceName(f's{number}'))
+    assert len(times) <= MAX_ENGINES
+    assert estimate_seconds(times, service=ServiceName(f's{number}')) < 60.0
 
 
-def test_leaving_node_accepts_only_requests_it_can_finish(
+def test_a_leaving_node_accepts_only_requests_it_can_finish(
     harness: ForwarderHarness,  # noqa: F811
 ) -> None:
     async def play() -> None:
-        await harness.submit()
+        await harness.submit(answer_tokens=10)
         (first,) = harness.attempts
         await harness.deliver_head(first)
-        harness.clock.now += 0.5
+        for number in range(1, 11):
+            harness.clock.now += 0.05
+            await harness.deliver_events(first, number)
         await harness.deliver_end(first)
         assert harness.answer.end == 'complete'
         harness.forwarder.start_draining(harness.clock.now + 2.0)
         harness.attempts.clear()
-        await harness.submit()
+        await harness.submit(answer_tokens=10)
         assert len(harness.attempts) == 1
-        harness.clock.now += 1.5
+        await harness.submit(timeout_seconds=1.9)
+        assert len(harness.attempts) == 2
+        await harness.submit(answer_tokens=11)
+        assert len(harness.attempts) == 2
         await harness.submit()
+        assert len(harness.attempts) == 2
+        harness.clock.now += 1.5
+        harness.refusal = None
+        await harness.submit(answer_tokens=10)
 
     asyncio.run(play())
-    assert len(harness.attempts) == 1
+    assert len(harness.attempts) == 2
     assert harness.refusal is not None
     assert harness.refusal.code is Code.NODE_LEAVING
     assert harness.refusal.ran is Ran.NOT_RUN
     assert harness.refusal.retry_after == 0
+
+
+def test_a_stream_that_breaks_off_is_observed(
+    harness: ForwarderHarness,  # noqa: F811
+) -> None:
+    """The slowest streams are those that callers and deadlines end."""
+
+    async def play(pace: float) -> None:
+        task = await harness.submit(answer_tokens=10)
+        attempt = harness.attempts[-1]
+        await harness.deliver_head(attempt)
+        for number in range(1, 11):
+            harness.clock.now += pace
+            await harness.deliver_events(attempt, number)
+        task.cancel()
+        await harness.run_pending()
+
+    async def drain() -> None:
+        await play(0.05)
+        await play(0.3)
+        harness.forwarder.start_draining(harness.clock.now + 3.0)
+        await harness.submit(answer_tokens=10)
+
+    asyncio.run(drain())
+    assert len(harness.attempts) == 2
+    assert harness.refusal is not None
+    assert harness.refusal.code is Code.NODE_LEAVING
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -269,6 +269,50 @@
     assert not front.list_runs('m1', 'm2', 'm3', 'm4')
 
 
+def test_a_stopping_node_refuses_streams_of_which_it_saw_only_short_ones(
+    front: FrontHarness,
+) -> None:
+    """A short answer is no evidence that a longer one ends before the node.
+
+    A stream of the same most tokens as short earlier ones was accepted 4.6 s
+    after the signal to stop and cut 2.8 s later.
+    """
+    front.add_servers()
+    process = front.start(entry_list_kept=2.0)
+    front.wait_serving(process)
+    tokens = {'X_Token_Count': '1420,435'}
+    status, body, _answer = front.send_request(
+        process, '/notes/1', 'small', **tokens
+    )
+    assert (status, body) == (200, WHOLE_STREAM)
+    process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not front.is_ready(process), 'the node to leave')
+    status, _body, answer = front.send_request(
+        process, '/notes/2', 'small', **tokens
+    )
+    assert status == 503
+    assert answer.getheader('waywell-code') == str(int(Code.NODE_LEAVING))
+    assert answer.getheader('waywell-ran') == 'not_run'
+    assert len(front.list_runs('m1', 'm2', 'm3', 'm4')) == 1
+
+
+def test_a_stopping_node_serves_what_ends_in_time(
+    front: FrontHarness,
+) -> None:
+    """Callers with an earlier entry list are served while the node leaves."""
+    front.add_servers()
+    process = front.start(entry_list_kept=2.0)
+    front.wait_serving(process)
+    process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not front.is_ready(process), 'the node to leave')
+    brief = {'X_Deadline_Ms': '1000'}
+    for path, model in (('/notes/1', 'small'), ('/stock/1', '')):
+        status, _body, _answer = front.send_request(
+            process, path, model, **brief
+        )
+        assert status == 200
+
+
 def test_a_sighup_does_not_interrupt_service(
     served: tuple[FrontHarness, Process],
 ) -> None:
--- a/waywell/request/answer_times.py
+++ b/waywell/request/answer_times.py
@@ -1,106 +1,221 @@
-"""Estimates of how long complete answers take, by route and answer size."""
+"""Upper bounds on the time that answers of a known size still take."""
 
 from __future__ import annotations
 
+import enum
+import math
 from typing import TYPE_CHECKING
 
 import attrs
 
+from waywell.ids import ModelName, ServiceName
+from waywell.request.hedge_timeouts import DEFAULT_GOAL
+from waywell.version.routes import RouteKind
+
 if TYPE_CHECKING:
     from waywell.request.request_context import RequestContext
+    from waywell.request.stream_progress import StreamProgress
 
 WINDOW_SECONDS = 60.0
-"""Length of an observation window, in seconds.  An answer counts for one to
-two windows, which gives some dozens of answers of each size for a route with
-two requests per second."""
+"""Length of an observation window, in seconds.  A stream counts for one to two
+windows."""
 
 MARGIN = 1.25
-"""Factor by which an answer may exceed the slowest recent one."""
+"""Factor by which a stream may be slower than the slowest recent one."""
+
+MIN_PACED_EVENTS = 8
+"""Minimum number of events of a stream from which a pace is computed."""
+
+MAX_ENGINES = 400
+"""Maximum number of pairs of service and model that are kept.  The least
+recently observed pairs are evicted, because services are added and removed
+while the node runs."""
+
+EngineKey = tuple[ServiceName, ModelName]
+"""Service and model whose replicas run at about the same pace."""
+
+
+class EstimateBasis(enum.Enum):
+    """What an estimate of an answer's end rests on."""
 
-MAX_SIZE_CLASSES = 2000
-"""Maximum number of pairs of route and size that are kept: five sizes for each
-of 400 routes.  The least recently answered pairs are evicted, because routes
-are added and removed while the node runs."""
+    DEADLINE = 'deadline'
+    """The time at which the request is given up."""
 
-SizeKey = tuple[str, int]
-"""Name of a route and the bit length of the answer's maximum token count."""
+    PACE = 'pace'
+    """The maximum size of the answer and the pace of recent streams."""
 
 
 @attrs.frozen
-class _SlowestAnswers:
-    """The slowest answer of the current and of the previous window."""
+class EndEstimate:
+    """Latest time at which an answer should end."""
+
+    ends_at: float
+    """Time in seconds; never after the deadline."""
+
+    basis: EstimateBasis
+    """What the time was computed from."""
+
+
+@attrs.frozen
+class _SlowestStreams:
+    """Maxima over the streams of one observation window."""
+
+    events: int = 0
+    """Number of events that the pace was computed from."""
+
+    pace: float = 0.0
+    """Seconds per event."""
+
+    pause: float = 0.0
+    """Longest pause within a stream, in seconds."""
+
+    first: float = 0.0
+    """Seconds from the arrival of a request to its first event."""
+
+    def add(
+        self, context: RequestContext, progress: StreamProgress
+    ) -> _SlowestStreams:
+        """Return the maxima with another stream added."""
+        events, pace = self.events, self.pace
+        if progress.events >= MIN_PACED_EVENTS:
+            events += progress.events
+            pace = max(pace, progress.compute_pace())
+        return _SlowestStreams(
+            events,
+            pace,
+            max(self.pause, progress.longest_pause),
+            max(self.first, progress.first_at - context.arrived_at),
+        )
+
+
+@attrs.frozen
+class _Windows:
+    """The streams of the current and of the previous window."""
 
     since: float
     """Start of the current window, in seconds."""
 
-    current: float = 0.0
-    """Seconds per token of the slowest answer in the current window."""
+    current: _SlowestStreams = _SlowestStreams()
+    """Streams of the current window."""
 
-    previous: float = 0.0
-    """Seconds per token of the slowest answer in the previous window."""
+    previous: _SlowestStreams = _SlowestStreams()
+    """Streams of the previous window."""
 
-    def advance_to(self, now: float) -> _SlowestAnswers:
-        """Return the windows as of ``now``, with expired answers dropped."""
+    def advance_to(self, now: float) -> _Windows:
+        """Return the windows as of ``now``, with expired streams dropped."""
         elapsed = now - self.since
         if elapsed < WINDOW_SECONDS:
             return self
         is_next = elapsed < 2 * WINDOW_SECONDS
-        return _SlowestAnswers(now, previous=self.current if is_next else 0.0)
+        previous = self.current if is_next else _SlowestStreams()
+        return _Windows(now, previous=previous)
+
+    def merge(self) -> _SlowestStreams:
+        """Return the maxima over both windows."""
+        current, previous = self.current, self.previous
+        return _SlowestStreams(
+            current.events + previous.events,
+            max(current.pace, previous.pace),
+            max(current.pause, previous.pause),
+            max(current.first, previous.first),
+        )
 
 
 class AnswerTimes:
-    """Tracks the slowest recent answer of each route and answer size.
+    """Tracks the slowest recent streams of each service and model.
 
-    Size matters: with estimates by route alone, a node that shut down still
-    cut one stream in four test days; with estimates by route and size, it cut
-    none in seven.
+    How long earlier answers took says little about the next one, which may be
+    many times longer.  A stream's end is therefore computed from the most
+    tokens that it may generate and from the pace of its events.  The end of
+    any other answer is known only by its deadline.
     """
 
     def __init__(self) -> None:
-        """Create estimates without any answer observed."""
-        # Ordered by the time of the last answer, most recent last.
-        self._slowest: dict[SizeKey, _SlowestAnswers] = {}
+        """Create estimates without any stream observed."""
+        # Ordered by the time of the last stream, most recent last.
+        self._windows: dict[EngineKey, _Windows] = {}
 
     def __len__(self) -> int:
-        """Return the number of pairs of route and size that are kept."""
-        return len(self._slowest)
+        """Return the number of pairs of service and model that are kept."""
+        return len(self._windows)
+
+    def record(
+        self, context: RequestContext, progress: StreamProgress, now: float
+    ) -> None:
+        """Record the events of an attempt that has ended.
 
-    def record(self, context: RequestContext, now: float) -> None:
-        """Record that a request was answered completely at ``now``."""
-        per_token = (now - context.arrived_at) / _count_tokens(context)
-        found = self._get_slowest(context, now)
+        Attempts that ended early count as well, as the slowest streams are
+        those that callers or deadlines end.
+        """
+        if progress.is_throttled or not progress.events:
+            return
         key = _make_key(context)
-        self._slowest.pop(key, None)
-        self._slowest[key] = attrs.evolve(
-            found, current=max(found.current, per_token)
+        found = self._get_windows(key, now)
+        self._windows.pop(key, None)
+        self._windows[key] = attrs.evolve(
+            found, current=found.current.add(context, progress)
         )
-        if len(self._slowest) > MAX_SIZE_CLASSES:
-            self._slowest.pop(next(iter(self._slowest)))
+        if len(self._windows) > MAX_ENGINES:
+            self._windows.pop(next(iter(self._windows)))
+
+    def estimate_end(self, context: RequestContext, now: float) -> EndEstimate:
+        """Return the latest time at which a request should end.
+
+        Parameters
+        ----------
+        context
+            Request that was just received.
+        now
+            The current time, in seconds.
+        """
+        seconds = self._bound_stream(context, now)
+        if now + seconds < context.deadline_at:
+            return EndEstimate(now + seconds, EstimateBasis.PACE)
+        return EndEstimate(context.deadline_at, EstimateBasis.DEADLINE)
 
-    def estimate_end(self, context: RequestContext, now: float) -> float:
-        """Return the latest time at which a request should end, in seconds.
+    def _bound_stream(self, context: RequestContext, now: float) -> float:
+        """Return an upper bound on the seconds that a stream takes.
 
-        A request without a recent answer of its route and size is assumed to
-        need all the time until its deadline.
+        The bound is infinite for an answer that may have any length, and while
+        fewer events were observed than the stream may have.
         """
-        found = self._get_slowest(context, now)
-        per_token = max(found.current, found.previous)
-        if not per_token:
-            return context.deadline_at
-        seconds = per_token * _count_tokens(context) * MARGIN
-        return min(context.deadline_at, now + seconds)
+        route = context.route
+        events = _count_most_events(context)
+        slowest = self._get_windows(_make_key(context), now).merge()
+        if route.kind is not RouteKind.STREAM or slowest.events < events:
+            return math.inf
+        first = max(slowest.first * MARGIN, route.goal or DEFAULT_GOAL)
+        pause = max(slowest.pause, route.gap_goal)
+        pace = max(slowest.pace * MARGIN, _compute_full_pass(context))
+        return first + pause + pace * events
+
+    def _get_windows(self, key: EngineKey, now: float) -> _Windows:
+        return self._windows.get(key, _Windows(now)).advance_to(now)
+
 
-    def _get_slowest(
-        self, context: RequestContext, now: float
-    ) -> _SlowestAnswers:
-        found = self._slowest.get(_make_key(context), _SlowestAnswers(now))
-        return found.advance_to(now)
+def _make_key(context: RequestContext) -> EngineKey:
+    return context.service, context.request.model
 
 
-def _make_key(context: RequestContext) -> SizeKey:
-    return context.route.name, _count_tokens(context).bit_length()
+def _count_most_events(context: RequestContext) -> float:
+    """Return the most events of an answer; infinite if it is not known."""
+    tokens = context.request.answer_tokens
+    if not tokens:
+        return math.inf
+    engine = context.engine
+    stride = 1 if engine is None else engine.steps_a_pass
+    return math.ceil(tokens / stride)
 
 
-def _count_tokens(context: RequestContext) -> int:
-    """Return the maximum tokens of the answer; 1 for a plain request."""
-    return max(1, context.request.answer_tokens)
+def _compute_full_pass(context: RequestContext) -> float:
+    """Return the seconds between two events of a group without a free place.
+
+    The observed streams may all have run beside few others.
+    """
+    engine = context.engine
+    if engine is None:
+        return 0.0
+    model = engine.find_model(context.request.model)
+    factor = 1.0 if model is None else model.pace
+    step = engine.step_seconds + engine.places * engine.sequence_seconds
+    return step * engine.steps_a_pass * factor
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -22,6 +22,7 @@
 from waywell.connection.wire_format import RawHeaders
 from waywell.request.decoded_request import AnswerMetadata
 from waywell.request.stream_events import EventSplitter, StreamEvent
+from waywell.request.stream_progress import StreamProgress
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -155,6 +156,7 @@
         self.started_at = 0.0
         self.sent_at = 0.0
         self.has_begun = False
+        self.progress = StreamProgress()
         self._clock = clock
         self._inbox = inbox
         self._task: asyncio.Task[None] | None = None
@@ -204,6 +206,10 @@
         if not self._is_abandoned:
             self._inbox.put(message)
 
+    def record_event(self) -> None:
+        """Record that an event has arrived from the replica."""
+        self.progress.record_event(self._clock.read())
+
     def receive_head(
         self,
         status: int,
@@ -277,6 +283,10 @@
     def was_closed(self) -> bool:
         return self._exchange.was_closed
 
+    def pause(self) -> None:
+        self._attempt.progress.is_throttled = True
+        super().pause()
+
     def on_end(self, end: BodyEnd) -> None:
         outcome = self._make_outcome(end)
         if outcome.is_complete:
@@ -308,7 +318,9 @@
 
     def on_bytes(self, raw: bytes) -> None:
         for event in self._splitter.feed(raw):
-            self._has_events = self._has_events or event.has_fields
+            if event.has_fields:
+                self._has_events = True
+                self._attempt.record_event()
             self._post_piece(event)
 
     def _make_outcome(self, end: BodyEnd) -> BodyOutcome:
--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -38,11 +38,9 @@
         dependencies.cluster.add_end_listener(dependencies.running.fail_ended)
 
     def start_draining(self, ends_at: float) -> None:
-        """Refuse new requests that are not expected to end by ``ends_at``.
+        """Refuse new requests that may not have ended by ``ends_at``.
 
-        Callers are better served by another node: without this check, 2 to 4
-        streams that arrived in the last seconds before a planned stop were
-        truncated by the end of the process on each of four test days.
+        Another node can serve them, while this one would have to cut them.
         """
         self._node_ends_at = ends_at
 
@@ -71,14 +69,15 @@
         if math.isinf(self._node_ends_at):
             return
         now = context.arrived_at
-        ends_at = self._dependencies.answer_times.estimate_end(context, now)
-        is_accepted = ends_at <= self._node_ends_at
+        end = self._dependencies.answer_times.estimate_end(context, now)
+        is_accepted = end.ends_at <= self._node_ends_at
         log_event(
             'leaving_admission',
             request=context.request.attempt_id,
             route=context.route.name,
             tokens=context.request.answer_tokens,
-            estimate=round(ends_at - now, 3),
+            estimate=round(end.ends_at - now, 3),
+            basis=end.basis.value,
             deadline=round(context.deadline_at - now, 3),
             left=round(self._node_ends_at - now, 3),
             accepted=is_accepted,
--- a/waywell/request/request_attempts.py
+++ b/waywell/request/request_attempts.py
@@ -121,6 +121,11 @@
             self._dependencies.running.discard(attempt)
             destination = attempt.destination
             destination.replica_table.record_end(destination.key)
+            self._dependencies.answer_times.record(
+                self._context,
+                attempt.progress,
+                self._dependencies.clock.read(),
+            )
             attempt.stop()
 
     def drop_others(self, attempt: Attempt) -> None:
--- a/waywell/request/request_context.py
+++ b/waywell/request/request_context.py
@@ -116,7 +116,7 @@
     """Pauses that replicas asked for, and replicas that are leaving."""
 
     answer_times: AnswerTimes = attrs.Factory(AnswerTimes)
-    """Estimates how long complete answers take."""
+    """Bounds the time that answers still take."""
 
 
 @attrs.define
--- a/waywell/request/request_execution.py
+++ b/waywell/request/request_execution.py
@@ -153,7 +153,6 @@
         self._attempts.log(
             'answered', attempt, now, status=status, **end.outcome.describe()
         )
-        self._dependencies.answer_times.record(self._context, now)
         self._dependencies.metrics.record_answer(
             self._context.service, self._get_age()
         )
