Log which boxes a watch retains and which boxes a feed adds or drops

A replica whose entry had gone got requests again from nodes that were never disturbed. The logs had how many boxes a reader retained, but neither which nor why, and nothing at the nodes that follow it, so a list that came back could not be told from one that was never replaced.

--- a/waywell/knowledge/feed.py
+++ b/waywell/knowledge/feed.py
@@ -22,6 +22,7 @@
 from waywell.knowledge.readers import HallReaders
 from waywell.membership.links import PeerLinks
 from waywell.process.actor import Actor, Message
+from waywell.telemetry.events import log_event
 from waywell.version.fleet import BoxLife, Fleet
 
 if TYPE_CHECKING:
@@ -413,7 +414,17 @@
             peer, answer.incarnation, answer.serial, fleet
         )
         seen_at = pending_query.at - answer.boxes_age
+        known = self._cluster.fleet.boxes.keys()
         self._cluster.update_fleet(fleet, seen_at, self._clock.read())
+        boxes = self._cluster.fleet.boxes.keys()
+        if boxes != known:
+            log_event(
+                'boxes_followed',
+                peer=peer,
+                age=answer.boxes_age,
+                gone=','.join(sorted(known - boxes)),
+                new=','.join(sorted(boxes - known)),
+            )
 
 
 def _apply_box_changes(base: Fleet, answer: FeedAnswer) -> Fleet:
--- a/waywell/knowledge/fleet_watch.py
+++ b/waywell/knowledge/fleet_watch.py
@@ -156,6 +156,13 @@
             until = max(until_returned, now + self._choose_retention(box))
             if until > now:
                 self._retained[name] = until
+                log_event(
+                    'box_retained',
+                    box=name,
+                    seconds=round(until - now, 3),
+                    after_outage=until == until_returned,
+                    boxes_age=self._cluster.get_boxes_age(now),
+                )
 
     def _choose_retention(self, box: FleetBox) -> float:
         """Return the seconds for which a missing box is retained."""
