Keep boxes retained when a cut of one node follows an outage

A store that has just returned may turn single nodes away. The end of the latest outage is now kept apart from the verdict on the latest failures.

test_a_cut_right_after_an_outage_does_not_drop_retained_boxes fails without it.

--- a/tests/test_fleet_watch.py
+++ b/tests/test_fleet_watch.py
@@ -93,6 +93,19 @@
     assert harness.list(until + 0.1, make_box('a')) == {'a'}
 
 
+def test_a_cut_right_after_an_outage_does_not_drop_retained_boxes() -> None:
+    """A store that has just returned may turn single nodes away."""
+    harness = FleetWatchHarness(make_box('a'), make_box('b'))
+    for number in range(3):
+        harness.fail(1.4 + 0.6 * number)
+    assert harness.list(3.0, make_box('a')) == {'a', 'b'}
+    harness.fail(3.4, is_reached_by_peer=True)
+    assert harness.list(3.7, make_box('a')) == {'a', 'b'}
+    until = 3.0 + RETURN_RETENTION_SECONDS
+    assert harness.list(until - 0.1, make_box('a')) == {'a', 'b'}
+    assert harness.list(until + 0.1, make_box('a')) == {'a'}
+
+
 def test_a_probe_without_an_answer_to_the_last_failure_is_no_outage() -> None:
     harness = FleetWatchHarness(make_box('a'), make_box('b'))
     harness.fail(1.4, is_reached_by_peer=True)
--- a/tests/test_store_outage.py
+++ b/tests/test_store_outage.py
@@ -4,6 +4,7 @@
 
 import math
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -37,16 +38,20 @@
         if not first_down <= number <= last_down:
             reached_at = now + 0.001
     tracker.record_success(now + 0.5)
-    assert tracker.returned_at == now + 0.5
     return tracker, reached_at
 
 
+def was_outage(tracker: OutageTracker, reached_at: float) -> bool:
+    return tracker.get_outage_end(reached_at) > NEVER
+
+
 @given(PAUSES)
 def test_failures_that_no_other_node_contradicts_are_an_outage(
     pauses: list[float],
 ) -> None:
     tracker, reached_at = play_failures(pauses, 0, len(pauses))
-    assert tracker.was_outage(reached_at)
+    end = tracker.get_outage_end(reached_at)
+    assert end == pytest.approx(10.0 + sum(pauses) + 0.5)
 
 
 @given(PAUSES)
@@ -54,7 +59,7 @@
     pauses: list[float],
 ) -> None:
     tracker, reached_at = play_failures(pauses, len(pauses), len(pauses))
-    assert not tracker.was_outage(reached_at)
+    assert not was_outage(tracker, reached_at)
 
 
 @given(PAUSES)
@@ -63,7 +68,7 @@
 ) -> None:
     last = max(1, len(pauses) - 1)
     tracker, reached_at = play_failures(pauses, last, last)
-    assert not tracker.was_outage(reached_at)
+    assert not was_outage(tracker, reached_at)
 
 
 @given(PAUSES.filter(lambda pauses: len(pauses) > 1))
@@ -71,20 +76,20 @@
     pauses: list[float],
 ) -> None:
     tracker, reached_at = play_failures(pauses, 0, len(pauses) - 2)
-    assert tracker.was_outage(reached_at)
+    assert was_outage(tracker, reached_at)
 
 
 @given(PAUSES.filter(lambda pauses: len(pauses) > 3))
 def test_an_outage_may_follow_a_cut(pauses: list[float]) -> None:
     tracker, reached_at = play_failures(pauses, 1, len(pauses))
-    assert tracker.was_outage(reached_at)
+    assert was_outage(tracker, reached_at)
 
 
 def test_a_single_failure_is_judged_by_later_reports_too() -> None:
     tracker, reached_at = play_failures([1.0], 0, 0)
-    assert tracker.was_outage(reached_at)
-    assert tracker.was_outage(10.9)
-    assert not tracker.was_outage(11.0)
+    assert was_outage(tracker, reached_at)
+    assert was_outage(tracker, 10.9)
+    assert not was_outage(tracker, 11.0)
 
 
 def test_each_series_of_failures_is_judged_apart() -> None:
@@ -92,10 +97,24 @@
     tracker.record_failure(NEVER, 10.0)
     tracker.record_failure(10.001, 10.5)
     tracker.record_success(11.0)
-    assert not tracker.was_outage(10.501)
+    assert tracker.get_outage_end(10.501) == NEVER
     tracker.record_failure(10.501, 20.0)
     tracker.record_success(20.5)
-    assert tracker.was_outage(10.501)
+    assert tracker.get_outage_end(10.501) == 20.5
+
+
+def test_a_cut_right_after_an_outage_does_not_end_it_earlier() -> None:
+    """A store that has just returned may turn single nodes away."""
+    tracker = OutageTracker()
+    tracker.record_failure(NEVER, 10.0)
+    tracker.record_failure(NEVER, 11.0)
+    tracker.record_success(12.0)
+    tracker.record_failure(NEVER, 12.4)
+    tracker.record_success(12.7)
+    assert tracker.get_outage_end(12.401) == 12.0
+    tracker.record_failure(12.401, 13.0)
+    tracker.record_success(13.3)
+    assert tracker.get_outage_end(13.001) == 12.0
 
 
 def test_no_return_is_kept_after_a_reset() -> None:
@@ -104,4 +123,4 @@
     tracker.reset()
     assert not tracker.is_failing
     tracker.record_success(10.5)
-    assert tracker.returned_at == -math.inf
+    assert tracker.get_outage_end(NEVER) == NEVER
--- a/waywell/knowledge/fleet_watch.py
+++ b/waywell/knowledge/fleet_watch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from waywell.connection.platform import Kind, PlatformFault
@@ -153,13 +152,13 @@
         self._outage.record_success(now)
         log_event(
             'box_list_regained',
-            was_outage=self._was_outage(),
+            was_outage=self._get_outage_end() == now,
             boxes_age=self._cluster.get_boxes_age(now),
         )
 
-    def _was_outage(self) -> bool:
-        """Return whether other nodes could not reach the platform either."""
-        return self._outage.was_outage(self._cluster.store_reached_at)
+    def _get_outage_end(self) -> float:
+        """Return when the platform answered again after its latest outage."""
+        return self._outage.get_outage_end(self._cluster.store_reached_at)
 
     def _retain_vanished(
         self,
@@ -178,14 +177,15 @@
             if box is None or box.leaving:
                 continue
             until = self._choose_retention_end(box, now)
-            if max(until, self._get_outage_retention_end()) <= now:
+            after_outage = self._get_outage_end() + RETURN_RETENTION_SECONDS
+            if max(until, after_outage) <= now:
                 continue
             self._retained[name] = until
             log_event(
                 'box_retained',
                 box=name,
-                seconds=round(until - now, 3),
-                was_outage=self._was_outage(),
+                seconds=round(max(until, after_outage) - now, 3),
+                after_outage=after_outage > now,
                 boxes_age=self._cluster.get_boxes_age(now),
             )
 
@@ -206,17 +206,11 @@
         confirmed_at = now - self._cluster.get_boxes_age(now)
         return confirmed_at + self._head_retention
 
-    def _get_outage_retention_end(self) -> float:
-        """Return until when any missing box is retained after an outage."""
-        if not self._was_outage():
-            return -math.inf
-        return self._outage.returned_at + RETURN_RETENTION_SECONDS
-
     def _drop_retained(
         self, listed: dict[BoxId, FleetBox], now: float
     ) -> None:
         """Drop retained boxes that are listed again or have expired."""
-        after_outage = self._get_outage_retention_end()
+        after_outage = self._get_outage_end() + RETURN_RETENTION_SECONDS
         for name, until in tuple(self._retained.items()):
             if name in listed or now > max(until, after_outage):
                 self._retained.pop(name)
