Track the pace of streams apart for each number of tokens per event

A version of the routes that changes how many tokens an event holds would have bounded streams by the pace of events of another size. Found by reading; test_engines_are_estimated_apart fails without it.

--- a/tests/test_answer_times.py
+++ b/tests/test_answer_times.py
@@ -206,9 +206,11 @@
     assert estimate_seconds(times) == expected
 
 
-def test_models_are_estimated_apart() -> None:
+def test_engines_are_estimated_apart() -> None:
     times = AnswerTimes()
     record_stream(times, 10.0, 87, service=ServiceName('other'))
+    single = Engine(9, (EngineModel(MODEL, 2),), steps_a_pass=1)
+    record_stream(times, 10.0, 87, engine=single)
     assert estimate_seconds(times) == 60.0
 
 
--- a/waywell/request/answer_times.py
+++ b/waywell/request/answer_times.py
@@ -27,12 +27,12 @@
 """Minimum number of events of a stream from which a pace is computed."""
 
 MAX_ENGINES = 400
-"""Maximum number of pairs of service and model that are kept.  The least
-recently observed pairs are evicted, because services are added and removed
-while the node runs."""
+"""Maximum number of kinds of engines that are kept.  Those observed least
+recently are evicted, because services are added and removed while the node
+runs."""
 
-EngineKey = tuple[ServiceName, ModelName]
-"""Service and model whose replicas run at about the same pace."""
+EngineKey = tuple[ServiceName, ModelName, int]
+"""Service, model and tokens per event of engines of about the same pace."""
 
 
 class EstimateBasis(enum.Enum):
@@ -122,7 +122,7 @@
 
 
 class AnswerTimes:
-    """Tracks the slowest recent streams of each service and model.
+    """Tracks the slowest recent streams of each kind of engine.
 
     How long earlier answers took says little about the next one, which may be
     many times longer.  A stream's end is therefore computed from the most
@@ -136,7 +136,7 @@
         self._windows: dict[EngineKey, _Windows] = {}
 
     def __len__(self) -> int:
-        """Return the number of pairs of service and model that are kept."""
+        """Return the number of kinds of engines that are kept."""
         return len(self._windows)
 
     def record(
@@ -194,7 +194,12 @@
 
 
 def _make_key(context: RequestContext) -> EngineKey:
-    return context.service, context.request.model
+    stride = _get_tokens_per_event(context)
+    return context.service, context.request.model, stride
+
+
+def _get_tokens_per_event(context: RequestContext) -> int:
+    return 1 if context.engine is None else context.engine.steps_a_pass
 
 
 def _count_most_events(context: RequestContext) -> float:
@@ -202,9 +207,7 @@
     tokens = context.request.answer_tokens
     if not tokens:
         return math.inf
-    engine = context.engine
-    stride = 1 if engine is None else engine.steps_a_pass
-    return math.ceil(tokens / stride)
+    return math.ceil(tokens / _get_tokens_per_event(context))
 
 
 def _compute_full_pass(context: RequestContext) -> float:
