Retain heads without an entry as long as before where polls are on time

The retention of heads counted from the last list that had them, so a node that polls more often than others, as the one that forms groups does, retained a lost head for 1.1 s in place of 0.85 s. It now counts from the poll that was due after that list: shorter after failed calls, else as before.

--- a/waywell/knowledge/fleet_watch.py
+++ b/waywell/knowledge/fleet_watch.py
@@ -202,9 +202,11 @@
             return now
         if standing.rank:
             return now + MEMBER_RETENTION_SECONDS
-        # The head's entry may have gone right after the last list that had it.
+        # The head's entry may have gone right after the last list that had it,
+        # which is older than one interval after failed calls.
         confirmed_at = now - self._cluster.get_boxes_age(now)
-        return confirmed_at + self._head_retention
+        missed_at = min(now, confirmed_at + self._scope.interval)
+        return missed_at + self._head_retention
 
     def _drop_retained(
         self, listed: dict[BoxId, FleetBox], now: float
--- a/waywell/knowledge/poll_intervals.py
+++ b/waywell/knowledge/poll_intervals.py
@@ -135,8 +135,8 @@
     """Interval between two queries to the reader."""
 
     vanished_retention: float
-    """Time for which a box may still receive requests after the last list that
-    had its entry was requested."""
+    """Time for which a box without an entry may still receive requests, if it
+    is missed at the first poll that is due."""
 
     @property
     def max_age_difference(self) -> float:
@@ -163,7 +163,8 @@
         route_watch_seconds=ROUTE_WATCH_FRACTION * route_max_age,
         route_max_age=route_max_age,
         ask_interval=ask_interval,
-        # The entry may have gone right after that list, and followers learn of
-        # it one query later than the reader.
-        vanished_retention=max(0.0, leaving - ask_interval - SEND_MARGIN),
+        # The list shows it one poll late, and followers one query later still.
+        vanished_retention=max(
+            0.0, leaving - box_interval - ask_interval - SEND_MARGIN
+        ),
     )
