Count reports of peers about the store also when they come late

A busy peer may take longer to call the store than the reader takes to its next call. Its report then came after the second failure, where only what was known at that moment counted, so a cut of the reader passed for an outage. Reports are now kept with the time of the question (StoreSightings) and count for it whenever they come; a peer gets 0.5 s in place of 0.25 s.

test_reports_that_come_after_the_return_count fails without it.

--- a/waywell/knowledge/feed.py
+++ b/waywell/knowledge/feed.py
@@ -171,7 +171,7 @@
     def request_probes(self) -> None:
         """Ask some peers, by turns, whether they reach the store.
 
-        ``ClusterView.store_reached_at`` shows what they find.
+        ``ClusterView.store_sightings`` shows what they find.
         """
         now = self._clock.read()
         peers = sorted(self._links.list_peers())
@@ -366,9 +366,7 @@
         if pending_query.probes_store:
             log_event('store_probed', peer=peer, reached=answer.reached_store)
         if answer.reached_store:
-            self._cluster.store_reached_at = max(
-                self._cluster.store_reached_at, pending_query.at
-            )
+            self._cluster.store_sightings.add(pending_query.at)
         if pending_query.wants_boxes:
             if peer == self._readers.own_reader:
                 self._loads.record(peer, answer.loads, self._clock.read())
--- a/waywell/knowledge/fleet_watch.py
+++ b/waywell/knowledge/fleet_watch.py
@@ -75,7 +75,7 @@
         self._cluster = context.cluster
         self._listed: dict[BoxId, FleetBox] = {}
         self._retained: dict[BoxId, float] = {}
-        self._outage = OutageTracker()
+        self._outage = OutageTracker(context.cluster.store_sightings)
 
     def dump(self) -> dict[str, object]:
         """Return the state as plain values."""
@@ -136,7 +136,7 @@
     def handle_fault(self, fault: PlatformFault, now: float) -> None:
         """Record an outage; read the whole list again unless refused."""
         if fault is not PlatformFault.HISTORY_GONE:
-            self._outage.record_failure(self._cluster.store_reached_at, now)
+            self._outage.record_failure(now)
             if self._context.reads_for_others():
                 self._request_probes()
         if fault is not PlatformFault.REFUSED:
@@ -152,14 +152,10 @@
         self._outage.record_success(now)
         log_event(
             'box_list_regained',
-            was_outage=self._get_outage_end() == now,
+            was_outage=self._outage.get_outage_end() == now,
             boxes_age=self._cluster.get_boxes_age(now),
         )
 
-    def _get_outage_end(self) -> float:
-        """Return when the platform answered again after its latest outage."""
-        return self._outage.get_outage_end(self._cluster.store_reached_at)
-
     def _retain_vanished(
         self,
         listed: dict[BoxId, FleetBox],
@@ -177,7 +173,9 @@
             if box is None or box.leaving:
                 continue
             until = self._choose_retention_end(box, now)
-            after_outage = self._get_outage_end() + RETURN_RETENTION_SECONDS
+            after_outage = (
+                self._outage.get_outage_end() + RETURN_RETENTION_SECONDS
+            )
             if max(until, after_outage) <= now:
                 continue
             self._retained[name] = until
@@ -212,7 +210,7 @@
         self, listed: dict[BoxId, FleetBox], now: float
     ) -> None:
         """Drop retained boxes that are listed again or have expired."""
-        after_outage = self._get_outage_end() + RETURN_RETENTION_SECONDS
+        after_outage = self._outage.get_outage_end() + RETURN_RETENTION_SECONDS
         for name, until in tuple(self._retained.items()):
             if name in listed or now > max(until, after_outage):
                 self._retained.pop(name)
--- a/waywell/knowledge/store_probe.py
+++ b/waywell/knowledge/store_probe.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from waywell.ids import NodeId
 
-PROBE_SECONDS = 0.25
+PROBE_SECONDS = 0.5
 """Timeout of a probe, in seconds.  A call that is answered later may have
 waited for the end of an outage."""
 
