Judge an outage by the time in which nobody reached the store

Reports of peers ruled an outage out even if they came from a store that had just returned: a call that hangs until the end of an outage fails only then, and the peers that are asked at its failure reach the store at once. Boxes that lived were dropped.

An outage is now a series of failures with 1.2 s in which nobody is known to have reached the store. A peer that was asked has reached it at some time up to its report, so a late report does not shorten that time. Peers are also asked while an answer is overdue, so that a link that hangs is told from an outage before the call fails, and every 0.3 s until the store answers.

--- a/tests/test_cut_readers.py
+++ b/tests/test_cut_readers.py
@@ -12,6 +12,7 @@
 
 from tests.front_harness import FrontHarness
 from tests.relay import Relay
+from waywell.knowledge.store_outage import SHORTEST_OUTAGE
 from waywell.standins.harness import Process, wait_until
 
 if TYPE_CHECKING:
@@ -89,6 +90,14 @@
                 f'{replicas} replicas',
             )
 
+    def wait_list_age(self, name: str, seconds: float) -> None:
+        """Wait until a node's box list is older than some seconds."""
+        node = self.nodes[name]
+        wait_until(
+            lambda: self.dump(node)['fleet']['age_seconds'] > seconds,
+            'an older list',
+        )
+
     def close(self) -> None:
         self.front.close()
         for link in self.links.values():
@@ -138,6 +147,8 @@
     for name in polling:
         hall.wait_line(name, 'event=platform_lost', 'part=boxes')
         hall.wait_line(name, 'event=store_probed', 'reached=False')
+        # The list was asked for up to one poll before it was answered.
+        hall.wait_list_age(name, SHORTEST_OUTAGE + 1.0)
     for name in ('a1', 'a2'):
         hall.front.store.remove('servers', name)
     hall.front.store.is_down = False
--- a/waywell/knowledge/cluster_view.py
+++ b/waywell/knowledge/cluster_view.py
@@ -11,7 +11,7 @@
 from waywell.ids import ModelName
 from waywell.knowledge.readiness_gate import ReadinessGate, StartupState
 from waywell.knowledge.restored_entries import RestoredEntries
-from waywell.knowledge.store_outage import StoreSightings
+from waywell.knowledge.store_outage import OutageTracker
 from waywell.telemetry.events import log_event
 from waywell.version.fleet import (
     BoxLife,
@@ -71,7 +71,7 @@
         self.fleet = Fleet({})
         self.fleet_serial = 0
         self.retained_boxes: frozenset[BoxId] = frozenset()
-        self.store_sightings = StoreSightings()
+        self.outage = OutageTracker()
         self.last_models: dict[BoxLife, ModelName] = {}
         self.lives = LifeTracker(promises.group_stall)
         self.restored = RestoredEntries()
--- a/waywell/knowledge/feed.py
+++ b/waywell/knowledge/feed.py
@@ -41,7 +41,7 @@
 """Query intervals that a node waits before it reads newer routes itself; the
 answer to the first query to its reader should contain them."""
 
-PROBING_PEERS = 3
+PROBING_PEERS = 2
 """Number of peers that are asked to call the store; several, because some may
 have been cut off from it together with this node."""
 
@@ -171,7 +171,7 @@
     def request_probes(self) -> None:
         """Ask some peers, by turns, whether they reach the store.
 
-        ``ClusterView.store_sightings`` shows what they find.
+        ``ClusterView.outage`` learns of those that do.
         """
         now = self._clock.read()
         peers = sorted(self._links.list_peers())
@@ -366,7 +366,8 @@
         if pending_query.probes_store:
             log_event('store_probed', peer=peer, reached=answer.reached_store)
         if answer.reached_store:
-            self._cluster.store_sightings.add(pending_query.at)
+            now = self._clock.read()
+            self._cluster.outage.record_sighting(pending_query.at, now)
         if pending_query.wants_boxes:
             if peer == self._readers.own_reader:
                 self._loads.record(peer, answer.loads, self._clock.read())
--- a/waywell/knowledge/fleet_watch.py
+++ b/waywell/knowledge/fleet_watch.py
@@ -2,18 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from waywell.connection.platform import Kind, PlatformFault
 from waywell.ids import BoxId
 from waywell.knowledge.platform_watch import PlatformWatch, WatchScope
-from waywell.knowledge.store_outage import OutageTracker
 from waywell.telemetry.events import log_event
 from waywell.version.fleet import Fleet, FleetBox, MemberState
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Set
 
+    from returns.result import Result
+
     from waywell.connection.platform import Changes
     from waywell.knowledge.platform_watch import WatchContext
     from waywell.knowledge.poll_intervals import PollIntervals
@@ -27,6 +29,14 @@
 retained; boxes that live are listed again within two seconds.  Not after a
 time in which only this node was cut off: their entries went for good then."""
 
+OVERDUE_SECONDS = 0.3
+"""Seconds by which an answer is late when other nodes are asked whether they
+reach the platform."""
+
+PROBE_INTERVAL = 0.3
+"""Seconds between such questions until the platform answers; a fraction of the
+shortest outage, so that a single report may be lost."""
+
 MEMBER_RETENTION_SECONDS = 6.0
 """Seconds for which a member of a serving group is retained without an entry.
 
@@ -75,7 +85,8 @@
         self._cluster = context.cluster
         self._listed: dict[BoxId, FleetBox] = {}
         self._retained: dict[BoxId, float] = {}
-        self._outage = OutageTracker(context.cluster.store_sightings)
+        self._outage = context.cluster.outage
+        self._probe_timer: asyncio.TimerHandle | None = None
 
     def dump(self) -> dict[str, object]:
         """Return the state as plain values."""
@@ -98,8 +109,7 @@
         self, changes: Changes, asked_at: float, now: float
     ) -> None:
         """Update the box list in force, with missing boxes retained."""
-        if self._outage.is_failing:
-            self._handle_return(now)
+        self._handle_success(now)
         listed = {} if changes.complete else dict(self._listed)
         for stored in changes.objects:
             name = BoxId(stored.name)
@@ -136,25 +146,57 @@
     def handle_fault(self, fault: PlatformFault, now: float) -> None:
         """Record an outage; read the whole list again unless refused."""
         if fault is not PlatformFault.HISTORY_GONE:
-            self._outage.record_failure(now)
-            if self._context.reads_for_others():
-                self._request_probes()
+            self._outage.record_failure()
+            self._request_probes_if_reading()
         if fault is not PlatformFault.REFUSED:
             self.forget_revision()
 
     def handle_idle(self) -> None:
         """Forget the revision and the failures of this node's calls."""
         super().handle_idle()
+        self._stop_probing()
         self._outage.reset()
 
-    def _handle_return(self, now: float) -> None:
-        """Record that the platform answers again."""
+    async def read(self) -> Result[Changes, PlatformFault]:
+        """Read the list; ask other nodes about the platform if it is late."""
+        if self._probe_timer is None:
+            self._schedule_probe(self._scope.watch_seconds + OVERDUE_SECONDS)
+        return await super().read()
+
+    async def stop(self) -> None:
+        """Stop reading."""
+        self._stop_probing()
+        await super().stop()
+
+    def _schedule_probe(self, delay: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._probe_timer = loop.call_later(delay, self._probe_repeatedly)
+
+    def _probe_repeatedly(self) -> None:
+        """Request probes until the platform answers this node."""
+        self._request_probes_if_reading()
+        self._schedule_probe(PROBE_INTERVAL)
+
+    def _request_probes_if_reading(self) -> None:
+        if self._context.reads_for_others():
+            self._request_probes()
+
+    def _stop_probing(self) -> None:
+        if self._probe_timer is not None:
+            self._probe_timer.cancel()
+        self._probe_timer = None
+
+    def _handle_success(self, now: float) -> None:
+        """Record that the platform has answered this node."""
+        self._stop_probing()
+        was_failing = self._outage.is_failing
         self._outage.record_success(now)
-        log_event(
-            'box_list_regained',
-            was_outage=self._outage.get_outage_end() == now,
-            boxes_age=self._cluster.get_boxes_age(now),
-        )
+        if was_failing:
+            log_event(
+                'box_list_regained',
+                was_outage=self._outage.outage_end == now,
+                boxes_age=self._cluster.get_boxes_age(now),
+            )
 
     def _retain_vanished(
         self,
@@ -173,9 +215,7 @@
             if box is None or box.leaving:
                 continue
             until = self._choose_retention_end(box, now)
-            after_outage = (
-                self._outage.get_outage_end() + RETURN_RETENTION_SECONDS
-            )
+            after_outage = self._outage.outage_end + RETURN_RETENTION_SECONDS
             if max(until, after_outage) <= now:
                 continue
             self._retained[name] = until
@@ -210,7 +250,7 @@
         self, listed: dict[BoxId, FleetBox], now: float
     ) -> None:
         """Drop retained boxes that are listed again or have expired."""
-        after_outage = self._outage.get_outage_end() + RETURN_RETENTION_SECONDS
+        after_outage = self._outage.outage_end + RETURN_RETENTION_SECONDS
         for name, until in tuple(self._retained.items()):
             if name in listed or now > max(until, after_outage):
                 self._retained.pop(name)
--- a/waywell/knowledge/store_outage.py
+++ b/waywell/knowledge/store_outage.py
@@ -3,96 +3,67 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 
-MAX_SIGHTINGS = 16
-"""Maximum number of sightings that are kept, several for each of the last
-failed calls."""
+SHORTEST_OUTAGE = 1.2
+"""Shortest outage of the store, in seconds, in which an entry of a box that
+lives may expire.  It is the period of the reports of boxes, of which several
+are missed before an entry expires."""
 
 
-class StoreSightings:
-    """Times after which other nodes are known to have reached the store."""
+class OutageTracker:
+    """Tells an outage of the store from a time in which only this node failed.
+
+    The store was away if nobody is known to have reached it for long.  Other
+    nodes that reach it while this one does not rule an outage out.
+    """
 
     def __init__(self) -> None:
-        """Start without sightings."""
-        self._times: deque[float] = deque(maxlen=MAX_SIGHTINGS)
+        """Start without knowing when the store was reached."""
+        self.is_failing = False
+        self.outage_end = -math.inf
+        self._reached_at = -math.inf
+        self._longest_gap = 0.0
+
+    def record_failure(self) -> None:
+        """Record that a call of this node failed."""
+        self.is_failing = True
 
-    def add(self, asked_at: float) -> None:
-        """Record that a node reached the store.
+    def record_sighting(self, asked_at: float, now: float) -> None:
+        """Record that another node has reached the store.
+
+        It did so after it was asked and before its report arrived, so the
+        store may have been away until now.
 
         Parameters
         ----------
         asked_at
-            Time at which it was asked to, in seconds.
+            Time at which the node was asked to, in seconds.
+        now
+            The current time, in seconds.
         """
-        self._times.append(asked_at)
-
-    def has_between(self, start: float, end: float) -> bool:
-        """Return whether there is one from ``start`` until before ``end``."""
-        return any(start <= asked_at < end for asked_at in self._times)
-
-
-class OutageTracker:
-    """Tells whether the calls that failed lately met an outage of the store.
-
-    Only this node was cut off if another one reached the store while the calls
-    failed.  After several failures, nodes that were asked at the last one
-    don't count: they may have reached a store that had just returned.
-
-    Parameters
-    ----------
-    sightings
-        Times at which other nodes reached the store.
-    """
-
-    def __init__(self, sightings: StoreSightings) -> None:
-        """Start with a store that answers."""
-        self.is_failing = False
-        self._sightings = sightings
-        self._failed_at: tuple[float, ...] = ()
-        self._returned_at = -math.inf
-        self._former_outage_end = -math.inf
-
-    def record_failure(self, now: float) -> None:
-        """Record that a call failed at ``now``, in seconds."""
-        if not self.is_failing:
-            self._former_outage_end = self.get_outage_end()
-            self._failed_at = ()
-        self.is_failing = True
-        # The last three failures are enough to judge by.
-        self._failed_at = (*self._failed_at[-2:], now)
+        self._close_gap(now)
+        self._reached_at = max(self._reached_at, asked_at)
 
     def record_success(self, now: float) -> None:
-        """Record that a call succeeded at ``now``, in seconds."""
-        if self.is_failing:
-            self._returned_at = now
+        """Record that a call of this node succeeded.
+
+        If calls have failed before, ``outage_end`` is set to ``now`` after an
+        outage, and remains as it was after a cut of this node alone.
+        """
+        self._close_gap(now)
+        if self.is_failing and self._longest_gap >= SHORTEST_OUTAGE:
+            self.outage_end = now
         self.is_failing = False
+        self._reached_at = now
+        self._longest_gap = 0.0
 
     def reset(self) -> None:
-        """Forget all failures, as this node stops calling the store."""
+        """Forget all calls, as this node stops calling the store."""
         self.is_failing = False
-        self._failed_at = ()
-        self._returned_at = -math.inf
-        self._former_outage_end = -math.inf
-
-    def get_outage_end(self) -> float:
-        """Return when calls succeeded again after the latest outage.
-
-        A cut of this node alone in between does not change it.
-
-        Returns
-        -------
-        float
-            Time in seconds; negative infinity if there was no outage.
-        """
-        if self._was_outage():
-            return self._returned_at
-        return self._former_outage_end
+        self.outage_end = -math.inf
+        self._reached_at = -math.inf
+        self._longest_gap = 0.0
 
-    def _was_outage(self) -> bool:
-        """Return whether the latest failures met an outage."""
-        if not self._failed_at:
-            return False
-        is_single = len(self._failed_at) == 1
-        end = math.inf if is_single else self._failed_at[-1]
-        return not self._sightings.has_between(self._failed_at[0], end)
+    def _close_gap(self, now: float) -> None:
+        """Measure the time since the store was last reached."""
+        self._longest_gap = max(self._longest_gap, now - self._reached_at)
--- a/waywell/knowledge/store_probe.py
+++ b/waywell/knowledge/store_probe.py
@@ -13,8 +13,8 @@
     from waywell.ids import NodeId
 
 PROBE_SECONDS = 0.5
-"""Timeout of a probe, in seconds.  A call that is answered later may have
-waited for the end of an outage."""
+"""Timeout of a probe, in seconds.  A later report would be of little use, as
+the store may have been away until it arrives."""
 
 
 class StoreProbe:
