List the failing test of a box that leaves while its reader is suspended

The time in which a reader does not run counts as time in which nobody reached the store. If a call fails at its wake, boxes that left meanwhile are retained, and its followers get them back.

--- a/tests/test_cut_readers.py
+++ b/tests/test_cut_readers.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import signal
 from typing import TYPE_CHECKING
 
 import pytest
@@ -165,3 +166,23 @@
         for line in hall.find_lines(name, 'event=boxes_followed', 'gone=a')
     ]
     assert not lost
+
+
+def test_box_that_leaves_while_its_reader_is_suspended_is_not_put_back(
+    hall: HallHarness,
+) -> None:
+    """A reader that did not run knows nothing of an outage."""
+    reader = hall.nodes[hall.reader]
+    (other,) = [node for node in hall.nodes.values() if node is not reader]
+    reader.send_signal(signal.SIGSTOP)
+    wait_until(reader.is_stopped, 'the reader to be suspended')
+    hall.front.store.remove('servers', 'a1')
+    wait_until(
+        lambda: hall.dump(other)['serving']['app/'] == 1,
+        'the other node to drop the replica',
+    )
+    reader.send_signal(signal.SIGCONT)
+    hall.wait_serving(1)
+    for name in hall.nodes:
+        assert not hall.find_lines(name, 'event=box_retained', 'box=a1')
+        assert not hall.find_lines(name, 'event=boxes_followed', 'new=a1')
