Exclude the time in which a reader was suspended from an outage

The checks that a process makes four times a second now show such a time, and it is excluded.

test_box_that_leaves_while_its_reader_is_suspended_is_dropped (fleet watch) fails without it.

--- a/tests/test_fleet_watch.py
+++ b/tests/test_fleet_watch.py
@@ -165,6 +165,15 @@
     assert harness.list(60.4, make_box('a')) == {'a'}
 
 
+def test_box_that_leaves_while_its_reader_is_suspended_is_dropped() -> None:
+    """A reader that did not run knows nothing of an outage."""
+    harness = FleetWatchHarness(make_box('a'), make_box('b'))
+    harness.watch.resume_reading(1.1)
+    harness.watch.resume_reading(5.0)
+    harness.fail(5.1)
+    assert harness.list(5.4, make_box('a')) == {'a'}
+
+
 def test_head_that_leaves_during_a_cut_is_dropped_within_the_bound() -> None:
     """Its entry may have gone right after the last list that had it."""
     head, member = make_group('big.7', 'a', 'b')
--- a/tests/test_store_outage.py
+++ b/tests/test_store_outage.py
@@ -66,6 +66,27 @@
     assert tracker.outage_end == -math.inf
 
 
+def test_a_time_in_which_this_node_did_not_run_is_no_outage() -> None:
+    tracker = make_failing_tracker()
+    tracker.exclude(3.0, 13.2)
+    tracker.record_success(13.4)
+    assert tracker.outage_end == -math.inf
+
+
+def test_an_outage_beside_such_a_time_is_seen() -> None:
+    tracker = make_failing_tracker()
+    tracker.exclude(1.0, 12.0)
+    tracker.record_success(11.1 + SHORTEST_OUTAGE)
+    assert tracker.outage_end == 11.1 + SHORTEST_OUTAGE
+
+
+def test_no_future_time_is_excluded() -> None:
+    tracker = make_failing_tracker()
+    tracker.exclude(5.0, 12.0)
+    tracker.record_success(12.1 + SHORTEST_OUTAGE)
+    assert tracker.outage_end == 12.1 + SHORTEST_OUTAGE
+
+
 def test_each_series_of_failures_is_judged_apart() -> None:
     tracker = make_failing_tracker()
     tracker.record_success(13.0)
--- a/waywell/knowledge/fleet_watch.py
+++ b/waywell/knowledge/fleet_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from waywell.connection.platform import Kind, PlatformFault
@@ -37,6 +38,10 @@
 """Seconds between such questions until the platform answers; a fraction of the
 shortest outage, so that a single report may be lost."""
 
+MAX_CHECK_SECONDS = 0.5
+"""Longest time between two checks whether to read, in seconds, of a process
+that was not suspended."""
+
 MEMBER_RETENTION_SECONDS = 6.0
 """Seconds for which a member of a serving group is retained without an entry.
 
@@ -87,6 +92,7 @@
         self._retained: dict[BoxId, float] = {}
         self._outage = context.cluster.outage
         self._probe_timer: asyncio.TimerHandle | None = None
+        self._checked_at = math.inf
 
     def dump(self) -> dict[str, object]:
         """Return the state as plain values."""
@@ -157,6 +163,14 @@
         self._stop_probing()
         self._outage.reset()
 
+    def resume_reading(self, now: float) -> None:
+        """Resume reading; exclude a time in which the process did not run."""
+        stalled = now - self._checked_at - MAX_CHECK_SECONDS
+        self._checked_at = now
+        if stalled > 0:
+            self._outage.exclude(stalled, now)
+        super().resume_reading(now)
+
     async def read(self) -> Result[Changes, PlatformFault]:
         """Read the list; ask other nodes about the platform if it is late."""
         if self._probe_timer is None:
--- a/waywell/knowledge/store_outage.py
+++ b/waywell/knowledge/store_outage.py
@@ -57,6 +57,18 @@
         self._reached_at = now
         self._longest_gap = 0.0
 
+    def exclude(self, seconds: float, now: float) -> None:
+        """Exclude a time in which this node did not run.
+
+        Parameters
+        ----------
+        seconds
+            Length of that time, which has just ended.
+        now
+            The current time, in seconds.
+        """
+        self._reached_at = min(now, self._reached_at + seconds)
+
     def reset(self) -> None:
         """Forget all calls, as this node stops calling the store."""
         self.is_failing = False
