Log where the requests run that a stopping node cuts

The log said only how many requests were cut, so a replica that had fallen silent could not be told from a slow caller, a long answer, or a time limit about to end. One line for each attempt, of at most 64 requests.

--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -462,6 +462,7 @@
         while self.in_flight and self.clock.read() < ends_at:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         cut = self.in_flight
+        self._forwarder.log_unfinished(self.clock.read())
         self._ports.hang_up()
         while self._ports.count_callers() and self.clock.read() < ends_at:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -171,6 +171,12 @@
         """Return the replica; ``None`` if a peer selects it."""
         return self.destination.replica
 
+    def get_last_arrival(self) -> float:
+        """Return when the last event arrived, or the start without one."""
+        return (
+            self.progress.last_at if self.progress.events else self.started_at
+        )
+
     def start(self, may_send: Callable[[], bool], now: float) -> None:
         """Start the task that sends the request."""
         self.started_at = now
--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -21,6 +21,9 @@
     from waywell.request.decoded_request import DecodedRequest
     from waywell.version.routes import KeyHolder, Route
 
+MAX_LOGGED_REQUESTS = 64
+"""Maximum number of cut requests that are logged when the node stops."""
+
 
 class Forwarder:
     """Serves requests according to the routes and boxes in force.
@@ -35,6 +38,7 @@
         """Subscribe to ended replicas, to fail the attempts at them."""
         self._dependencies = dependencies
         self._node_ends_at = math.inf
+        self._executions: set[RequestExecution] = set()
         dependencies.cluster.add_end_listener(dependencies.running.fail_ended)
 
     def start_draining(self, ends_at: float) -> None:
@@ -62,7 +66,17 @@
             self._dependencies.budget.record_request(
                 context.service, context.arrived_at
             )
-        await RequestExecution(self._dependencies, context, answer).run()
+        execution = RequestExecution(self._dependencies, context, answer)
+        self._executions.add(execution)
+        try:
+            await execution.run()
+        finally:
+            self._executions.discard(execution)
+
+    def log_unfinished(self, now: float) -> None:
+        """Log the requests that still run, which the node's end cuts."""
+        for execution in tuple(self._executions)[:MAX_LOGGED_REQUESTS]:
+            execution.log_unfinished(now)
 
     def _check_node_end(self, context: RequestContext) -> None:
         """Refuse a request that would still run when this node stops."""
--- a/waywell/request/request_execution.py
+++ b/waywell/request/request_execution.py
@@ -81,6 +81,20 @@
         finally:
             self._attempts.drop_all()
 
+    def log_unfinished(self, now: float) -> None:
+        """Log where the request runs and since when no piece arrived."""
+        context = self._context
+        for attempt in self._attempts.running:
+            self._attempts.log(
+                'unfinished',
+                attempt,
+                now,
+                events=attempt.progress.events,
+                silence=round(now - attempt.get_last_arrival(), 3),
+                throttled=attempt.progress.is_throttled,
+                deadline=round(context.deadline_at - now, 3),
+            )
+
     async def on_piece(self, piece: Attempt.Piece) -> None:
         """Relay a piece and drop all other attempts."""
         attempt = piece.attempt
