Accept requests of a stopping node by their deadline once estimates may not fail

Callers saw streams cut at the end of a node's grace time, which it had accepted after SIGTERM: a refusal would have sent them elsewhere (LOST).

Cause: the node promised an end from what it had seen before. The pace of earlier streams, with the longest pause of the last minutes, bounds an answer only as long as its replica goes on; a silence of a second after the request was passed on outlasts the bound. Evidence: the test with a real daemon, in which a stream that was accepted 3.2 s after SIGTERM was cut; no bound by pace holds against it, whatever its margin.

Only a deadline bounds an answer. Later requests need a deadline within the node's time, and so do those that a peer forwards, as that peer goes on.

--- a/tests/test_answer_times.py
+++ b/tests/test_answer_times.py
@@ -11,6 +11,7 @@
 
 from tests.forwarder_harness import ForwarderHarness
 from waywell.codes import Code, Ran
+from waywell.connection.forwarding import ForwardingHeader
 from waywell.ids import ModelName, ServiceName
 from waywell.request.answer_times import (
     MARGIN,
@@ -21,6 +22,7 @@
     EstimateBasis,
 )
 from waywell.request.decoded_request import DecodedRequest
+from waywell.request.drain_window import DrainWindow
 from waywell.request.request_context import RequestContext
 from waywell.request.stream_progress import StreamProgress
 from waywell.version.routes import (
@@ -105,6 +107,16 @@
     return pytest.approx(GOAL + pause + events * pace * MARGIN)
 
 
+def drain(
+    harness: ForwarderHarness, seconds: float, estimates: float = 60.0
+) -> None:
+    """Let the node end after a time, and rely on estimates for another."""
+    now = harness.clock.now
+    harness.forwarder.start_draining(
+        DrainWindow(now + estimates, now + seconds)
+    )
+
+
 def test_short_answers_do_not_shorten_the_estimate_of_a_long_one() -> None:
     """A stream may take as long as its most tokens do, at the pace seen.
 
@@ -277,7 +289,7 @@
             await harness.deliver_events(first, number)
         await harness.deliver_end(first)
         assert harness.answer.end == 'complete'
-        harness.forwarder.start_draining(harness.clock.now + 2.0)
+        drain(harness, 2.0)
         harness.attempts.clear()
         await harness.submit(answer_tokens=10)
         assert len(harness.attempts) == 1
@@ -314,13 +326,80 @@
         task.cancel()
         await harness.run_pending()
 
-    async def drain() -> None:
+    async def play_both() -> None:
         await play(0.05)
         await play(0.3)
-        harness.forwarder.start_draining(harness.clock.now + 3.0)
+        drain(harness, 3.0)
         await harness.submit(answer_tokens=10)
 
-    asyncio.run(drain())
+    asyncio.run(play_both())
     assert len(harness.attempts) == 2
     assert harness.refusal is not None
     assert harness.refusal.code is Code.NODE_LEAVING
+
+
+async def observe_stream(harness: ForwarderHarness) -> None:
+    """Serve a whole stream of ten events, 0.05 s apart."""
+    await harness.submit(answer_tokens=10)
+    (first,) = harness.attempts
+    await harness.deliver_head(first)
+    for number in range(1, 11):
+        harness.clock.now += 0.05
+        await harness.deliver_events(first, number)
+    await harness.deliver_end(first)
+    harness.attempts.clear()
+
+
+@pytest.mark.parametrize(
+    ('waited', 'seconds', 'forwarded', 'is_accepted'),
+    [
+        (0.5, 30.0, None, True),
+        (3.0, 30.0, None, True),
+        (3.1, 30.0, None, False),
+        (3.1, 4.3, None, True),
+        (3.1, 4.31, None, False),
+        (0.5, 30.0, ForwardingHeader('peer', 1), False),
+        (0.5, 6.8, ForwardingHeader('peer', 1), True),
+    ],
+)
+def test_estimates_are_relied_on_only_by_requests_that_may_be_cut(
+    harness: ForwarderHarness,  # noqa: F811
+    waited: float,
+    seconds: float,
+    forwarded: ForwardingHeader | None,
+    is_accepted: bool,
+) -> None:
+    """A silence may outlast each estimate, but no deadline.
+
+    Answers to requests sent later than 3 s after the signal to stop are never
+    cut, and those that a peer forwards neither, as the peer goes on.
+    """
+
+    async def play() -> None:
+        await observe_stream(harness)
+        drain(harness, 7.4, estimates=3.0)
+        harness.clock.now += waited
+        await harness.submit(
+            forwarded, answer_tokens=10, timeout_seconds=seconds
+        )
+
+    asyncio.run(play())
+    assert bool(harness.attempts) is is_accepted
+    assert (harness.refusal is None) is is_accepted
+
+
+def test_a_resumed_stream_is_bounded_by_its_deadline_as_well(
+    harness: ForwarderHarness,  # noqa: F811
+) -> None:
+    """A caller may resume a stream at a node that stops."""
+
+    async def play() -> None:
+        await observe_stream(harness)
+        drain(harness, 7.4, estimates=3.0)
+        harness.clock.now += 3.5
+        await harness.submit(resume_after=8, answer_tokens=10)
+
+    asyncio.run(play())
+    assert not harness.attempts
+    assert harness.refusal is not None
+    assert harness.refusal.code is Code.NODE_LEAVING
--- a/tests/test_silence_after_sigterm.py
+++ b/tests/test_silence_after_sigterm.py
@@ -1,16 +1,19 @@
-"""Replicas that fall silent after a front daemon got SIGTERM."""
+"""Answers that are under way when a front daemon gets SIGTERM."""
 
 from __future__ import annotations
 
 import http.client
 import signal
+import socket
+import threading
 import time
 from typing import TYPE_CHECKING
 
 import pytest
 
 from tests.broken_bodies import BodyScript, Ending, Framing
-from tests.front_harness import FrontHarness
+from tests.fake_platform import HOST, KEY, make_manifest
+from tests.front_harness import WHOLE_STREAM, FrontHarness
 from waywell.codes import Code
 from waywell.standins.harness import wait_until
 
@@ -82,3 +85,82 @@
     assert answer.getheader('waywell-code') == str(int(Code.NODE_LEAVING))
     assert answer.getheader('waywell-ran') == 'not_run'
     assert len(front.list_runs('m1', 'm2', 'm3', 'm4')) == runs
+
+
+def test_a_silence_ends_no_answer_before_the_last_sixth(
+    front: FrontHarness,
+) -> None:
+    """A node may cut a silent answer only when its time is almost over."""
+    process = start_with_known_pace(front)
+    hush(front)
+    sent_at = time.monotonic()
+    process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not front.is_ready(process), 'the node to leave')
+    with pytest.raises(http.client.IncompleteRead):
+        front.send_request(process, '/notes/2', 'small', **SHORT_TOKENS)
+    assert time.monotonic() - sent_at >= 8.0 * 5 / 6
+    log = (front.folder / 'front-1.log').read_text()
+    assert 'event=unfinished request=attempt-2' in log
+
+
+def test_a_caller_that_reads_late_gets_its_whole_answer(
+    front: FrontHarness,
+) -> None:
+    """A stopping node ends only after its callers have read their answers."""
+    front.add_servers()
+    process = front.start()
+    front.wait_serving(process)
+    body = b'0123456789abcdef' * 250_000
+    for name in ('a1', 'a2'):
+        front.servers[name].script.append(
+            BodyScript(Framing.LENGTH, Ending.ANNOUNCED, body, '')
+        )
+    caller = socket.create_connection(
+        ('127.0.0.1', process.ports['caller_port']), 20
+    )
+    caller.sendall(
+        f'GET /stock/1 HTTP/1.1\r\nHost: {HOST}\r\n'
+        f'X-Request-Attempt-Id: late\r\nX-Deadline-Ms: 8000\r\n'
+        f'Authorization: Bearer {KEY}\r\n\r\n'.encode()
+    )
+    wait_until(lambda: front.list_runs('a1', 'a2'), 'the run')
+    process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not front.is_ready(process), 'the node to leave')
+    answer = http.client.HTTPResponse(caller)
+    answer.begin()
+    assert (answer.status, answer.read()) == (200, body)
+    caller.close()
+    assert process.wait() == 0
+
+
+def test_a_manifest_ends_no_answer_of_a_stopping_node(
+    front: FrontHarness,
+) -> None:
+    """Shorter time limits apply to later requests only."""
+    process = start_with_known_pace(front)
+    hush(front)
+    answers: list[tuple[int, bytes]] = []
+
+    def ask() -> None:
+        status, body, _answer = front.send_request(
+            process, '/notes/2', 'small', **SHORT_TOKENS
+        )
+        answers.append((status, body))
+
+    thread = threading.Thread(target=ask)
+    thread.start()
+    heads = ('m1', 'm2', 'm3', 'm4')
+    wait_until(lambda: len(front.list_runs(*heads)) > 1, 'the run')
+    process.send_signal(signal.SIGTERM)
+    manifest = make_manifest(2)
+    manifest['routes'][0]['timeout_ms'] = 100
+    manifest['limits']['idle_timeout_ms'] = 100
+    front.store.put('config', 'main', manifest)
+    log = front.folder / 'front-1.log'
+    wait_until(
+        lambda: 'routes_in_force version=2' in log.read_text(), 'the manifest'
+    )
+    for server in front.servers.values():
+        server.unblocked.set()
+    thread.join()
+    assert answers == [(200, WHOLE_STREAM)]
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -77,21 +77,6 @@
 """Seconds that a node waits at the first start for the seeds to read the
 platform for it: the time of two attempts to reach a seed."""
 
-ENTRY_LIST_TERM_FACTOR = 3.0
-"""Multiple of its term for which some callers keep the entry list."""
-
-REFUSAL_MARGIN = 2.0
-"""Seconds before the forced end of the process at which the node stops
-accepting new requests."""
-
-DRAIN_MARGIN = 0.6
-"""Seconds before the forced end of the process at which the node cuts the
-requests that still run."""
-
-WITHDRAW_MARGIN = 0.3
-"""Seconds after that cut that the node may spend on removing its presence from
-the platform."""
-
 DRAIN_POLL_SECONDS = 0.05
 """Seconds between checks of the work in flight while the node stops."""
 
@@ -164,17 +149,15 @@
         """Leave the entry list, finish the work in flight, then stop.
 
         New requests are served for as long as callers may use an earlier
-        entry list, if they are expected to end before the process does.
+        entry list, unless the end of the process may cut their answers.
         """
-        promises = self.settings.promises
-        ends_at = self.clock.read() + promises.stop_within - DRAIN_MARGIN
-        self._forwarder.start_draining(ends_at)
-        await self._leave()
-        cut = await self._drain(ends_at)
+        times = self.settings.promises.make_drain_times(self.clock.read())
+        self._forwarder.start_draining(times.window)
+        await self._leave(times.accepts_until)
+        cut = await self._drain(times.window.ends_at)
         for task in self._background_tasks:
             task.cancel()
-        left = ends_at + WITHDRAW_MARGIN - self.clock.read()
-        await self.presence.withdraw(left)
+        await self.presence.withdraw(times.withdrawn_by - self.clock.read())
         self._ports.close()
         for actor in self.actors:
             await actor.stop()
@@ -435,15 +418,20 @@
         in_flight = count_by_model(loads, self.cluster.fleet)
         return self.demand.observe(in_flight, now)
 
-    async def _leave(self) -> None:
-        """Leave the entry list and wait until callers have dropped it."""
-        promises = self.settings.promises
+    async def _leave(self, dropped_at: float) -> None:
+        """Leave the entry list and wait until callers have dropped it.
+
+        Parameters
+        ----------
+        dropped_at
+            Time at which no caller uses an earlier entry list any more, in
+            seconds of the clock.
+        """
         log_event('leaving', node=self.settings.node.name)
         self._is_leaving = True
         self.gossip.post(Gossip.OwnRecordChange(state=NodeState.LEAVING))
         await self.forming.release()
-        kept = promises.entry_list_term * ENTRY_LIST_TERM_FACTOR
-        await asyncio.sleep(min(kept, promises.stop_within - REFUSAL_MARGIN))
+        await asyncio.sleep(dropped_at - self.clock.read())
 
     async def _drain(self, ends_at: float) -> int:
         """Finish the work in flight.
--- a/waywell/process/front_settings.py
+++ b/waywell/process/front_settings.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from waywell.process.front_drain import DrainTimes, make_drain_times
 from waywell.request.resend_budget import ResendLimits
 from waywell.telemetry.timing import TimingSettings
 from waywell.version.input_validation import InvalidInputError, structure_input
@@ -112,6 +113,11 @@
     stop_within: float = 8.0
     """Time from the signal to stop until the process is killed, in seconds."""
 
+    cut_answers_within: float = 3.0
+    """Time after the signal to stop within which a request may be sent whose
+    answer the end of the node cuts if its replica still works, in seconds.
+    Answers to later requests are cut at their deadline only."""
+
     entry_list_kept: float = 2.0
     """Time for which callers may keep the entry list, in seconds."""
 
@@ -123,6 +129,15 @@
         """Return how long callers may keep the entry list, in seconds."""
         return min(self.entry_list_kept, self.entry_list_most)
 
+    def make_drain_times(self, now: float) -> DrainTimes:
+        """Return the times of a stop that begins at ``now``, in seconds."""
+        return make_drain_times(
+            now,
+            stop_within=self.stop_within,
+            cut_answers_within=self.cut_answers_within,
+            entry_list_term=self.entry_list_term,
+        )
+
     @property
     def group_stall(self) -> float:
         """Return how long a group may stall after a loss, in seconds."""
--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from waywell.codes import Code, Refusal
@@ -19,6 +18,7 @@
 
 if TYPE_CHECKING:
     from waywell.request.decoded_request import DecodedRequest
+    from waywell.request.drain_window import DrainWindow
     from waywell.version.routes import KeyHolder, Route
 
 MAX_LOGGED_REQUESTS = 64
@@ -37,16 +37,16 @@
     def __init__(self, dependencies: ForwarderDependencies) -> None:
         """Subscribe to ended replicas, to fail the attempts at them."""
         self._dependencies = dependencies
-        self._node_ends_at = math.inf
+        self._drain_window: DrainWindow | None = None
         self._executions: set[RequestExecution] = set()
         dependencies.cluster.add_end_listener(dependencies.running.fail_ended)
 
-    def start_draining(self, ends_at: float) -> None:
-        """Refuse new requests that may not have ended by ``ends_at``.
+    def start_draining(self, window: DrainWindow) -> None:
+        """Refuse new requests that may not end within the window.
 
         Another node can serve them, while this one would have to cut them.
         """
-        self._node_ends_at = ends_at
+        self._drain_window = window
 
     async def serve(
         self, request: DecodedRequest, answer: AnswerWriter
@@ -80,11 +80,12 @@
 
     def _check_node_end(self, context: RequestContext) -> None:
         """Refuse a request that would still run when this node stops."""
-        if math.isinf(self._node_ends_at):
+        window = self._drain_window
+        if window is None:
             return
         now = context.arrived_at
         end = self._dependencies.answer_times.estimate_end(context, now)
-        is_accepted = end.ends_at <= self._node_ends_at
+        is_accepted = window.may_accept(context, end)
         log_event(
             'leaving_admission',
             request=context.request.attempt_id,
@@ -93,7 +94,9 @@
             estimate=round(end.ends_at - now, 3),
             basis=end.basis.value,
             deadline=round(context.deadline_at - now, 3),
-            left=round(self._node_ends_at - now, 3),
+            left=round(window.ends_at - now, 3),
+            estimates_left=round(window.estimates_until - now, 3),
+            forwarded=context.request.forwarded is not None,
             accepted=is_accepted,
         )
         if not is_accepted:
--- a/waywell/request/request_execution.py
+++ b/waywell/request/request_execution.py
@@ -105,7 +105,7 @@
         attempt.destination.replica_table.record_event(
             attempt.destination.key, now
         )
-        if not self._is_next(piece):
+        if not _is_next(piece, self._context.last_event):
             # Another attempt is ahead of this one, or it skipped an event.
             await self._fail(attempt, now, f'event_{piece.event.number}')
             return
@@ -307,12 +307,6 @@
         elif not self._context.passed_unnumbered_part:
             self._context.passed_unnumbered_part = event.has_fields
 
-    def _is_next(self, piece: Attempt.Piece) -> bool:
-        """Return whether a piece directly continues the answer."""
-        last = self._context.last_event
-        number = piece.event.number
-        return number is None or last is None or number == last + 1
-
     def _record_pause(self, attempt: Attempt, now: float) -> None:
         """Record how long a replica with work was silent."""
         if attempt.has_begun:
@@ -417,5 +411,11 @@
         )
 
 
+def _is_next(piece: Attempt.Piece, last: int | None) -> bool:
+    """Return whether a piece directly continues the answer."""
+    number = piece.event.number
+    return number is None or last is None or number == last + 1
+
+
 class _Answered(Exception):  # noqa: N818 - control flow, not an error
     """The request has ended with an answer, complete or aborted."""
