Close only idle connections while a stopping node waits for its answers

A node that saw no request in flight closed all connections of callers. A request that was read whole, but whose task had not run yet, was not counted: it was passed on to a replica, and its caller saw a closed connection (LOST). Found by reading; the window is one iteration of the event loop.

A connection is idle until the first line of a request arrives on it, and again when its answer is written. The node closes those that are, until none is left or its time is over.

test_a_stopping_node_closes_no_connection_with_a_request_on_it fails with the former close_connections in its place.

--- a/tests/test_front_channel.py
+++ b/tests/test_front_channel.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
@@ -36,7 +38,8 @@
             report=lambda *_args: None,
         )
         self.served: list[DecodedRequest] = []
-        self.channel = FrontSite(backend).buildProtocol(None)
+        self.site = FrontSite(backend)
+        self.channel = self.site.buildProtocol(None)
         self.channel.callLater = self.clock.callLater
         self.transport = _Transport()
         self.channel.makeConnection(self.transport)
@@ -122,3 +125,23 @@
     harness.channel.dataReceived(b'GET /next HTTP/1.1\r\nHost: a\r\n\r\n')
     assert harness.transport.value() == answer
     assert not harness.served
+
+
+def test_a_stopping_node_closes_no_connection_with_a_request_on_it() -> None:
+    """A request that was read waits for its task, which may not run yet.
+
+    The node counted no request in flight then, closed the connection, and
+    the request was passed on to a replica without its caller.
+    """
+
+    async def read_and_close(raw: bytes) -> ChannelHarness:
+        channel_harness = ChannelHarness(15.0)
+        channel_harness.channel.dataReceived(raw)
+        channel_harness.site.close_idle_connections()
+        assert not channel_harness.served
+        return channel_harness
+
+    whole = b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n'
+    assert asyncio.run(read_and_close(whole)).is_open()
+    assert asyncio.run(read_and_close(whole[:20])).is_open()
+    assert not asyncio.run(read_and_close(b'')).is_open()
--- a/waywell/connection/caller_base.py
+++ b/waywell/connection/caller_base.py
@@ -190,6 +190,15 @@
     def log(self, request: Any) -> None:
         """Write no access log; the node logs its own request events."""
 
+    def close_idle_connections(self) -> None:
+        """Close the connections on which no request was begun.
+
+        A request counts from its first line, before a task serves it.
+        """
+        for channel in tuple(self.channels):
+            if not channel.requests:
+                channel.loseConnection()
+
     def close_connections(self) -> None:
         """Close all connections once their buffered output is sent."""
         for channel in tuple(self.channels):
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -447,13 +447,13 @@
             Number of requests that were still in flight at that time.
         """
         self._ports.stop_accepting()
-        while self.in_flight and self.clock.read() < ends_at:
+        while self._ports.count_callers() and self.clock.read() < ends_at:
+            if not self.in_flight:
+                self._ports.hang_up_idle()
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         cut = self.in_flight
         self._forwarder.log_unfinished(self.clock.read())
         self._ports.hang_up()
-        while self._ports.count_callers() and self.clock.read() < ends_at:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
         return cut
 
     async def _serve(
--- a/waywell/process/front_ports.py
+++ b/waywell/process/front_ports.py
@@ -94,6 +94,10 @@
         """Stop accepting connections of callers."""
         self._listening[0].stopListening()
 
+    def hang_up_idle(self) -> None:
+        """Close the connections of callers that wait for no answer."""
+        self._site.close_idle_connections()
+
     def hang_up(self) -> None:
         """Close each caller's connection once its answer is written."""
         self._site.close_connections()
