Let callers keep the list of front nodes for 1 s, so that they leave a stopping one

A stopping node refuses long streams 3 s after the signal, as their answers might outlast it. Some callers keep the list for three times its term, 6 s, and were refused by one stopping node after the other while a round of restarts went on. The node also waited 6 s for them before it ended, so that fewer nodes were up.

With a term of 1 s the last callers leave after 3 s, and a node ends as soon as its answers have. Callers look the list up twice as often: a look-up is a small answer from memory.

--- a/waywell/process/front_settings.py
+++ b/waywell/process/front_settings.py
@@ -118,7 +118,7 @@
     answer the end of the node cuts if its replica still works, in seconds.
     Answers to later requests are cut at their deadline only."""
 
-    entry_list_kept: float = 2.0
+    entry_list_kept: float = 1.0
     """Time for which callers may keep the entry list, in seconds."""
 
     entry_list_most: float = 5.0
