Reproduce the cut in a silence with one size of answers

The test asked for a shorter stream than the one that showed the pace, which estimated apart and so refused.

--- a/tests/test_silence_after_sigterm.py
+++ b/tests/test_silence_after_sigterm.py
@@ -26,8 +26,8 @@
 LONG_STREAM = b''.join(b'id: %d\ndata: t\n\n' % n for n in range(1, 13))
 """Body with enough events to show the pace of an engine."""
 
-SHORT_TOKENS = {'X_Token_Count': '100,6'}
-"""Most tokens of a stream that is shorter than the observed one."""
+TOKENS = {'X_Token_Count': '100,12'}
+"""Prompt tokens and most tokens of the answer of each stream."""
 
 
 @pytest.fixture
@@ -47,7 +47,7 @@
             BodyScript(Framing.CHUNKED, Ending.ANNOUNCED, LONG_STREAM)
         )
     status, body, _answer = front.send_request(
-        process, '/notes/1', 'small', X_Token_Count='100,12'
+        process, '/notes/1', 'small', **TOKENS
     )
     assert (status, body) == (200, LONG_STREAM)
     return process
@@ -77,7 +77,7 @@
     wait_until(lambda: time.monotonic() - sent_at > 3.2, 'a late request')
     try:
         status, _body, answer = front.send_request(
-            process, '/notes/2', 'small', **SHORT_TOKENS
+            process, '/notes/2', 'small', **TOKENS
         )
     except http.client.IncompleteRead:
         pytest.fail('the node cut an answer that it had accepted')
@@ -97,7 +97,7 @@
     process.send_signal(signal.SIGTERM)
     wait_until(lambda: not front.is_ready(process), 'the node to leave')
     with pytest.raises(http.client.IncompleteRead):
-        front.send_request(process, '/notes/2', 'small', **SHORT_TOKENS)
+        front.send_request(process, '/notes/2', 'small', **TOKENS)
     assert time.monotonic() - sent_at >= 8.0 * 5 / 6
     log = (front.folder / 'front-1.log').read_text()
     assert 'event=unfinished request=attempt-2' in log
@@ -143,7 +143,7 @@
 
     def ask() -> None:
         status, body, _answer = front.send_request(
-            process, '/notes/2', 'small', **SHORT_TOKENS
+            process, '/notes/2', 'small', **TOKENS
         )
         answers.append((status, body))
 
