--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -420,3 +420,39 @@
     asyncio.run(scenario())
     assert harness.answer.body == b'part'
     assert harness.answer.end == 'aborted'
+
+
+async def run_clock(
+    harness: ForwarderHarness, task: asyncio.Task, seconds: float
+) -> None:
+    """Advance the manual clock in step with the event loop's timers."""
+    ends_at = harness.clock.now + seconds
+    while harness.clock.now < ends_at and not task.done():
+        await asyncio.sleep(0.02)
+        harness.clock.now += 0.02
+
+
+def test_a_diagnosis_of_the_links_holds_no_request_beyond_its_deadline(
+    harness: ForwarderHarness,  # noqa: F811
+) -> None:
+    async def play() -> bool:
+        diagnosed = asyncio.Event()
+
+        async def diagnose(_service: object) -> None:
+            await diagnosed.wait()
+
+        harness.paths.await_diagnosis = diagnose  # type: ignore[method-assign]
+        harness.connects_at_once = False
+        task = await harness.submit(timeout_seconds=0.2)
+        for number in range(2):
+            attempt = harness.attempts[number]
+            attempt.post(Attempt.Fault(attempt, SendFault.NOT_SENT))
+            await harness.run_pending()
+        await run_clock(harness, task, 1.0)
+        has_ended = task.done()
+        diagnosed.set()
+        await run_clock(harness, task, 1.0)
+        assert task.done()
+        return has_ended
+
+    assert asyncio.run(play())
--- a/waywell/request/request_attempts.py
+++ b/waywell/request/request_attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from waywell.codes import Code, Refusal
@@ -293,8 +295,14 @@
         """Return whether peers have to forward, after diagnosing the links."""
         if self._context.request.forwarded is not None:
             return False
-        await self._dependencies.paths.await_diagnosis(self._context.service)
-        return self._is_partitioned()
+        clock = self._dependencies.clock
+        deadline_at = self._context.deadline_at
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, deadline_at - clock.read())):
+                await self._dependencies.paths.await_diagnosis(
+                    self._context.service
+                )
+        return clock.read() < deadline_at and self._is_partitioned()
 
     def _is_partitioned(self) -> bool:
         """Return whether this node is cut off from the service's replicas."""
