Answer requests that have no answer yet when a node ends

At its end a node closed the connections of requests whose answer had not begun. Their callers could not tell whether the request had run. They get code 2004 now, as not run or as possibly run, right before the connections are closed; answers that were begun are cut as before, so that none looks complete.

The line unfinished said throttled=False for a caller that read nothing, because only long queues of pieces pause the replica, so a late reader looked like a silent replica. It says caller_blocks now.

--- a/tests/test_answer_times.py
+++ b/tests/test_answer_times.py
@@ -403,3 +403,45 @@
     assert not harness.attempts
     assert harness.refusal is not None
     assert harness.refusal.code is Code.NODE_LEAVING
+
+
+@pytest.mark.parametrize(
+    ('is_connected', 'ran'), [(False, Ran.NOT_RUN), (True, Ran.MAY_HAVE_RUN)]
+)
+def test_the_end_of_a_node_answers_requests_without_an_answer(
+    harness: ForwarderHarness,  # noqa: F811
+    is_connected: bool,
+    ran: Ran,
+) -> None:
+    """A closed connection would not tell the caller whether it ran."""
+    harness.connects_at_once = is_connected
+
+    async def play() -> asyncio.Task:
+        task = await harness.submit()
+        harness.forwarder.end_requests(harness.clock.now)
+        await harness.run_pending()
+        return task
+
+    assert asyncio.run(play()).done()
+    assert harness.refusal is not None
+    assert harness.refusal.code is Code.NODE_LEAVING
+    assert harness.refusal.ran is ran
+
+
+def test_the_end_of_a_node_completes_no_answer_that_was_begun(
+    harness: ForwarderHarness,  # noqa: F811
+) -> None:
+    async def play() -> None:
+        task = await harness.submit()
+        (attempt,) = harness.attempts
+        await harness.deliver_head(attempt)
+        await harness.deliver_events(attempt, 1)
+        harness.forwarder.end_requests(harness.clock.now)
+        await harness.deliver_events(attempt, 2)
+        assert not task.done()
+        task.cancel()
+
+    asyncio.run(play())
+    assert harness.answer.body.count(b'id: ') == 2
+    assert not harness.answer.end
+    assert harness.refusal is None
--- a/tests/test_silence_after_sigterm.py
+++ b/tests/test_silence_after_sigterm.py
@@ -103,6 +103,32 @@
     assert 'event=unfinished request=attempt-2' in log
 
 
+def test_a_short_grace_time_ends_no_answer_before_its_last_sixth(
+    front: FrontHarness,
+) -> None:
+    front.add_servers()
+    process = front.start(stop_within=3.0)
+    front.wait_serving(process)
+    hush(front)
+    errors: list[float] = []
+
+    def ask() -> None:
+        try:
+            front.send_request(process, '/notes/1', 'small')
+        except (http.client.HTTPException, ConnectionError):
+            errors.append(time.monotonic())
+
+    thread = threading.Thread(target=ask)
+    thread.start()
+    heads = ('m1', 'm2', 'm3', 'm4')
+    wait_until(lambda: front.list_runs(*heads), 'the run')
+    sent_at = time.monotonic()
+    process.send_signal(signal.SIGTERM)
+    thread.join()
+    assert errors
+    assert errors[0] - sent_at >= 3.0 * 5 / 6
+
+
 def test_a_caller_that_reads_late_gets_its_whole_answer(
     front: FrontHarness,
 ) -> None:
--- a/waywell/process/front.py
+++ b/waywell/process/front.py
@@ -451,8 +451,10 @@
             if not self.in_flight:
                 self._ports.hang_up_idle()
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        if self.in_flight:
+            self._forwarder.end_requests(self.clock.read())
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
         cut = self.in_flight
-        self._forwarder.log_unfinished(self.clock.read())
         self._ports.hang_up()
         return cut
 
--- a/waywell/request/forwarder.py
+++ b/waywell/request/forwarder.py
@@ -21,9 +21,6 @@
     from waywell.request.drain_window import DrainWindow
     from waywell.version.routes import KeyHolder, Route
 
-MAX_LOGGED_REQUESTS = 64
-"""Maximum number of cut requests that are logged when the node stops."""
-
 
 class Forwarder:
     """Serves requests according to the routes and boxes in force.
@@ -73,10 +70,13 @@
         finally:
             self._executions.discard(execution)
 
-    def log_unfinished(self, now: float) -> None:
-        """Log the requests that still run, which the node's end cuts."""
-        for execution in tuple(self._executions)[:MAX_LOGGED_REQUESTS]:
-            execution.log_unfinished(now)
+    def end_requests(self, now: float) -> None:
+        """Answer the requests whose answers were not begun; log all others.
+
+        The end of the node cuts the answers that were begun.
+        """
+        for execution in tuple(self._executions):
+            execution.end_with_node(now)
 
     def _check_node_end(self, context: RequestContext) -> None:
         """Refuse a request that would still run when this node stops."""
--- a/waywell/request/request_execution.py
+++ b/waywell/request/request_execution.py
@@ -5,6 +5,8 @@
 import inspect
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.exchange import SendFault
 from waywell.process.actor import get_handler_name
@@ -52,6 +54,9 @@
         Writes the answer to the caller.
     """
 
+    class NodeEnd(msgspec.Struct, frozen=True):
+        """The node is about to end."""
+
     def __init__(
         self,
         dependencies: ForwarderDependencies,
@@ -65,6 +70,7 @@
         self._inbox = Inbox()
         self._attempts = RequestAttempts(dependencies, context, self._inbox)
         self._begun_status = 0
+        self._is_caller_blocking = False
 
     async def run(self) -> None:
         """Run attempts until the request is answered or given up.
@@ -81,8 +87,11 @@
         finally:
             self._attempts.drop_all()
 
-    def log_unfinished(self, now: float) -> None:
-        """Log where the request runs and since when no piece arrived."""
+    def end_with_node(self, now: float) -> None:
+        """Log the attempts that the node's end cuts, and refuse to wait.
+
+        Without a part of the answer the caller still gets a complete one.
+        """
         context = self._context
         for attempt in self._attempts.running:
             self._attempts.log(
@@ -91,9 +100,15 @@
                 now,
                 events=attempt.progress.events,
                 silence=round(now - attempt.get_last_arrival(), 3),
-                throttled=attempt.progress.is_throttled,
+                caller_blocks=self._is_caller_blocking,
                 deadline=round(context.deadline_at - now, 3),
             )
+        self._inbox.put(self.NodeEnd())
+
+    def on_node_end(self, _end: RequestExecution.NodeEnd) -> None:
+        """Give up a request whose answer was not begun."""
+        if not self._context.is_begun:
+            self._give_up(Code.NODE_LEAVING, retry_after=0)
 
     async def on_piece(self, piece: Attempt.Piece) -> None:
         """Relay a piece and drop all other attempts."""
@@ -101,7 +116,7 @@
         if attempt not in self._attempts.running or attempt.head is None:
             return
         now = self._dependencies.clock.read()
-        self._record_pause(attempt, now)
+        _record_pause(attempt, now)
         attempt.destination.replica_table.record_event(
             attempt.destination.key, now
         )
@@ -112,7 +127,9 @@
         self._select_attempt(attempt, now)
         self._record_event(piece.event)
         self._begin(attempt.head)
+        self._is_caller_blocking = True
         await self._answer.write(piece.event.raw)
+        self._is_caller_blocking = False
 
     async def on_head(self, head: Attempt.Head) -> None:
         """Accept the head of an answer, or try another destination."""
@@ -307,13 +324,6 @@
         elif not self._context.passed_unnumbered_part:
             self._context.passed_unnumbered_part = event.has_fields
 
-    def _record_pause(self, attempt: Attempt, now: float) -> None:
-        """Record how long a replica with work was silent."""
-        if attempt.has_begun:
-            destination = attempt.destination
-            heard_at = destination.replica_table.get(destination.key).heard_at
-            destination.on_pause(now - heard_at)
-
     def _select_attempt(self, attempt: Attempt, now: float) -> None:
         """Continue with the attempt that received a piece; drop all others."""
         self._attempts.drop_others(attempt)
@@ -411,6 +421,14 @@
         )
 
 
+def _record_pause(attempt: Attempt, now: float) -> None:
+    """Record how long a replica with work was silent."""
+    if attempt.has_begun:
+        destination = attempt.destination
+        heard_at = destination.replica_table.get(destination.key).heard_at
+        destination.on_pause(now - heard_at)
+
+
 def _is_next(piece: Attempt.Piece, last: int | None) -> bool:
     """Return whether a piece directly continues the answer."""
     number = piece.event.number
