Let a repeated SIGTERM change nothing about a stop under way

Callers saw their answers break off when a stopping node got SIGTERM again within its grace period.

Daemon stopped the reactor on any second signal, without waiting for the node's stop. A repeated SIGTERM is now only logged (stop_signal_repeated), so the node retains its whole grace period; SIGINT during a stop still ends the process at once. A SIGTERM after a stop that failed still ends the process, which would otherwise run on.

Measured with real daemons: before the change both tests of a repeated SIGTERM failed, the front daemon's with [] in place of [(200, 'close')], the entry daemon's with [] in place of one stream of 400 tokens; the callers got no whole answer.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import signal
 import threading
 from collections import deque
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import pytest
@@ -243,6 +245,66 @@
     assert process.wait() == 0
 
 
+def test_a_repeated_sigterm_cuts_no_requests_in_flight(
+    served: tuple[FrontHarness, Process],
+) -> None:
+    front, process = served
+    for name in ('a1', 'a2'):
+        front.servers[name].unblocked.clear()
+    answers: list[tuple[int, str | None]] = []
+
+    def ask() -> None:
+        with suppress(OSError, http.client.HTTPException):
+            status, _body, answer = front.send_request(process, '/match/1')
+            answers.append((status, answer.getheader('connection')))
+
+    thread = threading.Thread(target=ask)
+    thread.start()
+    wait_until(lambda: front.list_runs('a1', 'a2'), 'the run')
+    process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not front.is_ready(process), 'the node to leave')
+    process.send_signal(signal.SIGTERM)
+    repeated = 'event=stop_signal_repeated signal=SIGTERM ends_now=False'
+    wait_until(
+        lambda: (
+            not process.is_running() or repeated in process.log.read_text()
+        ),
+        'the second signal to be handled',
+    )
+    for name in ('a1', 'a2'):
+        front.servers[name].unblocked.set()
+    thread.join()
+    assert answers == [(200, 'close')]
+    assert process.wait() == 0
+    assert 'event=stopped' in process.log.read_text()
+
+
+@pytest.mark.parametrize('first', [signal.SIGTERM, signal.SIGINT])
+def test_sigint_ends_a_stop_under_way(
+    served: tuple[FrontHarness, Process], first: signal.Signals
+) -> None:
+    """A person at a terminal need not wait for the requests in flight."""
+    front, process = served
+    for name in ('a1', 'a2'):
+        front.servers[name].unblocked.clear()
+    answers: list[int] = []
+
+    def ask() -> None:
+        with suppress(OSError, http.client.HTTPException):
+            answers.append(front.send_request(process, '/match/1')[0])
+
+    thread = threading.Thread(target=ask)
+    thread.start()
+    wait_until(lambda: front.list_runs('a1', 'a2'), 'the run')
+    process.send_signal(first)
+    wait_until(lambda: not front.is_ready(process), 'the node to leave')
+    process.send_signal(signal.SIGINT)
+    assert process.wait() == 0
+    thread.join()
+    assert not answers
+    assert 'event=stopped' not in process.log.read_text()
+
+
 def test_a_stopping_node_refuses_requests_that_it_can_not_finish(
     served: tuple[FrontHarness, Process],
 ) -> None:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 import time
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import pytest
@@ -73,6 +74,33 @@
     assert process.wait() == 0
 
 
+def test_a_repeated_sigterm_cuts_no_answers(pair: Bench) -> None:
+    answers: list[Answer] = []
+
+    def work() -> None:
+        with suppress(UnreachableError):
+            stream(pair, 'entry-1', 400, answers)
+
+    thread = threading.Thread(target=work)
+    thread.start()
+    wait_until(lambda: list_runs(pair), 'the stream to begin')
+    process = pair.entries['entry-1']
+    process.send_signal(signal.SIGTERM)
+    wait_until(
+        lambda: 'event=leaving' in process.log.read_text(),
+        'the entry box to leave',
+    )
+    process.send_signal(signal.SIGTERM)
+    thread.join()
+    assert [answer.body.count(b'"token"') for answer in answers] == [400]
+    assert answers[0].body.endswith(b'data: [DONE]\n\n')
+    assert process.wait() == 0
+    assert (
+        'event=stop_signal_repeated signal=SIGTERM ends_now=False'
+        in process.log.read_text()
+    )
+
+
 def test_stopping_entry_delivers_the_answer_to_a_slow_reader(
     pair: Bench,
 ) -> None:
--- a/waywell/daemon.py
+++ b/waywell/daemon.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import signal
+from contextlib import suppress
 from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol
 
 from twisted.internet import asyncioreactor
+from twisted.internet.error import ReactorNotRunning
 
 from waywell.process.clock import read_boot_clock
 from waywell.telemetry.events import log_event, open_log
@@ -31,9 +33,11 @@
 class Daemon:
     """Starts a node and stops it on a signal.
 
-    SIGTERM and SIGINT begin a graceful stop; a second signal ends the process
-    at once.  SIGHUP, which announces that the settings file may have changed,
-    is only logged.
+    SIGTERM and SIGINT begin a graceful stop.  While it is under way, SIGTERM
+    is only logged, since the platform may repeat it within the grace period;
+    SIGINT, which a person sends from a terminal, ends the process at once.
+    SIGHUP, which announces that the settings file may have changed, is only
+    logged.
 
     Parameters
     ----------
@@ -64,7 +68,7 @@
 
     async def _start(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
-            self._loop.add_signal_handler(number, self._begin_stop)
+            self._loop.add_signal_handler(number, self._begin_stop, number)
         self._loop.add_signal_handler(signal.SIGHUP, self._log_hangup)
         try:
             await self._node.start()
@@ -76,11 +80,18 @@
         """Log the signal; settings are read only when a process starts."""
         log_event('reloaded')
 
-    def _begin_stop(self) -> None:
+    def _begin_stop(self, number: signal.Signals) -> None:
         if self._stopping is None:
             self._stopping = self._loop.create_task(self._stop())
-        else:
-            self._reactor.stop()
+            return
+        # A stop that failed would otherwise leave the process running.
+        ends_now = number is signal.SIGINT or self._stopping.done()
+        log_event(
+            'stop_signal_repeated', signal=number.name, ends_now=ends_now
+        )
+        if ends_now:
+            with suppress(ReactorNotRunning):
+                self._reactor.stop()
 
     async def _stop(self) -> None:
         await self._node.stop()
