Refuse at a leaving entry box what may outlast its drain

A leaving entry box accepted every request for entry_list seconds, also those whose deadline was after the end of its drain, and cut the answers that outlasted it. Callers saw a closed connection, while another entry box could have served them.

From the signal on, a request whose deadline (its own or the service's timeout) is after the end of the drain is refused with NODE_LEAVING and the other entry boxes, before its admission and claim. A request id that runs at most once was not claimed then, so its refusal leaves open whether it has run. leaving_admission logs each decision. The addresses no longer name the node itself before its own record has changed.

--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -37,7 +37,7 @@
 from waywell.process.release import may_route_unfenced
 from waywell.process.watch import HallDuty
 from waywell.quarantine.tasks import make_unstored_quarantine
-from waywell.request.admission import Admission
+from waywell.request.admission import Admission, Drain
 from waywell.request.claim import ClaimTable, make_id_prefix
 from waywell.request.dispatcher import Dispatcher, DispatcherParts, NodeFacts
 from waywell.request.facts import REQUEST_ID_HEADER
@@ -89,6 +89,7 @@
         self._transport = GrpcTransport()
         self.incarnation = Incarnation(int(self.clock.read_wall() * 1000))
         self.refuses_new = False
+        self._drain: Drain | None = None
         self._is_started = False
         self._random = Random(self.incarnation)
         self._ports = self._make_ports()
@@ -127,15 +128,16 @@
         """Leave the entry list, finish the work in flight, then stop.
 
         New requests are served for as long as callers may use an earlier
-        entry list.  Later ones are refused as not run, and the refusal
-        lists the other entry boxes.
+        entry list, unless their deadline is after the end of the drain.  All
+        others are refused, and the refusal lists the other entry boxes.
         """
         timing = self.settings.timing
+        ends_at = self.clock.read() + timing.entry_list + timing.drain
+        self._drain = Drain(self.own.node, ends_at, self.list_entries)
         log_event('leaving', node=self.own.node)
         self.gossip.post(Gossip.OwnRecordChange(state=NodeState.LEAVING))
         await asyncio.sleep(timing.entry_list)
         self.refuses_new = True
-        ends_at = self.clock.read() + timing.drain
         while self.admission.total and self.clock.read() < ends_at:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         # Slow callers may still be reading the last answers.
@@ -156,6 +158,7 @@
                 age,
                 self.settings.timing.route_term,
             ),
+            drain=self._drain,
         )
 
     def is_usable(self, group: Group) -> bool:
@@ -384,8 +387,8 @@
 
     async def _serve(self, submission: Any, caller: Any) -> None:
         self._require_started()
-        if self.refuses_new:
-            self._dispatcher.refuse_leaving(submission, self.list_entries())
+        if self._drain is not None and self.refuses_new:
+            self._dispatcher.refuse_leaving(submission, self._drain)
         await self._dispatcher.serve(submission, caller)
 
     def _require_started(self) -> None:
--- a/waywell/request/admission.py
+++ b/waywell/request/admission.py
@@ -1,4 +1,4 @@
-"""Admission control of one entry box: account limits and node capacity.
+"""Admission control of one entry box: account limits, capacity and drain.
 
 There is no shared store: each entry box enforces an equal share of every
 account's limits, divided by the number of live entry boxes that it knows.
@@ -7,13 +7,18 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
 
+import attrs
 from returns.result import Failure, Result, Success
 
 from waywell.codes import Code, Refusal
+from waywell.ids import NodeId
+from waywell.telemetry.events import log_event
 
 if TYPE_CHECKING:
+    from waywell.request.submission import PendingRequest
     from waywell.version.objects import Account
 
 BURST_SECONDS = 1.0
@@ -26,6 +31,56 @@
 """Retry-after value, in seconds, for a limit on requests in flight."""
 
 
+@attrs.frozen
+class Drain:
+    """Time in which a leaving node finishes its work."""
+
+    node: NodeId
+    """Node that leaves."""
+
+    ends_at: float
+    """Time at which requests are cut, by the node's clock, in seconds."""
+
+    list_entries: Callable[[], dict[str, Any]]
+    """Returns the entry list as callers get it."""
+
+    def check(self, work: PendingRequest, now: float) -> None:
+        """Check that a request ends within the drain by its deadline.
+
+        Parameters
+        ----------
+        work
+            Request that was just received.
+        now
+            Current time, in seconds.
+
+        Raises
+        ------
+        Refusal
+            If the deadline is after the end of the drain.
+        """
+        is_accepted = work.deadline_at <= self.ends_at
+        log_event(
+            'leaving_admission',
+            request=work.facts.request_id or '',
+            service=work.service.name,
+            deadline=round(work.deadline_at - now, 3),
+            left=round(self.ends_at - now, 3),
+            accepted=is_accepted,
+        )
+        if not is_accepted:
+            raise self.make_refusal()
+
+    def make_refusal(self) -> Refusal:
+        """Return a refusal with the addresses of the other entry boxes."""
+        names = ' '.join(
+            f'{entry["host"]}:{entry["port"]}'
+            for entry in self.list_entries()['entries']
+            if entry['node'] != self.node
+        )
+        return Refusal(Code.NODE_LEAVING, detail=names, retry_after=0)
+
+
 class TokenBucket:
     """Token bucket whose rate is given with each call."""
 
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 from random import Random
 from types import MappingProxyType
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 import attrs
 from returns.result import Failure, Result
@@ -17,7 +17,7 @@
 from waywell.ids import ServiceName
 from waywell.process.clock import Clock
 from waywell.process.documents import InForce
-from waywell.request.admission import Admission
+from waywell.request.admission import Admission, Drain
 from waywell.request.backpressure import Backpressure
 from waywell.request.claim import ClaimKey, ClaimState
 from waywell.request.decoded_request import AnswerMetadata
@@ -107,6 +107,9 @@
     may_route_unfenced: bool
     """Whether the node may still send to targets that check no fence."""
 
+    drain: Drain | None = None
+    """Drain of the node; ``None`` unless it is leaving."""
+
 
 @attrs.frozen
 class DispatcherParts:
@@ -204,17 +207,13 @@
         finally:
             self._parts.admission.release(work.account.name)
 
-    def refuse_leaving(
-        self,
-        submission: Submission,
-        entries: dict[str, Any],
-    ) -> None:
+    def refuse_leaving(self, submission: Submission, drain: Drain) -> None:
         """Refuse a request because the node is leaving.
 
         Raises
         ------
         Refusal
-            Always, with the addresses of the entry list as its detail.
+            Always, with the addresses of the other entry boxes as its detail.
         """
         facts = _unwrap(
             read_facts(
@@ -223,11 +222,7 @@
                 submission.headers,
             ),
         )
-        names = ' '.join(
-            f'{entry["host"]}:{entry["port"]}' for entry in entries['entries']
-        )
-        refusal = Refusal(Code.NODE_LEAVING, detail=names, retry_after=0)
-        raise self._mark_possibly_run(refusal, facts)
+        raise self._mark_possibly_run(drain.make_refusal(), facts)
 
     def _resolve_request(
         self,
@@ -276,10 +271,14 @@
 
     def _admit(self, work: PendingRequest) -> None:
         """Admit the request, or raise a refusal."""
-        nodes = self._describe_node().live_nodes
+        node = self._describe_node()
         now = self._parts.clock.read()
         self._parts.guard.check(work.traits, now)
-        _unwrap(self._parts.admission.admit(work.account, nodes, now))
+        if node.drain is not None:
+            node.drain.check(work, now)
+        _unwrap(
+            self._parts.admission.admit(work.account, node.live_nodes, now)
+        )
         self._parts.budget.earn(work.account.name)
 
     def _mark_possibly_run(
