Limit response heads, collected bodies and events in bytes

Cause: twisted limits a header line, a chunk-size line and the trailers, but neither the number of header lines and interim responses nor a body that is collected. Lines and bodies without end filled the node's memory until the deadline of the call, as did an event of a stream that never ended.

Change: `ClientConnection` counts the bytes of a response's head, with the interim responses before it, up to 32,768; `read_body` takes a maximum (262,144 from boxes, 16,777,216 from the store, 33,554,432 from the entry daemon's store); an event of a stream is limited to 262,144. Above that the connection is aborted and `response_oversized` logged; the answer counts as BROKEN or truncated, a call as UNANSWERED. Invalid framing, a call that is cancelled and a discarded answer abort their connection too. The latter raised an AttributeError before (`ClientResponse` has no `phrase`) when the body of a fenced or unread answer of the entry daemon was discarded.

--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -13,6 +13,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from tests.broken_bodies import BodyScript
+from tests.endless_answers import EndlessAnswer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -90,6 +91,8 @@
         HTTP status of the answers to all calls; 0 to handle them.
     hidden_kinds
         Kinds whose objects are missing from lists.
+    endless
+        Answer without end to all calls, if any.
     servers
         Running servers by name.
     violations
@@ -103,6 +106,7 @@
         self.drops_answers = False
         self.refusal_status = 0
         self.hidden_kinds: set[str] = set()
+        self.endless: EndlessAnswer | None = None
         self.servers: dict[str, Server] = {}
         self.violations: list[str] = []
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
@@ -287,6 +291,11 @@
                     self.drop_connection()
                     return True
                 time.sleep(store.delay_seconds)
+                if store.endless is not None:
+                    store.endless.send_response(
+                        self, {'Store-Era': str(store._era)}
+                    )
+                    return True
                 if store.refusal_status:
                     self.answer(store.refusal_status, {})
                 return bool(store.refusal_status)
@@ -316,8 +325,8 @@
     script
         Actions for the next requests, one each: ``reject``, ``rest``,
         ``late-rest``, ``reset``, ``fail``, ``foreign``, ``cut-N`` and
-        ``wait-N`` for event N of a stream, a script of the whole body, or an
-        empty text for a normal answer.
+        ``wait-N`` for event N of a stream, a script of the whole body, an
+        answer without end, or an empty text for a normal answer.
     members
         Names of the boxes in the last join order.
     fence
@@ -338,6 +347,10 @@
         Called after a crash has closed all connections.
     has_ended
         Whether the server has crashed.
+    endless
+        Answer without end to some requests, if any.
+    endless_paths
+        Beginnings of the paths that are answered without end.
     entry
         Entry in the list of servers, written by ``write_entry``.
     """
@@ -352,7 +365,7 @@
         self.server_limit = ''
         self.is_leaving = False
         self.orders: list[dict[str, Any]] = []
-        self.script: deque[str | BodyScript] = deque()
+        self.script: deque[str | BodyScript | EndlessAnswer] = deque()
         self.members: list[str] = []
         self.fence = 0
         self.orders_begun = 0
@@ -364,6 +377,8 @@
         self.crashes: list[tuple[float, str]] = []
         self.on_crash: Callable[[], None] = lambda: None
         self.has_ended = False
+        self.endless: EndlessAnswer | None = None
+        self.endless_paths: tuple[str, ...] = ()
         self._connections: set[socket.socket] = set()
         self._store = store
         store.servers[name] = self
@@ -526,6 +541,8 @@
                     self.send_header('Server-Limit', server.server_limit)
 
             def do_GET(self) -> None:
+                if self._send_endless():
+                    return
                 if self.path == '/api/report':
                     self.answer(200, server.make_report())
                 else:
@@ -533,6 +550,8 @@
 
             def do_POST(self) -> None:
                 body = self.read_body()
+                if self._send_endless():
+                    return
                 if self.path == '/api/order':
                     self.answer(server._apply_order(json.loads(body)), {})
                 elif (
@@ -549,6 +568,20 @@
                 else:
                     self._handle_request()
 
+            def _send_endless(self) -> bool:
+                """Answer without end if set; return whether it was."""
+                if server.endless is None:
+                    return False
+                if not self.path.startswith(server.endless_paths):
+                    return False
+                attempt = self.headers['X-Request-Attempt-Id'] or ''
+                headers = {
+                    'X-Request-Attempt-Id': attempt,
+                    'X-Replica-Stamp': f'stamp-of-{server.name}',
+                }
+                server.endless.send_response(self, headers)
+                return True
+
             def _handle_request(self) -> None:
                 attempt = self.headers['X-Request-Attempt-Id']
                 server.arrivals.append((time.monotonic(), attempt))
@@ -557,7 +590,7 @@
                     'X-Request-Attempt-Id': attempt,
                     'X-Replica-Stamp': f'stamp-of-{server.name}',
                 }
-                if isinstance(action, BodyScript):
+                if isinstance(action, BodyScript | EndlessAnswer):
                     server.runs.append({**self.headers, 'X-Path': self.path})
                     action.send_response(self, own_headers)
                     return
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -48,7 +48,7 @@
     request = Request(b'GET', b'/', headers, None, persistent=False)
     connection.request(request).addCallback(responses.append)
     connection.dataReceived(HEAD)
-    exchange = Exchange(connection, responses[0])
+    exchange = Exchange(responses[0])
     sink = _RecordingSink(exchange, fails)
     exchange.deliver(sink)
     return connection, sink
--- a/waywell/connection/bodies.py
+++ b/waywell/connection/bodies.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from twisted.internet import defer
 from twisted.internet.protocol import Protocol, connectionDone
@@ -11,6 +11,10 @@
 from zope.interface import implementer
 
 from waywell.connection.body_end import BodyOutcome, classify_body_end
+from waywell.connection.client_connection import (
+    OversizedResponseError,
+    ResponsePart,
+)
 
 if TYPE_CHECKING:
     from twisted.internet.interfaces import IConsumer
@@ -44,21 +48,35 @@
 
 
 class _BodyCollector(Protocol):
-    """Collects a body in memory.
+    """Collects a body of limited size in memory.
 
-    The end of a body that nobody waits for any more is ignored.
+    Bytes and the end of a body that nobody waits for any more are ignored.
     """
 
     def __init__(
-        self, response: ClientResponse, body: asyncio.Future[bytes]
+        self,
+        response: ClientResponse,
+        body: asyncio.Future[bytes],
+        max_bytes: int,
     ) -> None:
         self._response = response
         self._body = body
+        self._max_bytes = max_bytes
         self._received = bytearray()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
-        """Append bytes of the body."""
-        self._received += data
+        """Append bytes of the body, or abort the connection at the limit."""
+        if self._body.done():
+            return
+        size = len(self._received) + len(data)
+        if size <= self._max_bytes:
+            self._received += data
+            return
+        self._received.clear()
+        self._body.set_exception(OversizedResponseError(size))
+        self._response.abort_oversized(
+            ResponsePart.BODY, self._max_bytes, size
+        )
 
     def connectionLost(  # noqa: N802
         self,
@@ -74,7 +92,9 @@
             self._body.set_exception(reason.value)
 
 
-async def read_body(response: ClientResponse, seconds: float) -> bytes:
+async def read_body(
+    response: ClientResponse, seconds: float, max_bytes: int
+) -> bytes:
     """Read the complete body of a response.
 
     ``readBody`` of twisted logs a traceback if the body ends after the wait
@@ -86,19 +106,21 @@
         Response whose headers have been read.
     seconds
         Timeout for the body, in seconds.
+    max_bytes
+        Maximum size of the body in bytes.
 
     Raises
     ------
+    OversizedResponseError
+        If the body exceeds its maximum size.  The connection is aborted.
     TimeoutError
-        If the body is not complete in time.  The connection is closed.
+        If the body is not complete in time.  The connection is aborted, as
+        it is if the caller's task is cancelled.
     """
     body: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-    collector = _BodyCollector(response, body)
-    response.deliverBody(collector)
+    response.deliverBody(_BodyCollector(response, body, max_bytes))
     try:
         return await asyncio.wait_for(body, seconds)
-    except TimeoutError:
-        transport: Any = collector.transport
-        if transport is not None:
-            transport.loseConnection()
+    except (TimeoutError, asyncio.CancelledError):
+        response.abort()
         raise
--- a/waywell/connection/client_connection.py
+++ b/waywell/connection/client_connection.py
@@ -1,7 +1,8 @@
-"""HTTP client connections that record whether they were closed cleanly."""
+"""HTTP client connections with limited responses and a recorded end."""
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -10,6 +11,8 @@
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.web.client import HTTP11ClientProtocol, HTTPConnectionPool
 
+from waywell.telemetry.events import log_warning
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -18,6 +21,27 @@
     from twisted.python.failure import Failure
     from twisted.web.http_headers import Headers
 
+MAX_HEAD_BYTES = 32_768
+"""Maximum size of a response head in bytes: the interim responses before it,
+the status line and all header lines."""
+
+
+class ResponsePart(enum.Enum):
+    """Part of a response whose size is limited."""
+
+    HEAD = 'head'
+    """Interim responses, status line and header lines."""
+
+    BODY = 'body'
+    """Body that is collected in memory."""
+
+    EVENT = 'event'
+    """Event of a stream."""
+
+
+class OversizedResponseError(Exception):
+    """Part of a response exceeds its limit; the connection was aborted."""
+
 
 @attrs.frozen
 class ClientResponse:
@@ -54,24 +78,92 @@
         """Deliver the body to a protocol, with flow control."""
         self._response.deliverBody(protocol)
 
+    def abort(self) -> None:
+        """Abort the connection, which discards the rest of the body."""
+        self._connection.abort()
+
+    def abort_oversized(
+        self, part: ResponsePart, limit: int, received: int
+    ) -> None:
+        """Log that a part exceeds its limit, and abort the connection.
+
+        Parameters
+        ----------
+        part
+            Part of the response that is too large.
+        limit
+            Maximum size of the part in bytes.
+        received
+            Bytes of the part that have arrived, or that are announced.
+        """
+        self._connection.abort_oversized(part, limit, received)
+
 
 class ClientConnection(HTTP11ClientProtocol):
-    """Client connection that records whether it was closed cleanly.
+    """Client connection that limits response heads and records its end.
 
     For a body without a length, twisted reports a clean close and a reset
-    as the same ``PotentialDataLoss``.
+    as the same ``PotentialDataLoss``.  It limits the length of a header line,
+    a chunk-size line and the trailers, but neither the number of header lines
+    nor that of interim responses.
     """
 
     def __init__(self, *quiescent: Callable[[Any], None]) -> None:
         """Initialize before the connection is made."""
         super().__init__(*quiescent)
         self.was_closed = False
+        self._awaits_head = False
+        self._head_bytes = 0
 
     def request(self, request: Any) -> Deferred[ClientResponse]:
         """Send a request; return a deferred of the response without body."""
+        self._awaits_head = True
+        self._head_bytes = 0
         deferred = super().request(request)
+        parser: Any = self._parser
+        if parser is not None:
+            # The limit of the whole head applies, not one of each line.
+            parser.MAX_LENGTH = MAX_HEAD_BYTES
         return deferred.addCallback(self._wrap_response)
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
+        """Process received bytes; abort the connection on a too large head."""
+        rest = data
+        if self._awaits_head:
+            allowed = MAX_HEAD_BYTES - self._head_bytes
+            rest = data[allowed:]
+            self._head_bytes += len(data)
+            super().dataReceived(data[:allowed])
+            if not rest:
+                return
+        if self._awaits_head:
+            self.abort_oversized(
+                ResponsePart.HEAD, MAX_HEAD_BYTES, self._head_bytes
+            )
+        else:
+            super().dataReceived(rest)
+
+    def abort(self) -> None:
+        """Abort the connection; no more bytes are received."""
+        transport: Any = self.transport
+        if transport is not None:
+            transport.abortConnection()
+
+    def abort_oversized(
+        self, part: ResponsePart, limit: int, received: int
+    ) -> None:
+        """Log that a part exceeds its limit, and abort the connection."""
+        transport: Any = self.transport
+        address = transport.getPeer()
+        log_warning(
+            'response_oversized',
+            server=f'{address.host}:{address.port}',
+            part=part.value,
+            limit=limit,
+            received=received,
+        )
+        self.abort()
+
     def connectionLost(  # noqa: N802
         self,
         reason: Failure = connectionDone,
@@ -80,7 +172,15 @@
         self.was_closed = reason.check(ConnectionDone) is not None
         super().connectionLost(reason)
 
+    def _giveUp(self, reason: Failure) -> None:  # noqa: N802
+        super()._giveUp(reason)
+        if reason.check(ConnectionDone) is None:
+            # A server that sends no valid response may not read the rest of
+            # the request, for which an orderly close would wait.
+            self.abort()
+
     def _wrap_response(self, response: Any) -> ClientResponse:
+        self._awaits_head = False
         return ClientResponse(self, response)
 
 
--- a/waywell/connection/exchange.py
+++ b/waywell/connection/exchange.py
@@ -23,6 +23,7 @@
 from waywell.connection.client_connection import (
     ClientConnection,
     ClientResponse,
+    ResponsePart,
 )
 from waywell.connection.deferreds import await_deferred
 from waywell.connection.hop_headers import HOP_BY_HOP_HEADERS
@@ -149,15 +150,12 @@
 
     Parameters
     ----------
-    protocol
-        Connection that carries the request.
     response
         Response whose body is still to be read.
     """
 
-    def __init__(self, protocol: Any, response: ClientResponse) -> None:
+    def __init__(self, response: ClientResponse) -> None:
         """Copy the status, the length and the end-to-end headers."""
-        self._protocol = protocol
         self._response = response
         self.status = response.code
         self.headers: RawHeaders = tuple(
@@ -179,9 +177,23 @@
 
     def abort(self) -> None:
         """Abort the connection, which discards the rest of the body."""
-        transport: Any = self._protocol.transport
-        if transport is not None:
-            transport.abortConnection()
+        self._response.abort()
+
+    def abort_oversized(
+        self, part: ResponsePart, limit: int, received: int
+    ) -> None:
+        """Log that a part exceeds its limit, and abort the connection.
+
+        Parameters
+        ----------
+        part
+            Part of the response that is too large.
+        limit
+            Maximum size of the part in bytes.
+        received
+            Bytes of the part that have arrived.
+        """
+        self._response.abort_oversized(part, limit, received)
 
 
 async def open_exchange(
@@ -264,4 +276,4 @@
         )
     except Exception:
         return Failure(SendFault.BROKEN)
-    return Success(Exchange(protocol, response))
+    return Success(Exchange(response))
--- a/waywell/connection/http_client.py
+++ b/waywell/connection/http_client.py
@@ -19,6 +19,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+MAX_BODY_BYTES = 262_144
+"""Maximum size of a response body in bytes, unless a client sets another."""
+
 _NO_HEADERS = Headers()
 
 
@@ -53,6 +56,9 @@
         Headers of every request.
     keeps_connections
         Whether idle connections are kept open for later requests.
+    max_body_bytes
+        Maximum size of a response body in bytes; a response that exceeds it
+        counts as unanswered.
     """
 
     def __init__(
@@ -61,10 +67,12 @@
         timeout: float,
         headers: Mapping[str, str] | None = None,
         keeps_connections: bool = True,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Create the connection pool; no connection is open yet."""
         self._url = url.rstrip('/')
         self._timeout = timeout
+        self._max_body_bytes = max_body_bytes
         self._headers = Headers(
             {name: [text] for name, text in (headers or {}).items()},
         )
@@ -120,5 +128,5 @@
             ),
             timeout,
         )
-        raw = await read_body(response, timeout)
+        raw = await read_body(response, timeout, self._max_body_bytes)
         return HttpResponse(response.code, raw, response.headers)
--- a/waywell/connection/http_platform.py
+++ b/waywell/connection/http_platform.py
@@ -26,6 +26,10 @@
 Decoded = TypeVar('Decoded', Stored, Changes)
 """Type that an answer is decoded to."""
 
+MAX_BODY_BYTES = 33_554_432
+"""Maximum size of the answer to a call in bytes.  A list is not divided into
+pages, so it holds all objects of a kind."""
+
 WATCH_MARGIN = 3.0
 """Seconds after the end of a watch's wait at which it counts as unanswered."""
 
@@ -51,7 +55,7 @@
 
     def __init__(self, url: str, timeout: float) -> None:
         """Set up the HTTP calls; connections are opened on demand."""
-        self._calls = HttpClient(url, timeout)
+        self._calls = HttpClient(url, timeout, max_body_bytes=MAX_BODY_BYTES)
 
     async def fetch(
         self,
--- a/waywell/connection/http_target.py
+++ b/waywell/connection/http_target.py
@@ -18,7 +18,6 @@
     URI,
     Agent,
     HTTPConnectionPool,
-    readBody,
 )
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgentEndpointFactory
@@ -31,6 +30,7 @@
 )
 from waywell.connection.deferreds import await_deferred
 from waywell.connection.hop_headers import HOP_BY_HOP_HEADERS
+from waywell.connection.http_client import MAX_BODY_BYTES
 from waywell.connection.limit_header import LIMIT_HEADER, read_limit
 from waywell.connection.retry_after import RETRY_AFTER_HEADER, read_retry_after
 from waywell.connection.target import (
@@ -118,7 +118,6 @@
     def __init__(self, response: ClientResponse) -> None:
         """Read the status and the headers of a response."""
         self._response = response
-        self._receiver: IProtocol | None = None
         self.status = response.code
         self.headers = [
             (name, text)
@@ -140,17 +139,11 @@
 
     def deliver(self, receiver: IProtocol) -> None:
         """Deliver the body to a receiver, with back pressure."""
-        self._receiver = receiver
         self._response.deliverBody(receiver)
 
     def abandon(self) -> None:
-        """Close the connection and discard the rest of the body."""
-        if self._receiver is None:
-            _discard_body(self._response)
-            return
-        transport: Any = self._receiver.transport
-        if transport is not None:
-            transport.loseConnection()
+        """Abort the connection and discard the rest of the body."""
+        self._response.abort()
 
     def _read_load(self) -> int | None:
         texts = self._response.headers.getRawHeaders(LOAD_HEADER, [])
@@ -158,12 +151,6 @@
         return int(text) if text.isdecimal() else None
 
 
-def _discard_body(response: ClientResponse) -> None:
-    reading = readBody(response)
-    reading.addErrback(lambda _failure: None)
-    reading.cancel()
-
-
 class HttpTarget(Target):
     """Calls targets over HTTP/1.1.
 
@@ -205,7 +192,7 @@
         except Exception:
             return Failure(self._classify_failure(endpoint, timed_out=False))
         if _is_fenced(response):
-            _discard_body(response)
+            response.abort()
             return Failure(DispatchFault.FENCED)
         return Success(HttpTargetAnswer(response))
 
@@ -261,7 +248,7 @@
             agent.request(method, url, None, body),
             seconds,
         )
-        raw = await read_body(response, seconds)
+        raw = await read_body(response, seconds, MAX_BODY_BYTES)
         return _WholeAnswer(response.code, raw)
 
     def _make_endpoint(
--- a/waywell/platform/store.py
+++ b/waywell/platform/store.py
@@ -47,6 +47,14 @@
 STALE_READ_QUERY = MappingProxyType({'serializable': '1'})
 """Query of a read that may be seconds old, at a tenth of the cost."""
 
+MAX_BODY_BYTES = 16_777_216
+"""Maximum size of the answer to a call in bytes.
+
+A page of a list holds about 1 MB, and an object at most 1,048,576 bytes.  A
+watch that has waited delivers all changes since, such as those of the entries
+of 1,000 boxes.
+"""
+
 MAX_PAGES = 1000
 """Maximum pages of one list, so that a list without an end is abandoned.
 
@@ -127,6 +135,7 @@
             f'http://{address}',
             timeout,
             {'content-type': 'application/json'},
+            max_body_bytes=MAX_BODY_BYTES,
         )
         self._decoder = _ObjectDecoder()
 
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -10,6 +10,7 @@
 from returns.result import Failure
 
 from waywell.connection.body_end import BodyEnd, BodyOutcome
+from waywell.connection.client_connection import ResponsePart
 from waywell.connection.content_type import is_event_stream
 from waywell.connection.exchange import (
     BodySink,
@@ -42,6 +43,10 @@
 request can be retried if the answer is truncated. Longer answers are relayed
 as they arrive."""
 
+MAX_EVENT_BYTES = 262_144
+"""Maximum size of an event of a stream in bytes. An event is held in memory
+until it is complete; a stream with a larger one is aborted."""
+
 MAX_QUEUED_PIECES = 64
 """Pieces waiting for the caller above which reading from the replica is
 paused."""
@@ -270,7 +275,7 @@
         if self._is_abandoned:
             exchange.abort()
             return
-        exchange.deliver(_make_reader(self, exchange, self._inbox))
+        exchange.deliver(make_reader(self, exchange, self._inbox))
 
 
 @attrs.define(eq=False, repr=False, slots=False)
@@ -322,12 +327,29 @@
     _has_events: bool = attrs.field(default=False, init=False)
     """Whether a complete event has arrived."""
 
+    _is_oversized: bool = attrs.field(default=False, init=False)
+    """Whether an event exceeded its maximum size."""
+
     def on_bytes(self, raw: bytes) -> None:
+        if self._is_oversized:
+            # The rest of the bytes that arrived with the oversized event.
+            return
         for event in self._splitter.feed(raw):
+            self._check_size(len(event.raw))
+            if self._is_oversized:
+                return
             if event.has_fields:
                 self._has_events = True
                 self._attempt.record_event()
             self._post_piece(event)
+        self._check_size(len(self._splitter.remainder))
+
+    def _check_size(self, size: int) -> None:
+        if size > MAX_EVENT_BYTES:
+            self._is_oversized = True
+            self._exchange.abort_oversized(
+                ResponsePart.EVENT, MAX_EVENT_BYTES, size
+            )
 
     def _make_outcome(self, end: BodyEnd) -> BodyOutcome:
         unfinished = self._splitter.count_unfinished_bytes()
@@ -357,11 +379,12 @@
             self._buffer.clear()
 
 
-def _make_reader(
+def make_reader(
     attempt: Attempt,
     exchange: Exchange,
     inbox: Inbox,
-) -> _BodyReader:
+) -> BodySink:
+    """Return the reader for the body of an answer, by its content type."""
     is_stream = is_event_stream(exchange.headers)
     reader_class = _EventReader if is_stream else _PlainReader
     return reader_class(attempt, exchange, inbox)
