Pause a replica by the bytes that wait for its caller

An answer of any length whose caller does not read was bounded by 64 pieces, which may hold 21 MB of a plain body (21,299,200 bytes in a trial with a fake transport), so that some 14 such callers filled a node's memory of 300 MB. Reading is paused above 1 MiB as well.

test_a_body_without_end_is_paused_until_its_caller_reads needs the new limit's name, so it was not run on the code before.

--- a/tests/test_oversized_responses.py
+++ b/tests/test_oversized_responses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 import pytest
@@ -27,7 +28,9 @@
 from waywell.connection.exchange import BodySink, Exchange
 from waywell.connection.http_target import HttpTargetAnswer
 from waywell.request.attempt import (
+    MAX_BUFFERED_BYTES,
     MAX_EVENT_BYTES,
+    MAX_QUEUED_BYTES,
     Attempt,
     Inbox,
     make_reader,
@@ -97,8 +100,8 @@
         self.progress = StreamProgress()
         self.event_count = 0
 
-    def post(self, message: object) -> None:
-        self.inbox.put(message)
+    def post(self, message: object, size: int = 0) -> None:
+        self.inbox.put(message, size)
 
     def record_event(self) -> None:
         self.event_count += 1
@@ -212,7 +215,7 @@
     exchange.deliver(make_reader(stub, exchange, inbox))
     received = link.receive_until_closed(shape.repeated, shape.repeated)
     assert received <= MAX_EVENT_BYTES + 2 * len(shape.repeated)
-    message = inbox.queue.get_nowait()
+    message, _size = inbox.queue.get_nowait()
     assert isinstance(message, Attempt.End)
     assert not message.outcome.is_complete
     assert inbox.queue.empty()
@@ -238,8 +241,8 @@
         if link.is_open:
             link.connection.dataReceived(raw[begin : begin + step])
     assert not link.is_open
-    assert inbox.queue.get_nowait().event.raw == small
-    assert inbox.queue.get_nowait().event.raw == largest
+    assert inbox.queue.get_nowait()[0].event.raw == small
+    assert inbox.queue.get_nowait()[0].event.raw == largest
     assert inbox.queue.empty()
 
 
@@ -274,3 +277,31 @@
     assert 'level=warning' in line
     assert f'part=head limit={MAX_HEAD_BYTES}' in line
     assert 'server=192.168.1.1:54321' in line
+
+
+@pytest.mark.parametrize('shape', ENDLESS_BODIES, ids=lambda shape: shape.name)
+def test_a_body_without_end_is_paused_until_its_caller_reads(
+    shape: Shape,
+) -> None:
+    """Pieces of long answers fill the memory before their number is large."""
+    link, inbox = _Link(), Inbox()
+    link.request()
+    link.connection.dataReceived(shape.make_begin({}))
+    exchange = Exchange(link.responses[0])
+    stub: Any = _StubAttempt(inbox)
+    exchange.deliver(make_reader(stub, exchange, inbox))
+
+    def receive_until_paused() -> int:
+        received = 0
+        while link.transport.producerState == 'producing':
+            link.connection.dataReceived(shape.repeated)
+            received += len(shape.repeated)
+        return received
+
+    # The reader holds part of a piece besides the queue.
+    most = MAX_QUEUED_BYTES + 2 * (MAX_BUFFERED_BYTES + READ_BYTES)
+    assert receive_until_paused() <= most
+    while not inbox.queue.empty():
+        assert asyncio.run(inbox.get(1.0))
+    assert link.transport.producerState == 'producing'
+    assert receive_until_paused() <= most
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -51,22 +51,28 @@
 """Pieces waiting for the caller above which reading from the replica is
 paused."""
 
+MAX_QUEUED_BYTES = 1_048_576
+"""Bytes of such pieces above which it is paused as well."""
+
 
 class Inbox:
     """Message queue that the attempts at one request post to."""
 
     def __init__(self) -> None:
         """Create an empty queue."""
-        self.queue: asyncio.Queue[object] = asyncio.Queue()
+        self.queue: asyncio.Queue[tuple[object, int]] = asyncio.Queue()
+        self._queued_bytes = 0
         self._paused: set[_BodyReader] = set()
 
-    def put(self, message: object) -> None:
-        """Append a message."""
-        self.queue.put_nowait(message)
+    def put(self, message: object, size: int = 0) -> None:
+        """Append a message that holds ``size`` bytes of an answer."""
+        self._queued_bytes += size
+        self.queue.put_nowait((message, size))
 
     def pause_if_full(self, reader: _BodyReader) -> None:
         """Pause a reader while the caller is slower than the replica."""
-        if self.queue.qsize() > MAX_QUEUED_PIECES:
+        is_full = self._queued_bytes > MAX_QUEUED_BYTES
+        if is_full or self.queue.qsize() > MAX_QUEUED_PIECES:
             reader.pause()
             self._paused.add(reader)
 
@@ -74,9 +80,10 @@
         """Return the next message, or ``None`` after a timeout in seconds."""
         try:
             async with asyncio.timeout(seconds):
-                message = await self.queue.get()
+                message, size = await self.queue.get()
         except TimeoutError:
             return None
+        self._queued_bytes -= size
         if self._paused and self.queue.empty():
             for reader in self._paused:
                 reader.resume()
@@ -212,10 +219,18 @@
         timer = asyncio.get_running_loop().call_later(seconds, self._abort)
         self._task.add_done_callback(lambda _task: timer.cancel())
 
-    def post(self, message: object) -> None:
-        """Post a message to the inbox, unless the attempt was abandoned."""
+    def post(self, message: object, size: int = 0) -> None:
+        """Post a message to the inbox, unless the attempt was abandoned.
+
+        Parameters
+        ----------
+        message
+            Message to post.
+        size
+            Number of bytes of an answer that the message holds.
+        """
         if not self._is_abandoned:
-            self._inbox.put(message)
+            self._inbox.put(message, size)
 
     def record_event(self) -> None:
         """Record that an event has arrived from the replica."""
@@ -313,7 +328,8 @@
         raise NotImplementedError
 
     def _post_piece(self, event: StreamEvent) -> None:
-        self._attempt.post(Attempt.Piece(self._attempt, event))
+        piece = Attempt.Piece(self._attempt, event)
+        self._attempt.post(piece, len(event.raw))
         self._inbox.pause_if_full(self)
 
 
