--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -312,7 +312,7 @@
     for number in (1, 2, 3):
         await bench.crash(f'b{number}', 'deadly')
     assert [inbox.queue.qsize() for inbox in inboxes] == [1, 0, 0]
-    fault = inboxes[0].queue.get_nowait()
+    fault: Any = await inboxes[0].get(1.0)
     assert fault.fault is SendFault.HELD_BACK
 
 
