Reject responses whose status line is not HTTP/1.1

Callers saw: a replica's answer with the status 000 as their answer, written by the front daemon as "HTTP/1.1 0 Unknown Status", and by the entry daemon alike. So did codes such as 099, 600, 0200, +200 and 2_0 and the versions HTTP/2.0, HTTP/0.9, HTTP/1.10 and http/1.1. A broken interim response before a final one was passed over.

Cause: twisted's client parser reads the status code and the version with int() and compares neither with a range. The readers then judge the number: anything below 500 is an answer, anything below 300 a success. So a probe, an order and a write to the store that were answered with 000 counted as done.

Change: ClientConnection, which each reader of responses uses, passes bytes of a head on to twisted only after HeadChecker has checked their lines: HTTP/1.x, single blanks, three digits from 100 to 599, in interim responses too. Otherwise the request fails as after a broken connection, the connection is aborted, and response_malformed is logged with the server and the reason. A missing reason phrase, HTTP/1.0 and lines that end with LF still pass.

Handled before, and only tested: heads that stop early (502), and a stream that a malformed answer would resume (its status differs from the first).

--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -14,6 +14,7 @@
 
 from tests.broken_bodies import BodyScript
 from tests.endless_answers import EndlessAnswer
+from tests.raw_heads import RawAnswer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -93,6 +94,8 @@
         Kinds whose objects are missing from lists.
     endless
         Answer without end to all calls, if any.
+    raw_answer
+        Answer with a head of any bytes to all calls, if any.
     servers
         Running servers by name.
     violations
@@ -107,6 +110,7 @@
         self.refusal_status = 0
         self.hidden_kinds: set[str] = set()
         self.endless: EndlessAnswer | None = None
+        self.raw_answer: RawAnswer | None = None
         self.servers: dict[str, Server] = {}
         self.violations: list[str] = []
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
@@ -291,8 +295,9 @@
                     self.drop_connection()
                     return True
                 time.sleep(store.delay_seconds)
-                if store.endless is not None:
-                    store.endless.send_response(
+                injected = store.endless or store.raw_answer
+                if injected is not None:
+                    injected.send_response(
                         self, {'Store-Era': str(store._era)}
                     )
                     return True
@@ -326,7 +331,8 @@
         Actions for the next requests, one each: ``reject``, ``rest``,
         ``late-rest``, ``reset``, ``fail``, ``foreign``, ``cut-N`` and
         ``wait-N`` for event N of a stream, a script of the whole body, an
-        answer without end, or an empty text for a normal answer.
+        answer without end or with a head of any bytes, or an empty text for a
+        normal answer.
     members
         Names of the boxes in the last join order.
     fence
@@ -351,6 +357,8 @@
         Answer without end to some requests, if any.
     endless_paths
         Beginnings of the paths that are answered without end.
+    raw_answers
+        Answers with heads of any bytes, by the path of the calls.
     entry
         Entry in the list of servers, written by ``write_entry``.
     """
@@ -365,7 +373,9 @@
         self.server_limit = ''
         self.is_leaving = False
         self.orders: list[dict[str, Any]] = []
-        self.script: deque[str | BodyScript | EndlessAnswer] = deque()
+        self.script: deque[str | BodyScript | EndlessAnswer | RawAnswer] = (
+            deque()
+        )
         self.members: list[str] = []
         self.fence = 0
         self.orders_begun = 0
@@ -379,6 +389,7 @@
         self.has_ended = False
         self.endless: EndlessAnswer | None = None
         self.endless_paths: tuple[str, ...] = ()
+        self.raw_answers: dict[str, RawAnswer] = {}
         self._connections: set[socket.socket] = set()
         self._store = store
         store.servers[name] = self
@@ -541,7 +552,7 @@
                     self.send_header('Server-Limit', server.server_limit)
 
             def do_GET(self) -> None:
-                if self._send_endless():
+                if self._send_injected():
                     return
                 if self.path == '/api/report':
                     self.answer(200, server.make_report())
@@ -550,7 +561,7 @@
 
             def do_POST(self) -> None:
                 body = self.read_body()
-                if self._send_endless():
+                if self._send_injected():
                     return
                 if self.path == '/api/order':
                     self.answer(server._apply_order(json.loads(body)), {})
@@ -568,8 +579,12 @@
                 else:
                     self._handle_request()
 
-            def _send_endless(self) -> bool:
-                """Answer without end if set; return whether it was."""
+            def _send_injected(self) -> bool:
+                """Send the answer set for all calls to a path, if one is."""
+                raw_answer = server.raw_answers.get(self.path)
+                if raw_answer is not None:
+                    raw_answer.send_response(self, {})
+                    return True
                 if server.endless is None:
                     return False
                 if not self.path.startswith(server.endless_paths):
@@ -590,7 +605,7 @@
                     'X-Request-Attempt-Id': attempt,
                     'X-Replica-Stamp': f'stamp-of-{server.name}',
                 }
-                if isinstance(action, BodyScript | EndlessAnswer):
+                if isinstance(action, BodyScript | EndlessAnswer | RawAnswer):
                     server.runs.append({**self.headers, 'X-Path': self.path})
                     action.send_response(self, own_headers)
                     return
--- /dev/null
+++ b/tests/test_malformed_answers.py
@@ -0,0 +1,335 @@
+"""Callers of the front daemon never get an answer with a malformed head."""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import threading
+from collections import deque
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from tests.fake_platform import EVENTS, make_manifest
+from tests.front_harness import WHOLE_STREAM, FrontHarness
+from tests.raw_heads import (
+    MALFORMED_HEADS,
+    PLAIN_BODY,
+    UNUSUAL_HEADS,
+    RawAnswer,
+)
+from tests.replica_paths import Cut, ReplicaPaths
+from waywell.standins.harness import Process, wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+NO_HEDGE_TIMES = {
+    'latency_goal_ms': 60_000,
+    'gap_goal_ms': 60_000,
+    'timeout_ms': 20_000,
+}
+"""Goals and timeout of a route whose attempts are never hedged."""
+
+ZERO_STATUS = RawAnswer(b'HTTP/1.1 000 Odd')
+
+ZERO_STATUS_STREAM = replace(
+    ZERO_STATUS,
+    fields=(b'content-type: text/event-stream',),
+    framing=(b'connection: close',),
+    body=WHOLE_STREAM,
+)
+
+REPLICAS = 2
+"""Number of replicas that a request may be sent to."""
+
+_versions = itertools.count(2)
+
+
+def make_routes(version: int = 1) -> dict[str, Any]:
+    """Return routes without hedges, and one route with hedges."""
+    manifest = make_manifest(version)
+    streams = manifest['routes'][0]
+    hedged = {**streams, 'name': 'hedged', 'path_prefix': '/hedged/'}
+    for route in manifest['routes']:
+        route.update(NO_HEDGE_TIMES)
+    once = {'name': 'once', 'path_prefix': '/once/', 'resumable': False}
+    manifest['routes'] += [hedged, {**streams, **once}]
+    return manifest
+
+
+@pytest.fixture(scope='module')
+def running(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[tuple[FrontHarness, Process]]:
+    front = FrontHarness(tmp_path_factory.mktemp('front'))
+    front.add_servers()
+    front.store.put('config', 'main', make_routes())
+    process = front.start()
+    front.wait_serving(process)
+    yield front, process
+    front.close()
+
+
+@pytest.fixture
+def served(
+    running: tuple[FrontHarness, Process],
+) -> Iterator[tuple[FrontHarness, Process]]:
+    """Return a node and servers without scripts or recorded runs."""
+    front, _process = running
+    script_next(front)
+    clear_runs(front)
+    yield running
+    front.store.raw_answer = None
+    for server in front.servers.values():
+        server.unblocked.set()
+
+
+def clear_runs(front: FrontHarness) -> None:
+    for server in front.servers.values():
+        server.runs.clear()
+
+
+def script_next(front: FrontHarness, *scripts: RawAnswer | str) -> None:
+    """Set the next answers, whichever servers receive the requests."""
+    shared: deque[Any] = deque(scripts)
+    for server in front.servers.values():
+        server.script = shared
+
+
+def count_runs(front: FrontHarness) -> int:
+    """Return the number of requests that ran, and forget them."""
+    count = len(front.list_runs(*front.servers))
+    clear_runs(front)
+    return count
+
+
+def read_log(front: FrontHarness, event: str) -> list[str]:
+    """Return the lines of an event in the log of the node."""
+    log = (front.folder / 'front-1.log').read_text(encoding='utf-8')
+    return [line for line in log.splitlines() if f'event={event} ' in line]
+
+
+@pytest.mark.parametrize('name', MALFORMED_HEADS)
+def test_a_request_that_may_not_run_again_fails(
+    served: tuple[FrontHarness, Process], name: str
+) -> None:
+    front, process = served
+    script_next(front, MALFORMED_HEADS[name])
+    status, body, answer = front.send_request(process, '/match/1')
+    assert status == 502
+    assert PLAIN_BODY not in body
+    assert answer.getheader('waywell-ran') == 'may_have_run'
+    assert answer.getheader('X-Replica-Stamp') is None
+    assert answer.getheader('x-note') is None
+    assert count_runs(front) == 1
+
+
+@pytest.mark.parametrize('name', MALFORMED_HEADS)
+def test_a_request_that_may_run_again_is_answered_by_another_replica(
+    served: tuple[FrontHarness, Process], name: str
+) -> None:
+    front, process = served
+    script_next(front, MALFORMED_HEADS[name])
+    status, body, answer = front.send_request(process, '/stock/1')
+    assert (status, body) == (200, PLAIN_BODY)
+    assert answer.getheader('x-note') is None
+    assert count_runs(front) == REPLICAS
+
+
+@pytest.mark.parametrize('name', UNUSUAL_HEADS)
+def test_an_unusual_answer_is_passed_on(
+    served: tuple[FrontHarness, Process], name: str
+) -> None:
+    front, process = served
+    script_next(front, UNUSUAL_HEADS[name])
+    status, body, answer = front.send_request(process, '/match/1')
+    assert (status, body) == (200, PLAIN_BODY)
+    assert answer.getheader('X-Replica-Stamp').startswith('stamp-of-a')
+    assert answer.version == 11
+    assert count_runs(front) == 1
+
+
+@pytest.mark.parametrize('share', [0.0, 0.1, 0.5, 0.9, 0.99])
+def test_a_head_that_stops_early_fails(
+    served: tuple[FrontHarness, Process], share: float
+) -> None:
+    front, process = served
+    whole = RawAnswer(framing=(b'connection: close',))
+    headers = {
+        'X-Request-Attempt-Id': 'attempt-1',
+        'X-Replica-Stamp': 'stamp-of-a1',
+    }
+    size = int(len(whole.encode_head(headers)) * share)
+    script_next(front, replace(whole, sent=size))
+    status, body, answer = front.send_request(process, '/match/1')
+    assert status == 502
+    assert PLAIN_BODY not in body
+    assert answer.getheader('waywell-ran') == 'may_have_run'
+    assert answer.getheader('X-Replica-Stamp') is None
+
+
+def test_a_request_that_each_replica_answers_malformed_fails(
+    served: tuple[FrontHarness, Process],
+) -> None:
+    front, process = served
+    script_next(front, *(ZERO_STATUS for _send in range(REPLICAS)))
+    assert front.send_request(process, '/stock/1')[0] == 502
+    assert count_runs(front) == REPLICAS
+
+
+def test_a_malformed_answer_that_states_not_run_is_not_believed(
+    served: tuple[FrontHarness, Process],
+) -> None:
+    """The caller must not take its request for one that never ran."""
+    front, process = served
+    claims_not_run = RawAnswer(
+        b'HTTP/2.0 503 Busy',
+        fields=(b'X-Not-Executed: 1', b'Retry-After: 1'),
+    )
+    script_next(front, claims_not_run)
+    status, _body, answer = front.send_request(process, '/match/1')
+    assert status == 502
+    assert answer.getheader('Retry-After') is None
+    assert count_runs(front) == 1
+
+
+@pytest.mark.parametrize('route', ['notes', 'once'])
+def test_a_stream_with_a_malformed_head_is_not_begun(
+    served: tuple[FrontHarness, Process], route: str
+) -> None:
+    front, process = served
+    script_next(front, ZERO_STATUS_STREAM)
+    status, body, _answer = front.send_request(
+        process, f'/{route}/1', model='small'
+    )
+    if route == 'once':
+        assert status == 502
+    else:
+        assert (status, body) == (200, WHOLE_STREAM)
+    assert count_runs(front) == (1 if route == 'once' else REPLICAS)
+
+
+def test_a_stream_is_not_resumed_by_a_malformed_answer(
+    served: tuple[FrontHarness, Process],
+) -> None:
+    front, process = served
+    script_next(front, f'cut-{EVENTS}', ZERO_STATUS_STREAM)
+    with pytest.raises(http.client.IncompleteRead) as truncated:
+        front.send_request(process, '/notes/1', model='small')
+    assert WHOLE_STREAM.startswith(truncated.value.partial)
+    assert count_runs(front) == REPLICAS
+
+
+def test_a_malformed_hedge_does_not_answer_a_request(
+    served: tuple[FrontHarness, Process],
+) -> None:
+    """The silent attempt that was hedged answers instead."""
+    front, process = served
+    for server in front.servers.values():
+        server.unblocked.clear()
+    script_next(front, 'wait-1', ZERO_STATUS_STREAM)
+
+    def release() -> None:
+        wait_until(
+            lambda: len(front.list_runs(*front.servers)) == REPLICAS,
+            'the hedge',
+        )
+        ZERO_STATUS_STREAM.sent_count.acquire()
+        for server in front.servers.values():
+            server.unblocked.set()
+
+    releasing = threading.Thread(target=release)
+    releasing.start()
+    status, body, _answer = front.send_request(
+        process, '/hedged/1', model='small'
+    )
+    releasing.join()
+    assert (status, body) == (200, WHOLE_STREAM)
+
+
+def test_a_store_that_answers_malformed_counts_as_lost(
+    served: tuple[FrontHarness, Process],
+) -> None:
+    front, process = served
+    before = len(read_log(front, 'platform_lost'))
+    listed = b'{"items": [], "has_more": false, "current_rev": 1}'
+    front.store.raw_answer = RawAnswer(
+        b'HTTP/1.1 000 Odd',
+        framing=(b'content-length: %d' % len(listed),),
+        body=listed,
+    )
+    wait_until(
+        lambda: len(read_log(front, 'platform_lost')) > before,
+        'the loss of the store',
+    )
+    assert front.send_request(process, '/stock/1')[0] == 200
+    front.store.raw_answer = None
+    version = next(_versions)
+    manifest = make_routes(version)
+    fresh = {'name': 'fresh', 'path_prefix': f'/fresh-{version}/'}
+    manifest['routes'].append({**manifest['routes'][2], **fresh})
+    front.store.put('config', 'main', manifest)
+    wait_until(
+        lambda: front.send_request(process, f'/fresh-{version}/1')[0] == 200,
+        'the new route',
+    )
+    front.wait_serving(process)
+
+
+def test_an_order_with_a_malformed_answer_is_not_taken_as_accepted(
+    front: FrontHarness,
+) -> None:
+    """No group serves while boxes only seem to accept its orders."""
+    refusing = RawAnswer(
+        b'HTTP/1.1 000 Odd', framing=(b'content-length: 0',), body=b''
+    )
+    for server in front.servers.values():
+        server.raw_answers['/api/order'] = refusing
+    process = front.start()
+    for _call in range(4):
+        assert refusing.sent_count.acquire(timeout=30)
+    assert front.count_serving_groups(process) == 0
+    for server in front.servers.values():
+        server.raw_answers.clear()
+    front.wait_serving(process)
+
+
+@pytest.fixture
+def partitioned(
+    front: FrontHarness,
+) -> Iterator[tuple[FrontHarness, Process]]:
+    """Return a node that reaches replicas only through a peer."""
+    front.store.put('config', 'main', make_routes())
+    paths = ReplicaPaths(front)
+    process = front.start('front-3', paths.store, 'hall-b')
+    front.wait_serving(process)
+    front.wait_serving(front.start('front-1'))
+    wait_until(
+        lambda: front.send_request(process, '/stock/1')[0] == 200,
+        'a link to replicas',
+    )
+    paths.cut(Cut.RESET)
+    log = front.folder / 'front-3.log'
+
+    def is_forwarded() -> bool:
+        front.send_request(process, '/notes/1', model='small')
+        return 'event=partition_detected' in log.read_text()
+
+    wait_until(is_forwarded, 'requests that are forwarded through the peer')
+    yield front, process
+    paths.close()
+
+
+def test_a_malformed_answer_behind_a_peer_fails_at_the_caller(
+    partitioned: tuple[FrontHarness, Process],
+) -> None:
+    front, process = partitioned
+    clear_runs(front)
+    script_next(front, ZERO_STATUS)
+    status, body, answer = front.send_request(process, '/match/1')
+    assert status == 502
+    assert PLAIN_BODY not in body
+    assert answer.getheader('waywell-ran') == 'may_have_run'
+    assert count_runs(front) == 1
--- a/tests/test_truncated_targets.py
+++ b/tests/test_truncated_targets.py
@@ -9,15 +9,14 @@
 from __future__ import annotations
 
 import itertools
-import socket
-import threading
 from typing import TYPE_CHECKING, Any
 
 import pytest
 
-from tests.broken_bodies import BodyScript, Ending, Framing, reset_connection
+from tests.broken_bodies import BodyScript, Ending, Framing
 from tests.conftest import SHORT_TIMING
 from tests.front_harness import WHOLE_STREAM
+from tests.scripted_box import ScriptedBox
 from waywell.client import UnreachableError
 from waywell.standins.harness import Bench, BoxSpec, make_configuration
 
@@ -52,52 +51,6 @@
 COMPLETE_ENDS = [end for end in ALL_ENDS if end not in TRUNCATED_ENDS]
 
 
-class ScriptedBox:
-    """Box that answers requests by a script, and probes as a healthy one."""
-
-    def __init__(self) -> None:
-        self.script = BodyScript(Framing.LENGTH, Ending.ANNOUNCED, PLAIN_BODY)
-        self.requests = 0
-        self._socket = socket.create_server(('127.0.0.1', 0))
-        self.port = self._socket.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self) -> None:
-        self._socket.close()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                connection, _ = self._socket.accept()
-            except OSError:
-                return
-            threading.Thread(
-                target=self._serve, args=(connection,), daemon=True
-            ).start()
-
-    def _serve(self, connection: socket.socket) -> None:
-        request = b''
-        while b'\r\n\r\n' not in request:
-            received = connection.recv(65536)
-            if not received:
-                connection.close()
-                return
-            request += received
-        if b'/waywell/health' in request:
-            probe = b'{"box": "scripted"}'
-            script = BodyScript(
-                Framing.LENGTH, Ending.ANNOUNCED, probe, 'application/json'
-            )
-        else:
-            self.requests += 1
-            script = self.script
-        connection.sendall(script.encode_response())
-        if script.ending is Ending.RESET:
-            reset_connection(connection)
-        else:
-            connection.close()
-
-
 @pytest.fixture
 def box() -> Iterator[ScriptedBox]:
     scripted = ScriptedBox()
--- a/waywell/connection/client_connection.py
+++ b/waywell/connection/client_connection.py
@@ -9,8 +9,10 @@
 from twisted.internet import reactor
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, connectionDone
+from twisted.python.failure import Failure
 from twisted.web.client import HTTP11ClientProtocol, HTTPConnectionPool
 
+from waywell.connection.response_head import HeadChecker, MalformedHeadError
 from waywell.telemetry.events import log_warning
 
 if TYPE_CHECKING:
@@ -18,7 +20,6 @@
 
     from twisted.internet.defer import Deferred
     from twisted.internet.protocol import Protocol
-    from twisted.python.failure import Failure
     from twisted.web.http_headers import Headers
 
 MAX_HEAD_BYTES = 32_768
@@ -100,7 +101,7 @@
 
 
 class ClientConnection(HTTP11ClientProtocol):
-    """Client connection that limits response heads and records its end.
+    """Client connection that checks response heads and records its end.
 
     For a body without a length, twisted reports a clean close and a reset
     as the same ``PotentialDataLoss``.  It limits the length of a header line,
@@ -114,11 +115,13 @@
         self.was_closed = False
         self._awaits_head = False
         self._head_bytes = 0
+        self._head_checker = HeadChecker()
 
     def request(self, request: Any) -> Deferred[ClientResponse]:
         """Send a request; return a deferred of the response without body."""
         self._awaits_head = True
         self._head_bytes = 0
+        self._head_checker = HeadChecker()
         deferred = super().request(request)
         parser: Any = self._parser
         if parser is not None:
@@ -127,12 +130,14 @@
         return deferred.addCallback(self._wrap_response)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
-        """Process received bytes; abort the connection on a too large head."""
+        """Process received bytes; abort the connection on an invalid head."""
         rest = data
         if self._awaits_head:
             allowed = MAX_HEAD_BYTES - self._head_bytes
             rest = data[allowed:]
             self._head_bytes += len(data)
+            if not self._check_head(data[:allowed]):
+                return
             super().dataReceived(data[:allowed])
             if not rest:
                 return
@@ -153,11 +158,9 @@
         self, part: ResponsePart, limit: int, received: int
     ) -> None:
         """Log that a part exceeds its limit, and abort the connection."""
-        transport: Any = self.transport
-        address = transport.getPeer()
         log_warning(
             'response_oversized',
-            server=f'{address.host}:{address.port}',
+            server=self._describe_server(),
             part=part.value,
             limit=limit,
             received=received,
@@ -179,6 +182,25 @@
             # the request, for which an orderly close would wait.
             self.abort()
 
+    def _check_head(self, raw: bytes) -> bool:
+        """Return whether a head is valid so far; abort if it is not."""
+        try:
+            self._head_checker.feed(raw)
+        except MalformedHeadError as error:
+            log_warning(
+                'response_malformed',
+                server=self._describe_server(),
+                reason=error.fault.value,
+            )
+            self._giveUp(Failure(error))
+            return False
+        return True
+
+    def _describe_server(self) -> str:
+        transport: Any = self.transport
+        address = transport.getPeer()
+        return f'{address.host}:{address.port}'
+
     def _wrap_response(self, response: Any) -> ClientResponse:
         self._awaits_head = False
         return ClientResponse(self, response)
