Reject responses with control bytes in a phrase or a field's value

Callers saw: the values of fields with the control bytes of a replica's head, a bare CR or a NUL among them, in both daemons; RFC 9110 allows none of them but the tab. Control bytes in a reason phrase passed too, though callers got a phrase of ours.

Cause: twisted removes the end of a line and the blanks around a value and looks at no other byte of either.

Change: HeadChecker allows tabs, printable ASCII and bytes over 0x7F there. A value that bytes.strip() cut short (a vertical tab at its end) is rejected as well: the check sees the line before twisted does.

--- a/tests/raw_heads.py
+++ b/tests/raw_heads.py
@@ -138,11 +138,35 @@
     }.items()
 }
 
+CONTROL_BYTES = (b'\x00', b'\x01', b'\x08', b'\x0b', b'\x0c', b'\r', b'\x1b',
+                 b'\x1f', b'\x7f')  # fmt: skip
+
+MALFORMED_PHRASES = {
+    f'phrase {byte!r}': RawAnswer(b'HTTP/1.1 200 O%sK' % byte)
+    for byte in CONTROL_BYTES
+}
+
+MALFORMED_VALUES = {
+    **{
+        f'value {byte!r}': RawAnswer(fields=(b'x-note: a%sb' % byte,))
+        for byte in CONTROL_BYTES
+    },
+    'value that begins with a control byte': RawAnswer(
+        fields=(b'x-note: \x0ba',)
+    ),
+    'value that ends with a control byte': RawAnswer(
+        fields=(b'x-note: a\x0c',)
+    ),
+    'value with a second CR at its end': RawAnswer(fields=(b'x-note: a\r',)),
+}
+
 MALFORMED_INTERIMS = {
     f'interim: {name}': RawAnswer(interim=interim)
     for name, interim in {
         'version': b'HTTP/2.0 100 Continue\r\n\r\n',
         'code': b'HTTP/1.1 0100 Continue\r\n\r\n',
+        'phrase': b'HTTP/1.1 100 Con\x00tinue\r\n\r\n',
+        'value': b'HTTP/1.1 103 Early Hints\r\nlink: a\x01b\r\n\r\n',
     }.items()
 }
 
@@ -150,6 +174,8 @@
     **MALFORMED_STATUS_CODES,
     **MALFORMED_VERSIONS,
     **MALFORMED_SEPARATORS,
+    **MALFORMED_PHRASES,
+    **MALFORMED_VALUES,
     **MALFORMED_INTERIMS,
 }
 """Answers that are no HTTP/1.1, by what is wrong with them."""
--- a/waywell/connection/response_head.py
+++ b/waywell/connection/response_head.py
@@ -15,6 +15,9 @@
 
 _STATUS_CODE = re.compile(rb'[1-5][0-9]{2}')
 
+_TEXT = re.compile(rb'[\t\x20-\x7e\x80-\xff]*')
+"""Reason phrase, or value of a field with the blanks around it."""
+
 
 class HeadFault(enum.Enum):
     """Part of a response head that is malformed."""
@@ -28,6 +31,12 @@
     STATUS_CODE = 'status_code'
     """Status code: three digits, from 100 to 599."""
 
+    REASON_PHRASE = 'reason_phrase'
+    """Reason phrase, for a control byte."""
+
+    FIELD_VALUE = 'field_value'
+    """Value of a field, for a control byte."""
+
 
 class MalformedHeadError(Exception):
     """The head of a response is not valid HTTP/1.1.
@@ -79,23 +88,32 @@
         self._is_interim = False
 
     def _check_line(self, line: bytes) -> None:
-        if not self._has_status:
-            self._check_status_line(line)
-        elif not line:
+        if self._has_status and line:
+            self._check_field(line)
+        elif self._has_status:
             self._end_head()
+        else:
+            self._check_status_line(line)
 
     def _check_status_line(self, line: bytes) -> None:
         match = _STATUS_LINE.fullmatch(line)
         if match is None:
             raise MalformedHeadError(HeadFault.STATUS_LINE)
-        version, code, _phrase = match.groups(b'')
+        version, code, phrase = match.groups(b'')
         if not _VERSION.fullmatch(version):
             raise MalformedHeadError(HeadFault.VERSION)
         if not _STATUS_CODE.fullmatch(code):
             raise MalformedHeadError(HeadFault.STATUS_CODE)
+        if not _TEXT.fullmatch(phrase):
+            raise MalformedHeadError(HeadFault.REASON_PHRASE)
         self._has_status = True
         self._is_interim = code.startswith(b'1')
 
+    def _check_field(self, line: bytes) -> None:
+        _name, _colon, text = line.partition(b':')
+        if not _TEXT.fullmatch(text):
+            raise MalformedHeadError(HeadFault.FIELD_VALUE)
+
     def _end_head(self) -> None:
         if self._is_interim:
             self._begin_head()
