Reject responses with lines that begin with a blank

Callers saw: the line of a field whose name begins with a blank or a tab as part of the value of the field before it, in both daemons. That field may be any, so also one that the system acts on.

Cause: twisted takes such a line for the continuation of the line before, as HTTP/1.0 allowed. RFC 9112 forbids servers to send it, and has a gateway reject the response or replace the line's beginning by blanks (5.2).

Change: HeadChecker rejects it, as what a broken server meant is not known. It also checks the characters of a name and the colon behind it, which twisted already did: names with a blank or a control byte ended in 502 before, and their tests are kept.

--- a/tests/raw_heads.py
+++ b/tests/raw_heads.py
@@ -160,6 +160,33 @@
     'value with a second CR at its end': RawAnswer(fields=(b'x-note: a\r',)),
 }
 
+FOLDED_LINES = {
+    'blank before a name': RawAnswer(fields=(b'x-first: 1', b' x-note: 1')),
+    'tab before a name': RawAnswer(fields=(b'x-first: 1', b'\tx-note: 1')),
+    'folded value': RawAnswer(fields=(b'x-note: 1,', b'  2')),
+    'fold before the first field': RawAnswer(first_fields=(b' x-note: 1',)),
+    'line of a blank': RawAnswer(fields=(b'x-first: 1', b' ')),
+}
+
+MALFORMED_NAMES = {
+    name: RawAnswer(fields=(line,))
+    for name, line in {
+        'blank in a name': b'x note: 1',
+        'blank after a name': b'x-note : 1',
+        'tab after a name': b'x-note\t: 1',
+        'zero byte in a name': b'x\x00note: 1',
+        'control byte in a name': b'x\x01note: 1',
+        'control byte before a name': b'\x0bx-note: 1',
+        'CR in a name': b'x\rnote: 1',
+        'delete in a name': b'x\x7fnote: 1',
+        'byte over 0x7F in a name': b'x-n\xf6te: 1',
+        'delimiter in a name': b'x(note): 1',
+        'no name': b': 1',
+        'no colon': b'x-note',
+        'line of a CR': b'\r',
+    }.items()
+}
+
 MALFORMED_INTERIMS = {
     f'interim: {name}': RawAnswer(interim=interim)
     for name, interim in {
@@ -167,6 +194,8 @@
         'code': b'HTTP/1.1 0100 Continue\r\n\r\n',
         'phrase': b'HTTP/1.1 100 Con\x00tinue\r\n\r\n',
         'value': b'HTTP/1.1 103 Early Hints\r\nlink: a\x01b\r\n\r\n',
+        'name': b'HTTP/1.1 103 Early Hints\r\nli nk: a\r\n\r\n',
+        'fold': b'HTTP/1.1 103 Early Hints\r\nlink: a\r\n b\r\n\r\n',
     }.items()
 }
 
@@ -176,6 +205,8 @@
     **MALFORMED_SEPARATORS,
     **MALFORMED_PHRASES,
     **MALFORMED_VALUES,
+    **FOLDED_LINES,
+    **MALFORMED_NAMES,
     **MALFORMED_INTERIMS,
 }
 """Answers that are no HTTP/1.1, by what is wrong with them."""
--- a/waywell/connection/response_head.py
+++ b/waywell/connection/response_head.py
@@ -15,6 +15,8 @@
 
 _STATUS_CODE = re.compile(rb'[1-5][0-9]{2}')
 
+_FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+
 _TEXT = re.compile(rb'[\t\x20-\x7e\x80-\xff]*')
 """Reason phrase, or value of a field with the blanks around it."""
 
@@ -34,6 +36,12 @@
     REASON_PHRASE = 'reason_phrase'
     """Reason phrase, for a control byte."""
 
+    FOLDED_LINE = 'folded_line'
+    """Line that begins with a blank."""
+
+    FIELD_NAME = 'field_name'
+    """Name of a field, or the colon behind it."""
+
     FIELD_VALUE = 'field_value'
     """Value of a field, for a control byte."""
 
@@ -56,8 +64,9 @@
 class HeadChecker:
     """Checks the head of a response and of the interim responses before it.
 
-    Deviations that RFC 9112 lets recipients accept are accepted: lines that
-    end with LF, and no blank before an empty reason phrase.
+    Deviations that RFC 9112 lets recipients accept are accepted, except for
+    folded lines, which it lets gateways reject: lines that end with LF, and
+    no blank before an empty reason phrase.
     """
 
     def __init__(self) -> None:
@@ -110,7 +119,11 @@
         self._is_interim = code.startswith(b'1')
 
     def _check_field(self, line: bytes) -> None:
-        _name, _colon, text = line.partition(b':')
+        if line.startswith((b' ', b'\t')):
+            raise MalformedHeadError(HeadFault.FOLDED_LINE)
+        name, colon, text = line.partition(b':')
+        if not colon or not _FIELD_NAME.fullmatch(name):
+            raise MalformedHeadError(HeadFault.FIELD_NAME)
         if not _TEXT.fullmatch(text):
             raise MalformedHeadError(HeadFault.FIELD_VALUE)
 
