Reject responses whose framing HTTP/1.1 does not define

Callers saw: a body that was not the replica's, framed as whole, in both daemons, where one line Transfer-Encoding named chunked and a later one gzip. Chunks in HTTP/1.0, which RFC 9112 says to treat as faulty framing, and chunked applied twice were decoded like plain chunks.

Cause: twisted reads the first Transfer-Encoding line only, and no version. Other codings made it fail with a KeyError.

Change: HeadChecker accepts no transfer coding but a single chunked in HTTP/1.1, as no request asks for another, and one Content-Length that is a decimal number or repeats it. twisted already rejected other lengths; a length beside chunks is still overruled by them, as RFC 9112 has it.

--- a/tests/raw_heads.py
+++ b/tests/raw_heads.py
@@ -164,6 +164,9 @@
     'blank before a name': RawAnswer(fields=(b'x-first: 1', b' x-note: 1')),
     'tab before a name': RawAnswer(fields=(b'x-first: 1', b'\tx-note: 1')),
     'folded value': RawAnswer(fields=(b'x-note: 1,', b'  2')),
+    'folded coding': RawAnswer(
+        framing=(b'transfer-encoding: chunked', b' , gzip'), body=CHUNKED_BODY
+    ),
     'fold before the first field': RawAnswer(first_fields=(b' x-note: 1',)),
     'line of a blank': RawAnswer(fields=(b'x-first: 1', b' ')),
 }
@@ -187,6 +190,36 @@
     }.items()
 }
 
+MALFORMED_CODINGS = {
+    'gzip': make_chunked(b'gzip'),
+    'identity': make_chunked(b'identity'),
+    'no coding': make_chunked(b''),
+    'unknown coding': make_chunked(b'xchunked'),
+    'gzip, chunked': make_chunked(b'gzip, chunked'),
+    'chunked, gzip': make_chunked(b'chunked, gzip'),
+    'chunked twice': make_chunked(b'chunked, chunked'),
+    'chunked; parameter': make_chunked(b'chunked;a=b'),
+    'chunked in quotes': make_chunked(b'"chunked"'),
+    'lines gzip and chunked': make_chunked(b'gzip', b'chunked'),
+    'lines chunked and gzip': make_chunked(b'chunked', b'gzip'),
+    'lines chunked twice': make_chunked(b'chunked', b'chunked'),
+    'chunked in HTTP/1.0': make_chunked(b'chunked', version=b'HTTP/1.0'),
+}
+
+MALFORMED_LENGTHS = {
+    'no length': make_length(b''),
+    'letters': make_length(b'abc'),
+    'negative': make_length(b'-16'),
+    'sign': make_length(b'+16'),
+    'hexadecimal': make_length(b'0x10'),
+    'underscore': make_length(b'1_6'),
+    'fraction': make_length(b'16.0'),
+    'two numbers': make_length(b'16 16'),
+    'different lengths': make_length(b'16, 15'),
+    'lines of different lengths': make_length(b'15', b'16'),
+    'a length and an empty line': make_length(b'16', b''),
+}
+
 MALFORMED_INTERIMS = {
     f'interim: {name}': RawAnswer(interim=interim)
     for name, interim in {
@@ -196,6 +229,7 @@
         'value': b'HTTP/1.1 103 Early Hints\r\nlink: a\x01b\r\n\r\n',
         'name': b'HTTP/1.1 103 Early Hints\r\nli nk: a\r\n\r\n',
         'fold': b'HTTP/1.1 103 Early Hints\r\nlink: a\r\n b\r\n\r\n',
+        'coding': b'HTTP/1.1 100 Continue\r\ntransfer-encoding: gzip\r\n\r\n',
     }.items()
 }
 
@@ -207,6 +241,8 @@
     **MALFORMED_VALUES,
     **FOLDED_LINES,
     **MALFORMED_NAMES,
+    **MALFORMED_CODINGS,
+    **{f'length: {name}': raw for name, raw in MALFORMED_LENGTHS.items()},
     **MALFORMED_INTERIMS,
 }
 """Answers that are no HTTP/1.1, by what is wrong with them."""
@@ -239,6 +275,10 @@
     'repeated length': make_length(b'16, 16'),
     'lines of one length': make_length(b'16', b'16'),
     'length with zeros': make_length(b'0016'),
+    'length beside chunks': RawAnswer(
+        framing=(b'transfer-encoding: chunked', b'content-length: 3'),
+        body=CHUNKED_BODY,
+    ),
     'no framing': RawAnswer(framing=(b'connection: close',)),
 }
 """Answers that are unusual but allowed, by what is unusual."""
--- a/waywell/connection/response_head.py
+++ b/waywell/connection/response_head.py
@@ -20,6 +20,10 @@
 _TEXT = re.compile(rb'[\t\x20-\x7e\x80-\xff]*')
 """Reason phrase, or value of a field with the blanks around it."""
 
+_BLANKS = b' \t'
+
+_VERSION_WITHOUT_CODINGS = b'HTTP/1.0'
+
 
 class HeadFault(enum.Enum):
     """Part of a response head that is malformed."""
@@ -45,6 +49,12 @@
     FIELD_VALUE = 'field_value'
     """Value of a field, for a control byte."""
 
+    TRANSFER_ENCODING = 'transfer_encoding'
+    """Transfer codings other than a single ``chunked``."""
+
+    CONTENT_LENGTH = 'content_length'
+    """Content length that is not one decimal number."""
+
 
 class MalformedHeadError(Exception):
     """The head of a response is not valid HTTP/1.1.
@@ -65,8 +75,8 @@
     """Checks the head of a response and of the interim responses before it.
 
     Deviations that RFC 9112 lets recipients accept are accepted, except for
-    folded lines, which it lets gateways reject: lines that end with LF, and
-    no blank before an empty reason phrase.
+    folded lines, which it lets gateways reject: lines that end with LF, no
+    blank before an empty reason phrase, and a repeated content length.
     """
 
     def __init__(self) -> None:
@@ -93,13 +103,15 @@
             self._check_line(line.removesuffix(b'\r'))
 
     def _begin_head(self) -> None:
-        self._has_status = False
+        self._version = b''
         self._is_interim = False
+        self._codings: list[bytes] = []
+        self._lengths: list[bytes] = []
 
     def _check_line(self, line: bytes) -> None:
-        if self._has_status and line:
+        if self._version and line:
             self._check_field(line)
-        elif self._has_status:
+        elif self._version:
             self._end_head()
         else:
             self._check_status_line(line)
@@ -115,7 +127,7 @@
             raise MalformedHeadError(HeadFault.STATUS_CODE)
         if not _TEXT.fullmatch(phrase):
             raise MalformedHeadError(HeadFault.REASON_PHRASE)
-        self._has_status = True
+        self._version = version
         self._is_interim = code.startswith(b'1')
 
     def _check_field(self, line: bytes) -> None:
@@ -126,9 +138,37 @@
             raise MalformedHeadError(HeadFault.FIELD_NAME)
         if not _TEXT.fullmatch(text):
             raise MalformedHeadError(HeadFault.FIELD_VALUE)
+        lower_name = name.lower()
+        if lower_name == b'transfer-encoding':
+            self._codings.append(text)
+        elif lower_name == b'content-length':
+            self._lengths.append(text)
 
     def _end_head(self) -> None:
+        if self._codings and not self._is_chunked_only():
+            raise MalformedHeadError(HeadFault.TRANSFER_ENCODING)
+        if self._lengths and not self._has_one_length():
+            raise MalformedHeadError(HeadFault.CONTENT_LENGTH)
         if self._is_interim:
             self._begin_head()
         else:
             self.is_complete = True
+
+    def _is_chunked_only(self) -> bool:
+        """Return whether ``chunked`` is the only coding.
+
+        No other can be decoded, and requests ask for no other.
+        """
+        codings = b','.join(self._codings).strip(_BLANKS).lower()
+        return (
+            codings == b'chunked' and self._version != _VERSION_WITHOUT_CODINGS
+        )
+
+    def _has_one_length(self) -> bool:
+        lengths = [
+            length.strip(_BLANKS)
+            for length in b','.join(self._lengths).split(b',')
+        ]
+        if not all(length.isdigit() for length in lengths):
+            return False
+        return len({length.lstrip(b'0') for length in lengths}) == 1
