Log attempts that fail for a malformed response head

An attempt whose response had a malformed head was logged as broken, as after a reset, so only the line of its connection told the reason, without the request.

SendFault and DispatchFault have a value of their own for it: the front daemon logs why=malformed with the request and the replica, the history of the entry daemon has fault=malformed, and response_malformed has server and reason. Nothing else tells the two faults apart: the request may have run, so it gets 502 where it may not run again, and the replica is checked for a crash.

--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -4,6 +4,7 @@
 
 import http.client
 import itertools
+import re
 import threading
 from collections import deque
 from dataclasses import replace
@@ -249,6 +250,26 @@
     assert (status, body) == (200, WHOLE_STREAM)
 
 
+def test_a_malformed_answer_is_logged_with_its_reason(
+    served: tuple[FrontHarness, Process],
+) -> None:
+    front, process = served
+    script_next(front, RawAnswer(fields=(b'x-note: a\x00b',)))
+    path = '/match/logged'
+    assert front.send_request(process, path)[0] == 502
+    malformed = read_log(front, 'response_malformed')[-1]
+    ports = {
+        server.get_port()
+        for name, server in front.servers.items()
+        if name.startswith('a')
+    }
+    found = re.search(r'server=127\.0\.0\.1:(\d+) reason=(\w+)', malformed)
+    assert found is not None
+    assert int(found.group(1)) in ports
+    assert found.group(2) == 'field_value'
+    assert 'why=malformed' in read_log(front, 'failed')[-1]
+
+
 def test_a_store_that_answers_malformed_counts_as_lost(
     served: tuple[FrontHarness, Process],
 ) -> None:
--- a/tests/test_malformed_calls.py
+++ b/tests/test_malformed_calls.py
@@ -14,8 +14,14 @@
 from twisted.web.http_headers import Headers
 
 from tests.raw_heads import MALFORMED_HEADS, UNUSUAL_HEADS, RawAnswer
-from waywell.connection import http_target
+from waywell.connection import exchange, http_target
 from waywell.connection.client_connection import ClientConnection
+from waywell.connection.exchange import (
+    OutgoingRequest,
+    PendingRequest,
+    SendFault,
+    open_exchange,
+)
 from waywell.connection.http_client import HttpClient
 from waywell.connection.http_target import HttpTarget
 from waywell.connection.platform import PlatformFault
@@ -117,3 +123,26 @@
     assert asyncio.run(broken.order(BOX, ORDER, SECONDS)) is (
         OrderOutcome.UNKNOWN
     )
+
+
+@pytest.mark.parametrize(
+    ('answer', 'fault'),
+    [
+        (RawAnswer(b'HTTP/1.1 000 Odd'), SendFault.MALFORMED),
+        (RawAnswer(sent=30), SendFault.BROKEN),
+    ],
+)
+def test_the_fault_of_an_attempt_tells_malformed_from_broken(
+    monkeypatch: pytest.MonkeyPatch, answer: RawAnswer, fault: SendFault
+) -> None:
+    async def connect(*_address: Any) -> Result:
+        return Success(_ReplayedConnection(answer))
+
+    monkeypatch.setattr(exchange, '_connect', connect)
+    sent: list[PendingRequest] = []
+    outgoing = OutgoingRequest('127.0.0.1', 1, 'GET', '/', ((b'host', b'x'),))
+    opened = asyncio.run(
+        open_exchange(outgoing, SECONDS, lambda: True, sent.append)
+    )
+    assert opened == Failure(fault)
+    assert len(sent) == 1
--- a/tests/test_malformed_targets.py
+++ b/tests/test_malformed_targets.py
@@ -101,3 +101,19 @@
     served: tuple[Bench, ScriptedBox], size: int
 ) -> None:
     check_failed(*served, replace(WHOLE, sent=size))
+
+
+def test_a_malformed_answer_is_logged_with_its_reason(
+    served: tuple[Bench, ScriptedBox],
+) -> None:
+    bench, box = served
+    check_failed(bench, box, RawAnswer(b'HTTP/1.1 000 Odd'))
+    (log,) = bench.folder.glob('entry-entry-1-*.log')
+    reason = f'server=127.0.0.1:{box.port} reason=status_code'
+    wait_until(lambda: reason in log.read_text(), 'the reason in the log')
+
+    def list_faults() -> list[str]:
+        events = bench.read_history('history-*.jsonl')
+        return [event['fault'] for event in events if 'fault' in event]
+
+    wait_until(lambda: 'malformed' in list_faults(), 'the failed attempt')
--- a/waywell/connection/client_connection.py
+++ b/waywell/connection/client_connection.py
@@ -10,7 +10,11 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.python.failure import Failure
-from twisted.web.client import HTTP11ClientProtocol, HTTPConnectionPool
+from twisted.web.client import (
+    HTTP11ClientProtocol,
+    HTTPConnectionPool,
+    ResponseFailed,
+)
 
 from waywell.connection.response_head import HeadChecker, MalformedHeadError
 from waywell.telemetry.events import log_warning
@@ -100,6 +104,13 @@
         self._connection.abort_oversized(part, limit, received)
 
 
+def has_malformed_head(error: Exception) -> bool:
+    """Return whether a request failed for a malformed response head."""
+    return isinstance(error, ResponseFailed) and any(
+        reason.check(MalformedHeadError) for reason in error.reasons
+    )
+
+
 class ClientConnection(HTTP11ClientProtocol):
     """Client connection that checks response heads and records its end.
 
--- a/waywell/connection/exchange.py
+++ b/waywell/connection/exchange.py
@@ -24,6 +24,7 @@
     ClientConnection,
     ClientResponse,
     ResponsePart,
+    has_malformed_head,
 )
 from waywell.connection.deferreds import await_deferred
 from waywell.connection.hop_headers import HOP_BY_HOP_HEADERS
@@ -49,6 +50,9 @@
     BROKEN = 'broken'
     """Bytes were sent, but no valid response was received."""
 
+    MALFORMED = 'malformed'
+    """Bytes were sent, and a response with a malformed head was received."""
+
     REPLICA_ENDED = 'replica_ended'
     """A box of the replica has restarted; work in progress there is lost."""
 
@@ -274,6 +278,9 @@
         response: ClientResponse = await await_deferred(
             deferred_response, None
         )
-    except Exception:
-        return Failure(SendFault.BROKEN)
+    except Exception as error:
+        is_malformed = has_malformed_head(error)
+        return Failure(
+            SendFault.MALFORMED if is_malformed else SendFault.BROKEN
+        )
     return Success(Exchange(response))
--- a/waywell/connection/http_target.py
+++ b/waywell/connection/http_target.py
@@ -26,6 +26,7 @@
 from waywell.connection.bodies import BytesBodyProducer, read_body
 from waywell.connection.client_connection import (
     ClientResponse,
+    has_malformed_head,
     make_client_pool,
 )
 from waywell.connection.deferreds import await_deferred
@@ -187,10 +188,8 @@
         )
         try:
             response: ClientResponse = await await_deferred(requested, seconds)
-        except TimeoutError:
-            return Failure(self._classify_failure(endpoint, timed_out=True))
-        except Exception:
-            return Failure(self._classify_failure(endpoint, timed_out=False))
+        except Exception as error:
+            return Failure(_classify_failure(endpoint, error))
         if _is_fenced(response):
             response.abort()
             return Failure(DispatchFault.FENCED)
@@ -280,25 +279,29 @@
             else self._pool
         )
 
-    def _classify_failure(
-        self,
-        endpoint: GuardedEndpoint,
-        timed_out: bool,
-    ) -> DispatchFault:
-        if endpoint.refused:
-            return DispatchFault.TOO_LATE
-        # Without an attempt to connect, a kept connection was used, on which
-        # the request may have been sent.
-        if endpoint.attempted and not endpoint.connected:
-            return DispatchFault.NOT_SENT
-        return DispatchFault.TIMED_OUT if timed_out else DispatchFault.BROKEN
-
 
 class _WholeAnswer(msgspec.Struct, frozen=True):
     code: int
     raw: bytes
 
 
+def _classify_failure(
+    endpoint: GuardedEndpoint, error: Exception
+) -> DispatchFault:
+    """Return why a request got no answer."""
+    if endpoint.refused:
+        return DispatchFault.TOO_LATE
+    # Without an attempt to connect, a kept connection was used, on which the
+    # request may have been sent.
+    if endpoint.attempted and not endpoint.connected:
+        return DispatchFault.NOT_SENT
+    if isinstance(error, TimeoutError):
+        return DispatchFault.TIMED_OUT
+    if has_malformed_head(error):
+        return DispatchFault.MALFORMED
+    return DispatchFault.BROKEN
+
+
 def _make_url(member: Member, path: str) -> bytes:
     return f'http://{member.host}:{member.port}{path}'.encode()
 
--- a/waywell/connection/target.py
+++ b/waywell/connection/target.py
@@ -49,6 +49,9 @@
     BROKEN = 'broken'
     """The connection failed after the request was sent."""
 
+    MALFORMED = 'malformed'
+    """The head of the answer was malformed; the request may have run."""
+
     TIMED_OUT = 'timed_out'
     """The deadline passed after the request was sent."""
 
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -69,6 +69,7 @@
         DispatchFault.NOT_SENT: Code.TARGET_UNREACHABLE,
         DispatchFault.TOO_LATE: Code.DEADLINE_PASSED,
         DispatchFault.BROKEN: Code.TARGET_FAILED,
+        DispatchFault.MALFORMED: Code.TARGET_FAILED,
         DispatchFault.TIMED_OUT: Code.DEADLINE_PASSED,
         DispatchFault.GROUP_CHANGED: Code.NO_WHOLE_GROUP,
         DispatchFault.FENCED: Code.FENCE_REFUSED,
@@ -520,7 +521,7 @@
     ) -> DispatchFault:
         """Record a failed attempt and whether the request may have run."""
         work.tried.add(group.group)
-        if fault is DispatchFault.BROKEN:
+        if fault in {DispatchFault.BROKEN, DispatchFault.MALFORMED}:
             self._record_broken_attempt(work, group, has_begun=False)
         if fault not in _NOT_RUN_FAULTS:
             work.may_have_run = True
--- a/waywell/request/request_execution.py
+++ b/waywell/request/request_execution.py
@@ -269,7 +269,7 @@
         """Return whether bytes of a failed attempt may have been sent."""
         if fault.fault is SendFault.REPLICA_ENDED:
             return self._context.may_have_run
-        return fault.fault is SendFault.BROKEN
+        return fault.fault in {SendFault.BROKEN, SendFault.MALFORMED}
 
     def _handle_rejection(self, head: Attempt.Head, now: float) -> None:
         """Try another replica after one that rejected the request."""
