Test drawn heads against a strict reader, and peers of earlier releases

The cases of malformed heads are those that somebody thought of. Responses whose heads are drawn from sound and malformed parts, with some bytes replaced, are now read by a client connection and by a strict reader of the tests, which shares no code with the product: both accept the same heads with the same status, fields and body. Through a front daemon, the caller reads either what the strict reader makes of the replica's bytes, or 502 as may_have_run. Behind a peer that checks nothing, as in earlier releases, the node that received the request rejects what the peer passes on.

--- a/tests/raw_heads.py
+++ b/tests/raw_heads.py
@@ -92,6 +92,25 @@
             return
 
 
+@dataclass(frozen=True)
+class FixedAnswer(RawAnswer):
+    """Answer of given bytes, without headers of the test server.
+
+    Parameters
+    ----------
+    raw
+        All bytes of the answer.
+    """
+
+    raw: bytes = b''
+
+    def encode_response(
+        self, headers: Mapping[str, str] | None = None
+    ) -> bytes:
+        """Return the given bytes."""
+        return self.raw
+
+
 def make_chunked(*codings: bytes, version: bytes = b'HTTP/1.1') -> RawAnswer:
     """Return a chunked answer with some ``Transfer-Encoding`` lines."""
     framing = tuple(b'transfer-encoding: %s' % coding for coding in codings)
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -5,22 +5,27 @@
 import http.client
 import itertools
 import re
+import socket
 import threading
 from collections import deque
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 import pytest
+from hypothesis import given
 
-from tests.fake_platform import EVENTS, make_manifest
-from tests.front_harness import WHOLE_STREAM, FrontHarness
+from tests.drawn_heads import draw_response
+from tests.fake_platform import EVENTS, HOST, KEY, make_manifest
+from tests.front_harness import CALL_SECONDS, WHOLE_STREAM, FrontHarness
 from tests.raw_heads import (
     MALFORMED_HEADS,
     PLAIN_BODY,
     UNUSUAL_HEADS,
+    FixedAnswer,
     RawAnswer,
 )
 from tests.replica_paths import Cut, ReplicaPaths
+from tests.strict_reader import read_response
 from waywell.standins.harness import Process, wait_until
 
 if TYPE_CHECKING:
@@ -106,9 +111,11 @@
     return count
 
 
-def read_log(front: FrontHarness, event: str) -> list[str]:
-    """Return the lines of an event in the log of the node."""
-    log = (front.folder / 'front-1.log').read_text(encoding='utf-8')
+def read_log(
+    front: FrontHarness, event: str, node: str = 'front-1'
+) -> list[str]:
+    """Return the lines of an event in the log of a node."""
+    log = (front.folder / f'{node}.log').read_text(encoding='utf-8')
     return [line for line in log.splitlines() if f'event={event} ' in line]
 
 
@@ -270,6 +277,52 @@
     assert 'why=malformed' in read_log(front, 'failed')[-1]
 
 
+DRAWN_HEADERS = {
+    'X-Request-Attempt-Id': 'drawn',
+    'X-Replica-Stamp': 'stamp-of-drawn',
+}
+
+
+def read_caller_bytes(process: Process) -> bytes:
+    """Return all bytes that a caller gets until its connection ends."""
+    request = (
+        f'POST /match/1 HTTP/1.1\r\nHost: {HOST}\r\n'
+        'X-Request-Attempt-Id: drawn\r\nX-Deadline-Ms: 8000\r\n'
+        f'Authorization: Bearer {KEY}\r\n'
+        'Connection: close\r\nContent-Length: 0\r\n\r\n'
+    )
+    address = ('127.0.0.1', process.ports['caller_port'])
+    received = b''
+    with socket.create_connection(address, CALL_SECONDS) as caller:
+        caller.sendall(request.encode())
+        while piece := caller.recv(65_536):
+            received += piece
+    return received
+
+
+@given(raw=draw_response(DRAWN_HEADERS))
+def test_a_caller_reads_a_valid_answer_or_a_visible_failure(
+    running: tuple[FrontHarness, Process], raw: bytes
+) -> None:
+    front, process = running
+    script_next(front, FixedAnswer(raw=raw))
+    seen = read_response(read_caller_bytes(process))
+    assert seen is not None
+    if seen.find(b'waywell-ran') is not None:
+        assert seen.status == 502
+        assert seen.find(b'waywell-ran') == b'may_have_run'
+        assert seen.find(b'x-replica-stamp') is None
+        return
+    sent = read_response(raw)
+    assert sent is not None
+    if not sent.is_complete:
+        assert not seen.is_complete
+        return
+    assert seen.is_complete
+    assert (seen.status, seen.body) == (sent.status, sent.body)
+    assert set(sent.fields) <= set(seen.fields)
+
+
 def test_a_store_that_answers_malformed_counts_as_lost(
     served: tuple[FrontHarness, Process],
 ) -> None:
@@ -317,16 +370,20 @@
     front.wait_serving(process)
 
 
-@pytest.fixture
+@pytest.fixture(params=['waywell.platform', 'tests.unchecked_front'])
 def partitioned(
-    front: FrontHarness,
-) -> Iterator[tuple[FrontHarness, Process]]:
-    """Return a node that reaches replicas only through a peer."""
+    front: FrontHarness, request: pytest.FixtureRequest
+) -> Iterator[tuple[FrontHarness, Process, str]]:
+    """Return a node that reaches replicas only through a peer.
+
+    The peer is of this release, or passes malformed answers on.  The name of
+    the node that has to reject them is returned as well.
+    """
     front.store.put('config', 'main', make_routes())
     paths = ReplicaPaths(front)
     process = front.start('front-3', paths.store, 'hall-b')
     front.wait_serving(process)
-    front.wait_serving(front.start('front-1'))
+    front.wait_serving(front.start('front-1', module=[request.param]))
     wait_until(
         lambda: front.send_request(process, '/stock/1')[0] == 200,
         'a link to replicas',
@@ -339,18 +396,26 @@
         return 'event=partition_detected' in log.read_text()
 
     wait_until(is_forwarded, 'requests that are forwarded through the peer')
-    yield front, process
+    rejecting = 'front-1' if request.param == 'waywell.platform' else 'front-3'
+    yield front, process, rejecting
     paths.close()
 
 
+PASSED_ON = ('000', '600', "value b'\\x01'", "value b'\\x7f'")
+"""Malformed heads that a peer of an earlier release passes on."""
+
+
 def test_a_malformed_answer_behind_a_peer_fails_at_the_caller(
-    partitioned: tuple[FrontHarness, Process],
+    partitioned: tuple[FrontHarness, Process, str],
 ) -> None:
-    front, process = partitioned
-    clear_runs(front)
-    script_next(front, ZERO_STATUS)
-    status, body, answer = front.send_request(process, '/match/1')
-    assert status == 502
-    assert PLAIN_BODY not in body
-    assert answer.getheader('waywell-ran') == 'may_have_run'
-    assert count_runs(front) == 1
+    front, process, rejecting = partitioned
+    for name in PASSED_ON:
+        clear_runs(front)
+        script_next(front, MALFORMED_HEADS[name])
+        status, body, answer = front.send_request(process, '/match/1')
+        assert (name, status) == (name, 502)
+        assert PLAIN_BODY not in body
+        assert answer.getheader('waywell-ran') == 'may_have_run'
+        assert count_runs(front) == 1
+    lines = read_log(front, 'response_malformed', rejecting)
+    assert len(lines) == len(PASSED_ON)
--- a/tests/test_malformed_heads.py
+++ b/tests/test_malformed_heads.py
@@ -5,12 +5,15 @@
 from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from twisted.internet.error import ConnectionDone
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 from twisted.web.client import Request, ResponseFailed
 from twisted.web.http_headers import Headers
 
+from tests.drawn_heads import draw_response
 from tests.raw_heads import (
     MALFORMED_HEADS,
     PLAIN_BODY,
@@ -18,6 +21,7 @@
     UNUSUAL_HEADS,
     RawAnswer,
 )
+from tests.strict_reader import read_response
 from waywell.connection.body_end import BodyEnd, BodyOutcome
 from waywell.connection.client_connection import (
     ClientConnection,
@@ -175,3 +179,24 @@
         link.close()
         assert not link.exchanges
         assert len(link.failures) == 1
+
+
+@settings(max_examples=10 * settings().max_examples)
+@given(raw=draw_response(), step=st.sampled_from([1, 5, 65_536]))
+def test_a_response_is_read_as_by_a_strict_reader(
+    raw: bytes, step: int
+) -> None:
+    expected = read_response(raw)
+    link = receive_once(raw, step)
+    link.close()
+    if expected is None:
+        assert not link.exchanges
+        assert len(link.failures) == 1
+        return
+    assert not link.failures
+    (exchange,), (sink,) = link.exchanges, link.sinks
+    fields = sorted((name.lower(), text) for name, text in exchange.headers)
+    assert exchange.status == expected.status
+    assert tuple(fields) == expected.fields
+    assert sink.body == expected.body
+    assert sink.is_complete == expected.is_complete
