Share the routes, scripts and peers of tests of single attempts

The tests of truncated and of malformed answers need the same routes without hedges, scripts for whichever replica is chosen, and a node behind a peer. They stand in one module now; no check has changed.

--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -7,15 +7,14 @@
 import re
 import socket
 import threading
-from collections import deque
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import pytest
 from hypothesis import given
 
 from tests.drawn_heads import draw_response
-from tests.fake_platform import EVENTS, HOST, KEY, make_manifest
+from tests.fake_platform import EVENTS, HOST, KEY
 from tests.front_harness import CALL_SECONDS, WHOLE_STREAM, FrontHarness
 from tests.raw_heads import (
     MALFORMED_HEADS,
@@ -24,20 +23,18 @@
     FixedAnswer,
     RawAnswer,
 )
-from tests.replica_paths import Cut, ReplicaPaths
 from tests.strict_reader import read_response
+from tests.unhedged_front import (
+    make_routes,
+    script_next,
+    start_front,
+    start_partitioned_front,
+)
 from waywell.standins.harness import Process, wait_until
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-NO_HEDGE_TIMES = {
-    'latency_goal_ms': 60_000,
-    'gap_goal_ms': 60_000,
-    'timeout_ms': 20_000,
-}
-"""Goals and timeout of a route whose attempts are never hedged."""
-
 ZERO_STATUS = RawAnswer(b'HTTP/1.1 000 Odd')
 
 ZERO_STATUS_STREAM = replace(
@@ -53,29 +50,12 @@
 _versions = itertools.count(2)
 
 
-def make_routes(version: int = 1) -> dict[str, Any]:
-    """Return routes without hedges, and one route with hedges."""
-    manifest = make_manifest(version)
-    streams = manifest['routes'][0]
-    hedged = {**streams, 'name': 'hedged', 'path_prefix': '/hedged/'}
-    for route in manifest['routes']:
-        route.update(NO_HEDGE_TIMES)
-    once = {'name': 'once', 'path_prefix': '/once/', 'resumable': False}
-    manifest['routes'] += [hedged, {**streams, **once}]
-    return manifest
-
-
 @pytest.fixture(scope='module')
 def running(
     tmp_path_factory: pytest.TempPathFactory,
 ) -> Iterator[tuple[FrontHarness, Process]]:
-    front = FrontHarness(tmp_path_factory.mktemp('front'))
-    front.add_servers()
-    front.store.put('config', 'main', make_routes())
-    process = front.start()
-    front.wait_serving(process)
-    yield front, process
-    front.close()
+    with start_front(FrontHarness(tmp_path_factory.mktemp('front'))) as made:
+        yield made
 
 
 @pytest.fixture
@@ -97,13 +77,6 @@
         server.runs.clear()
 
 
-def script_next(front: FrontHarness, *scripts: RawAnswer | str) -> None:
-    """Set the next answers, whichever servers receive the requests."""
-    shared: deque[Any] = deque(scripts)
-    for server in front.servers.values():
-        server.script = shared
-
-
 def count_runs(front: FrontHarness) -> int:
     """Return the number of requests that ran, and forget them."""
     count = len(front.list_runs(*front.servers))
@@ -379,26 +352,10 @@
     The peer is of this release, or passes malformed answers on.  The name of
     the node that has to reject them is returned as well.
     """
-    front.store.put('config', 'main', make_routes())
-    paths = ReplicaPaths(front)
-    process = front.start('front-3', paths.store, 'hall-b')
-    front.wait_serving(process)
-    front.wait_serving(front.start('front-1', module=[request.param]))
-    wait_until(
-        lambda: front.send_request(process, '/stock/1')[0] == 200,
-        'a link to replicas',
-    )
-    paths.cut(Cut.RESET)
-    log = front.folder / 'front-3.log'
-
-    def is_forwarded() -> bool:
-        front.send_request(process, '/notes/1', model='small')
-        return 'event=partition_detected' in log.read_text()
-
-    wait_until(is_forwarded, 'requests that are forwarded through the peer')
-    rejecting = 'front-1' if request.param == 'waywell.platform' else 'front-3'
-    yield front, process, rejecting
-    paths.close()
+    module = request.param
+    rejecting = 'front-1' if module == 'waywell.platform' else 'front-3'
+    with start_partitioned_front(front, module) as process:
+        yield front, process, rejecting
 
 
 PASSED_ON = ('000', '600', "value b'\\x01'", "value b'\\x7f'")
--- a/tests/test_truncated_answers.py
+++ b/tests/test_truncated_answers.py
@@ -6,31 +6,29 @@
 import itertools
 import threading
 from collections import deque
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import pytest
 
 from tests.broken_bodies import BodyScript, Ending, Framing
-from tests.fake_platform import EVENTS, HOST, KEY, make_manifest
+from tests.fake_platform import EVENTS, HOST, KEY
 from tests.front_harness import CALL_SECONDS, WHOLE_STREAM, FrontHarness
-from tests.replica_paths import Cut, ReplicaPaths
-from waywell.standins.harness import Process, wait_until
+from tests.unhedged_front import (
+    script_next,
+    start_front,
+    start_partitioned_front,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from waywell.standins.harness import Process
+
 EVENT = len(WHOLE_STREAM) // EVENTS
 """Size of each event, in bytes."""
 
 PLAIN = b'the whole answer'
 
-NO_HEDGE_TIMES = {
-    'latency_goal_ms': 60_000,
-    'gap_goal_ms': 60_000,
-    'timeout_ms': 20_000,
-}
-"""Goals and timeout of a route whose attempts are never hedged."""
-
 REPLICAS = 2
 """Number of groups that serve streams; each is tried once."""
 
@@ -65,33 +63,12 @@
 ]
 
 
-def make_routes() -> dict[str, Any]:
-    """Return routes without hedges, and one route with hedges.
-
-    A hedge would use up a send and a script that a test has set up for another
-    attempt.
-    """
-    manifest = make_manifest()
-    streams = manifest['routes'][0]
-    hedged = {**streams, 'name': 'hedged', 'path_prefix': '/hedged/'}
-    for route in manifest['routes']:
-        route.update(NO_HEDGE_TIMES)
-    once = {'name': 'once', 'path_prefix': '/once/', 'resumable': False}
-    manifest['routes'] += [hedged, {**streams, **once}]
-    return manifest
-
-
 @pytest.fixture(scope='module')
 def running(
     tmp_path_factory: pytest.TempPathFactory,
 ) -> Iterator[tuple[FrontHarness, Process]]:
-    front = FrontHarness(tmp_path_factory.mktemp('front'))
-    front.add_servers()
-    front.store.put('config', 'main', make_routes())
-    process = front.start()
-    front.wait_serving(process)
-    yield front, process
-    front.close()
+    with start_front(FrontHarness(tmp_path_factory.mktemp('front'))) as made:
+        yield made
 
 
 @pytest.fixture
@@ -107,13 +84,6 @@
     return running
 
 
-def script_next(front: FrontHarness, *scripts: BodyScript | str) -> None:
-    """Set the next answers, whichever servers receive the requests."""
-    shared = deque(scripts)
-    for server in front.servers.values():
-        server.script = shared
-
-
 def ask_stream(
     front: FrontHarness, process: Process, route: str = 'notes'
 ) -> bytes | None:
@@ -396,25 +366,8 @@
     front: FrontHarness,
 ) -> Iterator[tuple[FrontHarness, Process]]:
     """Return a node that reaches replicas only through a peer."""
-    front.store.put('config', 'main', make_routes())
-    paths = ReplicaPaths(front)
-    partitioned = front.start('front-3', paths.store, 'hall-b')
-    front.wait_serving(partitioned)
-    front.wait_serving(front.start('front-1'))
-    wait_until(
-        lambda: front.send_request(partitioned, '/stock/1')[0] == 200,
-        'a link to replicas',
-    )
-    paths.cut(Cut.RESET)
-    log = front.folder / 'front-3.log'
-
-    def is_forwarded() -> bool:
-        front.send_request(partitioned, '/notes/1', model='small')
-        return 'event=partition_detected' in log.read_text()
-
-    wait_until(is_forwarded, 'requests that are forwarded through the peer')
-    yield front, partitioned
-    paths.close()
+    with start_partitioned_front(front) as partitioned:
+        yield front, partitioned
 
 
 @pytest.mark.parametrize('framing', Framing)
