Require that sound drawn answers are passed on

The test of drawn heads through a front daemon allowed a refusal of any answer. A complete answer to the request whose head the strict reader accepts must reach the caller now. The test of hedges waits until the malformed answer has been rejected before it lets the hedged attempt answer.

--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -23,7 +23,7 @@
     FixedAnswer,
     RawAnswer,
 )
-from tests.strict_reader import read_response
+from tests.strict_reader import Response, read_response
 from tests.unhedged_front import (
     make_routes,
     script_next,
@@ -210,14 +210,14 @@
     front, process = served
     for server in front.servers.values():
         server.unblocked.clear()
+    before = len(read_log(front, 'response_malformed'))
     script_next(front, 'wait-1', ZERO_STATUS_STREAM)
 
     def release() -> None:
         wait_until(
-            lambda: len(front.list_runs(*front.servers)) == REPLICAS,
-            'the hedge',
+            lambda: len(read_log(front, 'response_malformed')) > before,
+            'the malformed hedge',
         )
-        ZERO_STATUS_STREAM.sent_count.acquire()
         for server in front.servers.values():
             server.unblocked.set()
 
@@ -228,6 +228,7 @@
     )
     releasing.join()
     assert (status, body) == (200, WHOLE_STREAM)
+    assert count_runs(front) == REPLICAS
 
 
 def test_a_malformed_answer_is_logged_with_its_reason(
@@ -273,6 +274,11 @@
     return received
 
 
+def belongs_to_request(response: Response) -> bool:
+    """Return whether a response names the drawn request."""
+    return response.find(b'x-request-attempt-id') == b'drawn'
+
+
 @given(raw=draw_response(DRAWN_HEADERS))
 def test_a_caller_reads_a_valid_answer_or_a_visible_failure(
     running: tuple[FrontHarness, Process], raw: bytes
@@ -280,20 +286,16 @@
     front, process = running
     script_next(front, FixedAnswer(raw=raw))
     seen = read_response(read_caller_bytes(process))
+    sent = read_response(raw)
     assert seen is not None
-    if seen.find(b'waywell-ran') is not None:
+    assert seen.is_complete
+    if sent is None or not sent.is_complete or not belongs_to_request(sent):
         assert seen.status == 502
         assert seen.find(b'waywell-ran') == b'may_have_run'
         assert seen.find(b'x-replica-stamp') is None
-        return
-    sent = read_response(raw)
-    assert sent is not None
-    if not sent.is_complete:
-        assert not seen.is_complete
-        return
-    assert seen.is_complete
-    assert (seen.status, seen.body) == (sent.status, sent.body)
-    assert set(sent.fields) <= set(seen.fields)
+    else:
+        assert (seen.status, seen.body) == (sent.status, sent.body)
+        assert set(sent.fields) <= set(seen.fields)
 
 
 def test_a_store_that_answers_malformed_counts_as_lost(
@@ -329,14 +331,14 @@
     front: FrontHarness,
 ) -> None:
     """No group serves while boxes only seem to accept its orders."""
-    refusing = RawAnswer(
+    malformed = RawAnswer(
         b'HTTP/1.1 000 Odd', framing=(b'content-length: 0',), body=b''
     )
     for server in front.servers.values():
-        server.raw_answers['/api/order'] = refusing
+        server.raw_answers['/api/order'] = malformed
     process = front.start()
     for _call in range(4):
-        assert refusing.sent_count.acquire(timeout=30)
+        assert malformed.sent_count.acquire(timeout=30)
     assert front.count_serving_groups(process) == 0
     for server in front.servers.values():
         server.raw_answers.clear()
