Wait for each service's links before the test of malformed answers at peers

Its logs show why: the set-up waits until the lost links of one service are known, while the test sends to another, whose links the node had still to diagnose. It had no peer to forward to in that moment and refused the first request with 3001, rightly as not run.

The set-up now waits until a request to the tested service is answered through the peer; the checks are the same.

--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -357,6 +357,11 @@
     module = request.param
     rejecting = 'front-1' if module == 'waywell.platform' else 'front-3'
     with start_partitioned_front(front, module) as process:
+        # Links are diagnosed for each service.
+        wait_until(
+            lambda: front.send_request(process, '/stock/1')[0] == 200,
+            'plain requests that are forwarded through the peer',
+        )
         yield front, process, rejecting
 
 
