--- /dev/null
+++ b/review/second/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and harness of the second review's cases."""
