--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,6 +7,6 @@
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 PYTHONPYCACHEPREFIX="$folder" python3 -m compileall -q \
-  review/second tests/relay.py tests/replica_paths.py
-python3 -c 'import review.second.fronts, review.second.replica
+  review/second tests/__init__.py tests/relay.py tests/replica_paths.py
+python3 -c 'import review.second.engine, review.second.fronts, review.second.replica
 import review.second.clients, review.second.record, tests.replica_paths'
--- a/review/second/clients.py
+++ b/review/second/clients.py
@@ -43,6 +43,7 @@
     path: str,
     deadline_ms: int,
     method: str = 'POST',
+    headers: dict[str, str] | None = None,
 ) -> Call:
     """Send a request and return the call with its answer."""
     call = Call(attempt, time.monotonic())
@@ -59,6 +60,7 @@
                 'X-Request-Attempt-Id': attempt,
                 'X-Deadline-Ms': str(deadline_ms),
                 'Authorization': f'Bearer {KEY}',
+                **(headers or {}),
             },
         )
         answer = connection.getresponse()
--- a/review/second/fronts.py
+++ b/review/second/fronts.py
@@ -130,12 +130,21 @@
         Address of the store as this machine reaches it.
     ports
         Ports for clients, readiness, peers and directory.
+    bounds
+        Bounds that differ from those of ``BOUNDS``.
     """
 
     def __init__(
-        self, folder: Path, name: str, zone: str, store: str, ports: list[int]
+        self,
+        folder: Path,
+        name: str,
+        zone: str,
+        store: str,
+        ports: list[int],
+        bounds: dict[str, Any] | None = None,
     ) -> None:
         """Keep what the settings need; nothing is started."""
+        self._bounds = {**BOUNDS, **(bounds or {})}
         self.name = name
         self.zone = zone
         self.clients, self.readiness, self.control, self.directory = ports
@@ -257,7 +266,7 @@
                     'directory': f'127.0.0.1:{self.directory}',
                 },
                 'limits': LIMITS,
-                'bounds': BOUNDS,
+                'bounds': self._bounds,
                 'platform': {'address': self._store},
             },
         )
