--- a/review/second/fronts.py
+++ b/review/second/fronts.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import os
+import random
 import re
 import socket
 import subprocess
@@ -74,12 +75,20 @@
 
 
 def reserve_ports(count: int) -> list[int]:
-    """Return distinct free ports."""
-    probes = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
+    """Return distinct free ports.
+
+    They lie below those that the system gives to outgoing connections, which
+    could take one before the program listens there.
+    """
+    ports: set[int] = set()
+    while len(ports) < count:
+        port = random.randrange(15_000, 31_000)
+        try:
+            socket.create_server(('127.0.0.1', port)).close()
+        except OSError:
+            continue
+        ports.add(port)
+    return list(ports)
 
 
 def fill_template(text: str, fields: dict[str, Any]) -> str:
--- a/review/second/record.py
+++ b/review/second/record.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import signal
 import time
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
 HELD = 0
@@ -45,3 +47,27 @@
         ]
         self._path.write_text('\n'.join([*lines, verdict, '']))
         print(verdict)
+
+
+def run_case(main: Callable[[], int], record: Path) -> int:
+    """Run a case; an error, or the order to end, means that it could not run.
+
+    Parameters
+    ----------
+    main
+        Plays the case, ends what it started and returns the exit code.
+    record
+        File of the record, which gets the error.
+    """
+    signal.signal(signal.SIGTERM, _end)
+    try:
+        return main()
+    except Exception as error:
+        record.write_text(f'could not run: {error!r}\n')
+        print(f'could not run: {error!r}')
+        return NOT_RUN
+
+
+def _end(*_details: object) -> None:
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    raise RuntimeError('told to end')
