--- a/review/second/fronts.py
+++ b/review/second/fronts.py
@@ -158,7 +158,7 @@
         self.zone = zone
         self.clients, self.readiness, self.control, self.directory = ports
         self._folder = folder
-        self._store = store
+        self.store = store
         self._process: subprocess.Popen[bytes] | None = None
         self._starts = 0
 
@@ -276,7 +276,7 @@
                 },
                 'limits': LIMITS,
                 'bounds': self._bounds,
-                'platform': {'address': self._store},
+                'platform': {'address': self.store},
             },
         )
         # All machines share one address here, so that a fixed port is taken.
--- a/review/second/store.py
+++ b/review/second/store.py
@@ -3,7 +3,8 @@
 It answers over HTTP/1.1 as the protocol page says: objects by kind and name,
 one revision for the whole store, conditional writes, lists and watches.  A
 store may listen at several ports; each port may show the servers' addresses
-through a map, so that every machine has links of its own to the servers.
+through a map, so that every machine has links of its own to the servers.  It
+may be away for a while and come back from an older copy, in a new era.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import json
 import threading
 import time
+from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -56,11 +58,31 @@
         self.wfile.flush()
 
 
+@dataclass(frozen=True)
+class Copy:
+    """Copy of a store's content."""
+
+    taken_at: float
+    """When it was taken, in seconds."""
+
+    objects: dict[tuple[str, str], dict[str, Any]]
+    """Objects by kind and name."""
+
+    events: list[tuple[int, str, dict[str, Any], bool]]
+    """Changes so far: revision, kind, object and whether it was removed."""
+
+    revision: int
+    """Revision of the store."""
+
+
 class Store:
     """The platform's store, in memory."""
 
     def __init__(self) -> None:
         """Start empty and without a port."""
+        self.era = 1
+        self.is_away = False
+        self.read_at: dict[str, float] = {}
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
         self._revision = 1
@@ -88,6 +110,26 @@
             server.shutdown()
             server.server_close()
 
+    def copy(self) -> Copy:
+        """Return a copy of the content."""
+        with self._changed:
+            return Copy(
+                time.monotonic(),
+                dict(self._objects),
+                list(self._events),
+                self._revision,
+            )
+
+    def restore(self, copy: Copy) -> None:
+        """Come back from a copy: a new era, in which later writes lack."""
+        with self._changed:
+            self._objects = dict(copy.objects)
+            self._events = list(copy.events)
+            self._revision = copy.revision
+            self.era += 1
+            self.is_away = False
+            self._changed.notify_all()
+
     def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         """Write an object, as the operator and the servers do."""
         with self._changed:
@@ -142,11 +184,19 @@
                 'current_rev': self._revision,
             }
 
-    def watch(self, kind: str, after: int, seconds: float) -> dict[str, Any]:
-        """Return the changes after a revision, as soon as there is one."""
+    def watch(
+        self, kind: str, after: int, seconds: float
+    ) -> tuple[int, dict[str, Any]]:
+        """Return the changes after a revision, as soon as there is one.
+
+        The status is 410 if the store does not have that revision.
+        """
         ends_at = time.monotonic() + seconds
         with self._changed:
+            era = self.era
             while True:
+                if after > self._revision or self.era != era:
+                    return 410, {}
                 events = [
                     {'removed': removed, 'object': found}
                     for revision, stored_kind, found, removed in self._events
@@ -154,7 +204,8 @@
                 ]
                 left = ends_at - time.monotonic()
                 if events or left <= 0:
-                    return {'events': events, 'current_rev': self._revision}
+                    found = {'events': events, 'current_rev': self._revision}
+                    return 200, found
                 self._changed.wait(left)
 
     def write(
@@ -196,11 +247,23 @@
         return found
 
     class Handler(JsonHandler):
+        def parse_request(self) -> bool:
+            """Refuse calls while the store is away."""
+            is_parsed = super().parse_request()
+            if is_parsed and store.is_away:
+                self.read_body()
+                self.answer(503)
+                return False
+            return is_parsed
+
         def _send(self, status: int, body: Any) -> None:
             self.answer(
                 status,
                 json.dumps(show(body)).encode(),
-                {'Content-Type': 'application/json', 'Store-Era': '1'},
+                {
+                    'Content-Type': 'application/json',
+                    'Store-Era': str(store.era),
+                },
             )
 
         def _split(self) -> tuple[str, str, dict[str, str]]:
@@ -214,14 +277,15 @@
 
         def do_GET(self) -> None:
             kind, name, query = self._split()
+            if kind == 'config':
+                host, port = self.connection.getsockname()
+                store.read_at[f'{host}:{port}'] = time.monotonic()
             if name:
                 found = store.find(kind, name)
                 self._send(200 if found else 404, found or {})
             elif 'watch' in query:
                 seconds = int(query.get('wait_ms', '0')) / 1000
-                self._send(
-                    200, store.watch(kind, int(query['watch']), seconds)
-                )
+                self._send(*store.watch(kind, int(query['watch']), seconds))
             else:
                 after = query.get('since_rev', '')
                 self._send(200, store.list_kind(kind, after))
