--- a/review/second/replica.py
+++ b/review/second/replica.py
@@ -33,6 +33,8 @@
     serve
         Handles a request, given the handler and the replica; by default it
         answers at once.
+    port
+        Port to listen at; by default a free one.
     """
 
     def __init__(
@@ -42,19 +44,23 @@
         service: str,
         zone: str,
         serve: Callable[[JsonHandler, Replica, bytes], None] | None = None,
+        port: int = 0,
     ) -> None:
-        """Listen at a free port and write the entry."""
+        """Listen at a port and write the entry."""
         self.name = name
+        self.is_leaving = False
         self.runs: list[tuple[float, str, dict[str, str]]] = []
         self.lock = threading.Lock()
         self._serve = serve or answer_at_once
-        self._server = QuietServer(('127.0.0.1', 0), _make_handler(self))
+        self._server = QuietServer(('127.0.0.1', port), _make_handler(self))
         threading.Thread(
             target=self._server.serve_forever, daemon=True
         ).start()
-        self.address = f'127.0.0.1:{self._server.server_address[1]}'
+        self.port = int(self._server.server_address[1])
+        self.address = f'127.0.0.1:{self.port}'
         self._store = store
         self._beats = 0
+        self._has_written = threading.Event()
         self._is_closed = threading.Event()
         self.entry: dict[str, Any] = {
             'service': service,
@@ -78,11 +84,26 @@
 
     def make_headers(self, attempt: str) -> dict[str, str]:
         """Return the headers of an answer."""
-        return {
+        headers = {
             'X-Request-Attempt-Id': attempt,
             'X-Replica-Stamp': f'stamp-of-{self.name}',
             'Content-Type': 'application/json',
         }
+        if self.is_leaving:
+            headers['Server-Leaving'] = '1'
+        return headers
+
+    def drain(self) -> float:
+        """Report that it leaves; return when the store took that."""
+        self.is_leaving = True
+        self.entry['state'] = 'draining'
+        self._write_entry()
+        return time.monotonic()
+
+    def await_heartbeat(self) -> None:
+        """Wait until the next entry is written."""
+        self._has_written.clear()
+        self._has_written.wait(2 * HEARTBEAT_SECONDS)
 
     def close(self) -> None:
         """Stop; the entry stays, as after a crash."""
@@ -98,7 +119,11 @@
             handler.answer(421, b'', {'X-Replica-Id': self.name})
             return
         if handler.path == '/health':
-            handler.answer(200, b'', {'X-Replica-Id': self.name})
+            status = 503 if self.is_leaving else 200
+            headers = {'X-Replica-Id': self.name}
+            if self.is_leaving:
+                headers['Server-Leaving'] = '1'
+            handler.answer(status, b'', headers)
             return
         self._serve(handler, self, body)
 
@@ -107,6 +132,7 @@
         self._store.put(
             'servers', self.name, {**self.entry, 'seq_no': self._beats}
         )
+        self._has_written.set()
 
     def _beat(self) -> None:
         while not self._is_closed.wait(HEARTBEAT_SECONDS):
