--- a/review/second/replica.py
+++ b/review/second/replica.py
@@ -33,8 +33,6 @@
     serve
         Handles a request, given the handler and the replica; by default it
         answers at once.
-    port
-        Port to listen at; by default a free one.
     """
 
     def __init__(
@@ -44,24 +42,21 @@
         service: str,
         zone: str,
         serve: Callable[[JsonHandler, Replica, bytes], None] | None = None,
-        port: int = 0,
     ) -> None:
-        """Listen at a port and write the entry."""
+        """Listen at a free port and write the entry."""
         self.name = name
         self.is_leaving = False
         self.runs: list[tuple[float, str, dict[str, str]]] = []
         self.lock = threading.Lock()
         self._serve = serve or answer_at_once
-        self._server = QuietServer(('127.0.0.1', port), _make_handler(self))
+        self._server = QuietServer(('127.0.0.1', 0), _make_handler(self))
         threading.Thread(
             target=self._server.serve_forever, daemon=True
         ).start()
-        self.port = int(self._server.server_address[1])
-        self.address = f'127.0.0.1:{self.port}'
+        self.address = f'127.0.0.1:{self._server.server_address[1]}'
         self._store = store
         self._beats = 0
-        self._has_written = threading.Event()
-        self._is_closed = threading.Event()
+        self._stops_writing = threading.Event()
         self.entry: dict[str, Any] = {
             'service': service,
             'address': self.address,
@@ -93,21 +88,16 @@
             headers['Server-Leaving'] = '1'
         return headers
 
-    def drain(self) -> float:
-        """Report that it leaves; return when the store took that."""
+    def leave_unannounced(self) -> float:
+        """Leave without a report; return when its entry disappeared."""
         self.is_leaving = True
-        self.entry['state'] = 'draining'
-        self._write_entry()
+        self._stops_writing.set()
+        self._store.remove('servers', self.name)
         return time.monotonic()
 
-    def await_heartbeat(self) -> None:
-        """Wait until the next entry is written."""
-        self._has_written.clear()
-        self._has_written.wait(2 * HEARTBEAT_SECONDS)
-
     def close(self) -> None:
         """Stop; the entry stays, as after a crash."""
-        self._is_closed.set()
+        self._stops_writing.set()
         self._server.shutdown()
         self._server.server_close()
 
@@ -132,10 +122,9 @@
         self._store.put(
             'servers', self.name, {**self.entry, 'seq_no': self._beats}
         )
-        self._has_written.set()
 
     def _beat(self) -> None:
-        while not self._is_closed.wait(HEARTBEAT_SECONDS):
+        while not self._stops_writing.wait(HEARTBEAT_SECONDS):
             self._write_entry()
 
 
