--- a/tests/forwarder_harness.py
+++ b/tests/forwarder_harness.py
@@ -113,14 +113,20 @@
 class ForwarderHarness:
     """A forwarder whose attempts receive their answers from a test."""
 
-    def __init__(self, kind: RouteKind = RouteKind.STREAM) -> None:
+    def __init__(
+        self,
+        kind: RouteKind = RouteKind.STREAM,
+        most_targets: int = 2,
+        read_per_second: float = 0.0,
+        is_resumable: bool = True,
+    ) -> None:
         self.clock = ManualClock()
         self.connects_at_once = True
         self.replica_table = ReplicaTable()
         self.attempts: list[Attempt] = []
+        self.may_send_by_attempt: dict[Attempt, Any] = {}
         self.answer = RecordedAnswer()
         self.refusal: Refusal | None = None
-        stream = kind is RouteKind.STREAM
         route = Route(
             'r',
             'h',
@@ -130,10 +136,12 @@
             goal=0.4,
             shares=(ServiceShare(ServiceName('llm'), 1.0),),
             gap_goal=0.3,
-            most_targets=2,
-            resumable=stream,
+            most_targets=most_targets,
+            resumable=is_resumable and kind is RouteKind.STREAM,
+        )
+        engine = Engine(
+            9, (EngineModel(MODEL, 2),), read_per_second=read_per_second
         )
-        engine = Engine(9, (EngineModel(MODEL, 2),))
         cluster = ClusterView(PromiseSettings())
         cluster.apply_routes(
             RouteTable(
@@ -189,6 +197,7 @@
             return
         assert not self.connects_at_once or may_send()
         self.may_send = may_send
+        self.may_send_by_attempt[attempt] = may_send
         self.attempts.append(attempt)
 
     def _has_permit(self, attempt: Attempt) -> bool:
@@ -205,6 +214,7 @@
         resume_after: int | None = None,
         answer_tokens: int = 0,
         timeout_seconds: float | None = None,
+        prompt_tokens: int = 0,
     ) -> asyncio.Task:
         request = DecodedRequest(
             'a1',
@@ -218,6 +228,7 @@
             resume_after=resume_after,
             answer_tokens=answer_tokens,
             timeout_seconds=timeout_seconds,
+            prompt_tokens=prompt_tokens,
         )
         self.answer = RecordedAnswer()
         # The node reads the box list all the time.
--- a/waywell/codes.py
+++ b/waywell/codes.py
@@ -188,6 +188,9 @@
         Details for the caller, in addition to the text of the code.
     retry_after
         Seconds after which the caller may retry; ``None`` for no advice.
+    sends
+        Number of replicas that may have received the request; ``None`` if it
+        is not known.
     """
 
     def __init__(
@@ -196,6 +199,7 @@
         ran: Ran = Ran.NOT_RUN,
         detail: str = '',
         retry_after: float | None = None,
+        sends: int | None = None,
     ) -> None:
         """Store the values that the answer reports."""
         super().__init__(code.name, ran.value, detail)
@@ -203,6 +207,7 @@
         self.ran = ran
         self.detail = detail
         self.retry_after = retry_after
+        self.sends = sends
 
     @property
     def status(self) -> int:
--- a/waywell/connection/forwarding.py
+++ b/waywell/connection/forwarding.py
@@ -23,9 +23,16 @@
 RAN_HEADER = 'waywell-ran'
 """Header of refusals that says whether the request ran."""
 
+SENDS_HEADER = 'waywell-sends'
+"""Header of refusals with the number of replicas that may have received the
+request."""
+
 RETRY_HEADER = 'retry-after'
 """Header of refusals with the seconds until the caller may retry."""
 
+MAX_SENDS_DIGITS = 9
+"""Largest number of digits of a number of sends."""
+
 FORWARDING_HEADER_BYTES = 512
 """Bytes by which the head of a forwarded request may exceed that of a
 caller."""
@@ -57,6 +64,24 @@
     retry_after: float | None
     """Seconds until the caller may retry; ``None`` if not given."""
 
+    sends: int | None = None
+    """Number of replicas that may have received the request; ``None`` if not
+    given, as by earlier releases."""
+
+    def count_unused(self, reserved: int) -> int:
+        """Return how many of the sends reserved for the peer are left.
+
+        Parameters
+        ----------
+        reserved
+            Number of replicas that the peer could send the request to.
+        """
+        if self.ran is Ran.NOT_RUN:
+            used = self.sends or 0
+        else:
+            used = reserved if self.sends is None else max(1, self.sends)
+        return max(0, reserved - used)
+
 
 def parse_forwarding_header(text: str) -> ForwardingHeader | None:
     """Return the parsed header, or ``None`` if it is malformed."""
@@ -82,6 +107,7 @@
         _parse_code(values[CODE_HEADER]),
         _parse_ran(values[RAN_HEADER]),
         _parse_retry_after(values),
+        _parse_sends(values.get(SENDS_HEADER, '')),
     )
 
 
@@ -95,6 +121,11 @@
     return known.get(text, Ran.MAY_HAVE_RUN)
 
 
+def _parse_sends(text: str) -> int | None:
+    is_number = text.isascii() and text.isdecimal()
+    return int(text) if is_number and len(text) <= MAX_SENDS_DIGITS else None
+
+
 def _parse_retry_after(values: Mapping[str, str]) -> float | None:
     try:
         return max(0.0, float(values[RETRY_HEADER]))
--- a/waywell/connection/front.py
+++ b/waywell/connection/front.py
@@ -21,6 +21,7 @@
     CODE_HEADER,
     FORWARDING_HEADER_BYTES,
     RAN_HEADER,
+    SENDS_HEADER,
 )
 from waywell.connection.wire_format import WireFormat
 from waywell.request.decoded_request import DecodedRequest
@@ -88,6 +89,8 @@
         self.setHeader(b'content-length', str(len(raw)).encode())
         self.setHeader(CODE_HEADER.encode(), str(int(refusal.code)).encode())
         self.setHeader(RAN_HEADER.encode(), refusal.ran.value.encode())
+        if refusal.sends is not None:
+            self.setHeader(SENDS_HEADER.encode(), str(refusal.sends).encode())
         if refusal.retry_after is not None:
             self.setHeader(b'retry-after', f'{refusal.retry_after:g}'.encode())
         self.disable_keep_alive_if_leaving()
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -193,6 +193,9 @@
         self.number = number
         self.started_at = 0.0
         self.sent_at = 0.0
+        self.was_sent = False
+        # Whether the attempt has drawn on the resend budget.
+        self.has_drawn = False
         self.sent_boxes_age: float | None = None
         self.has_begun = False
         self.progress = StreamProgress()
--- a/waywell/request/peer_destination.py
+++ b/waywell/request/peer_destination.py
@@ -41,13 +41,18 @@
         context: RequestContext,
         peer: NodeRecord,
     ) -> None:
-        """Reserve the remaining sends of the request for the peer."""
+        """Reserve the remaining sends of the request for the peer.
+
+        The routes of the peer may be older and let it repeat a request that
+        may run only once, so such a request gets a single send.
+        """
         self.key = make_peer_key(peer)
         self.replica_table = dependencies.peer_table
         self._dependencies = dependencies
         self._context = context
         self._peer = peer
-        self._sends = max(1, context.max_sends - context.sends)
+        left = max(1, context.max_sends - context.sends)
+        self._sends = left if context.may_retry_elsewhere else 1
 
     def describe(self) -> dict[str, object]:
         """Return the fields that identify the peer in log lines."""
--- a/waywell/request/request_attempts.py
+++ b/waywell/request/request_attempts.py
@@ -2,25 +2,22 @@
 
 from __future__ import annotations
 
-import asyncio
-import contextlib
 from typing import TYPE_CHECKING
 
 from waywell.codes import Code, Refusal
 from waywell.request.attempt import Attempt, Inbox
-from waywell.request.destination import Destination, ReplicaDestination
+from waywell.request.destination_choice import DestinationChoice
 from waywell.request.hedge_timeouts import compute_hedge_timeouts
-from waywell.request.peer_destination import PeerDestination
-from waywell.request.retry_after import RefusalReason
-from waywell.request.unroutable import Unroutable, explain_unroutable
+from waywell.request.resend_rule import SendVerdict, check_send
 from waywell.telemetry.events import log_event
 
 if TYPE_CHECKING:
+    from waywell.request.destination import Destination
     from waywell.request.request_context import (
         ForwarderDependencies,
         RequestContext,
     )
-    from waywell.version.fleet import Replica
+    from waywell.request.resend_rule import SendState
 
 MAX_LOGGED_PARTS = 8
 """Maximum number of prompt parts in a log line."""
@@ -53,12 +50,22 @@
             context.request,
             dependencies.pauses.get(context.request.model),
         )
+        self.choice = DestinationChoice(dependencies, context)
         self._dependencies = dependencies
         self._context = context
         self._inbox = inbox
+        self._unused_resends = 0
 
-    def start(self) -> bool:
-        """Start an attempt at the best untried replica, if there is one.
+    def start(self, concurrent: int = 0) -> bool:
+        """Start an attempt at the best untried destination, if it may be sent.
+
+        An attempt beside or after one that may have reached a replica draws
+        on the resend budget.
+
+        Parameters
+        ----------
+        concurrent
+            Number of attempts that continue to run beside it.
 
         Returns
         -------
@@ -66,60 +73,35 @@
             Whether an attempt was started.
         """
         now = self._dependencies.clock.read()
-        destination = (
-            self._choose(now) if self._may_expose_replica(0, now) else None
-        )
-        if destination is None:
-            return False
-        self._send(destination, now)
-        return True
-
-    async def start_at_peer(self) -> bool:
-        """Start an attempt at a peer if this node is cut off from replicas."""
-        return await self._check_links() and self.start()
-
-    async def start_resend_anywhere(self, now: float) -> bool:
-        """Start a resend; if no replica is left, diagnose the links first."""
-        if self.start_resend(now):
-            return True
-        if not self.has_sends_left() or not await self._check_links():
-            return False
-        return self.start_resend(self._dependencies.clock.read())
+        is_first = not self._context.tried
+        state = self._make_send_state()
+        verdict = self._try_start(state, concurrent, now)
+        if not is_first:
+            self._record_decision(verdict, state, now)
+        return verdict is SendVerdict.ALLOWED
 
-    def start_resend(self, now: float, concurrent: int = 0) -> bool:
-        """Start another attempt if the resend budget allows it.
-
-        Parameters
-        ----------
-        now
-            Current time, in seconds.
-        concurrent
-            Number of attempts that continue to run beside it.
+    async def start_anywhere(self) -> bool:
+        """Start an attempt; if no replica is left, diagnose the links first.
 
         Returns
         -------
         bool
             Whether an attempt was started.
         """
-        if not self.has_sends_left() or not self._may_expose_replica(
-            concurrent, now
-        ):
-            return False
-        destination = self._choose(now)
-        # The budget is charged only if a replica is left to try.
-        nodes = self._dependencies.count_nodes()
-        service = self._context.service
-        if destination is None:
-            return False
-        if not self._dependencies.budget.spend(service, nodes, now):
+        if self.start():
+            return True
+        if not self._may_send_again():
             return False
-        self._send(destination, now)
-        return True
+        until = self._make_send_state().latest_send_at
+        return await self.choice.needs_peer(until) and self.start()
 
     def drop(self, attempt: Attempt) -> None:
         """Stop an attempt, unless it was dropped before."""
         if attempt in self.running:
             self.running.remove(attempt)
+            if attempt.has_drawn and not attempt.was_sent:
+                # No replica got it, so the next attempt may use its draw.
+                self._unused_resends += 1
             self._dependencies.running.discard(attempt)
             destination = attempt.destination
             destination.replica_table.record_end(destination.key)
@@ -152,14 +134,10 @@
         return (
             len(self.running) == 1
             and self._context.may_retry_elsewhere
-            and self.has_sends_left()
+            and self._may_send_again()
             and self._may_expose_replica(1, self._dependencies.clock.read())
         )
 
-    def has_sends_left(self) -> bool:
-        """Return whether the request may be sent to one more replica."""
-        return self._context.sends < self._context.max_sends
-
     def get_hedge_time(self) -> float:
         """Return when the only attempt becomes due for a hedge, in seconds."""
         attempt = self.running[0]
@@ -173,7 +151,7 @@
         """Start a hedge beside a silent attempt, or restart its timeout."""
         attempt = self.running[0]
         self.record_silence(now)
-        if self.start_resend(now, concurrent=1):
+        if self.start(concurrent=1):
             self.log('hedged', attempt, now)
             return
         attempt.started_at = now
@@ -235,27 +213,59 @@
             **pairs,
         )
 
-    def explain_unroutable(self, now: float) -> Unroutable:
-        """Return why no replica can take the request."""
-        if (
-            self._is_partitioned()
-            and self._context.request.forwarded is not None
-        ):
-            return Unroutable(Code.NODE_PARTITIONED, RefusalReason.NO_GROUP)
-        backpressure = self._dependencies.backpressure
-        replicas = self._list_replicas()
-        open_replicas = backpressure.filter_available(replicas, now)
-        return explain_unroutable(
-            backpressure.get_shortest_rest(
-                [replica.key.life for replica in replicas], now
-            ),
-            self._dependencies.permits.find_wait(
-                [replica.key.life for replica in open_replicas], now
-            ),
-            self._context.rejections,
+    def _make_send_state(self) -> SendState:
+        return self._context.make_send_state(
+            self.hedge_timeouts.expected_first
+        )
+
+    def _may_send_again(self) -> bool:
+        """Return whether the request may be sent to one more replica."""
+        now = self._dependencies.clock.read()
+        verdict = check_send(self._make_send_state(), now)
+        return verdict is SendVerdict.ALLOWED
+
+    def _record_decision(
+        self, verdict: SendVerdict, state: SendState, now: float
+    ) -> None:
+        self._dependencies.metrics.resends.record(
+            self._context.request.attempt_id,
+            self._context.service,
+            verdict,
+            state,
+            now,
+        )
+
+    def _try_start(
+        self, state: SendState, concurrent: int, now: float
+    ) -> SendVerdict:
+        """Start an attempt, or return why none may be started."""
+        verdict = check_send(state, now)
+        if verdict is not SendVerdict.ALLOWED:
+            return verdict
+        if not self._may_expose_replica(concurrent, now):
+            return SendVerdict.HELD_BACK
+        destination = self.choice.choose(now)
+        if destination is None:
+            return SendVerdict.NO_DESTINATION
+        is_resend = bool(state.sends or concurrent)
+        # The budget is charged only if a destination is left to try.
+        if is_resend and not self._draw_resend(now):
+            return SendVerdict.NO_BUDGET
+        self._send(destination, now, has_drawn=is_resend)
+        return SendVerdict.ALLOWED
+
+    def _draw_resend(self, now: float) -> bool:
+        """Draw a resend from the budget, or use a draw that sent nothing."""
+        if self._unused_resends:
+            self._unused_resends -= 1
+            return True
+        return self._dependencies.budget.spend(
+            self._context.service, self._dependencies.count_nodes(), now
         )
 
-    def _send(self, destination: Destination, now: float) -> None:
+    def _send(
+        self, destination: Destination, now: float, *, has_drawn: bool
+    ) -> None:
         context = self._context
         context.tried |= {destination.key}
         attempt = Attempt(
@@ -265,6 +275,7 @@
             context.traits,
             self._dependencies.clock,
         )
+        attempt.has_drawn = has_drawn
         self.running.append(attempt)
         self._dependencies.running.add(attempt)
         record = destination.replica_table.get(destination.key)
@@ -286,60 +297,6 @@
             ),
         )
 
-    def _list_replicas(self) -> list[Replica]:
-        context = self._context
-        return self._dependencies.cluster.list_replicas(
-            context.service, context.request.model
-        )
-
-    async def _check_links(self) -> bool:
-        """Return whether peers have to forward, after diagnosing the links."""
-        if self._context.request.forwarded is not None:
-            return False
-        clock = self._dependencies.clock
-        deadline_at = self._context.deadline_at
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(0.0, deadline_at - clock.read())):
-                await self._dependencies.paths.await_diagnosis(
-                    self._context.service
-                )
-        return clock.read() < deadline_at and self._is_partitioned()
-
-    def _is_partitioned(self) -> bool:
-        """Return whether this node is cut off from the service's replicas."""
-        return self._dependencies.paths.is_partitioned(self._context.service)
-
-    def _choose(self, now: float) -> Destination | None:
-        if not self._is_partitioned():
-            return self._choose_replica(now)
-        if self._context.request.forwarded is not None:
-            # A request is forwarded once: the sender tries other peers.
-            return None
-        context = self._context
-        peer = self._dependencies.paths.choose_peer(
-            context.service, context.tried, now
-        )
-        if peer is None:
-            return self._choose_replica(now)
-        return PeerDestination(self._dependencies, context, peer)
-
-    def _choose_replica(self, now: float) -> ReplicaDestination | None:
-        # Replicas that asked for a pause or have no permit are excluded even
-        # if no other replica is left.
-        replicas = self._dependencies.backpressure.filter_available(
-            self._list_replicas(), now
-        )
-        denied = self._context.permits_denied
-        replica = self._dependencies.chooser.choose(
-            self._dependencies.permits.filter_available(replicas, denied, now),
-            self._context.tried,
-            self._dependencies.replica_table,
-            now,
-        )
-        if replica is None:
-            return None
-        return ReplicaDestination(self._dependencies, self._context, replica)
-
     def _may_expose_replica(self, concurrent: int, now: float) -> bool:
         """Return whether the request may be sent to one more replica.
 
@@ -354,13 +311,20 @@
         """Return, right before the write, whether it may still be sent."""
         context = self._context
         now = self._dependencies.clock.read()
-        if now >= context.deadline_at:
+        if attempt not in self.running:
+            return False
+        state = self._make_send_state()
+        sends = attempt.destination.count_sends()
+        verdict = check_send(state, now, sends)
+        if verdict is not SendVerdict.ALLOWED:
+            self._record_decision(verdict, state, now)
             return False
         if self._dependencies.guard.get_hold_seconds(context.traits, now):
             return False
         if not attempt.destination.may_send(now):
             return False
         attempt.sent_at = now
+        attempt.was_sent = True
         attempt.sent_boxes_age = self._dependencies.cluster.get_boxes_age(now)
-        context.sends += attempt.destination.count_sends()
+        context.sends += sends
         return True
--- a/waywell/request/request_context.py
+++ b/waywell/request/request_context.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from waywell.codes import Ran
 from waywell.connection.wire_format import WireFormat
 from waywell.ids import Fingerprint, ServiceName, Trait
 from waywell.knowledge.cluster_view import ClusterView
@@ -22,6 +23,7 @@
 from waywell.request.placement import ReplicaChooser
 from waywell.request.replica_table import ReplicaTable
 from waywell.request.resend_budget import ResendBudget
+from waywell.request.resend_rule import SendState
 from waywell.request.running_attempts import RunningAttempts
 from waywell.request.traits import RequestTraits
 from waywell.telemetry.request_metrics import RequestMetrics
@@ -29,6 +31,7 @@
 from waywell.version.routes import Engine, KeyHolder, Route
 
 if TYPE_CHECKING:
+    from waywell.connection.forwarding import PeerRefusal
     from waywell.connection.wire_format import RawHeaders
 
 
@@ -206,7 +209,39 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether a replica may have run the request."""
-        return self.sends > self.rejections
+        return self.make_send_state().may_have_run
+
+    def make_send_state(self, min_answer_seconds: float = 0.0) -> SendState:
+        """Return what decides whether the request may be sent again.
+
+        Parameters
+        ----------
+        min_answer_seconds
+            Time that a replica needs at least to begin an answer, in seconds.
+        """
+        return SendState(
+            may_repeat=self.may_retry_elsewhere,
+            sends=self.sends,
+            rejections=self.rejections,
+            max_sends=self.max_sends,
+            deadline_at=self.deadline_at,
+            min_answer_seconds=min_answer_seconds,
+        )
+
+    def settle_peer_sends(self, reserved: int, refusal: PeerRefusal) -> None:
+        """Count only those sends reserved for a peer that it has used.
+
+        Parameters
+        ----------
+        reserved
+            Number of replicas that the peer could send the request to.
+        refusal
+            Refusal of the peer.
+        """
+        unused = refusal.count_unused(reserved)
+        self.sends -= unused
+        if refusal.ran is Ran.NOT_RUN:
+            self.rejections += reserved - unused
 
     @property
     def priority(self) -> int:
--- a/waywell/request/request_execution.py
+++ b/waywell/request/request_execution.py
@@ -26,7 +26,7 @@
     from waywell.request.stream_events import StreamEvent
 
 MIN_SERVER_ERROR = 500
-"""Lowest HTTP status that counts as a failure of the replica."""
+"""Lowest HTTP status that counts as a failure of a server."""
 
 
 _UNFIT_PEER_CODES = frozenset(
@@ -214,11 +214,12 @@
         if self._attempts.running:
             return
         self._attempts.check_unsent(now)
-        is_started = self._attempts.start()
-        if not is_started and fault.fault is SendFault.NOT_SENT:
-            is_started = await self._attempts.start_at_peer()
+        if fault.fault is SendFault.NOT_SENT:
+            is_started = await self._attempts.start_anywhere()
+        else:
+            is_started = self._attempts.start()
         if not is_started:
-            code = self._attempts.explain_unroutable(now).code
+            code = self._attempts.choice.explain_unroutable(now).code
             if code is Code.NO_WHOLE_GROUP:
                 code = Code.TARGET_UNREACHABLE
             self._give_up(code)
@@ -226,10 +227,7 @@
     async def _run(self) -> None:
         if not self._attempts.start():
             now = self._dependencies.clock.read()
-            unroutable = self._attempts.explain_unroutable(now)
-            raise Refusal(
-                unroutable.code, retry_after=self._compute_retry_after(now)
-            )
+            self._give_up(self._attempts.choice.explain_unroutable(now).code)
         while self._attempts.running:
             await self._step()
         self._give_up(Code.TARGET_FAILED)
@@ -288,8 +286,10 @@
         )
         self._attempts.drop(attempt)
         if not self._attempts.running:
-            if not self._attempts.start_resend(now):
-                self._give_up(self._attempts.explain_unroutable(now).code)
+            if not self._attempts.start():
+                self._give_up(
+                    self._attempts.choice.explain_unroutable(now).code
+                )
 
     def _handle_refusal(
         self,
@@ -304,10 +304,10 @@
             now,
             code=int(refusal.code),
             ran=refusal.ran.value,
+            sends=refusal.sends,
         )
         destination = attempt.destination
-        if refusal.ran is Ran.NOT_RUN:
-            self._context.sends -= destination.count_sends()
+        self._context.settle_peer_sends(destination.count_sends(), refusal)
         is_fit = refusal.code not in _UNFIT_PEER_CODES
         if not is_fit:
             destination.replica_table.record_failure(destination.key, now)
@@ -380,10 +380,8 @@
         bool
             Whether another attempt continues the request.
         """
-        if not self._context.may_retry_elsewhere:
-            return False
         is_alone = len(self._attempts.running) == 1
-        if is_alone and not await self._attempts.start_resend_anywhere(now):
+        if is_alone and not await self._attempts.start_anywhere():
             return False
         self._attempts.log('retried', attempt, now, why=why)
         self._attempts.drop(attempt)
@@ -393,26 +391,30 @@
         """End a request without a complete answer."""
         context = self._context
         now = self._dependencies.clock.read()
+        if now >= context.deadline_at:
+            code = Code.DEADLINE_PASSED
         log_event(
             'given_up',
             request=context.request.attempt_id,
             code=int(code),
             sends=context.sends,
+            rejections=context.rejections,
             begun=context.is_begun,
             age=round(now - context.arrived_at, 3),
         )
         if context.is_begun:
             self._answer.abort()
             raise _Answered
+        sends = context.sends or None
         if context.may_have_run:
-            raise Refusal(code, Ran.MAY_HAVE_RUN)
+            raise Refusal(code, Ran.MAY_HAVE_RUN, sends=sends)
         if retry_after is None:
             retry_after = self._compute_retry_after(now)
-        raise Refusal(code, retry_after=retry_after)
+        raise Refusal(code, retry_after=retry_after, sends=sends)
 
     def _compute_retry_after(self, now: float) -> float:
         """Return after how many seconds the caller should retry."""
-        unroutable = self._attempts.explain_unroutable(now)
+        unroutable = self._attempts.choice.explain_unroutable(now)
         seconds_left = self._context.deadline_at - now
         return compute_retry_after(
             unroutable.reason,
--- a/waywell/telemetry/request_metrics.py
+++ b/waywell/telemetry/request_metrics.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from waywell.telemetry.metrics import InstrumentKind, InstrumentSpec
+from waywell.telemetry.resend_decisions import ResendDecisions
 
 if TYPE_CHECKING:
     from waywell.telemetry.metrics import Metrics
@@ -42,6 +43,7 @@
 
     def __init__(self, metrics: Metrics) -> None:
         """Add the instruments to the metrics of the process."""
+        self.resends = ResendDecisions(metrics)
         self._attempts = metrics.add_instrument(
             InstrumentSpec(
                 InstrumentKind.COUNTER,
