Promise "not run" in no status of a request that may have run (REFUSED)

Seen by callers: the entry daemon answered 503 with `may_have_run`, as when no group was left after a target broke off, and 429 to an unclaimed id. The front daemon passed on a peer's 404 or 401 for a request that another replica may have run; callers don't repeat after these.

Cause: the status came from the code alone; the front daemon's port replaced 503 and no other promise, the entry daemon's port none.

Change: `Refusal.status` is 502 for 408, 421, 429 and 503 unless the request has not run, on both ports. A request that may have run and is given up with a status under 500 gets TARGET_FAILED.

--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -9,7 +9,7 @@
 
 from tests.forwarder_harness import ForwarderHarness, intercept_attempts
 from tests.test_forwarded_requests import LLM, cut_links
-from waywell.codes import Code, Ran
+from waywell.codes import Code, Ran, Refusal
 from waywell.connection.exchange import SendFault
 from waywell.connection.forwarding import ForwardingHeader, PeerRefusal
 from waywell.connection.front import _choose_status
@@ -313,6 +313,29 @@
     run(play())
 
 
+@pytest.mark.parametrize('code', [Code.NO_ROUTE, Code.UNKNOWN_KEY])
+def test_a_request_that_may_have_run_is_not_reported_as_at_fault(
+    scenario: Scenario, code: Code
+) -> None:
+    """A peer with older routes refuses what another replica has run."""
+
+    async def play() -> None:
+        harness = scenario.make('safe', 2)
+        await harness.submit()
+        cut_links(harness)
+        await fail(harness, 0, SendFault.BROKEN)
+        await refuse(harness, 1, code, Ran.NOT_RUN)
+        check_failed(harness)
+
+    run(play())
+
+
+@pytest.mark.parametrize('ran', RAN)
+@pytest.mark.parametrize('code', list(Code))
+def test_no_status_promises_what_is_not_known(code: Code, ran: Ran) -> None:
+    assert Refusal(code, ran).status not in PROMISES
+
+
 def test_a_node_tells_how_many_replicas_may_have_received_a_request(
     scenario: Scenario,
 ) -> None:
--- a/waywell/codes.py
+++ b/waywell/codes.py
@@ -70,6 +70,13 @@
     NOT_FOUND = 4007
 
 
+PROMISE_STATUSES = frozenset((408, 421, 429, 503))
+"""HTTP statuses which state that a request has not run and never will."""
+
+UNKNOWN_OUTCOME_STATUS = 502
+"""HTTP status that leaves open whether a request has run."""
+
+
 class CodeFacts(msgspec.Struct, frozen=True):
     """HTTP status and explanation of a code."""
 
@@ -211,8 +218,14 @@
 
     @property
     def status(self) -> int:
-        """Return the HTTP status of the code."""
-        return CODE_FACTS[self.code].status
+        """Return the HTTP status of the code.
+
+        A request that may have run gets no status that promises otherwise.
+        """
+        status = CODE_FACTS[self.code].status
+        if self.ran is not Ran.NOT_RUN and status in PROMISE_STATUSES:
+            return UNKNOWN_OUTCOME_STATUS
+        return status
 
     def describe(self) -> dict[str, object]:
         """Return the body of the answer as JSON-compatible values."""
--- a/waywell/connection/front.py
+++ b/waywell/connection/front.py
@@ -36,9 +36,6 @@
 NOT_RUN_STATUS = 503
 """HTTP status that guarantees that a request has not run."""
 
-MAY_HAVE_RUN_STATUS = 502
-"""HTTP status that leaves open whether a request has run."""
-
 
 @attrs.frozen
 class FrontBackend:
@@ -127,11 +124,8 @@
     Among the 5xx statuses, 503 and no other guarantees that the request has
     not run.
     """
-    is_not_run = refusal.ran is Ran.NOT_RUN
-    if is_not_run and refusal.status > NOT_RUN_STATUS:
-        return NOT_RUN_STATUS
-    if not is_not_run and refusal.status == NOT_RUN_STATUS:
-        return MAY_HAVE_RUN_STATUS
+    if refusal.ran is Ran.NOT_RUN:
+        return min(refusal.status, NOT_RUN_STATUS)
     return refusal.status
 
 
--- a/waywell/request/request_execution.py
+++ b/waywell/request/request_execution.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from waywell.codes import Code, Ran, Refusal
+from waywell.codes import CODE_FACTS, Code, Ran, Refusal
 from waywell.connection.exchange import SendFault
 from waywell.process.actor import get_handler_name
 from waywell.request.attempt import Attempt, Inbox
@@ -393,6 +393,11 @@
         now = self._dependencies.clock.read()
         if now >= context.deadline_at:
             code = Code.DEADLINE_PASSED
+        elif (
+            context.may_have_run and CODE_FACTS[code].status < MIN_SERVER_ERROR
+        ):
+            # The request was at no fault when it was sent.
+            code = Code.TARGET_FAILED
         log_event(
             'given_up',
             request=context.request.attempt_id,
