Ask the same rule before each attempt of the entry daemon

Seen by callers: a request whose first attempt reached no box was refused while its account had no retry left, so the first requests of an account could not pass a box without power. While a node tested its links it held a request beyond its deadline. An attempt was prepared after the deadline.

Cause: the entry daemon had conditions of its own for another attempt; each attempt but the first drew on the budget, also after one that reached nobody; the wait for the diagnosis of links had no bound.

Change: `RetryPolicy` asks `check_send`, as the front daemon does, then guard and budget, and records the decision; the check at the write asks it again. Attempts that reached no target draw on no budget. The diagnosis is awaited until the deadline.

--- a/waywell/process/entry.py
+++ b/waywell/process/entry.py
@@ -351,6 +351,7 @@
             guard=self.quarantine,
             permits=self._turns,
             paths=self._paths,
+            metrics=self.metrics,
         )
         self.parts = parts
         self._dispatcher = Dispatcher(parts, self.get_facts)
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 from functools import partial
 from http import HTTPStatus
 from random import Random
@@ -36,8 +38,10 @@
     NO_GROUP_RETRY_SECONDS,
     RequestClaims,
 )
+from waywell.request.resend_rule import SendVerdict, check_send
 from waywell.request.retry import ATTEMPT_LIMIT, RetryBudget
 from waywell.request.retry_after import compute_retry_after
+from waywell.request.retry_policy import RetryPolicy
 from waywell.request.routing import (
     Choice,
     choose_for_session,
@@ -52,6 +56,8 @@
 from waywell.request.traits import RequestTraits
 from waywell.request.unroutable import explain_unroutable
 from waywell.telemetry.history import History
+from waywell.telemetry.metrics import Metrics
+from waywell.telemetry.resend_decisions import ResendDecisions
 from waywell.version.roster import Group, GroupState
 from waywell.version.serving import RequestShape
 
@@ -92,11 +98,8 @@
 }
 """Faults that do not count against the health of a group."""
 
-_NOT_RUN_FAULTS = _HARMLESS_FAULTS | {
-    DispatchFault.NOT_SENT,
-    DispatchFault.FENCED,
-}
-"""Faults after which the request has certainly not run."""
+_UNSENT_FAULTS = _HARMLESS_FAULTS | {DispatchFault.NOT_SENT}
+"""Faults after which no target can have received the request."""
 
 _FINAL_FAULTS = frozenset((DispatchFault.TOO_LATE, DispatchFault.TIMED_OUT))
 """Faults after which no time is left for another attempt."""
@@ -162,6 +165,9 @@
     backpressure: Backpressure = attrs.Factory(Backpressure)
     """Backpressure signals that targets have sent."""
 
+    metrics: Metrics = attrs.Factory(Metrics)
+    """Metrics of the process."""
+
 
 class Dispatcher:
     """Serves requests by the documents in force.
@@ -182,6 +188,9 @@
         """Create a dispatcher without requests."""
         self._parts = parts
         self._describe_node = describe_node
+        self._retries = RetryPolicy(
+            parts.budget, parts.guard, ResendDecisions(parts.metrics)
+        )
 
     async def serve(
         self, submission: Submission, caller: CallerConnection
@@ -309,7 +318,8 @@
             if not isinstance(answer, DispatchFault):
                 return await self._relay(work, choice, answer)
             if answer is DispatchFault.NOT_SENT:
-                await self._parts.paths.await_diagnosis(_get_service(work))
+                seconds = work.deadline_at - self._parts.clock.read()
+                await _await_diagnosis(self._parts.paths, work, seconds)
                 self._check_links(work)
             if not self._may_retry(work, answer, attempt):
                 raise self._make_refusal(work, answer)
@@ -523,8 +533,10 @@
         work.tried.add(group.group)
         if fault in {DispatchFault.BROKEN, DispatchFault.MALFORMED}:
             self._record_broken_attempt(work, group, has_begun=False)
-        if fault not in _NOT_RUN_FAULTS:
-            work.may_have_run = True
+        if fault not in _UNSENT_FAULTS:
+            work.sends += 1
+        if fault is DispatchFault.FENCED:
+            work.rejections += 1
         self._record_event('attempt_failed', work, group, fault=fault.value)
         return fault
 
@@ -542,7 +554,8 @@
             return False
         if not self._parts.permits.may_send(life, permit, now):
             return False
-        return now < work.deadline_at
+        verdict = check_send(work.make_send_state(), now)
+        return verdict is SendVerdict.ALLOWED
 
     async def _relay(
         self,
@@ -584,14 +597,10 @@
         fault: DispatchFault,
         attempt: int,
     ) -> bool:
+        """Return whether to make another attempt after one that failed."""
         if attempt + 1 >= ATTEMPT_LIMIT or fault in _FINAL_FAULTS:
             return False
-        if work.may_have_run and not work.facts.repeatable:
-            return False
-        now = self._parts.clock.read()
-        if not self._parts.guard.may_send(work.traits, 0, now):
-            return False
-        return self._parts.budget.spend(work.account.name)
+        return self._retries.may_retry(work, self._parts.clock.read())
 
     def _make_refusal(
         self, work: PendingRequest, fault: DispatchFault
@@ -646,6 +655,15 @@
     )
 
 
+async def _await_diagnosis(
+    paths: ReplicaPaths, work: PendingRequest, seconds: float
+) -> None:
+    """Wait until the node knows whether its links are lost, or a timeout."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(max(0.0, seconds)):
+            await paths.await_diagnosis(_get_service(work))
+
+
 def _get_ran(work: PendingRequest) -> Ran:
     return Ran.MAY_HAVE_RUN if work.may_have_run else Ran.NOT_RUN
 
--- a/waywell/request/submission.py
+++ b/waywell/request/submission.py
@@ -10,6 +10,8 @@
 
 from waywell.ids import GroupId, SessionId
 from waywell.request.facts import RequestFacts
+from waywell.request.resend_rule import SendState
+from waywell.request.retry import ATTEMPT_LIMIT
 from waywell.request.traits import RequestTraits
 from waywell.version.objects import Account, Service
 from waywell.version.serving import RequestShape
@@ -85,8 +87,26 @@
     permits_denied: int = 0
     """Number of groups with a rate limit that denied a permit."""
 
-    may_have_run: bool = False
-    """Whether a target may have received a byte of the request."""
+    sends: int = 0
+    """Number of targets that may have received a byte of the request."""
+
+    rejections: int = 0
+    """Number of these targets that rejected it without running it."""
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a target may have run the request."""
+        return self.make_send_state().may_have_run
+
+    def make_send_state(self) -> SendState:
+        """Return what decides whether the request may be sent again."""
+        return SendState(
+            may_repeat=self.facts.repeatable,
+            sends=self.sends,
+            rejections=self.rejections,
+            max_sends=ATTEMPT_LIMIT,
+            deadline_at=self.deadline_at,
+        )
 
     @property
     def session(self) -> SessionId | None:
