--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -9,6 +9,7 @@
 
 from tests.forwarder_harness import ForwarderHarness, intercept_attempts
 from tests.test_forwarded_requests import LLM, cut_links
+from tests.test_peer_chooser import make_node
 from waywell.codes import Code, Ran, Refusal
 from waywell.connection.exchange import SendFault
 from waywell.connection.forwarding import ForwardingHeader, PeerRefusal
@@ -350,3 +351,55 @@
         assert harness.refusal.sends == 2
 
     run(play())
+
+
+def test_two_peers_that_leave_one_after_the_other_share_the_sends(
+    scenario: Scenario,
+) -> None:
+    async def play() -> None:
+        harness = scenario.make('safe', 3, is_cut=True)
+        harness.paths.peers.append(make_node('d'))
+        await harness.submit()
+        for number in range(2):
+            await refuse(
+                harness, number, Code.NODE_LEAVING, Ran.MAY_HAVE_RUN, 1
+            )
+        assert harness.attempts[2].destination.count_sends() == 1
+        await refuse(harness, 2, Code.NODE_LEAVING, Ran.MAY_HAVE_RUN, 1)
+        assert len(harness.attempts) == 3
+        check_failed(harness)
+
+    run(play())
+
+
+@pytest.mark.parametrize('kind', ['safe', 'resumable'])
+def test_a_node_whose_links_are_back_needs_no_other_peer(
+    scenario: Scenario, kind: str
+) -> None:
+    async def play() -> None:
+        harness = scenario.make(kind, 2, is_cut=True)
+        await harness.submit()
+        harness.paths.is_lost = False
+        await refuse(harness, 0, Code.NODE_LEAVING, Ran.MAY_HAVE_RUN, 1)
+        assert harness.attempts[1].destination.replica is not None
+
+    run(play())
+
+
+@pytest.mark.parametrize(
+    ('kind', 'attempts'), [('resumable', 2), ('stream', 1)]
+)
+def test_a_begun_stream_goes_on_through_a_peer_only_if_it_may_be_resumed(
+    scenario: Scenario, kind: str, attempts: int
+) -> None:
+    async def play() -> None:
+        harness = scenario.make(kind, 2)
+        await harness.submit()
+        await harness.deliver_head(harness.attempts[0])
+        await harness.deliver_events(harness.attempts[0], 1, 2)
+        cut_links(harness)
+        await harness.deliver_end(harness.attempts[0], is_whole=False)
+        assert len(harness.attempts) == attempts
+        assert harness.answer.end == ('' if attempts == 2 else 'aborted')
+
+    run(play())
