Give a resend back that a peer has not sent

Cause: a peer that refuses a request as not run leaves the budget's draw spent, though no replica got the request.

Change: such an attempt counts as one that reached nobody.

--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -372,6 +372,21 @@
     run(play())
 
 
+def test_a_resend_that_a_peer_has_not_sent_draws_on_the_budget_once(
+    scenario: Scenario,
+) -> None:
+    async def play() -> None:
+        harness = scenario.make('safe', 2)
+        await harness.submit()
+        cut_links(harness)
+        await fail(harness, 0, SendFault.BROKEN)
+        await refuse(harness, 1, Code.NODE_LEAVING, Ran.NOT_RUN)
+        assert len(harness.attempts) == 3
+        assert len(harness.budget._sent[LLM].resends) == 1  # noqa: SLF001
+
+    run(play())
+
+
 @pytest.mark.parametrize('kind', ['safe', 'resumable'])
 def test_a_node_whose_links_are_back_needs_no_other_peer(
     scenario: Scenario, kind: str
--- a/waywell/request/attempt.py
+++ b/waywell/request/attempt.py
@@ -193,7 +193,8 @@
         self.number = number
         self.started_at = 0.0
         self.sent_at = 0.0
-        self.was_sent = False
+        # Whether a replica may have received the request.
+        self.may_have_arrived = False
         # Whether the attempt has drawn on the resend budget.
         self.has_drawn = False
         self.sent_boxes_age: float | None = None
--- a/waywell/request/request_attempts.py
+++ b/waywell/request/request_attempts.py
@@ -99,8 +99,8 @@
         """Stop an attempt, unless it was dropped before."""
         if attempt in self.running:
             self.running.remove(attempt)
-            if attempt.has_drawn and not attempt.was_sent:
-                # No replica got it, so the next attempt may use its draw.
+            if attempt.has_drawn and not attempt.may_have_arrived:
+                # The next attempt may use the resend that this one has drawn.
                 self._unused_resends += 1
             self._dependencies.running.discard(attempt)
             destination = attempt.destination
@@ -255,7 +255,7 @@
         return SendVerdict.ALLOWED
 
     def _draw_resend(self, now: float) -> bool:
-        """Draw a resend from the budget, or use a draw that sent nothing."""
+        """Draw a resend from the budget, unless one is left over."""
         if self._unused_resends:
             self._unused_resends -= 1
             return True
@@ -324,7 +324,7 @@
         if not attempt.destination.may_send(now):
             return False
         attempt.sent_at = now
-        attempt.was_sent = True
+        attempt.may_have_arrived = True
         attempt.sent_boxes_age = self._dependencies.cluster.get_boxes_age(now)
         context.sends += sends
         return True
--- a/waywell/request/request_execution.py
+++ b/waywell/request/request_execution.py
@@ -307,7 +307,9 @@
             sends=refusal.sends,
         )
         destination = attempt.destination
-        self._context.settle_peer_sends(destination.count_sends(), refusal)
+        reserved = destination.count_sends()
+        self._context.settle_peer_sends(reserved, refusal)
+        attempt.may_have_arrived = refusal.count_unused(reserved) < reserved
         is_fit = refusal.code not in _UNFIT_PEER_CODES
         if not is_fit:
             destination.replica_table.record_failure(destination.key, now)
