Test that silence sends no request again beyond the rule

Rows of the table of attempts: what may run once waits for its deadline at a silent peer or replica (504); a safe request is hedged within its sends, and by the peer if one forwards it.

--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -418,3 +418,41 @@
         assert harness.answer.end == ('' if attempts == 2 else 'aborted')
 
     run(play())
+
+
+@pytest.mark.parametrize('is_cut', [False, True])
+@pytest.mark.parametrize('kind', ONCE_ONLY)
+def test_a_request_that_may_run_once_is_not_hedged(
+    scenario: Scenario, kind: str, is_cut: bool
+) -> None:
+    """A suspended peer or replica is silent until the deadline."""
+
+    async def play() -> None:
+        harness = scenario.make(kind, 3, is_cut=is_cut)
+        await harness.submit()
+        await harness.advance_time(1.0)
+        assert harness.refusal is None
+        await harness.advance_time(7.0)
+        assert len(harness.attempts) == 1
+        assert harness.refusal is not None
+        assert harness.refusal.ran is Ran.MAY_HAVE_RUN
+        assert _choose_status(harness.refusal) == 504
+
+    run(play())
+
+
+@pytest.mark.parametrize('is_cut', [False, True])
+@pytest.mark.parametrize('most_targets', [1, 2, 3])
+def test_a_silent_safe_request_is_hedged_within_its_sends(
+    scenario: Scenario, most_targets: int, is_cut: bool
+) -> None:
+    """A peer hedges by itself, as it has all sends of the request."""
+
+    async def play() -> None:
+        harness = scenario.make('safe', most_targets, is_cut=is_cut)
+        await harness.submit()
+        for _hedge in range(4):
+            await harness.advance_time(1.0)
+        assert len(harness.attempts) == (1 if is_cut else min(2, most_targets))
+
+    run(play())
