Keep 503 for submissions that were not sent

Cause: the change of statuses also turned refusals of unclaimed ids into 502. Such a submission has not run and goes to another entry box; only an earlier one of its id may have run.

Change: the entry daemon's refusals say to how many targets the submission may have gone, and get 502 for that. The front daemon's port goes on to send 502 for all that may have run.

`resend_decided` has `age`. test_an_attempt_id_appears_in_all_its_log_lines lists the events of a failed attempt and failed as the decision is a new one; it lists that too now, and wants an age on it.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -447,8 +447,14 @@
     log = (front.folder / 'front-1.log').read_text()
     lines = [line for line in log.splitlines() if 'look-for-me' in line]
     events = [line.partition('event=')[2].split()[0] for line in lines]
-    assert events == ['attempt', 'failed', 'given_up', 'refused']
-    assert all('age=' in line for line in lines[:3])
+    assert events == [
+        'attempt',
+        'resend_decided',
+        'failed',
+        'given_up',
+        'refused',
+    ]
+    assert all('age=' in line for line in lines[:4])
     status, raw = front.get(process, 'metrics_port', '/metrics')
     assert status == 200
     assert b'waywell_requests' in raw
--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -334,7 +334,8 @@
 @pytest.mark.parametrize('ran', RAN)
 @pytest.mark.parametrize('code', list(Code))
 def test_no_status_promises_what_is_not_known(code: Code, ran: Ran) -> None:
-    assert Refusal(code, ran).status not in PROMISES
+    assert Refusal(code, ran, sends=1).status not in PROMISES
+    assert _choose_status(Refusal(code, ran)) not in PROMISES
 
 
 def test_a_node_tells_how_many_replicas_may_have_received_a_request(
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -108,6 +108,7 @@
         account=account,
         service=Service('llm'),
         shape=RequestShape('llm', 'a', 'default'),
+        arrived_at=0,
         deadline_at=1,
         traits=RequestTraits(Fingerprint('f')),
     )
--- a/waywell/codes.py
+++ b/waywell/codes.py
@@ -197,7 +197,7 @@
         Seconds after which the caller may retry; ``None`` for no advice.
     sends
         Number of replicas that may have received the request; ``None`` if it
-        is not known.
+        was sent to none.
     """
 
     def __init__(
@@ -220,10 +220,13 @@
     def status(self) -> int:
         """Return the HTTP status of the code.
 
-        A request that may have run gets no status that promises otherwise.
+        A request that was sent and may have run gets no status that promises
+        otherwise.  One that was not sent keeps its status, even if an earlier
+        submission of its id may have run.
         """
         status = CODE_FACTS[self.code].status
-        if self.ran is not Ran.NOT_RUN and status in PROMISE_STATUSES:
+        may_have_run = self.ran is not Ran.NOT_RUN and self.sends
+        if may_have_run and status in PROMISE_STATUSES:
             return UNKNOWN_OUTCOME_STATUS
         return status
 
--- a/waywell/connection/front.py
+++ b/waywell/connection/front.py
@@ -11,7 +11,13 @@
 from twisted.internet.interfaces import IPushProducer
 from zope.interface import implementer
 
-from waywell.codes import Code, Ran, Refusal
+from waywell.codes import (
+    PROMISE_STATUSES,
+    UNKNOWN_OUTCOME_STATUS,
+    Code,
+    Ran,
+    Refusal,
+)
 from waywell.connection.caller_base import (
     BaseCallerRequest,
     BaseCallerSite,
@@ -126,6 +132,8 @@
     """
     if refusal.ran is Ran.NOT_RUN:
         return min(refusal.status, NOT_RUN_STATUS)
+    if refusal.status in PROMISE_STATUSES:
+        return UNKNOWN_OUTCOME_STATUS
     return refusal.status
 
 
--- a/waywell/request/dispatcher.py
+++ b/waywell/request/dispatcher.py
@@ -264,6 +264,7 @@
         if not index.list_rules(shape):
             raise Refusal(Code.NOT_ADMITTED)
         seconds = facts.deadline or service.timeout
+        now = self._parts.clock.read()
         return PendingRequest(
             submission=submission,
             caller=caller,
@@ -271,7 +272,8 @@
             account=account,
             service=service,
             shape=shape,
-            deadline_at=self._parts.clock.read() + seconds,
+            arrived_at=now,
+            deadline_at=now + seconds,
             traits=RequestTraits(
                 make_fingerprint(
                     submission.method,
@@ -346,6 +348,7 @@
             _get_ran(work),
             ' '.join(f'{peer.host}:{peer.caller_port}' for peer in named),
             retry_after=0 if named else NO_GROUP_RETRY_SECONDS,
+            sends=work.sends or None,
         )
 
     async def _choose_with_permit(
@@ -407,7 +410,12 @@
             seconds = compute_retry_after(
                 unroutable.reason, seconds_left, draw, unroutable.wait
             )
-        return Refusal(unroutable.code, _get_ran(work), retry_after=seconds)
+        return Refusal(
+            unroutable.code,
+            _get_ran(work),
+            retry_after=seconds,
+            sends=work.sends or None,
+        )
 
     def _can_use(self, work: PendingRequest, group: Group) -> bool:
         if group.group in work.tried or not self._is_serving(work, group):
@@ -606,14 +614,15 @@
         self, work: PendingRequest, fault: DispatchFault
     ) -> Refusal:
         code = _CODE_BY_FAULT[fault]
+        sends = work.sends or None
         if fault in _FINAL_FAULTS:
-            return Refusal(code, _get_ran(work))
+            return Refusal(code, _get_ran(work), sends=sends)
         seconds: float | None = NO_GROUP_RETRY_SECONDS
         if fault in _BACKPRESSURE_FAULTS:
             groups = self._parts.in_force.index.list_groups(work.shape)
             now = self._parts.clock.read()
             seconds = self._explain_unroutable(work, groups, now).retry_after
-        return Refusal(code, _get_ran(work), retry_after=seconds)
+        return Refusal(code, _get_ran(work), retry_after=seconds, sends=sends)
 
     def _record_event(
         self,
--- a/waywell/request/request_attempts.py
+++ b/waywell/request/request_attempts.py
@@ -233,6 +233,7 @@
             verdict,
             state,
             now,
+            self._context.arrived_at,
         )
 
     def _try_start(
--- a/waywell/request/retry_policy.py
+++ b/waywell/request/retry_policy.py
@@ -54,6 +54,7 @@
             verdict,
             work.make_send_state(),
             now,
+            work.arrived_at,
         )
         return verdict is SendVerdict.ALLOWED
 
--- a/waywell/request/submission.py
+++ b/waywell/request/submission.py
@@ -74,6 +74,9 @@
     shape: RequestShape
     """Properties of the request that serving rules match."""
 
+    arrived_at: float
+    """Time of arrival by the node's clock, in seconds."""
+
     deadline_at: float
     """Time by which the answer must have begun, by the node's clock, in
     seconds."""
--- a/waywell/telemetry/resend_decisions.py
+++ b/waywell/telemetry/resend_decisions.py
@@ -38,6 +38,7 @@
         verdict: SendVerdict,
         state: SendState,
         now: float,
+        arrived_at: float,
     ) -> None:
         """Record a decision.
 
@@ -53,6 +54,8 @@
             What was known of the request.
         now
             Current time, in seconds.
+        arrived_at
+            Time at which the request arrived, in seconds.
         """
         outcome = verdict.value
         self._decisions.record(1, {'outcome': outcome, 'service': service})
@@ -65,4 +68,5 @@
             rejections=state.rejections,
             max_sends=state.max_sends,
             left=round(state.deadline_at - now, 3),
+            age=round(now - arrived_at, 3),
         )
